--- /dev/null
+++ b/Source/Core/Clock.cpp
@@ -0,0 +1,34 @@
+#include "Core/Clock.h"
+
+#include <ctime>
+
+namespace caraway {
+
+namespace {
+
+constexpr std::int64_t millisecondsPerSecond = 1000;
+constexpr std::int64_t nanosecondsPerMillisecond = 1'000'000;
+
+Milliseconds read(clockid_t source)
+{
+    timespec now = {};
+    clock_gettime(source, &now);
+    return Milliseconds(now.tv_sec * millisecondsPerSecond
+                        + now.tv_nsec / nanosecondsPerMillisecond);
+}
+
+} // namespace
+
+TimePoint Clock::now() const
+{
+    if (manual_)
+        return TimePoint(Milliseconds(manualNow_));
+    return TimePoint(read(CLOCK_BOOTTIME));
+}
+
+Milliseconds Clock::wallClock()
+{
+    return read(CLOCK_REALTIME);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Core/Ids.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace caraway {
+
+/// An identifier that is a name. Names of different tags do not convert to one another.
+template<class Tag>
+class NameId
+{
+public:
+    NameId() = default;
+    explicit NameId(std::string value)
+        : value_(std::move(value))
+    {
+    }
+
+    const std::string &value() const { return value_; }
+    bool isEmpty() const { return value_.empty(); }
+
+    friend auto operator<=>(const NameId &, const NameId &) = default;
+
+private:
+    std::string value_;
+};
+
+/// An identifier that is a number. Numbers of different tags do not convert to one another.
+template<class Tag>
+class NumberId
+{
+public:
+    constexpr NumberId() = default;
+    constexpr explicit NumberId(std::uint64_t value)
+        : value_(value)
+    {
+    }
+
+    constexpr std::uint64_t value() const { return value_; }
+    constexpr NumberId next() const { return NumberId(value_ + 1); }
+
+    friend constexpr auto operator<=>(NumberId, NumberId) = default;
+
+private:
+    std::uint64_t value_ = 0;
+};
+
+using JobName = NameId<struct JobNameTag>;
+using WorkerId = NameId<struct WorkerIdTag>;
+using RackId = NameId<struct RackIdTag>;
+using ZoneId = NameId<struct ZoneIdTag>;
+using InstanceId = NameId<struct InstanceIdTag>;
+using ShardId = NameId<struct ShardIdTag>;
+using TeamId = NameId<struct TeamIdTag>;
+using KindId = NameId<struct KindIdTag>;
+using PresetName = NameId<struct PresetNameTag>;
+using OperatorName = NameId<struct OperatorNameTag>;
+using ChangeId = NameId<struct ChangeIdTag>;
+
+/// Position of a task in its job, from 0.
+using TaskIndex = NumberId<struct TaskIndexTag>;
+/// Counts the attempts at one task, from 1.
+using AttemptNumber = NumberId<struct AttemptNumberTag>;
+/// Grows with each change of a shard's holder.
+using Epoch = NumberId<struct EpochTag>;
+/// A revision of the platform's key-value store, or of a record in it.
+using Revision = NumberId<struct RevisionTag>;
+/// A caller's request, unique within one process.
+using RequestId = NumberId<struct RequestIdTag>;
+/// A call to an outside system, unique within one process.
+using CallId = NumberId<struct CallIdTag>;
+
+/// One task of one job.
+struct TaskId
+{
+    JobName job;
+    TaskIndex index;
+
+    friend auto operator<=>(const TaskId &, const TaskId &) = default;
+};
+
+} // namespace caraway
+
+template<class Tag>
+struct std::hash<caraway::NameId<Tag>>
+{
+    std::size_t operator()(const caraway::NameId<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>()(id.value());
+    }
+};
+
+template<class Tag>
+struct std::hash<caraway::NumberId<Tag>>
+{
+    std::size_t operator()(caraway::NumberId<Tag> id) const noexcept
+    {
+        return std::hash<std::uint64_t>()(id.value());
+    }
+};
+
+template<>
+struct std::hash<caraway::TaskId>
+{
+    std::size_t operator()(const caraway::TaskId &id) const noexcept
+    {
+        constexpr std::size_t hashMultiplier = 0x9E3779B97F4A7C15ULL;
+        return std::hash<caraway::JobName>()(id.job) ^ (id.index.value() + 1) * hashMultiplier;
+    }
+};
--- /dev/null
+++ b/Source/Core/Units.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace caraway {
+
+/// An amount of one unit. Amounts of different units neither mix nor convert.
+template<class Unit>
+class Quantity
+{
+public:
+    constexpr Quantity() = default;
+    constexpr explicit Quantity(std::int64_t count)
+        : count_(count)
+    {
+    }
+
+    constexpr std::int64_t count() const { return count_; }
+
+    constexpr Quantity &operator+=(Quantity other)
+    {
+        count_ += other.count_;
+        return *this;
+    }
+    constexpr Quantity &operator-=(Quantity other)
+    {
+        count_ -= other.count_;
+        return *this;
+    }
+
+    friend constexpr Quantity operator+(Quantity a, Quantity b) { return a += b; }
+    friend constexpr Quantity operator-(Quantity a, Quantity b) { return a -= b; }
+    friend constexpr Quantity operator*(Quantity a, std::int64_t n)
+    {
+        return Quantity(a.count_ * n);
+    }
+    friend constexpr Quantity operator/(Quantity a, std::int64_t n)
+    {
+        return Quantity(a.count_ / n);
+    }
+    friend constexpr auto operator<=>(Quantity, Quantity) = default;
+
+private:
+    std::int64_t count_ = 0;
+};
+
+using Milliseconds = Quantity<struct MillisecondsUnit>;
+/// Thousandths of a processor.
+using Millicores = Quantity<struct MillicoresUnit>;
+using Bytes = Quantity<struct BytesUnit>;
+using Accelerators = Quantity<struct AcceleratorsUnit>;
+using Slots = Quantity<struct SlotsUnit>;
+
+} // namespace caraway
--- /dev/null
+++ b/Utilities/CMake/Sanitizers.cmake
@@ -0,0 +1,5 @@
+set(CARAWAYMOUNT_SANITIZE "" CACHE STRING "Sanitizers to build with, for example address,undefined")
+if(CARAWAYMOUNT_SANITIZE)
+  add_compile_options(-fsanitize=${CARAWAYMOUNT_SANITIZE} -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=${CARAWAYMOUNT_SANITIZE})
+endif()
