Decide for one instance: leases, shards, routing, presets

Cause: one deterministic object has to own every rule, so that a test, a replayer or another front end can drive the same code.

Change: Instance takes typed events and gives typed actions. Shard leases by compare-and-swap, inventory recovery, a ledger that releases only what is known not to run, request routing to the holder, the preset in force. The policy is a concept with the plain baseline (first come first served, first fit) so far.

Ruled out: numbering lease renewals by the record's own count. A write whose answer was lost and its repetition then looked alike, and the lease was counted from the later one; each write has its own number, and recordRead_olderWriteOfOurs_doesNotExtendLease guards it.

Not done: gangs, quotas, promised waits, learned sizes, detached jobs.

--- /dev/null
+++ b/Source/Decisions/Actions.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Decisions/Events.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+/// The typed actions that the decisions put out.
+namespace caraway {
+
+/// One row of the table of workers that operators see.
+struct WorkerRow
+{
+    ShardId shard;
+    WorkerId worker;
+    Resources capacity;
+    Resources reserved;
+    std::string state;
+};
+struct AnswerCaller
+{
+    RequestId request;
+    std::variant<JobReport, std::vector<WorkerRow>, PresetInForce, Error> body;
+};
+
+struct SendToPeer
+{
+    InstanceId peer;
+    PeerMessage message;
+};
+
+struct ReadShardRecords
+{
+};
+struct WriteShardRecord
+{
+    /// The record to write; its revision is the one that the store must still have.
+    ShardRecord record;
+};
+struct ReadPresetInForce
+{
+};
+struct WritePresetInForce
+{
+    RequestId request;
+    /// The record to write; its revision is the one that the store must still have.
+    PresetInForce inForce;
+};
+struct CallStore
+{
+    std::variant<ReadShardRecords, WriteShardRecord, ReadPresetInForce, WritePresetInForce> body;
+};
+
+struct StartTask
+{
+    ShardId shard;
+    WorkerId worker;
+    Endpoint endpoint;
+    TaskId task;
+    AttemptNumber attempt;
+    Epoch epoch;
+    JobSpec spec;
+    Milliseconds taskLease;
+    /// The start is dropped unless it is sent before this time.
+    TimePoint notAfter;
+};
+/// Renews a worker's task leases and asks for its inventory.
+struct HeartbeatWorker
+{
+    ShardId shard;
+    WorkerId worker;
+    Endpoint endpoint;
+    Epoch epoch;
+    /// Zero to read the inventory without renewing.
+    Milliseconds taskLease;
+    /// Finished attempts whose answers need not be kept any more.
+    std::vector<std::pair<TaskId, AttemptNumber>> taken;
+    /// Attempts to stop.
+    std::vector<std::pair<TaskId, AttemptNumber>> stopped;
+    /// Attempts that must not start if they are not there yet.
+    std::vector<std::pair<TaskId, AttemptNumber>> voided;
+};
+struct CallWorker
+{
+    std::variant<StartTask, HeartbeatWorker> body;
+};
+
+/// The peers that a link should be kept to.
+struct ConnectPeers
+{
+    std::vector<EntryMember> peers;
+};
+/// A change of state for the audit trail and the log.
+struct RecordChange
+{
+    std::string subject;
+    std::string change;
+};
+/// All work is handed over and answered; the process may end.
+struct LeaveNow
+{
+};
+
+using Action = std::variant<AnswerCaller, SendToPeer, CallStore, CallWorker, ConnectPeers,
+                            RecordChange, LeaveNow>;
+using Actions = std::vector<Action>;
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/ForwardedRequest.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/Lifecycle.h"
+#include "Decisions/Actions.h"
+
+namespace caraway {
+
+/// A caller's request that this entry instance brings to the holder of its shard.
+class ForwardedRequest
+{
+public:
+    enum class State { Open, Unsent, Sent, Closed };
+    enum class Event { Answered, HolderKnown, HolderChanged, TurnedAway, DeadlinePassed };
+    static const BoundChart<ForwardedRequest> &chart();
+
+    ForwardedRequest(HolderRequest request, JobName job, TimePoint deadline);
+
+    /// Sends the request if \a holder is another one than it was last sent to.
+    void onHolder(const InstanceId &holder, Epoch epoch);
+    /// Answers the caller with the holder's report, or waits for another holder.
+    void onReply(const HolderReply &reply);
+    void onTick(TimePoint now);
+
+    bool isOpen() const { return machine_.isIn(State::Open); }
+    const ShardId &shard() const { return request_.shard; }
+    const HolderRequest &request() const { return request_; }
+    void drainActions(Actions &actions);
+
+private:
+    void send();
+    void answerNotRun();
+    void answerUnknown();
+    void answer(JobReport report);
+
+    HolderRequest request_;
+    JobName job_;
+    TimePoint deadline_;
+    InstanceId holder_;
+    Epoch epoch_;
+    Lifecycle<ForwardedRequest> machine_;
+    Actions actions_;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/Instance.cpp
@@ -0,0 +1,307 @@
+#include "Decisions/Instance.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace caraway {
+
+const BoundChart<Instance> &Instance::chart()
+{
+    static const BoundChart<Instance> bound = BoundChart<Instance> {
+            "Process.scxml",
+            {"starting", "ready", "draining", "stopped"},
+            {"presetKnown", "stopRequested", "drained"},
+            {},
+            {{"handOver", &Instance::handOver},
+             {"leave", &Instance::leave}}}.loadedOrAbort();
+    return bound;
+}
+
+Instance::Instance(DecisionSettings settings)
+    : settings_(std::move(settings))
+    , membership_(settings_)
+    , router_(membership_)
+{
+}
+
+Actions Instance::handle(TimePoint now, const caraway::Event &event)
+{
+    now_ = now;
+    std::visit([this](const auto &body) { on(body); }, event);
+    collectActions();
+    deliverToSelf();
+    checkDrained();
+    return std::exchange(actions_, {});
+}
+
+void Instance::on(const Tick & /*tick*/)
+{
+    readStoreIfDue();
+    sendPeerHeartbeatsIfDue();
+    router_.onTick(now_);
+    for (auto &[id, shard] : shards_)
+        tickShard(shard);
+}
+
+void Instance::tickShard(Shard &shard)
+{
+    shard.lease.onTick(now_);
+    if (shard.lease.takeRecoveryBegun())
+        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
+    if (!shard.lease.isHeld())
+        return;
+    const TimePoint startsEndAt = shard.lease.isServing() ? shard.lease.startsEndAt() : TimePoint();
+    shard.scheduler.onTick(now_, startsEndAt);
+    if (shard.lease.isRecovering() && shard.scheduler.isRecovered())
+        shard.lease.onRecovered();
+}
+
+void Instance::on(const CallerRequest &request)
+{
+    std::visit([&](const auto &body) { onCaller(request.id, body); }, request.body);
+}
+
+void Instance::onCaller(RequestId id, const SubmitJob &body)
+{
+    if (isReady() && membership_.hasList()) {
+        router_.submit(now_, id, body);
+        return;
+    }
+    const bool stopping = machine_.isIn(State::Draining) || machine_.isIn(State::Stopped);
+    answer(id,
+           stopping ? Error {ErrorKind::Stopping,
+                             "The instance is stopping. Submit again to another one."}
+                    : Error {ErrorKind::NotReady,
+                             "No preset is in force here yet. Put one in force with `preset "
+                             "use`, or submit again later."});
+}
+
+void Instance::onCaller(RequestId id, const ListWorkers & /*body*/)
+{
+    std::vector<WorkerRow> rows;
+    for (auto &[shardId, shard] : shards_) {
+        if (shard.lease.isHeld())
+            std::ranges::move(shard.scheduler.workerRows(), std::back_inserter(rows));
+    }
+    actions_.push_back(AnswerCaller {id, std::move(rows)});
+}
+
+void Instance::onCaller(RequestId id, const ShowPresetInForce & /*body*/)
+{
+    if (presets_.inForce()) {
+        actions_.push_back(AnswerCaller {id, *presets_.inForce()});
+        return;
+    }
+    answer(id,
+           {ErrorKind::NotReady,
+            "No preset is in force here yet. Put one in force with `preset use`."});
+}
+
+void Instance::on(const PeerMessageReceived &received)
+{
+    std::visit([&](const auto &body) { onPeer(received.from, body); }, received.message);
+}
+
+void Instance::onPeer(const InstanceId &from, const HolderRequest &request)
+{
+    Shard *shard = heldShard(request.shard);
+    if (!shard || !presets_.inForce()) {
+        actions_.push_back(SendToPeer {from, HolderReply {request.id, true, {}}});
+        return;
+    }
+    shard->scheduler.onRequest(now_, from, request, presets_.inForce()->preset);
+    tickShard(*shard);
+}
+
+void Instance::onPeer(const InstanceId & /*from*/, const HolderReply &reply)
+{
+    router_.onReply(reply);
+}
+
+void Instance::onPeer(const InstanceId &from, const PeerHeartbeat &heartbeat)
+{
+    if (presets_.inForce() && heartbeat.presetRevision < presets_.revision())
+        actions_.push_back(SendToPeer {from, PeerPreset {*presets_.inForce()}});
+}
+
+void Instance::onPeer(const InstanceId & /*from*/, const PeerPreset &preset)
+{
+    learnPreset(preset.inForce);
+}
+
+void Instance::on(const PeerLinkChanged & /*changed*/) { }
+
+void Instance::on(const StoreAnswered &answered)
+{
+    std::visit([&](const auto &body) { onStore(answered.sentAt, body); }, answered.body);
+}
+
+void Instance::onStore(TimePoint sentAt, const ShardRecordsRead &read)
+{
+    if (read.outcome != StoreOutcome::Done)
+        return;
+    for (const ShardId &id : membership_.shards()) {
+        const auto found = std::ranges::find(read.records, id, &ShardRecord::shard);
+        std::optional<ShardRecord> record;
+        if (found != read.records.end())
+            record = *found;
+        shardFor(id).lease.onRecordRead(now_, sentAt, record);
+    }
+    for (const ShardRecord &record : read.records)
+        membership_.learnHolder(record);
+}
+
+void Instance::onStore(TimePoint sentAt, const ShardRecordWritten &written)
+{
+    Shard &shard = shardFor(written.record.shard);
+    shard.lease.onRecordWritten(now_, sentAt, written);
+    if (written.outcome == StoreOutcome::Done)
+        membership_.learnHolder(written.record);
+}
+
+void Instance::onStore(TimePoint /*sentAt*/, const PresetInForceRead &read)
+{
+    if (read.inForce)
+        learnPreset(*read.inForce);
+}
+
+void Instance::onStore(TimePoint /*sentAt*/, const PresetInForceWritten &written)
+{
+    presets_.onWritten(written, actions_);
+    if (presets_.inForce())
+        machine_.handle(*this, Event::PresetKnown);
+}
+
+void Instance::on(const StartAnswered &answered)
+{
+    if (Shard *shard = heldShard(answered.shard))
+        shard->scheduler.onStartAnswered(now_, answered);
+}
+
+void Instance::on(const HeartbeatAnswered &answered)
+{
+    if (Shard *shard = heldShard(answered.shard)) {
+        shard->scheduler.onHeartbeatAnswered(now_, answered);
+        tickShard(*shard);
+    }
+}
+
+void Instance::on(const TaskReported &reported)
+{
+    for (auto &[id, shard] : shards_) {
+        if (!shard.lease.isHeld())
+            continue;
+        shard.scheduler.onTaskReported(now_, reported);
+        tickShard(shard);
+    }
+}
+
+void Instance::on(const InstanceListRead &read)
+{
+    membership_.update(read.list);
+    for (const ShardId &id : membership_.shards())
+        shardFor(id).scheduler.setWorkers(now_, membership_.workersOf(id));
+    ConnectPeers connect;
+    std::ranges::copy_if(read.list.entries, std::back_inserter(connect.peers),
+                         [this](const EntryMember &entry) { return entry.id != settings_.self; });
+    actions_.push_back(std::move(connect));
+}
+
+void Instance::on(const StopRequested & /*stop*/)
+{
+    machine_.handle(*this, Event::StopRequested);
+}
+
+void Instance::handOver()
+{
+    for (auto &[id, shard] : shards_)
+        shard.lease.onStopRequested(now_);
+}
+
+void Instance::checkDrained()
+{
+    const bool holds = std::ranges::any_of(
+            shards_, [](const auto &entry) { return entry.second.lease.isHeld(); });
+    if (!holds && !router_.hasOpenRequests() && machine_.handle(*this, Event::Drained))
+        collectActions();
+}
+
+void Instance::readStoreIfDue()
+{
+    if (now_ - shardsReadAt_ >= settings_.shardRead) {
+        shardsReadAt_ = now_;
+        actions_.push_back(CallStore {ReadShardRecords {}});
+    }
+    if (now_ - presetReadAt_ >= settings_.presetRead) {
+        presetReadAt_ = now_;
+        actions_.push_back(CallStore {ReadPresetInForce {}});
+    }
+}
+
+void Instance::sendPeerHeartbeatsIfDue()
+{
+    if (now_ - heartbeatSentAt_ < settings_.peerHeartbeat)
+        return;
+    heartbeatSentAt_ = now_;
+    PeerHeartbeat heartbeat {{}, presets_.revision()};
+    for (const auto &[id, shard] : shards_) {
+        if (shard.lease.isHeld())
+            heartbeat.held.emplace_back(id, shard.lease.epoch());
+    }
+    for (const EntryMember &entry : membership_.list().entries) {
+        if (entry.id != settings_.self)
+            actions_.push_back(SendToPeer {entry.id, heartbeat});
+    }
+}
+
+void Instance::learnPreset(const PresetInForce &inForce)
+{
+    if (presets_.learn(inForce))
+        machine_.handle(*this, Event::PresetKnown);
+}
+
+void Instance::collectActions()
+{
+    router_.drainActions(actions_);
+    for (auto &[id, shard] : shards_) {
+        shard.lease.drainActions(actions_);
+        shard.scheduler.drainActions(actions_);
+    }
+}
+
+void Instance::deliverToSelf()
+{
+    const auto isToSelf = [this](const Action &action) {
+        const auto *send = std::get_if<SendToPeer>(&action);
+        return send && send->peer == settings_.self;
+    };
+    for (auto own = std::ranges::find_if(actions_, isToSelf); own != actions_.end();
+         own = std::ranges::find_if(actions_, isToSelf)) {
+        const PeerMessage message = std::move(std::get<SendToPeer>(*own).message);
+        actions_.erase(own);
+        on(PeerMessageReceived {settings_.self, message});
+        collectActions();
+    }
+}
+
+Instance::Shard *Instance::heldShard(const ShardId &id)
+{
+    const auto found = shards_.find(id);
+    return found != shards_.end() && found->second.lease.isHeld() ? &found->second : nullptr;
+}
+
+Instance::Shard &Instance::shardFor(const ShardId &id)
+{
+    const auto found = shards_.find(id);
+    if (found != shards_.end())
+        return found->second;
+    Shard fresh {ShardLease(id, settings_, membership_), Scheduler(id, settings_)};
+    return shards_.emplace(id, std::move(fresh)).first->second;
+}
+
+void Instance::answer(RequestId id, Error error)
+{
+    actions_.push_back(AnswerCaller {id, std::move(error)});
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/Instance.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Core/Lifecycle.h"
+#include "Decisions/Membership.h"
+#include "Decisions/Policy/BaselinePolicy.h"
+#include "Decisions/PresetKeeper.h"
+#include "Decisions/RequestRouter.h"
+#include "Decisions/ShardLease.h"
+#include "Decisions/ShardScheduler.h"
+
+#include <map>
+
+namespace caraway {
+
+/// Everything that one entry instance decides. Deterministic: the same events at the same
+/// times give the same actions.
+class Instance
+{
+public:
+    enum class State { Starting, Ready, Draining, Stopped };
+    enum class Event { PresetKnown, StopRequested, Drained };
+    static const BoundChart<Instance> &chart();
+
+    explicit Instance(DecisionSettings settings);
+
+    /// Takes one event in and returns what is to be done about it, in order.
+    Actions handle(TimePoint now, const caraway::Event &event);
+
+    bool isReady() const { return machine_.isIn(State::Ready); }
+
+private:
+    using Scheduler = ShardScheduler<BaselinePolicy>;
+    struct Shard
+    {
+        ShardLease lease;
+        Scheduler scheduler;
+    };
+
+    void on(const Tick &tick);
+    void on(const CallerRequest &request);
+    void on(const PeerMessageReceived &received);
+    void on(const PeerLinkChanged &changed);
+    void on(const StoreAnswered &answered);
+    void on(const StartAnswered &answered);
+    void on(const HeartbeatAnswered &answered);
+    void on(const TaskReported &reported);
+    void on(const InstanceListRead &read);
+    void on(const StopRequested &stop);
+
+    void onCaller(RequestId id, const SubmitJob &body);
+    void onCaller(RequestId id, const QueryJob &body) { router_.query(now_, id, body); }
+    void onCaller(RequestId id, const CancelJob &body) { router_.cancel(now_, id, body); }
+    void onCaller(RequestId id, const ListWorkers &body);
+    void onCaller(RequestId id, const ShowPresetInForce &body);
+    void onCaller(RequestId id, const UsePreset &body) { presets_.use(id, body, actions_); }
+
+    void onPeer(const InstanceId &from, const HolderRequest &request);
+    void onPeer(const InstanceId &from, const HolderReply &reply);
+    void onPeer(const InstanceId &from, const PeerHeartbeat &heartbeat);
+    void onPeer(const InstanceId &from, const PeerPreset &preset);
+
+    void onStore(TimePoint sentAt, const ShardRecordsRead &read);
+    void onStore(TimePoint sentAt, const ShardRecordWritten &written);
+    void onStore(TimePoint sentAt, const PresetInForceRead &read);
+    void onStore(TimePoint sentAt, const PresetInForceWritten &written);
+
+    void readStoreIfDue();
+    void sendPeerHeartbeatsIfDue();
+    void tickShard(Shard &shard);
+    void learnPreset(const PresetInForce &inForce);
+    void collectActions();
+    void deliverToSelf();
+    void checkDrained();
+    Shard *heldShard(const ShardId &id);
+    Shard &shardFor(const ShardId &id);
+    void answer(RequestId id, Error error);
+
+    void handOver();
+    void leave() { actions_.push_back(LeaveNow {}); }
+
+    DecisionSettings settings_;
+    TimePoint now_;
+    Membership membership_;
+    PresetKeeper presets_;
+    RequestRouter router_;
+    std::map<ShardId, Shard> shards_;
+    Lifecycle<Instance> machine_;
+    TimePoint shardsReadAt_;
+    TimePoint presetReadAt_;
+    TimePoint heartbeatSentAt_;
+    Actions actions_;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/RequestRouter.cpp
@@ -0,0 +1,77 @@
+#include "Decisions/RequestRouter.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace caraway {
+
+namespace {
+
+/// How long past the caller's own wait a holder may take to answer.
+constexpr Milliseconds holderAnswerLimit(5000);
+
+} // namespace
+
+void RequestRouter::submit(TimePoint now, RequestId id, const SubmitJob &body)
+{
+    const ShardId shard = membership_.homeShard(body.spec.name);
+    forward(now, {shard, id, HolderSubmit {body.spec, body.wait}}, body.spec.name, body.wait);
+}
+
+void RequestRouter::query(TimePoint now, RequestId id, const QueryJob &body)
+{
+    const ShardId shard = membership_.homeShard(body.name);
+    forward(now, {shard, id, HolderQuery {body.name, body.wait}}, body.name, body.wait);
+}
+
+void RequestRouter::cancel(TimePoint now, RequestId id, const CancelJob &body)
+{
+    const ShardId shard = membership_.homeShard(body.name);
+    forward(now, {shard, id, HolderCancel {body.name}}, body.name, Milliseconds());
+}
+
+void RequestRouter::forward(TimePoint now, HolderRequest request, const JobName &job,
+                            Milliseconds wait)
+{
+    const RequestId id = request.id;
+    ForwardedRequest forwarded(std::move(request), job, now + wait + holderAnswerLimit);
+    ForwardedRequest &placed = open_.try_emplace(id, std::move(forwarded)).first->second;
+    offerHolder(placed);
+    placed.drainActions(actions_);
+}
+
+void RequestRouter::offerHolder(ForwardedRequest &request) const
+{
+    const ShardRecord *record = membership_.recordOf(request.shard());
+    if (record && !record->released && !record->holder.isEmpty())
+        request.onHolder(record->holder, record->epoch);
+}
+
+void RequestRouter::onReply(const HolderReply &reply)
+{
+    const auto found = open_.find(reply.id);
+    if (found == open_.end())
+        return;
+    found->second.onReply(reply);
+    found->second.drainActions(actions_);
+    if (!found->second.isOpen())
+        open_.erase(found);
+}
+
+void RequestRouter::onTick(TimePoint now)
+{
+    for (auto &[id, request] : open_) {
+        offerHolder(request);
+        request.onTick(now);
+        request.drainActions(actions_);
+    }
+    std::erase_if(open_, [](const auto &entry) { return !entry.second.isOpen(); });
+}
+
+void RequestRouter::drainActions(Actions &actions)
+{
+    std::ranges::move(actions_, std::back_inserter(actions));
+    actions_.clear();
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/RequestRouter.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Decisions/ForwardedRequest.h"
+#include "Decisions/Membership.h"
+
+#include <unordered_map>
+
+namespace caraway {
+
+/// Brings callers' requests to the holders of their shards, and again to the next holder.
+class RequestRouter
+{
+public:
+    explicit RequestRouter(const Membership &membership)
+        : membership_(membership)
+    {
+    }
+
+    void submit(TimePoint now, RequestId id, const SubmitJob &body);
+    void query(TimePoint now, RequestId id, const QueryJob &body);
+    void cancel(TimePoint now, RequestId id, const CancelJob &body);
+    void onReply(const HolderReply &reply);
+    void onTick(TimePoint now);
+
+    bool hasOpenRequests() const { return !open_.empty(); }
+    void drainActions(Actions &actions);
+
+private:
+    void forward(TimePoint now, HolderRequest request, const JobName &job, Milliseconds wait);
+    void offerHolder(ForwardedRequest &request) const;
+
+    const Membership &membership_;
+    std::unordered_map<RequestId, ForwardedRequest> open_;
+    Actions actions_;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/Settings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Core/Ids.h"
+#include "Core/Units.h"
+
+#include <cstdint>
+
+namespace caraway {
+
+/// The durations and bounds that the decisions keep to.
+struct DecisionSettings
+{
+    InstanceId self;
+    ZoneId zone;
+    /// How long a shard lease lasts after its renewal was sent.
+    Milliseconds shardLease {2500};
+    Milliseconds shardRenewal {700};
+    /// How often the shard records are read from the store.
+    Milliseconds shardRead {500};
+    /// Taken off the shard lease for clocks that run at different rates.
+    Milliseconds leaseMargin {200};
+    /// How long a worker keeps a task running without a heartbeat.
+    Milliseconds taskLease {6000};
+    Milliseconds workerHeartbeat {1000};
+    Milliseconds peerHeartbeat {500};
+    /// How often the preset in force is read from the store.
+    Milliseconds presetRead {1000};
+    /// How long answers are kept for callers that do not take them.
+    Milliseconds answerRetention {60000};
+    std::uint32_t shardCandidates = 3;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/ShardLease.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/Lifecycle.h"
+#include "Decisions/Actions.h"
+#include "Decisions/Membership.h"
+#include "Decisions/Settings.h"
+
+#include <optional>
+
+namespace caraway {
+
+/// This instance's part in one shard's lease: follow, claim, renew, release.
+///
+/// A holder counts its lease from before the renewal was sent. A claimant counts it
+/// from after it first saw the record unchanged, so its count always ends later.
+class ShardLease
+{
+public:
+    enum class State { Following, Claiming, Holding, Recovering, Serving, Suspended, Releasing };
+    enum class Event {
+        ClaimDue,
+        Written,
+        Superseded,
+        ClaimAbandoned,
+        Recovered,
+        LeaseRanOut,
+        StopRequested,
+    };
+    static const BoundChart<ShardLease> &chart();
+
+    ShardLease(ShardId shard, const DecisionSettings &settings, const Membership &membership);
+
+    /// Takes in the shard's record as the store has it now.
+    void onRecordRead(TimePoint now, TimePoint sentAt, const std::optional<ShardRecord> &record);
+    void onRecordWritten(TimePoint now, TimePoint sentAt, const ShardRecordWritten &written);
+    void onRecovered() { machine_.handle(*this, Event::Recovered); }
+    void onStopRequested(TimePoint now);
+    void onTick(TimePoint now);
+
+    const ShardId &shard() const { return shard_; }
+    bool isHeld() const { return machine_.isIn(State::Holding); }
+    bool isRecovering() const { return machine_.isIn(State::Recovering); }
+    bool isServing() const { return machine_.isIn(State::Serving); }
+    Epoch epoch() const { return record_.epoch; }
+    /// No start may be sent at or after this time.
+    TimePoint startsEndAt() const
+    {
+        return leaseCountedFrom_ + settings_.shardLease - settings_.leaseMargin;
+    }
+    const std::string &stateName() const { return machine_.stateName(); }
+    /// Whether recovery began since the last call.
+    bool takeRecoveryBegun() { return std::exchange(recoveryBegun_, false); }
+    /// Moves the actions put out since the last call to the end of \a actions.
+    void drainActions(Actions &actions);
+
+private:
+    bool isCandidate() const;
+    void sendClaim();
+    void sendRelease();
+    void beginRecovery() { recoveryBegun_ = true; }
+    void write(ShardRecord next);
+    void renewIfDue();
+    void noteUnchangedRecord(TimePoint sentAt, const std::optional<ShardRecord> &record);
+    bool isOurs(const ShardRecord &record) const;
+    Milliseconds claimDelay() const;
+    void changeState(Event event);
+
+    ShardId shard_;
+    const DecisionSettings &settings_;
+    const Membership &membership_;
+    Lifecycle<ShardLease> machine_;
+    TimePoint now_;
+    /// The record as the store last showed it; revision 0 while there is none.
+    ShardRecord record_;
+    bool recordSeen_ = false;
+    TimePoint unchangedSince_;
+    /// The newest write; its answer may be outstanding or lost.
+    std::optional<ShardRecord> pending_;
+    TimePoint pendingSentAt_;
+    std::uint64_t writesSent_ = 0;
+    TimePoint leaseCountedFrom_;
+    bool recoveryBegun_ = false;
+    Actions actions_;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/ShardScheduler.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Decisions/Actions.h"
+#include "Decisions/JobRecord.h"
+#include "Decisions/Ledger.h"
+#include "Decisions/Policy/Concepts.h"
+#include "Decisions/Settings.h"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway {
+
+/// Schedules the tasks of one shard while this instance holds it.
+template<SchedulingPolicy Policy>
+class ShardScheduler
+{
+public:
+    ShardScheduler(ShardId shard, const DecisionSettings &settings);
+
+    /// Forgets everything and reads the inventory of every worker anew.
+    void beginRecovery(TimePoint now, Epoch epoch);
+    /// Whether every worker has been read or its task leases have certainly lapsed.
+    bool isRecovered() const;
+    /// Takes in the shard's workers as the instance list names them.
+    void setWorkers(TimePoint now, const std::vector<WorkerMember> &workers);
+
+    void onRequest(TimePoint now, const InstanceId &entry, const HolderRequest &request,
+                   const Preset &preset);
+    void onStartAnswered(TimePoint now, const StartAnswered &answer);
+    void onHeartbeatAnswered(TimePoint now, const HeartbeatAnswered &answer);
+    void onTaskReported(TimePoint now, const TaskReported &report);
+    /// Sends due heartbeats and places waiting tasks, while starts may be sent before \a
+    /// startsEndAt.
+    void onTick(TimePoint now, TimePoint startsEndAt);
+
+    std::vector<WorkerRow> workerRows() const;
+    /// Moves the actions put out since the last call to the end of \a actions.
+    void drainActions(Actions &actions);
+
+private:
+    struct WorkerState
+    {
+        WorkerMember member;
+        bool read = false;
+        /// When a heartbeat was last answered.
+        TimePoint leasesRenewedBy;
+        TimePoint heartbeatSentAt;
+        bool heartbeatOutstanding = false;
+        /// Only a heartbeat that follows an answered one renews task leases.
+        bool lastAnswered = true;
+        std::vector<std::pair<TaskId, AttemptNumber>> taken;
+        std::vector<std::pair<TaskId, AttemptNumber>> stopped;
+        std::vector<std::pair<TaskId, AttemptNumber>> voided;
+    };
+
+    void submit(TimePoint now, const InstanceId &entry, RequestId request, const HolderSubmit &body,
+                const Preset &preset);
+    void query(TimePoint now, const InstanceId &entry, RequestId request, const HolderQuery &body);
+    void cancel(TimePoint now, const InstanceId &entry, RequestId request,
+                const HolderCancel &body);
+    std::optional<Error> refusalOf(const JobSpec &spec, const Preset &preset) const;
+    void answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter);
+    void reply(const InstanceId &entry, RequestId request, JobReport report);
+
+    void placeWaiting(TimePoint now, TimePoint startsEndAt);
+    void start(TimePoint now, const WaitingTask &waiting, const WorkerId &worker,
+               TimePoint startsEndAt);
+    void sendHeartbeats(TimePoint now);
+    void lapseLeases(TimePoint now);
+    void endWaits(TimePoint now);
+    void forgetOldAnswers(TimePoint now);
+
+    void handleEntry(TimePoint now, const WorkerId &worker, const InventoryEntry &entry);
+    JobRecord &findOrAdopt(const InventoryEntry &entry);
+    void raise(TimePoint now, JobRecord &job, TaskIndex index, Task::Event event);
+    void finishIfEnded(TimePoint now, JobRecord &job);
+    JobRecord *findJob(const JobName &name);
+    Task *findAttempt(const TaskId &task, AttemptNumber attempt, const WorkerId &worker);
+    std::vector<TaskId> tasksOn(const WorkerId &worker);
+
+    ShardId shard_;
+    const DecisionSettings &settings_;
+    Epoch epoch_;
+    Ledger ledger_;
+    typename Policy::Queue queue_;
+    typename Policy::Placement placement_;
+    std::map<WorkerId, WorkerState> workers_;
+    std::unordered_map<JobName, JobRecord> jobs_;
+    Actions actions_;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Decisions/Task.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/Lifecycle.h"
+#include "Decisions/Job.h"
+
+namespace caraway {
+
+/// One task of an accepted job. Its chart says what may follow what; the shard's
+/// scheduler carries out the effects that the chart's actions leave here.
+class Task
+{
+public:
+    enum class State {
+        Waiting,
+        OnWorker,
+        Starting,
+        Doubtful,
+        Running,
+        Stopping,
+        Done,
+        FailedForGood,
+        Unknown,
+        Dropped,
+    };
+    enum class Event {
+        Placed,
+        Started,
+        Refused,
+        Unanswered,
+        Found,
+        Succeeded,
+        Failed,
+        LeaseLapsed,
+        Cancelled,
+    };
+    /// What the scheduler has to do after an event.
+    struct Effects
+    {
+        bool releaseReservation = false;
+        bool requeue = false;
+        bool stopAttempt = false;
+        bool voidAttempt = false;
+    };
+    static const BoundChart<Task> &chart();
+
+    explicit Task(bool idempotent)
+        : idempotent_(idempotent)
+    {
+    }
+
+    /// Runs the chart and returns what is to be done; nothing when the event has no place.
+    Effects handle(Event event);
+
+    bool isIn(State state) const { return machine_.isIn(state); }
+    bool isFinal() const { return machine_.isFinal(); }
+
+    void placeOn(const WorkerId &worker);
+    const WorkerId &worker() const { return worker_; }
+    AttemptNumber attempt() const { return attempt_; }
+    /// Takes over an attempt that another holder began.
+    void adopt(const WorkerId &worker, AttemptNumber attempt);
+    bool everRan() const { return everRan_; }
+
+    TaskAnswer answer;
+    TimePoint waitingSince;
+
+private:
+    bool mayRetry() const { return idempotent_; }
+    void releaseReservation() { effects_.releaseReservation = true; }
+    void requeue() { effects_.requeue = true; }
+    void stopAttempt() { effects_.stopAttempt = true; }
+    void voidAttempt() { effects_.voidAttempt = true; }
+
+    Lifecycle<Task> machine_;
+    Effects effects_;
+    WorkerId worker_;
+    AttemptNumber attempt_;
+    bool idempotent_;
+    bool everRan_ = false;
+};
+
+} // namespace caraway
