Carry the decisions out: messages, duties, command line

Change: codecs that refuse unknown fields and wrong types by name; duties for callers, peers, store, instance list, upstreams, timer, audit and decisions; subcommands by docopt; every settings key in one table with unit, default and range.

--- /dev/null
+++ b/Source/Command/ChartCommand.cpp
@@ -0,0 +1,53 @@
+#include "Command/ChartCommand.h"
+
+#include "Decisions/Instance.h"
+
+#include <fmt/format.h>
+
+#include <vector>
+
+namespace caraway {
+
+namespace {
+
+struct NamedChart
+{
+    std::string_view fileName;
+    const StateChart &chart;
+};
+
+template<ChartHost Host>
+NamedChart named()
+{
+    return {Host::chart().fileName, Host::chart().chart};
+}
+
+const std::vector<NamedChart> &charts()
+{
+    static const std::vector<NamedChart> all
+            = {named<Instance>(), named<ShardLease>(), named<JobRecord>(), named<Task>(),
+               named<ForwardedRequest>()};
+    return all;
+}
+
+} // namespace
+
+Result<int> printChart(const std::string &fileName)
+{
+    for (const NamedChart &candidate : charts()) {
+        if (fileName.empty())
+            fmt::print("{}\n", candidate.fileName);
+        else if (candidate.fileName == fileName)
+            fmt::print("{}", candidate.chart.toGraphviz());
+        else
+            continue;
+        if (!fileName.empty())
+            return 0;
+    }
+    if (fileName.empty())
+        return 0;
+    return fail(ErrorKind::InvalidRequest,
+                fmt::format("There is no chart {}. `carawaymount chart` lists them.", fileName));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Command/Commands.cpp
@@ -0,0 +1,233 @@
+#include "Command/Commands.h"
+
+#include "Command/ChartCommand.h"
+#include "Command/EntryClient.h"
+#include "Command/PresetReader.h"
+#include "Command/ServeCommand.h"
+#include "Command/SettingsReader.h"
+#include "Command/SettingsTable.h"
+#include "Core/Clock.h"
+#include "Messages/JobCodec.h"
+#include "Messages/PresetCodec.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+
+namespace caraway {
+
+namespace {
+
+std::string textOf(const Arguments &arguments, const std::string &name)
+{
+    const docopt::value &value = arguments.at(name);
+    return value.isString() ? value.asString() : std::string();
+}
+
+Result<EntryClient> connectTo(const Arguments &arguments)
+{
+    return EntryClient::connect(textOf(arguments, "--entry"));
+}
+
+Result<nlohmann::json> readJob(const std::string &path)
+{
+    std::string text;
+    if (path == "-") {
+        text.assign(std::istreambuf_iterator<char>(std::cin), {});
+    } else {
+        std::ifstream file(path);
+        if (!file) {
+            return fail(ErrorKind::InvalidRequest,
+                        fmt::format("{}: the job file cannot be read. Check its name.", path));
+        }
+        text.assign(std::istreambuf_iterator<char>(file), {});
+    }
+    return parseJson(text);
+}
+
+int exitCodeOf(JobState state)
+{
+    if (state == JobState::Unknown)
+        return ExitUnknown;
+    const bool failed = state == JobState::Failed || state == JobState::NotRun
+            || state == JobState::Cancelled;
+    return failed ? ExitJobFailed : ExitSuccess;
+}
+
+Result<int> printReport(const Arguments &arguments, const nlohmann::json &json)
+{
+    BOOST_LEAF_AUTO(report, decodeJobReport(json));
+    if (arguments.at("--json").asBool()) {
+        fmt::print("{}\n", json.dump(2));
+        return exitCodeOf(report.state);
+    }
+    fmt::print("{}: {}\n", report.name.value(), json["state"].get<std::string>());
+    if (report.error)
+        fmt::print("  {}\n", report.error->message);
+    for (const TaskAnswer &answer : report.answers) {
+        fmt::print("  task {} on {}: {}\n", answer.index.value(), answer.worker.value(),
+                   answer.content);
+    }
+    return exitCodeOf(report.state);
+}
+
+Result<int> submitJob(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(job, readJob(textOf(arguments, "<job>")));
+    BOOST_LEAF_AUTO(client, connectTo(arguments));
+    nlohmann::json body = {{"job", std::move(job)}, {"wait_ms", 0}};
+    if (arguments.at("run").asBool())
+        body["wait_ms"] = std::stoll(textOf(arguments, "--wait"));
+    BOOST_LEAF_AUTO(answer, client.post("/v1/jobs", body));
+    return printReport(arguments, answer);
+}
+
+Result<int> showStatus(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, connectTo(arguments));
+    BOOST_LEAF_AUTO(answer,
+                    client.get("/v1/jobs/" + textOf(arguments, "<name>")
+                               + "?wait_ms=" + textOf(arguments, "--wait")));
+    return printReport(arguments, answer);
+}
+
+Result<int> cancelJob(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, connectTo(arguments));
+    BOOST_LEAF_AUTO(answer, client.remove("/v1/jobs/" + textOf(arguments, "<name>")));
+    return printReport(arguments, answer);
+}
+
+Result<int> listWorkers(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, connectTo(arguments));
+    BOOST_LEAF_AUTO(rows, client.get("/v1/workers"));
+    if (arguments.at("--json").asBool()) {
+        fmt::print("{}\n", rows.dump(2));
+        return ExitSuccess;
+    }
+    fmt::print("{:<20} {:<24} {:<8} {:>12} {:>12}\n", "SHARD", "WORKER", "STATE", "MILLICORES",
+               "RESERVED");
+    for (const nlohmann::json &row : rows) {
+        fmt::print("{:<20} {:<24} {:<8} {:>12} {:>12}\n", row["shard"].get<std::string>(),
+                   row["worker"].get<std::string>(), row["state"].get<std::string>(),
+                   row["capacity"]["processors_millicores"].get<std::int64_t>(),
+                   row["reserved"]["processors_millicores"].get<std::int64_t>());
+    }
+    return ExitSuccess;
+}
+
+Result<int> printInForce(const Arguments &arguments, const nlohmann::json &inForce)
+{
+    if (arguments.at("--json").asBool()) {
+        fmt::print("{}\n", inForce.dump(2));
+    } else {
+        fmt::print("preset {} in force at revision {}\n",
+                   inForce["preset"]["name"].get<std::string>(),
+                   inForce["revision"].get<std::uint64_t>());
+    }
+    return ExitSuccess;
+}
+
+Result<int> showPreset(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, connectTo(arguments));
+    BOOST_LEAF_AUTO(inForce, client.get("/v1/preset-in-force"));
+    return printInForce(arguments, inForce);
+}
+
+Result<int> usePreset(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(preset, readPresetFile(textOf(arguments, "<preset>")));
+    BOOST_LEAF_AUTO(client, connectTo(arguments));
+    std::random_device random;
+    ChangeNote change;
+    change.id = ChangeId(fmt::format("{:08x}{:08x}", random(), random()));
+    change.who = OperatorName(textOf(arguments, "--who"));
+    change.why = textOf(arguments, "--why");
+    change.when = Clock::wallClock();
+    nlohmann::json body = {{"preset", encodePreset(preset)}, {"change", encodeChangeNote(change)}};
+    if (arguments.at("--revision").isString())
+        body["expected_revision"] = std::stoull(textOf(arguments, "--revision"));
+    BOOST_LEAF_AUTO(inForce, client.post("/v1/preset-in-force", body));
+    return printInForce(arguments, inForce);
+}
+
+Result<int> checkFile(const Arguments &arguments)
+{
+    if (arguments.at("--preset").asBool()) {
+        BOOST_LEAF_AUTO(preset, readPresetFile(textOf(arguments, "<preset>")));
+        fmt::print("preset {}: correct\n", preset.name.value());
+        return ExitSuccess;
+    }
+    BOOST_LEAF_AUTO(settings, readSettingsFile(textOf(arguments, "<settings>")));
+    fmt::print("settings of {}: correct\n", settings.decisions.self.value());
+    return ExitSuccess;
+}
+
+Result<int> listSettings(const Arguments & /*arguments*/)
+{
+    for (const SettingsKey &key : settingsTable()) {
+        fmt::print("{}.{}", key.section, key.name);
+        if (const auto *number = std::get_if<NumberKey>(&key.type)) {
+            fmt::print(" = {} {} ({} to {})", number->fallback, key.unit, number->least,
+                       number->most);
+        } else {
+            fmt::print(" (required{}{})", key.unit.empty() ? "" : ", as ", key.unit);
+        }
+        fmt::print("\n    {}\n", key.help);
+    }
+    return ExitSuccess;
+}
+
+Result<int> printVersion(const Arguments & /*arguments*/)
+{
+    fmt::print("carawaymount {}\n", CARAWAYMOUNT_VERSION);
+    return ExitSuccess;
+}
+
+Result<int> serve(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(settings, readSettingsFile(textOf(arguments, "<settings>")));
+    return serveUntilStopped(settings);
+}
+
+Result<int> chart(const Arguments &arguments)
+{
+    return printChart(textOf(arguments, "<chart>"));
+}
+
+struct Subcommand
+{
+    std::string name;
+    Result<int> (*run)(const Arguments &);
+};
+
+} // namespace
+
+Result<int> runCommand(const Arguments &arguments)
+{
+    static const Subcommand subcommands[] = {
+            {"serve", serve},           {"submit", submitJob}, {"run", submitJob},
+            {"status", showStatus},     {"cancel", cancelJob}, {"workers", listWorkers},
+            {"show", showPreset},       {"use", usePreset},    {"check", checkFile},
+            {"settings", listSettings}, {"chart", chart},      {"version", printVersion},
+    };
+    for (const Subcommand &subcommand : subcommands) {
+        if (arguments.at(subcommand.name).asBool())
+            return subcommand.run(arguments);
+    }
+    return fail(ErrorKind::InvalidRequest, "No subcommand was given. See carawaymount --help.");
+}
+
+int exitCodeOf(const Error &error)
+{
+    if (error.kind == ErrorKind::FateUnknown)
+        return ExitUnknown;
+    return error.kind == ErrorKind::Unreachable ? ExitUnreachable : ExitRefused;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Command/ServeCommand.cpp
@@ -0,0 +1,85 @@
+#include "Command/ServeCommand.h"
+
+#include "Duties/DecisionsDuty.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+namespace caraway {
+
+namespace {
+
+/// Wakes the signal thread when the process ends for another reason than a signal.
+constexpr int wakeSignal = SIGUSR1;
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, wakeSignal);
+    return signals;
+}
+
+/// Waits for stop signals on a thread of its own and passes them on.
+class SignalDuty
+{
+public:
+    explicit SignalDuty(DecisionsDuty &decisions)
+        : decisions_(decisions)
+        , thread_([this] { run(); })
+    {
+    }
+    ~SignalDuty()
+    {
+        pthread_kill(thread_.native_handle(), wakeSignal);
+        thread_.join();
+    }
+
+private:
+    void run()
+    {
+        if (waitForSignal() == wakeSignal)
+            return;
+        decisions_.requestStop();
+        if (waitForSignal() != wakeSignal)
+            decisions_.stopNow();
+    }
+
+    static int waitForSignal()
+    {
+        const sigset_t signals = stopSignals();
+        int signal = 0;
+        sigwait(&signals, &signal);
+        return signal;
+    }
+
+    DecisionsDuty &decisions_;
+    std::thread thread_;
+};
+
+} // namespace
+
+Result<int> serveUntilStopped(const ServeSettings &settings)
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        DecisionsDuty decisions(settings);
+        const SignalDuty signalDuty(decisions);
+        decisions.run();
+        return 0;
+    } catch (const std::runtime_error &error) {
+        return fail(ErrorKind::InvalidSettings,
+                    fmt::format("The instance cannot listen: {}. Free the port or set another one "
+                                "under [instance].",
+                                error.what()));
+    }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Command/Usage.cpp
@@ -0,0 +1,44 @@
+#include "Command/Commands.h"
+
+namespace caraway {
+
+const std::string &usageText()
+{
+    static const std::string text = R"(carawaymount schedules unlike work on one shared fleet.
+
+Usage:
+  carawaymount serve <settings>
+  carawaymount (submit | run) <job> [--entry=ADDR] [--wait=MS] [--json]
+  carawaymount status <name> [--entry=ADDR] [--wait=MS] [--json]
+  carawaymount cancel <name> [--entry=ADDR] [--json]
+  carawaymount workers [--entry=ADDR] [--json]
+  carawaymount preset show [--entry=ADDR] [--json]
+  carawaymount preset use <preset> [--entry=ADDR] [--who=NAME] [--why=TEXT] [--revision=N] [--json]
+  carawaymount check <settings>
+  carawaymount check --preset <preset>
+  carawaymount settings
+  carawaymount chart [<chart>]
+  carawaymount version
+  carawaymount (-h | --help)
+
+Arguments:
+  <settings>      A settings file in TOML; `carawaymount settings` lists its keys.
+  <job>           A job in JSON, in a file or - for standard input.
+  <preset>        A preset file in TOML.
+  <chart>         A state chart's file name; all names without it.
+
+Options:
+  --entry=ADDR    Entry instance to ask, as host:port [default: 127.0.0.1:7100].
+  --wait=MS       Longest wait for the result in ms, 0 to 20000 [default: 10000].
+  --who=NAME      Operator named in the audit trail [default: operator].
+  --why=TEXT      Reason written in the audit trail.
+  --revision=N    Refuse the change unless the preset in force has this revision.
+  --json          Print JSON instead of text.
+  -h --help       Print this text.
+
+Exit codes: 0 done, 1 job failed or not run, 2 refused, 3 fate unknown, 4 no answer.
+)";
+    return text;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Duties/CallersDuty.cpp
@@ -0,0 +1,180 @@
+#include "Duties/CallersDuty.h"
+
+#include "Messages/CallerCodec.h"
+#include "Messages/WorkerCodec.h"
+
+#include <charconv>
+#include <stdexcept>
+
+namespace caraway {
+
+namespace {
+
+constexpr auto jsonType = "application/json";
+constexpr std::int64_t maxWaitMs = 20'000;
+constexpr int serverErrorStatus = 503;
+
+void write(httplib::Response &response, const CallerAnswer &answer)
+{
+    response.status = answer.status;
+    response.set_content(answer.body, jsonType);
+}
+
+Result<Milliseconds> readWait(const httplib::Request &request)
+{
+    if (!request.has_param("wait_ms"))
+        return Milliseconds();
+    const std::string text = request.get_param_value("wait_ms");
+    std::int64_t wait = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), wait);
+    if (code != std::errc() || end != text.data() + text.size() || wait < 0 || wait > maxWaitMs) {
+        return fail(ErrorKind::InvalidRequest,
+                    "wait_ms is not a whole number from 0 to 20000. Correct it.");
+    }
+    return Milliseconds(wait);
+}
+
+} // namespace
+
+CallersDuty::CallersDuty(EventRing &events, const std::atomic<bool> &ready,
+                         const ServeSettings &settings)
+    : events_(events)
+    , ready_(ready)
+{
+    const auto threads = static_cast<std::size_t>(settings.callerThreads);
+    server_.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    server_.set_payload_max_length(static_cast<std::size_t>(settings.maxRequestBody.count()));
+    server_.set_tcp_nodelay(true);
+    addRoutes();
+    if (!server_.bind_to_port(settings.callers.host.c_str(), settings.callers.port))
+        throw std::runtime_error("the caller port is taken");
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+}
+
+CallersDuty::~CallersDuty()
+{
+    server_.stop();
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto &[id, ring] : waiting_)
+            ring->close();
+    }
+    thread_.join();
+}
+
+void CallersDuty::addRoutes()
+{
+    addRequest("POST", "/v1/jobs", [](const httplib::Request &request) -> Result<Body> {
+        BOOST_LEAF_AUTO(submit, decodeSubmit(request.body));
+        return Body(std::move(submit));
+    });
+    addRequest("GET", R"(/v1/jobs/([^/]+))", [](const httplib::Request &request) -> Result<Body> {
+        BOOST_LEAF_AUTO(wait, readWait(request));
+        return Body(QueryJob {JobName(request.matches[1].str()), wait});
+    });
+    addRequest("DELETE", R"(/v1/jobs/([^/]+))",
+               [](const httplib::Request &request) -> Result<Body> {
+                   return Body(CancelJob {JobName(request.matches[1].str())});
+               });
+    addRequest("GET", "/v1/workers",
+               [](const httplib::Request &) -> Result<Body> { return Body(ListWorkers {}); });
+    addRequest("GET", "/v1/preset-in-force",
+               [](const httplib::Request &) -> Result<Body> { return Body(ShowPresetInForce {}); });
+    addRequest("POST", "/v1/preset-in-force", [](const httplib::Request &request) -> Result<Body> {
+        BOOST_LEAF_AUTO(use, decodeUsePreset(request.body));
+        return Body(std::move(use));
+    });
+    server_.Post("/v1/reports",
+                 [this](const httplib::Request &request, httplib::Response &response) {
+                     takeReport(request, response);
+                 });
+    server_.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
+        response.set_content("ok\n", "text/plain");
+    });
+    server_.Get("/readyz", [this](const httplib::Request &, httplib::Response &response) {
+        response.status = ready_ ? 200 : serverErrorStatus;
+        response.set_content(ready_ ? "ready\n" : "not ready\n", "text/plain");
+    });
+}
+
+void CallersDuty::addRequest(const std::string &method, const std::string &path,
+                             const Decode &decode)
+{
+    const auto handler
+            = [this, decode](const httplib::Request &request, httplib::Response &response) {
+                  serve(request, response, decode);
+              };
+    if (method == "POST")
+        server_.Post(path, handler);
+    else if (method == "GET")
+        server_.Get(path, handler);
+    else
+        server_.Delete(path, handler);
+}
+
+void CallersDuty::serve(const httplib::Request &request, httplib::Response &response,
+                        const Decode &decode)
+{
+    const auto handle = [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(body, decode(request));
+        ask(std::move(body), response);
+        return {};
+    };
+    recoverFrom(handle, [&](const Error &error) { write(response, encodeErrorAnswer(error)); });
+}
+
+void CallersDuty::ask(Body body, httplib::Response &response)
+{
+    const auto ring = std::make_shared<AnswerRing>(1);
+    RequestId id;
+    {
+        const std::lock_guard lock(mutex_);
+        id = RequestId(++lastRequest_);
+        waiting_.emplace(id, ring);
+    }
+    std::optional<AnswerCaller> answer;
+    const bool offered = events_.offer(CallerRequest {id, std::move(body)});
+    if (offered)
+        answer = ring->take();
+    {
+        const std::lock_guard lock(mutex_);
+        waiting_.erase(id);
+    }
+    if (answer)
+        write(response, encodeAnswer(*answer));
+    else if (offered)
+        write(response,
+              encodeErrorAnswer({ErrorKind::FateUnknown,
+                                 "The instance stopped before it knew. Ask another one."}));
+    else
+        write(response,
+              encodeErrorAnswer({ErrorKind::Unavailable,
+                                 "The instance is overloaded and did not run this. Try "
+                                 "again later."}));
+}
+
+void CallersDuty::deliver(AnswerCaller answer)
+{
+    std::shared_ptr<AnswerRing> ring;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = waiting_.find(answer.request);
+        if (found == waiting_.end())
+            return;
+        ring = found->second;
+    }
+    ring->offer(std::move(answer));
+}
+
+void CallersDuty::takeReport(const httplib::Request &request, httplib::Response &response)
+{
+    const auto handle = [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(report, decodeTaskReport(request.body));
+        // A report that finds no room is read from the worker's inventory later.
+        events_.offer(std::move(report));
+        return {};
+    };
+    recoverFrom(handle, [&](const Error &error) { write(response, encodeErrorAnswer(error)); });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Duties/DecisionsDuty.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Decisions/Instance.h"
+#include "Duties/AuditDuty.h"
+#include "Duties/CallersDuty.h"
+#include "Duties/InstanceListDuty.h"
+#include "Duties/PeersDuty.h"
+#include "Duties/StoreDuty.h"
+#include "Duties/TimerDuty.h"
+#include "Duties/UpstreamsDuty.h"
+
+#include <atomic>
+
+namespace caraway {
+
+/// Runs the decisions on the calling thread and the other duties around it.
+class DecisionsDuty
+{
+public:
+    /// Throws std::runtime_error when a port is taken.
+    explicit DecisionsDuty(const ServeSettings &settings);
+
+    /// Serves until a stop was requested and everything in flight has been answered.
+    void run();
+    /// Asks for a graceful stop; callable from any thread.
+    void requestStop() { events_.offer(StopRequested {}); }
+    /// Ends run() at once, whatever is in flight.
+    void stopNow() { events_.close(); }
+
+private:
+    void carryOut(AnswerCaller &action) { callers_.deliver(std::move(action)); }
+    void carryOut(SendToPeer &action) { peers_.offer(std::move(action)); }
+    void carryOut(CallStore &action);
+    void carryOut(CallWorker &action) { upstreams_.offer(std::move(action)); }
+    void carryOut(ConnectPeers &action) { peers_.offer(std::move(action)); }
+    void carryOut(RecordChange &action) { audit_.offer(std::move(action)); }
+    void carryOut(LeaveNow & /*action*/) { events_.close(); }
+
+    Clock clock_;
+    EventRing events_;
+    std::atomic<bool> ready_ = false;
+    Instance instance_;
+    AuditDuty audit_;
+    StoreDuty store_;
+    UpstreamsDuty upstreams_;
+    PeersDuty peers_;
+    CallersDuty callers_;
+    InstanceListDuty list_;
+    TimerDuty timer_;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Duties/InstanceListDuty.cpp
@@ -0,0 +1,45 @@
+#include "Duties/InstanceListDuty.h"
+
+#include "Messages/FleetCodec.h"
+
+#include <fmt/format.h>
+
+namespace caraway {
+
+InstanceListDuty::InstanceListDuty(EventRing &events, const ServeSettings &settings)
+    : events_(events)
+    , interval_(settings.listRead)
+    , client_(makeHttpClient(settings.instanceList, settings.storeTimeout))
+    , thread_([this] { run(); })
+{
+}
+
+InstanceListDuty::~InstanceListDuty()
+{
+    stop_.stop();
+    thread_.join();
+}
+
+void InstanceListDuty::run()
+{
+    do
+        readOnce();
+    while (stop_.sleepUnlessStopped(interval_));
+}
+
+void InstanceListDuty::readOnce()
+{
+    const httplib::Result response = client_->Get("/instances");
+    if (!response || response->status != 200)
+        return;
+    const auto offer = [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(list, decodeInstanceList(response->body));
+        events_.offer(InstanceListRead {std::move(list)});
+        return {};
+    };
+    recoverFrom(offer, [](const Error &error) {
+        fmt::print(stderr, "The instance list cannot be read: {}\n", error.message);
+    });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Duties/InstanceListDuty.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Core/StopSignal.h"
+#include "Duties/HttpClient.h"
+#include "Duties/Rings.h"
+#include "Duties/ServeSettings.h"
+
+#include <thread>
+
+namespace caraway {
+
+/// Reads the platform's list of instances at a fixed interval.
+class InstanceListDuty
+{
+public:
+    InstanceListDuty(EventRing &events, const ServeSettings &settings);
+    ~InstanceListDuty();
+
+private:
+    void run();
+    void readOnce();
+
+    EventRing &events_;
+    Milliseconds interval_;
+    std::unique_ptr<httplib::Client> client_;
+    StopSignal stop_;
+    std::thread thread_;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Duties/ServeSettings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Decisions/Fleet.h"
+#include "Decisions/Settings.h"
+
+#include <cstdint>
+
+namespace caraway {
+
+/// Everything that an entry instance is told at its start.
+struct ServeSettings
+{
+    DecisionSettings decisions;
+    /// Where callers and workers reach this instance.
+    Endpoint callers;
+    /// Where the other entry instances reach this one.
+    Endpoint peers;
+    Endpoint store;
+    Endpoint instanceList;
+    std::int64_t callerThreads = 32;
+    std::int64_t upstreamThreads = 8;
+    std::int64_t eventRing = 16'384;
+    std::int64_t outwardRing = 4096;
+    Bytes maxRequestBody {1 << 20};
+    Milliseconds tick {25};
+    Milliseconds listRead {500};
+    Milliseconds storeTimeout {400};
+    Milliseconds workerTimeout {800};
+};
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Messages/CallerCodec.cpp
@@ -0,0 +1,119 @@
+#include "Messages/CallerCodec.h"
+
+#include "Messages/JobCodec.h"
+#include "Messages/PresetCodec.h"
+
+#include <map>
+
+namespace caraway {
+
+namespace {
+
+constexpr std::int64_t maxWaitMs = 20'000;
+
+enum HttpStatus {
+    Ok = 200,
+    Accepted = 202,
+    BadRequest = 400,
+    NotFound = 404,
+    ConflictStatus = 409,
+    Unprocessable = 422,
+    TooManyRequests = 429,
+    BadGateway = 502,
+    ServiceUnavailable = 503,
+};
+
+int statusOf(ErrorKind kind)
+{
+    static const std::map<ErrorKind, int> statuses = {
+            {ErrorKind::InvalidRequest, BadRequest},
+            {ErrorKind::InvalidMessage, BadRequest},
+            {ErrorKind::UnknownKind, Unprocessable},
+            {ErrorKind::UnknownTeam, Unprocessable},
+            {ErrorKind::NeverFits, Unprocessable},
+            {ErrorKind::UnknownJob, NotFound},
+            {ErrorKind::UnknownPreset, NotFound},
+            {ErrorKind::QueueFull, TooManyRequests},
+            {ErrorKind::WouldMissDeadline, TooManyRequests},
+            {ErrorKind::NameInUse, ConflictStatus},
+            {ErrorKind::Conflict, ConflictStatus},
+            {ErrorKind::FateUnknown, BadGateway},
+    };
+    const auto found = statuses.find(kind);
+    return found == statuses.end() ? ServiceUnavailable : found->second;
+}
+
+CallerAnswer encodeBody(const JobReport &report)
+{
+    int status = report.isFinal() ? Ok : Accepted;
+    if (report.error && report.answers.empty())
+        status = statusOf(report.error->kind);
+    return {status, encodeJobReport(report).dump()};
+}
+
+CallerAnswer encodeBody(const std::vector<WorkerRow> &rows)
+{
+    nlohmann::json json = nlohmann::json::array();
+    for (const WorkerRow &row : rows) {
+        json.push_back({{"shard", row.shard.value()},
+                        {"worker", row.worker.value()},
+                        {"state", row.state},
+                        {"capacity", encodeResources(row.capacity)},
+                        {"reserved", encodeResources(row.reserved)}});
+    }
+    return {Ok, json.dump()};
+}
+
+CallerAnswer encodeBody(const PresetInForce &inForce)
+{
+    nlohmann::json json = encodePresetInForce(inForce);
+    json["revision"] = inForce.revision.value();
+    return {Ok, json.dump()};
+}
+
+CallerAnswer encodeBody(const Error &error)
+{
+    return encodeErrorAnswer(error);
+}
+
+} // namespace
+
+Result<SubmitJob> decodeSubmit(std::string_view body)
+{
+    BOOST_LEAF_AUTO(json, parseJson(body));
+    ObjectReader reader(json, "request");
+    SubmitJob submit;
+    const nlohmann::json &job = reader.object("job");
+    submit.wait = Milliseconds(reader.numberOr("wait_ms", 0, 0, maxWaitMs));
+    BOOST_LEAF_CHECK(reader.finish());
+    BOOST_LEAF_ASSIGN(submit.spec, decodeJobSpec(job));
+    return submit;
+}
+
+Result<UsePreset> decodeUsePreset(std::string_view body)
+{
+    BOOST_LEAF_AUTO(json, parseJson(body));
+    ObjectReader reader(json, "request");
+    UsePreset use;
+    const nlohmann::json &preset = reader.object("preset");
+    const nlohmann::json &change = reader.object("change");
+    if (reader.has("expected_revision"))
+        use.expected = Revision(static_cast<std::uint64_t>(reader.number("expected_revision")));
+    BOOST_LEAF_CHECK(reader.finish());
+    BOOST_LEAF_ASSIGN(use.preset, decodePreset(preset));
+    BOOST_LEAF_ASSIGN(use.change, decodeChangeNote(change));
+    return use;
+}
+
+CallerAnswer encodeAnswer(const AnswerCaller &answer)
+{
+    return std::visit([](const auto &body) { return encodeBody(body); }, answer.body);
+}
+
+CallerAnswer encodeErrorAnswer(const Error &error)
+{
+    const nlohmann::json json = {{"error", encodeError(error)}};
+    return {statusOf(error.kind), json.dump()};
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Messages/CallerCodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Decisions/Actions.h"
+#include "Messages/ObjectReader.h"
+
+/// Encodings of what callers and operators send and get.
+namespace caraway {
+
+/// Body of POST /v1/jobs: a job, and wait_ms beside it.
+Result<SubmitJob> decodeSubmit(std::string_view body);
+/// Body of POST /v1/preset-in-force.
+Result<UsePreset> decodeUsePreset(std::string_view body);
+
+/// An answer as HTTP carries it.
+struct CallerAnswer
+{
+    int status = 0;
+    std::string body;
+};
+CallerAnswer encodeAnswer(const AnswerCaller &answer);
+CallerAnswer encodeErrorAnswer(const Error &error);
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Messages/FleetCodec.cpp
@@ -0,0 +1,95 @@
+#include "Messages/FleetCodec.h"
+
+#include "Messages/JobCodec.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr std::int64_t maxPort = 65'535;
+
+MemberState readState(ObjectReader &reader)
+{
+    return static_cast<MemberState>(reader.choice("state", {"live", "leaving"}, 0));
+}
+
+std::uint16_t readPort(ObjectReader &reader, const std::string &field)
+{
+    return static_cast<std::uint16_t>(reader.number(field, 1, maxPort));
+}
+
+Result<EntryMember> decodeEntry(const nlohmann::json &json)
+{
+    ObjectReader reader(json, "entry instance");
+    EntryMember entry;
+    entry.id = reader.id<InstanceId>("id");
+    entry.zone = reader.id<ZoneId>("zone");
+    const std::string host = reader.text("host");
+    entry.callers = {host, readPort(reader, "caller_port")};
+    entry.peers = {host, readPort(reader, "peer_port")};
+    entry.state = readState(reader);
+    BOOST_LEAF_CHECK(reader.finish());
+    return entry;
+}
+
+Result<WorkerMember> decodeWorker(const nlohmann::json &json)
+{
+    ObjectReader reader(json, "worker");
+    WorkerMember worker;
+    worker.id = reader.id<WorkerId>("id");
+    worker.zone = reader.id<ZoneId>("zone");
+    worker.rack = reader.id<RackId>("rack");
+    const std::string host = reader.text("host");
+    worker.endpoint = {host, readPort(reader, "port")};
+    const nlohmann::json &capacity = reader.object("capacity");
+    worker.state = readState(reader);
+    BOOST_LEAF_CHECK(reader.finish());
+    BOOST_LEAF_ASSIGN(worker.capacity, decodeResources(capacity, "worker's capacity"));
+    return worker;
+}
+
+} // namespace
+
+Result<InstanceList> decodeInstanceList(std::string_view body)
+{
+    BOOST_LEAF_AUTO(json, parseJson(body));
+    ObjectReader reader(json, "instance list");
+    InstanceList list;
+    for (const nlohmann::json &element : reader.array("entries")) {
+        BOOST_LEAF_AUTO(entry, decodeEntry(element));
+        list.entries.push_back(std::move(entry));
+    }
+    for (const nlohmann::json &element : reader.array("workers")) {
+        BOOST_LEAF_AUTO(worker, decodeWorker(element));
+        list.workers.push_back(std::move(worker));
+    }
+    BOOST_LEAF_CHECK(reader.finish());
+    return list;
+}
+
+std::string encodeShardRecord(const ShardRecord &record)
+{
+    const nlohmann::json json = {{"shard", record.shard.value()},
+                                 {"holder", record.holder.value()},
+                                 {"epoch", record.epoch.value()},
+                                 {"renewal", record.renewal},
+                                 {"released", record.released}};
+    return json.dump();
+}
+
+Result<ShardRecord> decodeShardRecord(std::string_view value, Revision revision)
+{
+    BOOST_LEAF_AUTO(json, parseJson(value));
+    ObjectReader reader(json, "shard record");
+    ShardRecord record;
+    record.shard = reader.id<ShardId>("shard");
+    record.holder = reader.id<InstanceId>("holder");
+    record.epoch = Epoch(static_cast<std::uint64_t>(reader.number("epoch")));
+    record.renewal = static_cast<std::uint64_t>(reader.number("renewal"));
+    record.released = reader.flagOr("released", false);
+    record.revision = revision;
+    BOOST_LEAF_CHECK(reader.finish());
+    return record;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Messages/ObjectReader.cpp
@@ -0,0 +1,151 @@
+#include "Messages/ObjectReader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+const nlohmann::json nullValue;
+
+} // namespace
+
+ObjectReader::ObjectReader(const nlohmann::json &object, std::string what)
+    : object_(object)
+    , what_(std::move(what))
+{
+    if (!object_.is_object())
+        problem_ = fmt::format("The {} is not an object. Send an object.", what_);
+}
+
+const nlohmann::json *ObjectReader::find(const std::string &field)
+{
+    read_.insert(field);
+    if (!object_.is_object())
+        return nullptr;
+    const auto found = object_.find(field);
+    return found == object_.end() ? nullptr : &*found;
+}
+
+bool ObjectReader::has(const std::string &field) const
+{
+    return object_.is_object() && object_.contains(field);
+}
+
+std::string ObjectReader::text(const std::string &field)
+{
+    const nlohmann::json *value = find(field);
+    if (!value)
+        note(field, "is missing", "Add it");
+    else if (!value->is_string())
+        note(field, "is not a string", "Send a string");
+    return value && value->is_string() ? value->get<std::string>() : std::string();
+}
+
+std::string ObjectReader::textOr(const std::string &field, std::string fallback)
+{
+    return has(field) ? text(field) : (read_.insert(field), std::move(fallback));
+}
+
+std::int64_t ObjectReader::number(const std::string &field, std::int64_t least, std::int64_t most)
+{
+    const nlohmann::json *value = find(field);
+    if (!value) {
+        note(field, "is missing", "Add it");
+        return least;
+    }
+    const bool tooLarge = value->is_number_unsigned()
+            && value->get<std::uint64_t>()
+                    > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    if (!value->is_number_integer() || tooLarge) {
+        note(field, "is not a whole number in range", "Send a whole number");
+        return least;
+    }
+    const auto number = value->get<std::int64_t>();
+    if (number < least || number > most) {
+        note(field, fmt::format("is {}", number), fmt::format("Use {} to {}", least, most));
+        return least;
+    }
+    return number;
+}
+
+std::int64_t ObjectReader::numberOr(const std::string &field, std::int64_t fallback,
+                                    std::int64_t least, std::int64_t most)
+{
+    return has(field) ? number(field, least, most) : (read_.insert(field), fallback);
+}
+
+bool ObjectReader::flagOr(const std::string &field, bool fallback)
+{
+    const nlohmann::json *value = find(field);
+    if (!value)
+        return fallback;
+    if (!value->is_boolean())
+        note(field, "is not true or false", "Send true or false");
+    return value->is_boolean() ? value->get<bool>() : fallback;
+}
+
+const nlohmann::json &ObjectReader::object(const std::string &field)
+{
+    const nlohmann::json *value = find(field);
+    if (value && value->is_object())
+        return *value;
+    note(field, "is not an object", "Send an object");
+    return nullValue;
+}
+
+const nlohmann::json &ObjectReader::array(const std::string &field)
+{
+    const nlohmann::json *value = find(field);
+    if (value && value->is_array())
+        return *value;
+    note(field, "is not an array", "Send an array");
+    return nullValue;
+}
+
+std::size_t ObjectReader::choice(const std::string &field,
+                                 const std::vector<std::string_view> &names, std::size_t fallback)
+{
+    if (!has(field)) {
+        read_.insert(field);
+        return fallback;
+    }
+    const std::string value = text(field);
+    const auto found = std::ranges::find(names, value);
+    if (found != names.end())
+        return static_cast<std::size_t>(found - names.begin());
+    note(field, fmt::format("is \"{}\"", value),
+         fmt::format("Use one of {}", fmt::join(names, ", ")));
+    return fallback;
+}
+
+void ObjectReader::note(const std::string &field, std::string_view problem, std::string_view remedy)
+{
+    if (!problem_)
+        problem_ = fmt::format("Field \"{}\" of the {} {}. {}.", field, what_, problem, remedy);
+}
+
+Result<void> ObjectReader::finish()
+{
+    if (!problem_) {
+        for (const auto &[field, value] : object_.items()) {
+            if (!read_.contains(field))
+                note(field, "is not known", "Remove it or correct its name");
+        }
+    }
+    if (problem_)
+        return fail(ErrorKind::InvalidMessage, *problem_);
+    return {};
+}
+
+Result<nlohmann::json> parseJson(std::string_view text)
+{
+    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    if (parsed.is_discarded())
+        return fail(ErrorKind::InvalidMessage, "The text is not JSON. Send well-formed JSON.");
+    return parsed;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/Source/Messages/PresetCodec.cpp
@@ -0,0 +1,134 @@
+#include "Messages/PresetCodec.h"
+
+#include "Messages/JobCodec.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr std::int64_t maxWeight = 1'000'000;
+constexpr std::int64_t maxQueueBound = 10'000'000;
+constexpr std::int64_t maxRetryBudget = 1000;
+
+const std::vector<std::string_view> &preemptionNames()
+{
+    static const std::vector<std::string_view> names = {"none", "throttle", "checkpoint", "stop"};
+    return names;
+}
+
+nlohmann::json encodeKind(const KindPolicy &kind)
+{
+    return {{"kind", kind.kind.value()},
+            {"weight", kind.weight},
+            {"promised_wait_ms", kind.promisedWait.count()},
+            {"queue_bound", kind.queueBound},
+            {"retry_budget_percent", kind.retryBudget},
+            {"preemption", preemptionNames()[static_cast<std::size_t>(kind.preemption)]},
+            {"urgent", kind.urgent}};
+}
+
+Result<KindPolicy> decodeKind(const nlohmann::json &json)
+{
+    ObjectReader reader(json, "kind");
+    KindPolicy kind;
+    kind.kind = reader.id<KindId>("kind");
+    kind.weight = static_cast<std::uint32_t>(reader.numberOr("weight", 1, 1, maxWeight));
+    kind.promisedWait = Milliseconds(reader.number("promised_wait_ms", 1));
+    kind.queueBound = static_cast<std::uint32_t>(reader.number("queue_bound", 1, maxQueueBound));
+    kind.retryBudget = static_cast<std::uint32_t>(
+            reader.numberOr("retry_budget_percent", 10, 0, maxRetryBudget));
+    kind.preemption = static_cast<Preemption>(reader.choice("preemption", preemptionNames(), 0));
+    kind.urgent = reader.flagOr("urgent", false);
+    BOOST_LEAF_CHECK(reader.finish());
+    return kind;
+}
+
+nlohmann::json encodeTeam(const TeamQuota &team)
+{
+    return {{"team", team.team.value()},
+            {"weight", team.weight},
+            {"quota", encodeResources(team.quota)}};
+}
+
+Result<TeamQuota> decodeTeam(const nlohmann::json &json)
+{
+    ObjectReader reader(json, "team");
+    TeamQuota team;
+    team.team = reader.id<TeamId>("team");
+    team.weight = static_cast<std::uint32_t>(reader.numberOr("weight", 1, 1, maxWeight));
+    const nlohmann::json &quota = reader.object("quota");
+    BOOST_LEAF_CHECK(reader.finish());
+    BOOST_LEAF_ASSIGN(team.quota, decodeResources(quota, "team's quota"));
+    return team;
+}
+
+} // namespace
+
+nlohmann::json encodePreset(const Preset &preset)
+{
+    nlohmann::json json = {{"name", preset.name.value()},
+                           {"kinds", nlohmann::json::array()},
+                           {"teams", nlohmann::json::array()}};
+    for (const KindPolicy &kind : preset.kinds)
+        json["kinds"].push_back(encodeKind(kind));
+    for (const TeamQuota &team : preset.teams)
+        json["teams"].push_back(encodeTeam(team));
+    return json;
+}
+
+Result<Preset> decodePreset(const nlohmann::json &json)
+{
+    ObjectReader reader(json, "preset");
+    Preset preset;
+    preset.name = reader.id<PresetName>("name");
+    for (const nlohmann::json &element : reader.array("kinds")) {
+        BOOST_LEAF_AUTO(kind, decodeKind(element));
+        preset.kinds.push_back(std::move(kind));
+    }
+    for (const nlohmann::json &element : reader.array("teams")) {
+        BOOST_LEAF_AUTO(team, decodeTeam(element));
+        preset.teams.push_back(std::move(team));
+    }
+    BOOST_LEAF_CHECK(reader.finish());
+    return preset;
+}
+
+nlohmann::json encodeChangeNote(const ChangeNote &note)
+{
+    return {{"id", note.id.value()},     {"who", note.who.value()}, {"when_ms", note.when.count()},
+            {"from", note.from.value()}, {"to", note.to.value()},   {"why", note.why}};
+}
+
+Result<ChangeNote> decodeChangeNote(const nlohmann::json &json)
+{
+    ObjectReader reader(json, "change");
+    ChangeNote note;
+    note.id = reader.id<ChangeId>("id");
+    note.who = OperatorName(reader.textOr("who", ""));
+    note.when = Milliseconds(reader.numberOr("when_ms", 0));
+    note.from = PresetName(reader.textOr("from", ""));
+    note.to = PresetName(reader.textOr("to", ""));
+    note.why = reader.textOr("why", "");
+    BOOST_LEAF_CHECK(reader.finish());
+    return note;
+}
+
+nlohmann::json encodePresetInForce(const PresetInForce &inForce)
+{
+    return {{"preset", encodePreset(inForce.preset)}, {"change", encodeChangeNote(inForce.change)}};
+}
+
+Result<PresetInForce> decodePresetInForce(const nlohmann::json &json, Revision revision)
+{
+    ObjectReader reader(json, "preset in force");
+    const nlohmann::json &preset = reader.object("preset");
+    const nlohmann::json &change = reader.object("change");
+    BOOST_LEAF_CHECK(reader.finish());
+    PresetInForce inForce;
+    inForce.revision = revision;
+    BOOST_LEAF_ASSIGN(inForce.preset, decodePreset(preset));
+    BOOST_LEAF_ASSIGN(inForce.change, decodeChangeNote(change));
+    return inForce;
+}
+
+} // namespace caraway
