Prove the thin whole path with real processes

Cause: a request has to be seen to pass from a caller through any entry to a worker and back, also after its shard's holder was killed.

A request sent right after kill -9 of the holder is answered by the next holder, its task started once.

--- /dev/null
+++ b/Tests/Processes/WholePathTest.cpp
@@ -0,0 +1,78 @@
+#include "Support/TestFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace caraway::tests {
+
+/// One request from a caller to a worker and back, over real processes.
+class WholePathTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(WholePathTest);
+    CPPUNIT_TEST(run_throughEveryEntry_comesBackWhole);
+    CPPUNIT_TEST(run_afterHolderIsKilled_isServed);
+    CPPUNIT_TEST(submit_badInput_getsTypedErrorAndServesOn);
+    CPPUNIT_TEST_SUITE_END();
+
+    TestFleet fleet_;
+
+public:
+    void setUp() override { fleet_.start(); }
+
+    void run_throughEveryEntry_comesBackWhole()
+    {
+        const std::string longText(200'000, 'x');
+        for (int entry = 0; entry < fleet_.shape().entries; ++entry) {
+            const std::string name = "whole-" + std::to_string(entry);
+            const HttpAnswer answer
+                    = fleet_.run(entry, TestFleet::makeJob(name, {{"payload", longText}}));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body.dump(), 200, answer.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("done"), answer.body["state"].get<std::string>());
+            CPPUNIT_ASSERT_EQUAL("done: " + longText,
+                                 answer.body["answers"][0]["content"].get<std::string>());
+        }
+        CPPUNIT_ASSERT(fleet_.violations().empty());
+    }
+
+    void run_afterHolderIsKilled_isServed()
+    {
+        const std::string zone = fleet_.homeOf("survivor");
+        const int holder = fleet_.holderOf(zone);
+        CPPUNIT_ASSERT(holder >= 0);
+        fleet_.entry(holder).kill();
+        const int other = (holder + 1) % fleet_.shape().entries;
+        const HttpAnswer answer = fleet_.run(other, TestFleet::makeJob("survivor"), 15'000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body.dump(), 200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf("survivor"));
+    }
+
+    void submit_badInput_getsTypedErrorAndServesOn()
+    {
+        const auto kindOf = [](const HttpAnswer &answer) {
+            return answer.body.is_object() ? answer.body["error"].value("kind", "") : "";
+        };
+        const nlohmann::json good = TestFleet::makeJob("good");
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid_message"),
+                             kindOf(fleet_.postText(0, "/v1/jobs", "{\"job\":")));
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid_message"),
+                             kindOf(fleet_.run(0, TestFleet::makeJob("x", {{"tasks", "many"}}))));
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid_message"),
+                             kindOf(fleet_.run(0, TestFleet::makeJob("x", {{"colour", 1}}))));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown_kind"),
+                             kindOf(fleet_.run(0, TestFleet::makeJob("x", {{"kind", "none"}}))));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown_team"),
+                             kindOf(fleet_.run(0, TestFleet::makeJob("x", {{"team", "none"}}))));
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("never_fits"),
+                kindOf(fleet_.run(
+                        0,
+                        TestFleet::makeJob(
+                                "x", {{"per_task", {{"processors_millicores", 99'000'000}}}}))));
+        CPPUNIT_ASSERT_EQUAL(413, fleet_.postText(0, "/v1/jobs", std::string(3 << 20, ' ')).status);
+        CPPUNIT_ASSERT_EQUAL(200, fleet_.run(0, good).status);
+        CPPUNIT_ASSERT_EQUAL(0, fleet_.startsOf("x"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WholePathTest);
+
+} // namespace caraway::tests
--- /dev/null
+++ b/Tests/Standins/ProxyStandin.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace caraway::standins {
+
+/// A TCP proxy that injects faults. POST /links opens a link (name, listen, to_port);
+/// POST /faults sets the faults of one (name, delay_ms, cut, hold_forward, hold_back).
+class ProxyStandin
+{
+public:
+    /// Serves its controls on \a port of the loopback address until the process ends.
+    int serve(int port);
+
+private:
+    struct Link
+    {
+        std::string name;
+        int toPort = 0;
+        int listener = -1;
+        std::atomic<std::int64_t> delayMs = 0;
+        /// Open connections are closed and new ones refused.
+        std::atomic<bool> cut = false;
+        /// Bytes towards the server, or back, silently go nowhere.
+        std::atomic<bool> holdForward = false;
+        std::atomic<bool> holdBack = false;
+        std::mutex mutex;
+        std::list<int> sockets;
+    };
+
+    void openLink(const nlohmann::json &order);
+    void setFaults(const nlohmann::json &order);
+    static void acceptLoop(Link &link);
+    static void pump(Link &link, int from, int to, const std::atomic<bool> &hold);
+
+    httplib::Server server_;
+    std::mutex mutex_;
+    std::list<Link> links_;
+};
+
+} // namespace caraway::standins
--- /dev/null
+++ b/Tests/Standins/WorkerStandin.cpp
@@ -0,0 +1,192 @@
+#include "Standins/WorkerStandin.h"
+
+#include <algorithm>
+
+namespace caraway::standins {
+
+namespace {
+
+using namespace std::chrono_literals;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::size_t serverThreads = 16;
+
+std::int64_t wallMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
+WorkerStandin::WorkerStandin(WorkerOptions options)
+    : options_(std::move(options))
+{
+    records_.open(options_.recordFile, std::ios::app);
+}
+
+int WorkerStandin::serve()
+{
+    using httplib::Request;
+    using httplib::Response;
+    server_.new_task_queue = [] { return new httplib::ThreadPool(serverThreads); };
+    server_.set_tcp_nodelay(true);
+    server_.Post("/v1/tasks", [this](const Request &q, Response &r) { start(q, r); });
+    server_.Post("/v1/heartbeat", [this](const Request &q, Response &r) { heartbeat(q, r); });
+    server_.Post("/control", [this](const Request &q, Response &) { control(q); });
+    std::thread([this] { runTasks(); }).detach();
+    return server_.listen("127.0.0.1", options_.port) ? 0 : 1;
+}
+
+void WorkerStandin::start(const httplib::Request &request, httplib::Response &response)
+{
+    const nlohmann::json body = nlohmann::json::parse(request.body);
+    const Attempt attempt {body["spec"]["name"], body["task"], body["attempt"]};
+    const std::lock_guard lock(mutex_);
+    if (runs_.contains(attempt))
+        return;
+    if (body["epoch"] < highestEpoch_ || voided_.contains(attempt)) {
+        response.status = 409;
+        return;
+    }
+    highestEpoch_ = body["epoch"];
+    Run run;
+    run.spec = body["spec"];
+    run.reportTo = body["report_to"];
+    run.epoch = body["epoch"];
+    const std::string payload = run.spec["payload"];
+    const nlohmann::json orders = nlohmann::json::parse(payload, nullptr, false);
+    const bool hasOrders = orders.is_object();
+    const Time now = SteadyClock::now();
+    run.endsAt = now + std::chrono::milliseconds(hasOrders ? orders.value("run_ms", 10) : 10);
+    run.leaseEndsAt = now + std::chrono::milliseconds(body["lease_ms"].get<std::int64_t>());
+    run.willFail = failEverything_ || (hasOrders && orders.value("fail", false));
+    run.answer = hasOrders ? orders.value("answer", "done") : "done: " + payload;
+    runs_[attempt] = std::move(run);
+    record("start", attempt);
+    checkCapacity();
+    changed_.notify_all();
+}
+
+void WorkerStandin::checkCapacity()
+{
+    std::int64_t millicores = 0;
+    std::int64_t memory = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t slots = 0;
+    for (const auto &[attempt, run] : runs_) {
+        if (run.condition != "running")
+            continue;
+        const nlohmann::json &needs = run.spec["per_task"];
+        millicores += needs["processors_millicores"].get<std::int64_t>();
+        memory += needs["memory_bytes"].get<std::int64_t>();
+        accelerators += needs["accelerators"].get<std::int64_t>();
+        slots += needs["slots"].get<std::int64_t>();
+    }
+    if (millicores > options_.millicores || memory > options_.memoryBytes
+        || accelerators > options_.accelerators || slots > options_.slots)
+        record("over_committed", {"", 0, 0});
+}
+
+WorkerStandin::Attempt WorkerStandin::readAttempt(const nlohmann::json &json)
+{
+    return {json["job"], json["task"], json["attempt"]};
+}
+
+void WorkerStandin::heartbeat(const httplib::Request &request, httplib::Response &response)
+{
+    const nlohmann::json body = nlohmann::json::parse(request.body);
+    const std::lock_guard lock(mutex_);
+    if (body["epoch"] < highestEpoch_) {
+        response.status = 409;
+        return;
+    }
+    highestEpoch_ = body["epoch"];
+    for (const nlohmann::json &taken : body["taken"])
+        runs_.erase(readAttempt(taken));
+    for (const nlohmann::json &stopped : body["stopped"]) {
+        const auto found = runs_.find(readAttempt(stopped));
+        if (found != runs_.end() && found->second.condition == "running")
+            finish(found->first, found->second, "stopped");
+    }
+    nlohmann::json answer
+            = {{"tasks", nlohmann::json::array()}, {"voided", nlohmann::json::array()}};
+    for (const nlohmann::json &doubtful : body["voided"]) {
+        const Attempt attempt = readAttempt(doubtful);
+        if (runs_.contains(attempt))
+            continue;
+        voided_.insert(attempt);
+        answer["voided"].push_back(doubtful);
+    }
+    const std::chrono::milliseconds lease(body["lease_ms"].get<std::int64_t>());
+    for (auto &[attempt, run] : runs_) {
+        if (lease > 0ms)
+            run.leaseEndsAt = SteadyClock::now() + lease;
+        answer["tasks"].push_back(describe(attempt, run));
+    }
+    response.set_content(answer.dump(), "application/json");
+}
+
+void WorkerStandin::control(const httplib::Request &request)
+{
+    const nlohmann::json orders = nlohmann::json::parse(request.body);
+    const std::lock_guard lock(mutex_);
+    failEverything_ = orders.value("fail_everything", failEverything_);
+}
+
+void WorkerStandin::runTasks()
+{
+    std::unique_lock lock(mutex_);
+    for (;;) {
+        Time next = SteadyClock::now() + 1s;
+        const Time now = SteadyClock::now();
+        for (auto &[attempt, run] : runs_) {
+            if (run.condition != "running")
+                continue;
+            if (run.leaseEndsAt <= now)
+                finish(attempt, run, "stopped");
+            else if (run.endsAt <= now)
+                finish(attempt, run, run.willFail ? "failed" : "succeeded");
+            else
+                next = std::min({next, run.endsAt, run.leaseEndsAt});
+        }
+        changed_.wait_until(lock, next);
+    }
+}
+
+void WorkerStandin::finish(const Attempt &attempt, Run &run, const std::string &condition)
+{
+    run.condition = condition;
+    run.content = condition == "succeeded" ? run.answer : condition;
+    record(condition, attempt);
+    std::thread([this, to = run.reportTo, entry = describe(attempt, run)] {
+        report(to, entry);
+    }).detach();
+}
+
+void WorkerStandin::report(const nlohmann::json &reportTo, const nlohmann::json &entry) const
+{
+    httplib::Client client(reportTo["host"].get<std::string>(), reportTo["port"].get<int>());
+    client.set_connection_timeout(1s);
+    const nlohmann::json body = {{"worker", options_.id}, {"entry", entry}};
+    client.Post("/v1/reports", body.dump(), "application/json");
+}
+
+void WorkerStandin::record(const std::string &what, const Attempt &attempt)
+{
+    const nlohmann::json line = {{"at_ms", wallMs()},
+                                 {"worker", options_.id},
+                                 {"what", what},
+                                 {"job", std::get<0>(attempt)},
+                                 {"task", std::get<1>(attempt)},
+                                 {"attempt", std::get<2>(attempt)}};
+    records_ << line.dump() << std::endl;
+}
+
+nlohmann::json WorkerStandin::describe(const Attempt &attempt, const Run &run) const
+{
+    return {{"task", std::get<1>(attempt)}, {"attempt", std::get<2>(attempt)}, {"epoch", run.epoch},
+            {"condition", run.condition},   {"content", run.content},          {"spec", run.spec}};
+}
+
+} // namespace caraway::standins
--- /dev/null
+++ b/Tests/Standins/WorkerStandin.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <tuple>
+#include <vector>
+
+namespace caraway::standins {
+
+/// What a worker stand-in is told at its start.
+struct WorkerOptions
+{
+    std::string id;
+    int port = 0;
+    std::int64_t millicores = 0;
+    std::int64_t memoryBytes = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t slots = 0;
+    /// Every start, end and violation is appended here as a line of JSON.
+    std::string recordFile;
+};
+
+/// A worker that runs tasks under leases. It does what it is told, over-commitment included,
+/// and records every violation. A payload may be JSON with run_ms, answer and fail.
+class WorkerStandin
+{
+public:
+    explicit WorkerStandin(WorkerOptions options);
+
+    /// Serves on the loopback address until the process ends.
+    int serve();
+
+private:
+    using Time = std::chrono::steady_clock::time_point;
+    using Attempt = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+    struct Run
+    {
+        nlohmann::json spec;
+        nlohmann::json reportTo;
+        std::uint64_t epoch = 0;
+        std::string condition = "running";
+        std::string content;
+        Time endsAt;
+        Time leaseEndsAt;
+        bool willFail = false;
+        std::string answer;
+    };
+
+    void start(const httplib::Request &request, httplib::Response &response);
+    void heartbeat(const httplib::Request &request, httplib::Response &response);
+    void control(const httplib::Request &request);
+    void runTasks();
+    void finish(const Attempt &attempt, Run &run, const std::string &condition);
+    void report(const nlohmann::json &reportTo, const nlohmann::json &entry) const;
+    void checkCapacity();
+    void record(const std::string &what, const Attempt &attempt);
+    nlohmann::json describe(const Attempt &attempt, const Run &run) const;
+    static Attempt readAttempt(const nlohmann::json &json);
+
+    WorkerOptions options_;
+    httplib::Server server_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<Attempt, Run> runs_;
+    std::set<Attempt> voided_;
+    std::uint64_t highestEpoch_ = 0;
+    bool failEverything_ = false;
+    std::ofstream records_;
+};
+
+} // namespace caraway::standins
--- /dev/null
+++ b/Tests/Support/main.cpp
@@ -0,0 +1,31 @@
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+#include <csignal>
+#include <iostream>
+#include <stdexcept>
+
+/// Runs every registered test, or the one whose path is given.
+int main(int argc, char *argv[])
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    CppUnit::TestResult controller;
+    CppUnit::TestResultCollector collector;
+    CppUnit::BriefTestProgressListener progress;
+    controller.addListener(&collector);
+    controller.addListener(&progress);
+    CppUnit::TestRunner runner;
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    try {
+        runner.run(controller, argc > 1 ? argv[1] : "");
+    } catch (const std::invalid_argument &) {
+        std::cerr << "There is no test " << argv[1] << ".\n";
+        return 2;
+    }
+    CppUnit::CompilerOutputter(&collector, std::cerr).write();
+    return collector.wasSuccessful() ? 0 : 1;
+}
