Part the choice of places from the running of attempts

Cause: the scheduler of a shard held both the queue and ledger and the lifecycle of attempts, so policy could not change without touching recovery.

Change: TaskPlacer owns queue, ledger, admission and placement behind a small interface; ShardScheduler starts what it placed and tells it what was released.

--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -109,7 +109,8 @@
         actions_.push_back(SendToPeer {from, HolderReply {request.id, true, {}}});
         return;
     }
-    shard->scheduler.onRequest(now_, from, request, presets_.inForce()->preset);
+    shard->scheduler.usePreset(presets_.inForce()->preset);
+    shard->scheduler.onRequest(now_, from, request);
     tickShard(*shard);
 }
 
--- a/Source/Decisions/Ledger.cpp
+++ b/Source/Decisions/Ledger.cpp
@@ -14,9 +14,12 @@
     accounts_[worker].isOpen = isOpen;
 }
 
-void Ledger::removeWorker(const WorkerId &worker)
+void Ledger::clearReservations()
 {
-    accounts_.erase(worker);
+    for (auto &[id, account] : accounts_) {
+        account.reserved = {};
+        account.isOpen = false;
+    }
 }
 
 bool Ledger::reserve(const WorkerId &worker, const Resources &needs)
--- a/Source/Decisions/Ledger.h
+++ b/Source/Decisions/Ledger.h
@@ -25,7 +25,8 @@
 
     void setCapacity(const WorkerId &worker, const Resources &capacity);
     void setOpen(const WorkerId &worker, bool isOpen);
-    void removeWorker(const WorkerId &worker);
+    /// Drops every reservation and closes every worker.
+    void clearReservations();
 
     /// Reserves \a needs; false, and nothing changes, when there is no room.
     bool reserve(const WorkerId &worker, const Resources &needs);
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -27,13 +27,10 @@
 void ShardScheduler<Policy>::beginRecovery(TimePoint now, Epoch epoch)
 {
     epoch_ = epoch;
-    ledger_ = {};
-    queue_ = {};
+    placer_.reset();
     jobs_.clear();
-    for (auto &[id, worker] : workers_) {
+    for (auto &[id, worker] : workers_)
         worker = WorkerState {.member = worker.member, .leasesRenewedBy = now};
-        ledger_.setCapacity(id, worker.member.capacity);
-    }
 }
 
 template<SchedulingPolicy Policy>
@@ -50,21 +47,20 @@
         place->second.member = member;
         if (isNew)
             place->second.leasesRenewedBy = now;
-        ledger_.setCapacity(member.id, member.capacity);
-        ledger_.setOpen(member.id, place->second.read && member.state == MemberState::Live);
+        placer_.setWorker(member, place->second.read && member.state == MemberState::Live);
     }
     for (auto &[id, worker] : workers_) {
         if (std::ranges::find(workers, id, &WorkerMember::id) == workers.end())
-            ledger_.setOpen(id, false);
+            placer_.closeWorker(id);
     }
 }
 
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::onRequest(TimePoint now, const InstanceId &entry,
-                                       const HolderRequest &request, const Preset &preset)
+                                       const HolderRequest &request)
 {
     if (const auto *submission = std::get_if<HolderSubmit>(&request.body))
-        submit(now, entry, request.id, *submission, preset);
+        submit(now, entry, request.id, *submission);
     else if (const auto *question = std::get_if<HolderQuery>(&request.body))
         query(now, entry, request.id, *question);
     else if (const auto *cancellation = std::get_if<HolderCancel>(&request.body))
@@ -73,7 +69,7 @@
 
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::submit(TimePoint now, const InstanceId &entry, RequestId request,
-                                    const HolderSubmit &body, const Preset &preset)
+                                    const HolderSubmit &body)
 {
     JobRecord *job = findJob(body.spec.name);
     if (job && job->spec() != body.spec) {
@@ -87,52 +83,23 @@
         return;
     }
     if (!job) {
-        if (std::optional<Error> refusal = refusalOf(body.spec, preset)) {
+        if (std::optional<Refusal> refusal = placer_.refusalOf(now, body.spec)) {
             reply(entry, request,
-                  {.name = body.spec.name, .state = JobState::NotRun, .error = refusal});
+                  {.name = body.spec.name,
+                   .state = JobState::NotRun,
+                   .error = std::move(refusal->error),
+                   .retryAfter = refusal->retryAfter});
             return;
         }
         job = &jobs_.try_emplace(body.spec.name, body.spec).first->second;
         for (std::uint64_t i = 0; i < body.spec.taskCount; ++i) {
             job->task(TaskIndex(i)).waitingSince = now;
-            queue_.push({{body.spec.name, TaskIndex(i)},
-                         body.spec.kind,
-                         body.spec.team,
-                         body.spec.perTask,
-                         now});
+            placer_.enqueue(now, body.spec, TaskIndex(i));
         }
     }
     answerOrWait(now, *job, {entry, request, now + body.wait});
 }
 
-template<SchedulingPolicy Policy>
-std::optional<Error> ShardScheduler<Policy>::refusalOf(const JobSpec &spec,
-                                                       const Preset &preset) const
-{
-    const KindPolicy *kind = preset.findKind(spec.kind);
-    if (!kind) {
-        return Error {ErrorKind::UnknownKind,
-                      fmt::format("Preset {} has no kind {}. Use one that `preset show` lists.",
-                                  preset.name.value(), spec.kind.value())};
-    }
-    if (!preset.findTeam(spec.team)) {
-        return Error {ErrorKind::UnknownTeam,
-                      fmt::format("Preset {} has no team {}. Use one that `preset show` lists.",
-                                  preset.name.value(), spec.team.value())};
-    }
-    if (!ledger_.couldEverFit(spec.perTask)) {
-        return Error {
-                ErrorKind::NeverFits,
-                "No worker of the shard is large enough for one task. Declare smaller tasks."};
-    }
-    if (queue_.size() + spec.taskCount > kind->queueBound) {
-        return Error {ErrorKind::QueueFull,
-                      fmt::format("The queue for kind {} is full. Submit again later.",
-                                  spec.kind.value())};
-    }
-    return std::nullopt;
-}
-
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::query(TimePoint now, const InstanceId &entry, RequestId request,
                                    const HolderQuery &body)
@@ -158,7 +125,7 @@
     if (JobRecord *job = findJob(body.name)) {
         for (std::uint64_t i = 0; i < job->spec().taskCount; ++i) {
             if (job->task(TaskIndex(i)).isIn(Task::State::Waiting))
-                queue_.remove({body.name, TaskIndex(i)});
+                placer_.withdraw({body.name, TaskIndex(i)});
             raise(now, *job, TaskIndex(i), Task::Event::Cancelled);
         }
     }
@@ -204,7 +171,7 @@
         return;
     worker.read = true;
     worker.leasesRenewedBy = now;
-    ledger_.setOpen(answer.worker, worker.member.state == MemberState::Live);
+    placer_.setWorker(worker.member, worker.member.state == MemberState::Live);
     for (const InventoryEntry &entry : answer.tasks)
         handleEntry(now, answer.worker, entry);
     for (const auto &[task, attempt] : answer.voided) {
@@ -232,9 +199,9 @@
     Task &task = job.task(entry.task.index);
     const bool isForeign = task.attempt() != entry.attempt || task.worker() != worker;
     if (isForeign && task.isIn(Task::State::Waiting)) {
-        queue_.remove(entry.task);
+        placer_.withdraw(entry.task);
         task.adopt(worker, entry.attempt);
-        ledger_.reserveFound(worker, job.spec().perTask);
+        placer_.onFound(worker, job.spec(), entry.task.index);
         raise(now, job, entry.task.index, Task::Event::Found);
     } else if (isForeign) {
         return;
@@ -266,10 +233,10 @@
     const TaskId id {job.spec().name, index};
     const Task::Effects effects = task.handle(event);
     if (effects.releaseReservation)
-        ledger_.release(task.worker(), job.spec().perTask);
+        placer_.onReleased(task.worker(), job.spec(), index);
     if (effects.requeue) {
         task.waitingSince = now;
-        queue_.push({id, job.spec().kind, job.spec().team, job.spec().perTask, now});
+        placer_.enqueue(now, job.spec(), index);
     }
     if (effects.stopAttempt)
         workers_[task.worker()].stopped.emplace_back(id, task.attempt());
@@ -307,27 +274,21 @@
 {
     if (now >= startsEndAt || !isRecovered())
         return;
-    while (const WaitingTask *front = queue_.front()) {
-        const WaitingTask waiting = *front;
-        const std::optional<WorkerId> worker = placement_.choose(ledger_, waiting.needs);
-        if (!worker || !ledger_.reserve(*worker, waiting.needs))
-            return;
-        queue_.popFront();
-        start(now, waiting, *worker, startsEndAt);
-    }
+    for (const PlacedTask &placed : placer_.place(now))
+        start(now, placed, startsEndAt);
 }
 
 template<SchedulingPolicy Policy>
-void ShardScheduler<Policy>::start(TimePoint now, const WaitingTask &waiting,
-                                   const WorkerId &worker, TimePoint startsEndAt)
+void ShardScheduler<Policy>::start(TimePoint now, const PlacedTask &placed, TimePoint startsEndAt)
 {
-    JobRecord &job = *findJob(waiting.task.job);
-    Task &task = job.task(waiting.task.index);
-    task.placeOn(worker);
-    raise(now, job, waiting.task.index, Task::Event::Placed);
-    actions_.push_back(CallWorker {StartTask {shard_, worker, workers_.at(worker).member.endpoint,
-                                              waiting.task, task.attempt(), epoch_, job.spec(),
-                                              settings_.taskLease, startsEndAt}});
+    const TaskId &id = placed.waiting.task;
+    JobRecord &job = *findJob(id.job);
+    Task &task = job.task(id.index);
+    task.placeOn(placed.worker);
+    raise(now, job, id.index, Task::Event::Placed);
+    actions_.push_back(CallWorker {
+            StartTask {shard_, placed.worker, workers_.at(placed.worker).member.endpoint, id,
+                       task.attempt(), epoch_, job.spec(), settings_.taskLease, startsEndAt}});
 }
 
 template<SchedulingPolicy Policy>
@@ -359,7 +320,7 @@
         if (now - worker.leasesRenewedBy < longest)
             continue;
         worker.read = true;
-        ledger_.setOpen(id, false);
+        placer_.closeWorker(id);
         for (const TaskId &task : tasksOn(id))
             raise(now, *findJob(task.job), task.index, Task::Event::LeaseLapsed);
     }
@@ -426,7 +387,7 @@
 std::vector<WorkerRow> ShardScheduler<Policy>::workerRows() const
 {
     std::vector<WorkerRow> rows;
-    for (const auto &[id, account] : ledger_.accounts()) {
+    for (const auto &[id, account] : placer_.ledger().accounts()) {
         rows.push_back({shard_, id, account.capacity, account.reserved,
                         account.isOpen ? "open" : "closed"});
     }
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -2,8 +2,7 @@
 
 #include "Decisions/Actions.h"
 #include "Decisions/JobRecord.h"
-#include "Decisions/Ledger.h"
-#include "Decisions/Policy/Concepts.h"
+#include "Decisions/Policy/TaskPlacer.h"
 #include "Decisions/Settings.h"
 
 #include <map>
@@ -26,8 +25,8 @@
     /// Takes in the shard's workers as the instance list names them.
     void setWorkers(TimePoint now, const std::vector<WorkerMember> &workers);
 
-    void onRequest(TimePoint now, const InstanceId &entry, const HolderRequest &request,
-                   const Preset &preset);
+    void usePreset(const Preset &preset) { placer_.usePreset(preset); }
+    void onRequest(TimePoint now, const InstanceId &entry, const HolderRequest &request);
     void onStartAnswered(TimePoint now, const StartAnswered &answer);
     void onHeartbeatAnswered(TimePoint now, const HeartbeatAnswered &answer);
     void onTaskReported(TimePoint now, const TaskReported &report);
@@ -55,18 +54,16 @@
         std::vector<std::pair<TaskId, AttemptNumber>> voided;
     };
 
-    void submit(TimePoint now, const InstanceId &entry, RequestId request, const HolderSubmit &body,
-                const Preset &preset);
+    void submit(TimePoint now, const InstanceId &entry, RequestId request,
+                const HolderSubmit &body);
     void query(TimePoint now, const InstanceId &entry, RequestId request, const HolderQuery &body);
     void cancel(TimePoint now, const InstanceId &entry, RequestId request,
                 const HolderCancel &body);
-    std::optional<Error> refusalOf(const JobSpec &spec, const Preset &preset) const;
     void answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter);
     void reply(const InstanceId &entry, RequestId request, JobReport report);
 
     void placeWaiting(TimePoint now, TimePoint startsEndAt);
-    void start(TimePoint now, const WaitingTask &waiting, const WorkerId &worker,
-               TimePoint startsEndAt);
+    void start(TimePoint now, const PlacedTask &placed, TimePoint startsEndAt);
     void sendHeartbeats(TimePoint now);
     void lapseLeases(TimePoint now);
     void endWaits(TimePoint now);
@@ -83,9 +80,7 @@
     ShardId shard_;
     const DecisionSettings &settings_;
     Epoch epoch_;
-    Ledger ledger_;
-    typename Policy::Queue queue_;
-    typename Policy::Placement placement_;
+    TaskPlacer<Policy> placer_;
     std::map<WorkerId, WorkerState> workers_;
     std::unordered_map<JobName, JobRecord> jobs_;
     Actions actions_;
