--- a/Source/Command/ChartCommand.cpp
+++ b/Source/Command/ChartCommand.cpp
@@ -25,8 +25,8 @@
 const std::vector<NamedChart> &charts()
 {
     static const std::vector<NamedChart> all
-            = {named<Instance>(), named<ShardLease>(), named<JobRecord>(), named<Task>(),
-               named<ForwardedRequest>()};
+            = {named<Instance>(), named<ShardLease>(),       named<JobRecord>(),
+               named<Task>(),     named<ForwardedRequest>(), named<PresetChange>()};
     return all;
 }
 
--- a/Source/Command/Commands.cpp
+++ b/Source/Command/Commands.cpp
@@ -2,31 +2,23 @@
 
 #include "Command/ChartCommand.h"
 #include "Command/EntryClient.h"
+#include "Command/PresetCommand.h"
 #include "Command/PresetReader.h"
 #include "Command/ServeCommand.h"
 #include "Command/SettingsReader.h"
 #include "Command/SettingsTable.h"
-#include "Core/Clock.h"
 #include "Messages/JobCodec.h"
-#include "Messages/PresetCodec.h"
 
 #include <fmt/format.h>
 
 #include <fstream>
 #include <iostream>
 #include <iterator>
-#include <random>
 
 namespace caraway {
 
 namespace {
 
-std::string textOf(const Arguments &arguments, const std::string &name)
-{
-    const docopt::value &value = arguments.at(name);
-    return value.isString() ? value.asString() : std::string();
-}
-
 Result<EntryClient> connectTo(const Arguments &arguments)
 {
     return EntryClient::connect(textOf(arguments, "--entry"));
@@ -120,42 +112,6 @@
     return ExitSuccess;
 }
 
-Result<int> printInForce(const Arguments &arguments, const nlohmann::json &inForce)
-{
-    if (arguments.at("--json").asBool()) {
-        fmt::print("{}\n", inForce.dump(2));
-    } else {
-        fmt::print("preset {} in force at revision {}\n",
-                   inForce["preset"]["name"].get<std::string>(),
-                   inForce["revision"].get<std::uint64_t>());
-    }
-    return ExitSuccess;
-}
-
-Result<int> showPreset(const Arguments &arguments)
-{
-    BOOST_LEAF_AUTO(client, connectTo(arguments));
-    BOOST_LEAF_AUTO(inForce, client.get("/v1/preset-in-force"));
-    return printInForce(arguments, inForce);
-}
-
-Result<int> usePreset(const Arguments &arguments)
-{
-    BOOST_LEAF_AUTO(preset, readPresetFile(textOf(arguments, "<preset>")));
-    BOOST_LEAF_AUTO(client, connectTo(arguments));
-    std::random_device random;
-    ChangeNote change;
-    change.id = ChangeId(fmt::format("{:08x}{:08x}", random(), random()));
-    change.who = OperatorName(textOf(arguments, "--who"));
-    change.why = textOf(arguments, "--why");
-    change.when = Clock::wallClock();
-    nlohmann::json body = {{"preset", encodePreset(preset)}, {"change", encodeChangeNote(change)}};
-    if (arguments.at("--revision").isString())
-        body["expected_revision"] = std::stoull(textOf(arguments, "--revision"));
-    BOOST_LEAF_AUTO(inForce, client.post("/v1/preset-in-force", body));
-    return printInForce(arguments, inForce);
-}
-
 Result<int> checkFile(const Arguments &arguments)
 {
     if (arguments.at("--preset").asBool()) {
@@ -200,6 +156,18 @@
     return printChart(textOf(arguments, "<chart>"));
 }
 
+Result<int> audit(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, connectTo(arguments));
+    return PresetCommand(arguments, std::move(client)).showAudit();
+}
+
+Result<int> preset(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, connectTo(arguments));
+    return PresetCommand(arguments, std::move(client)).run();
+}
+
 struct Subcommand
 {
     std::string name;
@@ -208,12 +176,19 @@
 
 } // namespace
 
+std::string textOf(const Arguments &arguments, const std::string &name)
+{
+    const docopt::value &value = arguments.at(name);
+    return value.isString() ? value.asString() : std::string();
+}
+
 Result<int> runCommand(const Arguments &arguments)
 {
+    // "check" comes before "preset": its option has the same word.
     static const Subcommand subcommands[] = {
             {"serve", serve},           {"submit", submitJob}, {"run", submitJob},
             {"status", showStatus},     {"cancel", cancelJob}, {"workers", listWorkers},
-            {"show", showPreset},       {"use", usePreset},    {"check", checkFile},
+            {"check", checkFile},       {"preset", preset},    {"audit", audit},
             {"settings", listSettings}, {"chart", chart},      {"version", printVersion},
     };
     for (const Subcommand &subcommand : subcommands) {
--- a/Source/Command/Commands.h
+++ b/Source/Command/Commands.h
@@ -24,6 +24,9 @@
     ExitUnreachable = 4,
 };
 
+/// The text of an argument; empty where it was not given.
+std::string textOf(const Arguments &arguments, const std::string &name);
+
 /// Runs the subcommand that \a arguments name; the result is the exit code.
 Result<int> runCommand(const Arguments &arguments);
 /// The usage text that docopt parses.
--- a/Source/Command/EntryClient.cpp
+++ b/Source/Command/EntryClient.cpp
@@ -45,6 +45,11 @@
     return read(client_->Post(path, body.dump(), "application/json"));
 }
 
+Result<nlohmann::json> EntryClient::put(const std::string &path, const nlohmann::json &body)
+{
+    return read(client_->Put(path, body.dump(), "application/json"));
+}
+
 Result<nlohmann::json> EntryClient::remove(const std::string &path)
 {
     return read(client_->Delete(path));
--- a/Source/Command/EntryClient.h
+++ b/Source/Command/EntryClient.h
@@ -20,6 +20,7 @@
 
     Result<nlohmann::json> get(const std::string &path);
     Result<nlohmann::json> post(const std::string &path, const nlohmann::json &body);
+    Result<nlohmann::json> put(const std::string &path, const nlohmann::json &body);
     Result<nlohmann::json> remove(const std::string &path);
 
 private:
--- a/Source/Command/SettingsTable.cpp
+++ b/Source/Command/SettingsTable.cpp
@@ -84,8 +84,8 @@
              duration(&D::workerHeartbeat, 50, 60'000)},
             {"timing", "peer_heartbeat_ms", "ms", "Interval between heartbeats to a peer.",
              duration(&D::peerHeartbeat, 50, 10'000)},
-            {"timing", "preset_read_ms", "ms", "Interval between readings of the preset in force.",
-             duration(&D::presetRead, 50, 60'000)},
+            {"timing", "preset_watch_ms", "ms", "How long one watch of the preset in force waits.",
+             quantity(&S::presetWatch, 100, 10'000)},
             {"timing", "answer_retention_ms", "ms", "How long answers are kept for their callers.",
              duration(&D::answerRetention, 1000, 86'400'000)},
     };
--- a/Source/Command/Usage.cpp
+++ b/Source/Command/Usage.cpp
@@ -12,8 +12,11 @@
   carawaymount status <name> [--entry=ADDR] [--wait=MS] [--json]
   carawaymount cancel <name> [--entry=ADDR] [--json]
   carawaymount workers [--entry=ADDR] [--json]
-  carawaymount preset show [--entry=ADDR] [--json]
-  carawaymount preset use <preset> [--entry=ADDR] [--who=NAME] [--why=TEXT] [--revision=N] [--json]
+  carawaymount preset list [--entry=ADDR] [--json]
+  carawaymount preset show [<name>] [--entry=ADDR] [--json]
+  carawaymount preset (create | edit) <preset> [--entry=ADDR] [--who=NAME] [--why=TEXT] [--json]
+  carawaymount preset use <name> [--entry=ADDR] [--who=NAME] [--why=TEXT] [--revision=N] [--follow=MS] [--json]
+  carawaymount audit [<day>] [--entry=ADDR] [--json]
   carawaymount check <settings>
   carawaymount check --preset <preset>
   carawaymount settings
@@ -25,6 +28,8 @@
   <settings>      A settings file in TOML; `carawaymount settings` lists its keys.
   <job>           A job in JSON, in a file or - for standard input.
   <preset>        A preset file in TOML.
+  <day>           A day in UTC as YYYY-MM-DD; today without it.
+  <name>          Name of a job, or of a preset that `preset list` shows.
   <chart>         A state chart's file name; all names without it.
 
 Options:
@@ -33,6 +38,7 @@
   --who=NAME      Operator named in the audit trail [default: operator].
   --why=TEXT      Reason written in the audit trail.
   --revision=N    Refuse the change unless the preset in force has this revision.
+  --follow=MS     Wait up to this many ms until every instance follows, and list them.
   --json          Print JSON instead of text.
   -h --help       Print this text.
 
--- a/Source/Decisions/Actions.h
+++ b/Source/Decisions/Actions.h
@@ -19,10 +19,20 @@
     Resources reserved;
     std::string state;
 };
+/// Which revision of the preset in force an instance follows.
+struct Follower
+{
+    InstanceId instance;
+    Revision revision;
+    /// Time since the instance last said so.
+    Milliseconds age;
+};
 struct AnswerCaller
 {
     RequestId request;
-    std::variant<JobReport, std::vector<WorkerRow>, PresetInForce, Error> body;
+    std::variant<JobReport, std::vector<WorkerRow>, PresetInForce, std::vector<PresetDefinition>,
+                 std::vector<Follower>, std::vector<ChangeNote>, Error>
+            body;
 };
 
 struct SendToPeer
@@ -39,18 +49,9 @@
     /// The record to write; its revision is the one that the store must still have.
     ShardRecord record;
 };
-struct ReadPresetInForce
-{
-};
-struct WritePresetInForce
-{
-    RequestId request;
-    /// The record to write; its revision is the one that the store must still have.
-    PresetInForce inForce;
-};
 struct CallStore
 {
-    std::variant<ReadShardRecords, WriteShardRecord, ReadPresetInForce, WritePresetInForce> body;
+    std::variant<ReadShardRecords, WriteShardRecord> body;
 };
 
 struct StartTask
@@ -104,7 +105,7 @@
 };
 
 using Action = std::variant<AnswerCaller, SendToPeer, CallStore, CallWorker, ConnectPeers,
-                            RecordChange, LeaveNow>;
+                            RecordChange, LeaveNow, CallConfiguration>;
 using Actions = std::vector<Action>;
 
 } // namespace caraway
--- a/Source/Decisions/Events.h
+++ b/Source/Decisions/Events.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Decisions/Configuration.h"
 #include "Decisions/Fleet.h"
 #include "Decisions/Job.h"
 #include "Decisions/PeerMessage.h"
@@ -43,11 +44,30 @@
     std::optional<Revision> expected;
 };
 
+struct ListPresets
+{
+};
+/// Creates or replaces a definition; its revision is the one the operator last saw, 0 for none.
+struct DefinePreset
+{
+    PresetDefinition definition;
+};
+/// Asks which instances follow the preset in force.
+struct ListFollowers
+{
+};
+struct ShowAuditTrail
+{
+    AuditDay day;
+};
+
 /// A request over the callers' interface, from a caller or an operator.
 struct CallerRequest
 {
     RequestId id;
-    std::variant<SubmitJob, QueryJob, CancelJob, ListWorkers, ShowPresetInForce, UsePreset> body;
+    std::variant<SubmitJob, QueryJob, CancelJob, ListWorkers, ShowPresetInForce, UsePreset,
+                 ListPresets, DefinePreset, ListFollowers, ShowAuditTrail>
+            body;
 };
 
 struct PeerMessageReceived
@@ -61,14 +81,6 @@
     bool up = false;
 };
 
-/// How a call to the store ended.
-enum class StoreOutcome {
-    Done,
-    /// The record's revision was not the expected one.
-    Conflict,
-    /// No answer: a write may have taken effect.
-    Unanswered,
-};
 struct ShardRecordsRead
 {
     StoreOutcome outcome = StoreOutcome::Unanswered;
@@ -79,22 +91,10 @@
     ShardRecord record;
     StoreOutcome outcome = StoreOutcome::Unanswered;
 };
-struct PresetInForceRead
-{
-    StoreOutcome outcome = StoreOutcome::Unanswered;
-    std::optional<PresetInForce> inForce;
-};
-struct PresetInForceWritten
-{
-    RequestId request;
-    PresetInForce inForce;
-    StoreOutcome outcome = StoreOutcome::Unanswered;
-};
 struct StoreAnswered
 {
     TimePoint sentAt;
-    std::variant<ShardRecordsRead, ShardRecordWritten, PresetInForceRead, PresetInForceWritten>
-            body;
+    std::variant<ShardRecordsRead, ShardRecordWritten> body;
 };
 
 enum class StartOutcome {
@@ -158,6 +158,6 @@
 
 using Event = std::variant<Tick, CallerRequest, PeerMessageReceived, PeerLinkChanged, StoreAnswered,
                            StartAnswered, HeartbeatAnswered, TaskReported, InstanceListRead,
-                           StopRequested>;
+                           StopRequested, ConfigurationAnswered>;
 
 } // namespace caraway
--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -20,6 +20,7 @@
 Instance::Instance(DecisionSettings settings)
     : settings_(std::move(settings))
     , membership_(settings_)
+    , presets_(settings_.self)
     , router_(membership_)
 {
 }
@@ -39,6 +40,7 @@
     readStoreIfDue();
     sendPeerHeartbeatsIfDue();
     router_.onTick(now_);
+    presets_.onTick(now_);
     for (auto &[id, shard] : shards_)
         tickShard(shard);
 }
@@ -121,13 +123,13 @@
 
 void Instance::onPeer(const InstanceId &from, const PeerHeartbeat &heartbeat)
 {
-    if (presets_.inForce() && heartbeat.presetRevision < presets_.revision())
-        actions_.push_back(SendToPeer {from, PeerPreset {*presets_.inForce()}});
+    presets_.onPeerRevision(now_, from, heartbeat.presetRevision);
 }
 
 void Instance::onPeer(const InstanceId & /*from*/, const PeerPreset &preset)
 {
-    learnPreset(preset.inForce);
+    presets_.learn(preset.inForce);
+    noticePreset();
 }
 
 void Instance::on(const PeerLinkChanged & /*changed*/) { }
@@ -160,17 +162,10 @@
         membership_.learnHolder(written.record);
 }
 
-void Instance::onStore(TimePoint /*sentAt*/, const PresetInForceRead &read)
+void Instance::on(const ConfigurationAnswered &answered)
 {
-    if (read.inForce)
-        learnPreset(*read.inForce);
-}
-
-void Instance::onStore(TimePoint /*sentAt*/, const PresetInForceWritten &written)
-{
-    presets_.onWritten(written, actions_);
-    if (presets_.inForce())
-        machine_.handle(*this, Event::PresetKnown);
+    std::visit([this](const auto &body) { presets_.on(now_, body); }, answered.body);
+    noticePreset();
 }
 
 void Instance::on(const StartAnswered &answered)
@@ -233,10 +228,6 @@
         shardsReadAt_ = now_;
         actions_.push_back(CallStore {ReadShardRecords {}});
     }
-    if (now_ - presetReadAt_ >= settings_.presetRead) {
-        presetReadAt_ = now_;
-        actions_.push_back(CallStore {ReadPresetInForce {}});
-    }
 }
 
 void Instance::sendPeerHeartbeatsIfDue()
@@ -255,15 +246,16 @@
     }
 }
 
-void Instance::learnPreset(const PresetInForce &inForce)
+void Instance::noticePreset()
 {
-    if (presets_.learn(inForce))
+    if (presets_.inForce())
         machine_.handle(*this, Event::PresetKnown);
 }
 
 void Instance::collectActions()
 {
     router_.drainActions(actions_);
+    presets_.drainActions(actions_);
     for (auto &[id, shard] : shards_) {
         shard.lease.drainActions(actions_);
         shard.scheduler.drainActions(actions_);
--- a/Source/Decisions/Instance.h
+++ b/Source/Decisions/Instance.h
@@ -46,13 +46,21 @@
     void on(const TaskReported &reported);
     void on(const InstanceListRead &read);
     void on(const StopRequested &stop);
+    void on(const ConfigurationAnswered &answered);
 
     void onCaller(RequestId id, const SubmitJob &body);
     void onCaller(RequestId id, const QueryJob &body) { router_.query(now_, id, body); }
     void onCaller(RequestId id, const CancelJob &body) { router_.cancel(now_, id, body); }
     void onCaller(RequestId id, const ListWorkers &body);
     void onCaller(RequestId id, const ShowPresetInForce &body);
-    void onCaller(RequestId id, const UsePreset &body) { presets_.use(id, body, actions_); }
+    void onCaller(RequestId id, const UsePreset &body) { presets_.use(now_, id, body); }
+    void onCaller(RequestId id, const ListPresets & /*body*/) { presets_.list(id); }
+    void onCaller(RequestId id, const DefinePreset &body) { presets_.define(id, body); }
+    void onCaller(RequestId id, const ListFollowers & /*body*/)
+    {
+        presets_.listFollowers(now_, id);
+    }
+    void onCaller(RequestId id, const ShowAuditTrail &body) { presets_.showAudit(id, body); }
 
     void onPeer(const InstanceId &from, const HolderRequest &request);
     void onPeer(const InstanceId &from, const HolderReply &reply);
@@ -61,13 +69,11 @@
 
     void onStore(TimePoint sentAt, const ShardRecordsRead &read);
     void onStore(TimePoint sentAt, const ShardRecordWritten &written);
-    void onStore(TimePoint sentAt, const PresetInForceRead &read);
-    void onStore(TimePoint sentAt, const PresetInForceWritten &written);
 
     void readStoreIfDue();
     void sendPeerHeartbeatsIfDue();
     void tickShard(Shard &shard);
-    void learnPreset(const PresetInForce &inForce);
+    void noticePreset();
     void collectActions();
     void deliverToSelf();
     void checkDrained();
@@ -86,7 +92,6 @@
     std::map<ShardId, Shard> shards_;
     Lifecycle<Instance> machine_;
     TimePoint shardsReadAt_;
-    TimePoint presetReadAt_;
     TimePoint heartbeatSentAt_;
     Actions actions_;
 };
--- a/Source/Decisions/Preset.cpp
+++ b/Source/Decisions/Preset.cpp
@@ -4,6 +4,13 @@
 
 namespace caraway {
 
+namespace {
+
+/// Enough to recognise a change whose answer was lost while others followed it.
+constexpr std::size_t keptChanges = 32;
+
+} // namespace
+
 const KindPolicy *Preset::findKind(const KindId &kind) const
 {
     const auto found = std::ranges::find(kinds, kind, &KindPolicy::kind);
@@ -16,4 +23,25 @@
     return found == teams.end() ? nullptr : &*found;
 }
 
+bool PresetInForce::contains(const ChangeId &id) const
+{
+    return change.id == id || std::ranges::find(history, id, &ChangeNote::id) != history.end();
+}
+
+PresetInForce successorOf(const std::optional<PresetInForce> &current, const Preset &preset,
+                          const ChangeNote &change)
+{
+    PresetInForce next {.preset = preset, .change = change};
+    next.change.to = preset.name;
+    if (!current)
+        return next;
+    next.revision = current->revision;
+    next.change.from = current->preset.name;
+    next.history = current->history;
+    next.history.insert(next.history.begin(), current->change);
+    if (next.history.size() > keptChanges)
+        next.history.resize(keptChanges);
+    return next;
+}
+
 } // namespace caraway
--- a/Source/Decisions/Preset.h
+++ b/Source/Decisions/Preset.h
@@ -5,6 +5,7 @@
 #include "Decisions/Resources.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,15 @@
     friend bool operator==(const ChangeNote &, const ChangeNote &) = default;
 };
 
+/// A preset that operators can put in force.
+struct PresetDefinition
+{
+    /// The definition's revision in the platform's store.
+    Revision revision;
+    Preset preset;
+    ChangeNote lastChange;
+};
+
 /// The one record that says which preset is in force, with its content.
 struct PresetInForce
 {
@@ -77,6 +87,15 @@
     Revision revision;
     Preset preset;
     ChangeNote change;
+    /// The changes before that one, newest first; only the latest few are kept.
+    std::vector<ChangeNote> history;
+
+    /// Whether the change of that id is the latest one or among those kept.
+    bool contains(const ChangeId &id) const;
 };
 
+/// The record that puts \a preset in force by \a change after \a current, if there is one.
+PresetInForce successorOf(const std::optional<PresetInForce> &current, const Preset &preset,
+                          const ChangeNote &change);
+
 } // namespace caraway
--- /dev/null
+++ b/Source/Decisions/PresetChange.cpp
@@ -0,0 +1,105 @@
+#include "Decisions/PresetChange.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace caraway {
+
+namespace {
+
+constexpr Milliseconds retryInterval(200);
+
+} // namespace
+
+const BoundChart<PresetChange> &PresetChange::chart()
+{
+    static const BoundChart<PresetChange> bound = BoundChart<PresetChange> {
+            "PresetChange.scxml",
+            {"open", "writing", "reading", "waiting", "accepted", "lost", "uncertain"},
+            {"written", "conflicted", "unanswered", "foundOurs", "foundOther", "foundUnchanged",
+             "retryDue", "deadlinePassed"},
+            {},
+            {{"sendWrite", &PresetChange::sendWrite},
+             {"sendRead", &PresetChange::sendRead}}}.loadedOrAbort();
+    return bound;
+}
+
+PresetChange::PresetChange(RequestId request, PresetInForce next, TimePoint deadline)
+    : request_(request)
+    , next_(std::move(next))
+    , deadline_(deadline)
+{
+}
+
+void PresetChange::onWritten(TimePoint now, const PresetInForceWritten &written)
+{
+    lastTry_ = now;
+    if (written.outcome == StoreOutcome::Done)
+        seen_ = written.inForce;
+    constexpr Event events[] = {Event::Written, Event::Conflicted, Event::Unanswered};
+    machine_.handle(*this, events[static_cast<std::size_t>(written.outcome)]);
+}
+
+void PresetChange::onRead(TimePoint now, const PresetInForceRead &read)
+{
+    lastTry_ = now;
+    if (read.outcome != StoreOutcome::Done) {
+        machine_.handle(*this, Event::Unanswered);
+        return;
+    }
+    seen_ = read.inForce;
+    const Revision revision = seen_ ? seen_->revision : Revision();
+    if (seen_ && seen_->contains(id()))
+        machine_.handle(*this, Event::FoundOurs);
+    else if (revision == next_.revision)
+        machine_.handle(*this, Event::FoundUnchanged);
+    else
+        machine_.handle(*this, Event::FoundOther);
+}
+
+void PresetChange::onTick(TimePoint now)
+{
+    if (now >= deadline_)
+        machine_.handle(*this, Event::DeadlinePassed);
+    if (now - lastTry_ >= retryInterval)
+        machine_.handle(*this, Event::RetryDue);
+}
+
+AnswerCaller PresetChange::answer() const
+{
+    if (isAccepted())
+        return {request_, *seen_};
+    if (machine_.isIn(State::Uncertain)) {
+        return {request_,
+                Error {ErrorKind::FateUnknown,
+                       "The store did not answer, so the change may be in force. Look at "
+                       "`preset show` before you repeat it."}};
+    }
+    const ChangeNote first = seen_ ? seen_->change : ChangeNote();
+    return {request_,
+            Error {ErrorKind::Conflict,
+                   fmt::format(
+                           "{} put preset {} in force first. Look at `preset show`, then decide "
+                           "again.",
+                           first.who.value(), first.to.value())}};
+}
+
+void PresetChange::drainActions(Actions &actions)
+{
+    std::ranges::move(actions_, std::back_inserter(actions));
+    actions_.clear();
+}
+
+void PresetChange::sendWrite()
+{
+    actions_.push_back(CallConfiguration {WritePresetInForce {next_}});
+}
+
+void PresetChange::sendRead()
+{
+    actions_.push_back(CallConfiguration {ReadPresetInForce {id()}});
+}
+
+} // namespace caraway
--- a/Source/Decisions/PresetKeeper.cpp
+++ b/Source/Decisions/PresetKeeper.cpp
@@ -2,53 +2,196 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace caraway {
 
+namespace {
+
+/// How long an operator's change is tried before its fate is reported as unknown.
+constexpr Milliseconds changeLimit(4000);
+
+constexpr auto storeUnanswered
+        = "The store did not answer. Try again later; what is in force stays in force.";
+
+} // namespace
+
 bool PresetKeeper::learn(const PresetInForce &inForce)
 {
     if (inForce.revision <= revision())
         return false;
     inForce_ = inForce;
+    actions_.push_back(
+            RecordChange {"preset",
+                          fmt::format("{} in force at revision {}", inForce.preset.name.value(),
+                                      inForce.revision.value())});
     return true;
 }
 
-void PresetKeeper::use(RequestId request, const UsePreset &change, Actions &actions) const
+void PresetKeeper::use(TimePoint now, RequestId request, const UsePreset &change)
 {
+    const ChangeId &id = change.change.id;
+    if (inForce_ && inForce_->contains(id)) {
+        actions_.push_back(AnswerCaller {request, *inForce_});
+        return;
+    }
+    if (changes_.contains(id)) {
+        answer(request, ErrorKind::Conflict,
+               "This change is being carried out already. Look at `preset show` in a moment.");
+        return;
+    }
     if (change.expected && *change.expected != revision()) {
-        const std::string message = fmt::format(
-                "The preset in force is at revision {}, not {}. Look at `preset show`, then decide "
-                "again.",
-                revision().value(), change.expected->value());
-        actions.push_back(AnswerCaller {request, Error {ErrorKind::Conflict, message}});
+        answer(request, ErrorKind::Conflict,
+               fmt::format("The preset in force is at revision {}, not {}. Look at `preset show`, "
+                           "then decide again.",
+                           revision().value(), change.expected->value()));
         return;
     }
-    PresetInForce next {revision(), change.preset, change.change};
-    if (inForce_)
-        next.change.from = inForce_->preset.name;
-    next.change.to = change.preset.name;
-    actions.push_back(CallStore {WritePresetInForce {request, std::move(next)}});
+    PresetChange started(request, successorOf(inForce_, change.preset, change.change),
+                         now + changeLimit);
+    PresetChange &placed = changes_.emplace(id, std::move(started)).first->second;
+    placed.start();
+    placed.drainActions(actions_);
 }
 
-void PresetKeeper::onWritten(const PresetInForceWritten &written, Actions &actions)
+void PresetKeeper::list(RequestId request)
 {
-    if (written.outcome == StoreOutcome::Done) {
+    call(ReadPresetDefinitions {request});
+}
+
+void PresetKeeper::define(RequestId request, const DefinePreset &define)
+{
+    call(WritePresetDefinition {request, define.definition});
+}
+
+void PresetKeeper::showAudit(RequestId request, const ShowAuditTrail &show)
+{
+    call(ReadAuditTrail {request, show.day});
+}
+
+void PresetKeeper::listFollowers(TimePoint now, RequestId request)
+{
+    std::vector<Follower> followers = {{self_, revision(), Milliseconds()}};
+    for (const auto &[peer, state] : peers_)
+        followers.push_back({peer, state.revision, now - state.heardAt});
+    actions_.push_back(AnswerCaller {request, std::move(followers)});
+}
+
+void PresetKeeper::on(TimePoint now, const PresetInForceRead &read)
+{
+    if (read.inForce)
+        learn(*read.inForce);
+    const auto found = changes_.find(read.change);
+    if (found == changes_.end())
+        return;
+    found->second.onRead(now, read);
+    settle(found->second);
+}
+
+void PresetKeeper::on(TimePoint now, const PresetInForceWritten &written)
+{
+    if (written.outcome == StoreOutcome::Done)
         learn(written.inForce);
-        actions.push_back(AnswerCaller {written.request, written.inForce});
-        actions.push_back(RecordChange {"preset",
-                                        fmt::format("{} in force at revision {}",
-                                                    written.inForce.preset.name.value(),
-                                                    written.inForce.revision.value())});
+    const auto found = changes_.find(written.inForce.change.id);
+    if (found == changes_.end())
+        return;
+    found->second.onWritten(now, written);
+    settle(found->second);
+}
+
+void PresetKeeper::on(TimePoint /*now*/, const PresetDefinitionsRead &read)
+{
+    if (read.outcome == StoreOutcome::Done)
+        actions_.push_back(AnswerCaller {read.request, read.definitions});
+    else
+        answer(read.request, ErrorKind::Unavailable, storeUnanswered);
+}
+
+void PresetKeeper::on(TimePoint /*now*/, const PresetDefinitionWritten &written)
+{
+    const std::string name = written.definition.preset.name.value();
+    if (written.outcome == StoreOutcome::Done) {
+        call(WriteAuditRecords {{written.definition.lastChange}});
+        actions_.push_back(RecordChange {"preset", fmt::format("{} defined", name)});
+        actions_.push_back(
+                AnswerCaller {written.request, std::vector<PresetDefinition> {written.definition}});
+        return;
+    }
+    if (written.outcome == StoreOutcome::Conflict) {
+        answer(written.request, ErrorKind::Conflict,
+               fmt::format("Preset {} is not at the revision you saw. Look at `preset list`, then "
+                           "decide again.",
+                           name));
         return;
     }
-    const bool lost = written.outcome == StoreOutcome::Conflict;
-    const Error error = lost
-            ? Error {ErrorKind::Conflict,
-                     "Another operator changed the preset first. Look at `preset show`, then "
-                     "decide again."}
-            : Error {ErrorKind::FateUnknown,
-                     "The store did not answer, so the change may be in force. Look at `preset "
-                     "show` before you repeat it."};
-    actions.push_back(AnswerCaller {written.request, error});
+    answer(written.request, ErrorKind::FateUnknown,
+           fmt::format("The store did not answer, so preset {} may have changed. Look at `preset "
+                       "list` before you repeat it.",
+                       name));
+}
+
+void PresetKeeper::on(TimePoint /*now*/, const AuditTrailRead &read)
+{
+    if (read.outcome == StoreOutcome::Done)
+        actions_.push_back(AnswerCaller {read.request, read.changes});
+    else
+        answer(read.request, ErrorKind::Unavailable, storeUnanswered);
+}
+
+void PresetKeeper::onTick(TimePoint now)
+{
+    for (auto next = changes_.begin(); next != changes_.end();) {
+        PresetChange &change = (next++)->second;
+        change.onTick(now);
+        settle(change);
+    }
+}
+
+void PresetKeeper::settle(PresetChange &change)
+{
+    change.drainActions(actions_);
+    if (change.isOpen())
+        return;
+    actions_.push_back(change.answer());
+    if (change.isAccepted())
+        announce(change);
+    changes_.erase(ChangeId(change.id()));
+}
+
+void PresetKeeper::announce(const PresetChange &change)
+{
+    const PresetInForce &inForce = *change.seen();
+    for (const auto &[peer, state] : peers_)
+        actions_.push_back(SendToPeer {peer, PeerPreset {inForce}});
+    // The change before this one is written again: its writer may have died in between.
+    WriteAuditRecords records {{inForce.change}};
+    if (!inForce.history.empty())
+        records.changes.push_back(inForce.history.front());
+    call(std::move(records));
+}
+
+void PresetKeeper::onPeerRevision(TimePoint now, const InstanceId &peer, Revision revision)
+{
+    peers_[peer] = {revision, now};
+    if (inForce_ && revision < inForce_->revision)
+        actions_.push_back(SendToPeer {peer, PeerPreset {*inForce_}});
+}
+
+void PresetKeeper::answer(RequestId request, ErrorKind kind, std::string message)
+{
+    actions_.push_back(AnswerCaller {request, Error {kind, std::move(message)}});
+}
+
+void PresetKeeper::call(decltype(CallConfiguration::body) body)
+{
+    actions_.push_back(CallConfiguration {std::move(body)});
+}
+
+void PresetKeeper::drainActions(Actions &actions)
+{
+    std::ranges::move(actions_, std::back_inserter(actions));
+    actions_.clear();
 }
 
 } // namespace caraway
--- a/Source/Decisions/Settings.h
+++ b/Source/Decisions/Settings.h
@@ -23,8 +23,6 @@
     Milliseconds taskLease {6000};
     Milliseconds workerHeartbeat {1000};
     Milliseconds peerHeartbeat {500};
-    /// How often the preset in force is read from the store.
-    Milliseconds presetRead {1000};
     /// How long answers are kept for callers that do not take them.
     Milliseconds answerRetention {60000};
     std::uint32_t shardCandidates = 3;
--- a/Source/Duties/CallersDuty.cpp
+++ b/Source/Duties/CallersDuty.cpp
@@ -84,6 +84,7 @@
         BOOST_LEAF_AUTO(use, decodeUsePreset(request.body));
         return Body(std::move(use));
     });
+    addPresetRoutes();
     server_.Post("/v1/reports",
                  [this](const httplib::Request &request, httplib::Response &response) {
                      takeReport(request, response);
@@ -97,6 +98,30 @@
     });
 }
 
+void CallersDuty::addPresetRoutes()
+{
+    using httplib::Request;
+    addRequest("GET", "/v1/preset-in-force",
+               [](const Request &) -> Result<Body> { return Body(ShowPresetInForce {}); });
+    addRequest("POST", "/v1/preset-in-force", [](const Request &request) -> Result<Body> {
+        BOOST_LEAF_AUTO(use, decodeUsePreset(request.body));
+        return Body(std::move(use));
+    });
+    addRequest("GET", "/v1/preset-followers",
+               [](const Request &) -> Result<Body> { return Body(ListFollowers {}); });
+    addRequest("GET", "/v1/presets",
+               [](const Request &) -> Result<Body> { return Body(ListPresets {}); });
+    addRequest("PUT", R"(/v1/presets/([^/]+))", [](const Request &request) -> Result<Body> {
+        BOOST_LEAF_AUTO(define,
+                        decodeDefinePreset(request.body, PresetName(request.matches[1].str())));
+        return Body(std::move(define));
+    });
+    addRequest("GET", "/v1/audit", [](const Request &request) -> Result<Body> {
+        BOOST_LEAF_AUTO(day, decodeAuditDay(request.get_param_value("day")));
+        return Body(ShowAuditTrail {std::move(day)});
+    });
+}
+
 void CallersDuty::addRequest(const std::string &method, const std::string &path,
                              const Decode &decode)
 {
@@ -108,6 +133,8 @@
         server_.Post(path, handler);
     else if (method == "GET")
         server_.Get(path, handler);
+    else if (method == "PUT")
+        server_.Put(path, handler);
     else
         server_.Delete(path, handler);
 }
--- a/Source/Duties/CallersDuty.h
+++ b/Source/Duties/CallersDuty.h
@@ -31,6 +31,7 @@
     using Decode = std::function<Result<Body>(const httplib::Request &)>;
 
     void addRoutes();
+    void addPresetRoutes();
     void addRequest(const std::string &method, const std::string &path, const Decode &decode);
     void serve(const httplib::Request &request, httplib::Response &response, const Decode &decode);
     void ask(Body body, httplib::Response &response);
--- /dev/null
+++ b/Source/Duties/ConfigurationDuty.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Duties/Rings.h"
+#include "Duties/ServeSettings.h"
+#include "Duties/StoreClient.h"
+
+#include <thread>
+
+namespace caraway {
+
+/// Carries calls about configuration to the platform's store, one at a time, over a
+/// connection of its own so that they do not wait for others.
+class ConfigurationDuty
+{
+public:
+    ConfigurationDuty(EventRing &events, const ServeSettings &settings);
+    ~ConfigurationDuty();
+
+    /// Queues \a call; false when too many wait, and the call is dropped.
+    bool offer(CallConfiguration call) { return calls_.offer(std::move(call)); }
+
+private:
+    void run();
+    void call(const ReadPresetInForce &read);
+    void call(const WritePresetInForce &write);
+    void call(const ReadPresetDefinitions &read);
+    void call(const WritePresetDefinition &write);
+    void call(const WriteAuditRecords &write);
+    void call(const ReadAuditTrail &read);
+
+    EventRing &events_;
+    Ring<CallConfiguration> calls_;
+    StoreClient store_;
+    std::thread thread_;
+};
+
+} // namespace caraway
--- a/Source/Duties/DecisionsDuty.cpp
+++ b/Source/Duties/DecisionsDuty.cpp
@@ -7,10 +7,12 @@
     , instance_(settings.decisions)
     , audit_(settings.decisions.self, static_cast<std::size_t>(settings.outwardRing))
     , store_(events_, clock_, settings)
+    , configuration_(events_, settings)
     , upstreams_(events_, clock_, settings)
     , peers_(events_, settings)
     , callers_(events_, ready_, settings)
     , list_(events_, settings)
+    , presetWatch_(events_, settings)
     , timer_(events_, settings.tick)
 {
 }
@@ -25,16 +27,22 @@
     }
 }
 
-void DecisionsDuty::carryOut(CallStore &action)
+void DecisionsDuty::carryOut(CallConfiguration &action)
 {
-    const auto *write = std::get_if<WritePresetInForce>(&action.body);
-    const RequestId request = write ? write->request : RequestId();
-    if (store_.offer(std::move(action)) || request == RequestId())
+    const RequestId request = std::visit(
+            [](const auto &body) {
+                if constexpr (requires { body.request; })
+                    return body.request;
+                else
+                    return RequestId();
+            },
+            action.body);
+    if (configuration_.offer(std::move(action)) || request == RequestId())
         return;
     callers_.deliver({request,
                       Error {ErrorKind::Unavailable,
-                             "Too many calls wait for the store, and the preset was not "
-                             "changed. Try again later."}});
+                             "Too many calls wait for the store, and nothing was changed. "
+                             "Try again later."}});
 }
 
 } // namespace caraway
--- a/Source/Duties/DecisionsDuty.h
+++ b/Source/Duties/DecisionsDuty.h
@@ -3,8 +3,10 @@
 #include "Decisions/Instance.h"
 #include "Duties/AuditDuty.h"
 #include "Duties/CallersDuty.h"
+#include "Duties/ConfigurationDuty.h"
 #include "Duties/InstanceListDuty.h"
 #include "Duties/PeersDuty.h"
+#include "Duties/PresetWatchDuty.h"
 #include "Duties/StoreDuty.h"
 #include "Duties/TimerDuty.h"
 #include "Duties/UpstreamsDuty.h"
@@ -30,7 +32,8 @@
 private:
     void carryOut(AnswerCaller &action) { callers_.deliver(std::move(action)); }
     void carryOut(SendToPeer &action) { peers_.offer(std::move(action)); }
-    void carryOut(CallStore &action);
+    void carryOut(CallStore &action) { store_.offer(std::move(action)); }
+    void carryOut(CallConfiguration &action);
     void carryOut(CallWorker &action) { upstreams_.offer(std::move(action)); }
     void carryOut(ConnectPeers &action) { peers_.offer(std::move(action)); }
     void carryOut(RecordChange &action) { audit_.offer(std::move(action)); }
@@ -42,10 +45,12 @@
     Instance instance_;
     AuditDuty audit_;
     StoreDuty store_;
+    ConfigurationDuty configuration_;
     UpstreamsDuty upstreams_;
     PeersDuty peers_;
     CallersDuty callers_;
     InstanceListDuty list_;
+    PresetWatchDuty presetWatch_;
     TimerDuty timer_;
 };
 
--- a/Source/Duties/ServeSettings.h
+++ b/Source/Duties/ServeSettings.h
@@ -25,6 +25,8 @@
     Milliseconds tick {25};
     Milliseconds listRead {500};
     Milliseconds storeTimeout {400};
+    /// How long one watch of the preset in force waits; a silent connection is noticed after it.
+    Milliseconds presetWatch {2000};
     Milliseconds workerTimeout {800};
 };
 
--- /dev/null
+++ b/Source/Duties/StoreClient.cpp
@@ -0,0 +1,63 @@
+#include "Duties/StoreClient.h"
+
+#include "Messages/StoreCodec.h"
+
+#include <fmt/format.h>
+
+namespace caraway {
+
+namespace {
+
+enum HttpStatus { Ok = 200, NotFound = 404, ConflictStatus = 409 };
+
+} // namespace
+
+StoreClient::StoreClient(const Endpoint &store, Milliseconds timeout)
+    : client_(makeHttpClient(store, timeout))
+{
+}
+
+StoreRead StoreClient::get(const std::string &path)
+{
+    const httplib::Result response = client_->Get(path);
+    if (response && response->status == Ok)
+        return {StoreOutcome::Done, response->body};
+    if (response && response->status == NotFound)
+        return {StoreOutcome::Done, std::nullopt};
+    return {};
+}
+
+StoreRead StoreClient::read(const std::string &key)
+{
+    return get("/kv?key=" + key);
+}
+
+StoreRead StoreClient::readRange(const std::string &prefix)
+{
+    return get("/range?prefix=" + prefix);
+}
+
+StoreRead StoreClient::watch(const std::string &prefix, Revision after, Milliseconds wait)
+{
+    return get(fmt::format("/watch?prefix={}&after={}&wait_ms={}", prefix, after.value(),
+                           wait.count()));
+}
+
+StoreWrite StoreClient::compareAndSwap(const std::string &key, Revision expected,
+                                       const std::string &value)
+{
+    const std::string path = fmt::format("/kv?key={}&expect={}", key, expected.value());
+    const httplib::Result response = client_->Put(path, value, "application/json");
+    if (response && response->status == ConflictStatus)
+        return {StoreOutcome::Conflict, {}};
+    if (!response || response->status != Ok)
+        return {};
+    return recoverFrom(
+            [&]() -> Result<StoreWrite> {
+                BOOST_LEAF_AUTO(revision, decodeWrittenRevision(response->body));
+                return StoreWrite {StoreOutcome::Done, revision};
+            },
+            [](const Error & /*error*/) { return StoreWrite {}; });
+}
+
+} // namespace caraway
--- a/Source/Duties/StoreDuty.h
+++ b/Source/Duties/StoreDuty.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Duties/HttpClient.h"
 #include "Duties/Rings.h"
 #include "Duties/ServeSettings.h"
+#include "Duties/StoreClient.h"
 
 #include <thread>
 
@@ -20,23 +20,15 @@
 
 private:
     using AnswerBody = decltype(StoreAnswered::body);
-    struct WriteResult
-    {
-        StoreOutcome outcome = StoreOutcome::Unanswered;
-        Revision revision;
-    };
 
     void run();
     AnswerBody call(const ReadShardRecords &read);
     AnswerBody call(const WriteShardRecord &write);
-    AnswerBody call(const ReadPresetInForce &read);
-    AnswerBody call(const WritePresetInForce &write);
-    WriteResult compareAndSwap(const std::string &key, Revision expected, const std::string &value);
 
     EventRing &events_;
     const Clock &clock_;
     Ring<CallStore> calls_;
-    std::unique_ptr<httplib::Client> client_;
+    StoreClient store_;
     std::thread thread_;
 };
 
--- a/Source/Messages/CallerCodec.cpp
+++ b/Source/Messages/CallerCodec.cpp
@@ -4,6 +4,7 @@
 #include "Messages/PresetCodec.h"
 
 #include <map>
+#include <regex>
 
 namespace caraway {
 
@@ -71,6 +72,36 @@
     return {Ok, json.dump()};
 }
 
+CallerAnswer encodeBody(const std::vector<PresetDefinition> &definitions)
+{
+    nlohmann::json json = nlohmann::json::array();
+    for (const PresetDefinition &definition : definitions) {
+        nlohmann::json element = encodePresetDefinition(definition);
+        element["revision"] = definition.revision.value();
+        json.push_back(std::move(element));
+    }
+    return {Ok, json.dump()};
+}
+
+CallerAnswer encodeBody(const std::vector<Follower> &followers)
+{
+    nlohmann::json json = nlohmann::json::array();
+    for (const Follower &follower : followers) {
+        json.push_back({{"instance", follower.instance.value()},
+                        {"revision", follower.revision.value()},
+                        {"age_ms", follower.age.count()}});
+    }
+    return {Ok, json.dump()};
+}
+
+CallerAnswer encodeBody(const std::vector<ChangeNote> &changes)
+{
+    nlohmann::json json = nlohmann::json::array();
+    for (const ChangeNote &change : changes)
+        json.push_back(encodeChangeNote(change));
+    return {Ok, json.dump()};
+}
+
 CallerAnswer encodeBody(const Error &error)
 {
     return encodeErrorAnswer(error);
@@ -105,6 +136,34 @@
     return use;
 }
 
+Result<DefinePreset> decodeDefinePreset(std::string_view body, const PresetName &name)
+{
+    BOOST_LEAF_AUTO(json, parseJson(body));
+    ObjectReader reader(json, "request");
+    const nlohmann::json &preset = reader.object("preset");
+    const nlohmann::json &change = reader.object("change");
+    DefinePreset define;
+    define.definition.revision
+            = Revision(static_cast<std::uint64_t>(reader.number("expected_revision")));
+    BOOST_LEAF_CHECK(reader.finish());
+    BOOST_LEAF_ASSIGN(define.definition.preset, decodePreset(preset));
+    BOOST_LEAF_ASSIGN(define.definition.lastChange, decodeChangeNote(change));
+    define.definition.lastChange.to = define.definition.preset.name;
+    if (define.definition.preset.name != name) {
+        return fail(ErrorKind::InvalidRequest,
+                    "The preset's name is not the one in the path. Use the same name in both.");
+    }
+    return define;
+}
+
+Result<AuditDay> decodeAuditDay(const std::string &text)
+{
+    static const std::regex pattern(R"(\d{4}-\d{2}-\d{2})");
+    if (!text.empty() && !std::regex_match(text, pattern))
+        return fail(ErrorKind::InvalidRequest, "The day is not a date. Give it as YYYY-MM-DD.");
+    return AuditDay(text);
+}
+
 CallerAnswer encodeAnswer(const AnswerCaller &answer)
 {
     return std::visit([](const auto &body) { return encodeBody(body); }, answer.body);
--- a/Source/Messages/CallerCodec.h
+++ b/Source/Messages/CallerCodec.h
@@ -10,6 +10,10 @@
 Result<SubmitJob> decodeSubmit(std::string_view body);
 /// Body of POST /v1/preset-in-force.
 Result<UsePreset> decodeUsePreset(std::string_view body);
+/// Body of PUT /v1/presets/NAME; the name in the path has to be the preset's own.
+Result<DefinePreset> decodeDefinePreset(std::string_view body, const PresetName &name);
+/// Parameter day of GET /v1/audit; empty for today.
+Result<AuditDay> decodeAuditDay(const std::string &text);
 
 /// An answer as HTTP carries it.
 struct CallerAnswer
--- a/Source/Messages/PresetCodec.cpp
+++ b/Source/Messages/PresetCodec.cpp
@@ -2,6 +2,9 @@
 
 #include "Messages/JobCodec.h"
 
+#include <algorithm>
+#include <set>
+
 namespace caraway {
 
 namespace {
@@ -62,6 +65,14 @@
     return team;
 }
 
+template<class Element, class Id>
+bool hasTwice(const std::vector<Element> &elements, Id Element::*id)
+{
+    std::set<Id> seen;
+    return !std::ranges::all_of(
+            elements, [&](const Element &element) { return seen.insert(element.*id).second; });
+}
+
 } // namespace
 
 nlohmann::json encodePreset(const Preset &preset)
@@ -89,6 +100,12 @@
         BOOST_LEAF_AUTO(team, decodeTeam(element));
         preset.teams.push_back(std::move(team));
     }
+    if (preset.kinds.empty())
+        reader.note("kinds", "is empty", "Describe at least one kind");
+    if (hasTwice(preset.kinds, &KindPolicy::kind))
+        reader.note("kinds", "names a kind twice", "Remove one of the two");
+    if (hasTwice(preset.teams, &TeamQuota::team))
+        reader.note("teams", "names a team twice", "Remove one of the two");
     BOOST_LEAF_CHECK(reader.finish());
     return preset;
 }
@@ -115,7 +132,12 @@
 
 nlohmann::json encodePresetInForce(const PresetInForce &inForce)
 {
-    return {{"preset", encodePreset(inForce.preset)}, {"change", encodeChangeNote(inForce.change)}};
+    nlohmann::json history = nlohmann::json::array();
+    for (const ChangeNote &change : inForce.history)
+        history.push_back(encodeChangeNote(change));
+    return {{"preset", encodePreset(inForce.preset)},
+            {"change", encodeChangeNote(inForce.change)},
+            {"history", std::move(history)}};
 }
 
 Result<PresetInForce> decodePresetInForce(const nlohmann::json &json, Revision revision)
@@ -123,12 +145,36 @@
     ObjectReader reader(json, "preset in force");
     const nlohmann::json &preset = reader.object("preset");
     const nlohmann::json &change = reader.object("change");
+    const nlohmann::json &history = reader.array("history");
     BOOST_LEAF_CHECK(reader.finish());
     PresetInForce inForce;
     inForce.revision = revision;
     BOOST_LEAF_ASSIGN(inForce.preset, decodePreset(preset));
     BOOST_LEAF_ASSIGN(inForce.change, decodeChangeNote(change));
+    for (const nlohmann::json &element : history) {
+        BOOST_LEAF_AUTO(earlier, decodeChangeNote(element));
+        inForce.history.push_back(std::move(earlier));
+    }
     return inForce;
 }
 
+nlohmann::json encodePresetDefinition(const PresetDefinition &definition)
+{
+    return {{"preset", encodePreset(definition.preset)},
+            {"change", encodeChangeNote(definition.lastChange)}};
+}
+
+Result<PresetDefinition> decodePresetDefinition(const nlohmann::json &json, Revision revision)
+{
+    ObjectReader reader(json, "preset definition");
+    const nlohmann::json &preset = reader.object("preset");
+    const nlohmann::json &change = reader.object("change");
+    BOOST_LEAF_CHECK(reader.finish());
+    PresetDefinition definition;
+    definition.revision = revision;
+    BOOST_LEAF_ASSIGN(definition.preset, decodePreset(preset));
+    BOOST_LEAF_ASSIGN(definition.lastChange, decodeChangeNote(change));
+    return definition;
+}
+
 } // namespace caraway
--- a/Source/Messages/PresetCodec.h
+++ b/Source/Messages/PresetCodec.h
@@ -16,4 +16,8 @@
 nlohmann::json encodePresetInForce(const PresetInForce &inForce);
 Result<PresetInForce> decodePresetInForce(const nlohmann::json &json, Revision revision);
 
+/// The definition without its revision, which the store keeps beside it.
+nlohmann::json encodePresetDefinition(const PresetDefinition &definition);
+Result<PresetDefinition> decodePresetDefinition(const nlohmann::json &json, Revision revision);
+
 } // namespace caraway
--- a/Source/Messages/StoreCodec.cpp
+++ b/Source/Messages/StoreCodec.cpp
@@ -1,5 +1,9 @@
 #include "Messages/StoreCodec.h"
 
+#include <fmt/chrono.h>
+
+#include <ctime>
+
 namespace caraway {
 
 namespace {
@@ -22,6 +26,29 @@
     return stored;
 }
 
+/// Decodes each value of a range with \a decode.
+template<class T, class Decode>
+Result<std::vector<T>> decodeRange(std::string_view body, Decode decode)
+{
+    BOOST_LEAF_AUTO(json, parseJson(body));
+    ObjectReader reader(json, "range");
+    std::vector<T> values;
+    for (const nlohmann::json &element : reader.array("items")) {
+        BOOST_LEAF_AUTO(stored, decodeStoredValue(element));
+        BOOST_LEAF_AUTO(value, decode(stored));
+        values.push_back(std::move(value));
+    }
+    reader.number("revision");
+    BOOST_LEAF_CHECK(reader.finish());
+    return values;
+}
+
+Result<PresetInForce> decodeStoredPresetInForce(const StoredValue &stored)
+{
+    BOOST_LEAF_AUTO(value, parseJson(stored.value));
+    return decodePresetInForce(value, stored.revision);
+}
+
 } // namespace
 
 std::string shardKeyPrefix()
@@ -41,25 +68,69 @@
 
 Result<std::vector<ShardRecord>> decodeShardRange(std::string_view body)
 {
-    BOOST_LEAF_AUTO(json, parseJson(body));
-    ObjectReader reader(json, "range");
-    std::vector<ShardRecord> records;
-    for (const nlohmann::json &element : reader.array("items")) {
-        BOOST_LEAF_AUTO(stored, decodeStoredValue(element));
-        BOOST_LEAF_AUTO(record, decodeShardRecord(stored.value, stored.revision));
-        records.push_back(std::move(record));
-    }
-    reader.number("revision");
-    BOOST_LEAF_CHECK(reader.finish());
-    return records;
+    return decodeRange<ShardRecord>(body, [](const StoredValue &stored) {
+        return decodeShardRecord(stored.value, stored.revision);
+    });
 }
 
 Result<PresetInForce> decodePresetInForceValue(std::string_view body)
 {
     BOOST_LEAF_AUTO(json, parseJson(body));
     BOOST_LEAF_AUTO(stored, decodeStoredValue(json));
-    BOOST_LEAF_AUTO(value, parseJson(stored.value));
-    return decodePresetInForce(value, stored.revision);
+    return decodeStoredPresetInForce(stored);
+}
+
+Result<std::vector<PresetInForce>> decodePresetInForceRange(std::string_view body)
+{
+    return decodeRange<PresetInForce>(body, decodeStoredPresetInForce);
+}
+
+std::string presetDefinitionKeyPrefix()
+{
+    return "config/presets/";
+}
+
+std::string presetDefinitionKey(const PresetName &name)
+{
+    return presetDefinitionKeyPrefix() + name.value();
+}
+
+Result<std::vector<PresetDefinition>> decodePresetDefinitions(std::string_view body)
+{
+    return decodeRange<PresetDefinition>(body,
+                                         [](const StoredValue &stored) -> Result<PresetDefinition> {
+                                             BOOST_LEAF_AUTO(value, parseJson(stored.value));
+                                             return decodePresetDefinition(value, stored.revision);
+                                         });
+}
+
+AuditDay auditDayOf(Milliseconds wallClock)
+{
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+    const std::time_t seconds = wallClock.count() / millisecondsPerSecond;
+    std::tm parts = {};
+    gmtime_r(&seconds, &parts);
+    return AuditDay(fmt::format("{:%Y-%m-%d}", parts));
+}
+
+std::string auditKeyPrefix(const AuditDay &day)
+{
+    return "audit/" + day.value() + "/";
+}
+
+std::string auditKey(const ChangeNote &change)
+{
+    // Keys of one day sort by time.
+    return fmt::format("{}{:013}-{}", auditKeyPrefix(auditDayOf(change.when)), change.when.count(),
+                       change.id.value());
+}
+
+Result<std::vector<ChangeNote>> decodeAuditTrail(std::string_view body)
+{
+    return decodeRange<ChangeNote>(body, [](const StoredValue &stored) -> Result<ChangeNote> {
+        BOOST_LEAF_AUTO(value, parseJson(stored.value));
+        return decodeChangeNote(value);
+    });
 }
 
 Result<Revision> decodeWrittenRevision(std::string_view body)
--- a/Source/Messages/StoreCodec.h
+++ b/Source/Messages/StoreCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decisions/Configuration.h"
 #include "Messages/FleetCodec.h"
 #include "Messages/PresetCodec.h"
 
@@ -12,6 +13,18 @@
 
 Result<std::vector<ShardRecord>> decodeShardRange(std::string_view body);
 Result<PresetInForce> decodePresetInForceValue(std::string_view body);
+Result<std::vector<PresetInForce>> decodePresetInForceRange(std::string_view body);
+
+std::string presetDefinitionKeyPrefix();
+std::string presetDefinitionKey(const PresetName &name);
+Result<std::vector<PresetDefinition>> decodePresetDefinitions(std::string_view body);
+
+/// The day of \a wallClock, in ms since 1970, in UTC.
+AuditDay auditDayOf(Milliseconds wallClock);
+std::string auditKeyPrefix(const AuditDay &day);
+std::string auditKey(const ChangeNote &change);
+Result<std::vector<ChangeNote>> decodeAuditTrail(std::string_view body);
+
 Result<Revision> decodeWrittenRevision(std::string_view body);
 
 } // namespace caraway
--- a/Tests/Standins/StoreStandin.cpp
+++ b/Tests/Standins/StoreStandin.cpp
@@ -120,28 +120,33 @@
         items_[key] = {request.body, written};
     }
     changed_.notify_all();
-    finishWrite(response, written);
+    finishWrite(key, response, written);
 }
 
 void StoreStandin::remove(const httplib::Request &request, httplib::Response &response)
 {
     if (!admit(response, writes_))
         return;
+    const std::string key = request.get_param_value("key");
     std::uint64_t written = 0;
     {
         const std::lock_guard lock(mutex_);
-        items_.erase(request.get_param_value("key"));
+        items_.erase(key);
         written = ++revision_;
     }
     changed_.notify_all();
-    finishWrite(response, written);
+    finishWrite(key, response, written);
 }
 
-void StoreStandin::finishWrite(httplib::Response &response, std::uint64_t revision)
+void StoreStandin::finishWrite(const std::string &key, httplib::Response &response,
+                               std::uint64_t revision)
 {
     const std::lock_guard lock(mutex_);
-    if (answersToLose_ > 0) {
-        --answersToLose_;
+    std::int64_t &toLose = key.starts_with("config/") && configAnswersToLose_ > 0
+            ? configAnswersToLose_
+            : answersToLose_;
+    if (toLose > 0) {
+        --toLose;
         write(response, 503, {{"error", "the answer was lost"}});
         return;
     }
@@ -170,6 +175,7 @@
         const std::lock_guard lock(mutex_);
         outage_ = orders.value("outage", outage_);
         delayMs_ = orders.value("delay_ms", delayMs_);
+        configAnswersToLose_ = orders.value("lose_config_answers", configAnswersToLose_);
         answersToLose_ = orders.value("lose_answers", answersToLose_);
     }
     changed_.notify_all();
--- a/Tests/Standins/StoreStandin.h
+++ b/Tests/Standins/StoreStandin.h
@@ -12,7 +12,8 @@
 namespace caraway::standins {
 
 /// A small key-value service with compare-and-swap and watches, that counts its calls and
-/// can be told to fail: POST /control with outage, delay_ms, lose_answers.
+/// can be told to fail: POST /control with outage, delay_ms, lose_answers,
+/// lose_config_answers.
 class StoreStandin
 {
 public:
@@ -37,7 +38,7 @@
     void control(const httplib::Request &request, httplib::Response &response);
     void stats(httplib::Response &response);
     nlohmann::json itemsUnder(const std::string &prefix, std::uint64_t after) const;
-    void finishWrite(httplib::Response &response, std::uint64_t revision);
+    void finishWrite(const std::string &key, httplib::Response &response, std::uint64_t revision);
 
     httplib::Server server_;
     std::mutex mutex_;
@@ -47,6 +48,8 @@
     bool outage_ = false;
     std::int64_t delayMs_ = 0;
     std::int64_t answersToLose_ = 0;
+    /// The same for keys under config/ only.
+    std::int64_t configAnswersToLose_ = 0;
     std::uint64_t reads_ = 0;
     std::uint64_t writes_ = 0;
     std::uint64_t watches_ = 0;
--- a/Tests/Support/TestFleet.cpp
+++ b/Tests/Support/TestFleet.cpp
@@ -263,6 +263,12 @@
                             .Post(path, body.dump(), "application/json"));
 }
 
+HttpAnswer TestFleet::put(int entry, const std::string &path, const nlohmann::json &body) const
+{
+    return toAnswer(makeClient(ports_.at("caller-" + entryName(entry)), 10'000)
+                            .Put(path, body.dump(), "application/json"));
+}
+
 HttpAnswer TestFleet::postText(int entry, const std::string &path, const std::string &body) const
 {
     return toAnswer(makeClient(ports_.at("caller-" + entryName(entry)), 10'000)
--- a/Tests/Support/TestFleet.h
+++ b/Tests/Support/TestFleet.h
@@ -58,6 +58,7 @@
     HttpAnswer get(int entry, const std::string &path, int limitMs = 25'000) const;
     HttpAnswer post(int entry, const std::string &path, const nlohmann::json &body,
                     int limitMs = 25'000) const;
+    HttpAnswer put(int entry, const std::string &path, const nlohmann::json &body) const;
     HttpAnswer postText(int entry, const std::string &path, const std::string &body) const;
     /// Submits a job with the defaults of makeJob() and waits for the result.
     HttpAnswer run(int entry, const nlohmann::json &job, int waitMs = 10'000) const;
