Refuse hostile frames before they are decoded

Cause: the CBOR decoder recurses, so a peer's frame of nested arrays overran the stack; any instance could speak as a peer whether the list named it or not. Change: an iterative check of depth, lengths and wholeness runs before decoding CBOR, and a check of depth before JSON; indefinite lengths and tags, which no instance writes, are refused. Messages from entries not on the list are ignored. Ruled out: a larger stack (only moves the limit); the library's SAX reader (its CBOR side recurses as well). Conclusion: a frame costs at most its own size before it is refused.

--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -99,6 +99,9 @@
 
 void Instance::on(const PeerMessageReceived &received)
 {
+    // An entry that the list does not name yet says it again once the list does.
+    if (received.from != settings_.self && !membership_.findEntry(received.from))
+        return;
     std::visit([&](const auto &body) { onPeer(received.from, body); }, received.message);
 }
 
--- a/Source/Messages/ObjectReader.cpp
+++ b/Source/Messages/ObjectReader.cpp
@@ -1,5 +1,7 @@
 #include "Messages/ObjectReader.h"
 
+#include "Messages/CborCheck.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -10,6 +12,25 @@
 
 const nlohmann::json nullValue;
 
+/// Whether the brackets of \a text outside its strings nest no deeper than maxMessageDepth.
+bool isShallow(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (inString && c == '\\')
+            ++i;
+        else if (c == '"')
+            inString = !inString;
+        else if (!inString && (c == '[' || c == '{') && ++depth > maxMessageDepth)
+            return false;
+        else if (!inString && (c == ']' || c == '}') && depth > 0)
+            --depth;
+    }
+    return true;
+}
+
 } // namespace
 
 ObjectReader::ObjectReader(const nlohmann::json &object, std::string what)
@@ -140,8 +161,24 @@
     return {};
 }
 
+bool isUtf8(std::string_view text)
+{
+    constexpr char firstPrintable = 0x20;
+    std::string quoted = "\"";
+    for (const char c : text) {
+        const bool isEscaped = (c >= 0 && c < firstPrintable) || c == '"' || c == '\\';
+        quoted.push_back(isEscaped ? ' ' : c);
+    }
+    return nlohmann::json::accept(quoted + "\"");
+}
+
 Result<nlohmann::json> parseJson(std::string_view text)
 {
+    if (!isShallow(text)) {
+        return fail(ErrorKind::InvalidMessage,
+                    fmt::format("The text is nested deeper than {} levels. Send a flatter object.",
+                                maxMessageDepth));
+    }
     nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
     if (parsed.is_discarded())
         return fail(ErrorKind::InvalidMessage, "The text is not JSON. Send well-formed JSON.");
--- a/Source/Messages/ObjectReader.h
+++ b/Source/Messages/ObjectReader.h
@@ -62,6 +62,9 @@
     std::optional<std::string> problem_;
 };
 
+/// Whether \a text is well-formed UTF-8, and so can stand in a message.
+bool isUtf8(std::string_view text);
+
 /// Parses JSON text; the error says where it is malformed.
 Result<nlohmann::json> parseJson(std::string_view text);
 
--- a/Source/Messages/PeerCodec.cpp
+++ b/Source/Messages/PeerCodec.cpp
@@ -1,5 +1,6 @@
 #include "Messages/PeerCodec.h"
 
+#include "Messages/CborCheck.h"
 #include "Messages/JobCodec.h"
 #include "Messages/PresetCodec.h"
 
@@ -151,6 +152,10 @@
 
 Result<PeerFrame> decodePeerFrame(std::string_view bytes)
 {
+    if (bytes.size() > maxPeerFrameBytes)
+        return fail(ErrorKind::InvalidMessage, "The frame is too large. Send smaller messages.");
+    // The decoder of the library recurses, so the depth is bounded first.
+    BOOST_LEAF_CHECK(checkCbor(bytes));
     const Json json = Json::from_cbor(bytes, true, false);
     if (json.is_discarded())
         return fail(ErrorKind::InvalidMessage, "The frame is not CBOR. Check the peer's release.");
--- a/Tests/Messages/PeerCodecTest.cpp
+++ b/Tests/Messages/PeerCodecTest.cpp
@@ -1,5 +1,8 @@
 #include "Messages/PeerCodec.h"
 
+#include "Messages/CborCheck.h"
+#include "Messages/ObjectReader.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace caraway::tests {
@@ -9,6 +12,11 @@
     CPPUNIT_TEST_SUITE(PeerCodecTest);
     CPPUNIT_TEST(decode_encodedSubmit_givesTheSame);
     CPPUNIT_TEST(decode_everyTruncation_failsCleanly);
+    CPPUNIT_TEST(decode_nestedTooDeeply_isRefusedWithoutRecursion);
+    CPPUNIT_TEST(decode_lengthBeyondFrame_isRefused);
+    CPPUNIT_TEST(decode_everyFlippedByte_neverCrashes);
+    CPPUNIT_TEST(decode_unknownTypeOrTooLarge_isRefused);
+    CPPUNIT_TEST(parseJson_nestedTooDeeply_isRefused);
     CPPUNIT_TEST_SUITE_END();
 
     static PeerFrame makeFrame()
@@ -53,6 +61,62 @@
         for (std::size_t size = 0; size < bytes.size(); ++size)
             CPPUNIT_ASSERT(!decodes(std::string_view(bytes).substr(0, size)));
     }
+
+    void decode_nestedTooDeeply_isRefusedWithoutRecursion()
+    {
+        const std::string arrays(2'000'000, '\x81');
+        CPPUNIT_ASSERT(!decodes(arrays));
+        CPPUNIT_ASSERT(!decodes(arrays + '\x01'));
+        const std::string openArrays(2'000'000, '\x9F');
+        CPPUNIT_ASSERT(!decodes(openArrays));
+    }
+
+    void decode_lengthBeyondFrame_isRefused()
+    {
+        CPPUNIT_ASSERT(!decodes("\x9B\x7F\xFF\xFF\xFF\xFF\xFF\xFF\xFF"));
+        CPPUNIT_ASSERT(!decodes("\xBB\xFF\xFF\xFF\xFF\xFF\xFF\xFF\xFF"));
+        CPPUNIT_ASSERT(!decodes("\x7B\x7F\xFF\xFF\xFF\xFF\xFF\xFF\xFFx"));
+    }
+
+    void decode_everyFlippedByte_neverCrashes()
+    {
+        const std::string bytes = encodePeerFrame(makeFrame());
+        for (std::size_t at = 0; at < bytes.size(); ++at) {
+            for (int value = 0; value < 256; ++value) {
+                std::string changed = bytes;
+                changed[at] = static_cast<char>(value);
+                decodes(changed);
+            }
+        }
+    }
+
+    void decode_unknownTypeOrTooLarge_isRefused()
+    {
+        CPPUNIT_ASSERT(!decodes("\xA2"
+                                "dfromaa"
+                                "dtypedlost"));
+        CPPUNIT_ASSERT(!decodes(std::string(maxPeerFrameBytes + 1, '\x01')));
+    }
+
+    void parseJson_nestedTooDeeply_isRefused()
+    {
+        const auto parses = [](const std::string &text) {
+            return recoverFrom(
+                    [&]() -> Result<bool> {
+                        BOOST_LEAF_CHECK(parseJson(text));
+                        return true;
+                    },
+                    [](const Error &) { return false; });
+        };
+        const auto nested = [](std::size_t depth) {
+            return std::string(depth, '[') + std::string(depth, ']');
+        };
+        CPPUNIT_ASSERT(parses(nested(maxMessageDepth)));
+        CPPUNIT_ASSERT(!parses(nested(maxMessageDepth + 1)));
+        CPPUNIT_ASSERT(!parses(nested(500'000)));
+        CPPUNIT_ASSERT(
+                parses("\"" + std::string(100, '[') + "\\\"" + std::string(100, '{') + "\""));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerCodecTest);
