Keep slow and silent callers off the serving threads

Cause: each accepted connection held one of the serving threads from its first byte, or none, to its end. Refusals by the HTTP library get typed errors. Job names in paths must be UTF-8. Ruled out: shorter read timeouts alone (a byte now and then resets them); more threads (each costs a stack). Conclusion: slow callers cost a descriptor each, not a thread.

--- a/Source/Duties/CallersDuty.cpp
+++ b/Source/Duties/CallersDuty.cpp
@@ -1,6 +1,7 @@
 #include "Duties/CallersDuty.h"
 
 #include "Messages/CallerCodec.h"
+#include "Messages/ObjectReader.h"
 #include "Messages/WorkerCodec.h"
 
 #include <charconv>
@@ -13,6 +14,8 @@
 constexpr auto jsonType = "application/json";
 constexpr std::int64_t maxWaitMs = 20'000;
 constexpr int serverErrorStatus = 503;
+constexpr int notFoundStatus = 404;
+constexpr int payloadTooLargeStatus = 413;
 
 void write(httplib::Response &response, const CallerAnswer &answer)
 {
@@ -34,21 +37,29 @@
     return Milliseconds(wait);
 }
 
+Result<JobName> readName(const httplib::Request &request)
+{
+    std::string name = request.matches[1].str();
+    if (!isUtf8(name))
+        return fail(ErrorKind::InvalidRequest, "The job's name is not UTF-8. Correct it.");
+    return JobName(std::move(name));
+}
+
 } // namespace
 
 CallersDuty::CallersDuty(EventRing &events, const std::atomic<bool> &ready,
                          const ServeSettings &settings)
     : events_(events)
     , ready_(ready)
+    , server_(static_cast<std::size_t>(settings.callerThreads))
 {
-    const auto threads = static_cast<std::size_t>(settings.callerThreads);
-    server_.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     server_.set_payload_max_length(static_cast<std::size_t>(settings.maxRequestBody.count()));
     server_.set_tcp_nodelay(true);
     addRoutes();
+    answerRefusals();
     if (!server_.bind_to_port(settings.callers.host.c_str(), settings.callers.port))
         throw std::runtime_error("the caller port is taken");
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    thread_ = std::thread([this] { server_.serve(); });
 }
 
 CallersDuty::~CallersDuty()
@@ -60,6 +71,23 @@
             ring->close();
     }
     thread_.join();
+    server_.finish();
+}
+
+void CallersDuty::answerRefusals()
+{
+    server_.set_error_handler([](const httplib::Request &, httplib::Response &response) {
+        if (!response.body.empty())
+            return;
+        std::string message = "The request cannot be read. Correct it.";
+        if (response.status == payloadTooLargeStatus)
+            message = "The body is larger than this instance takes. Send a smaller one.";
+        else if (response.status == notFoundStatus)
+            message = "There is nothing at this path. Correct it.";
+        const int status = response.status;
+        write(response, encodeErrorAnswer({ErrorKind::InvalidRequest, std::move(message)}));
+        response.status = status;
+    });
 }
 
 void CallersDuty::addRoutes()
@@ -69,12 +97,14 @@
         return Body(std::move(submit));
     });
     addRequest("GET", R"(/v1/jobs/([^/]+))", [](const httplib::Request &request) -> Result<Body> {
+        BOOST_LEAF_AUTO(name, readName(request));
         BOOST_LEAF_AUTO(wait, readWait(request));
-        return Body(QueryJob {JobName(request.matches[1].str()), wait});
+        return Body(QueryJob {std::move(name), wait});
     });
     addRequest("DELETE", R"(/v1/jobs/([^/]+))",
                [](const httplib::Request &request) -> Result<Body> {
-                   return Body(CancelJob {JobName(request.matches[1].str())});
+                   BOOST_LEAF_AUTO(name, readName(request));
+                   return Body(CancelJob {std::move(name)});
                });
     addRequest("GET", "/v1/workers",
                [](const httplib::Request &) -> Result<Body> { return Body(ListWorkers {}); });
--- a/Source/Duties/CallersDuty.h
+++ b/Source/Duties/CallersDuty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/CallerServer.h"
 #include "Duties/Rings.h"
 #include "Duties/ServeSettings.h"
 
@@ -14,7 +15,7 @@
 
 namespace caraway {
 
-/// Serves callers, operators and workers' reports over HTTP. A request waits in its own
+/// Serves callers, operators and workers' reports over HTTP. A whole request waits in its own
 /// thread on a ring of one answer; the decisions always answer by the request's deadline.
 class CallersDuty
 {
@@ -31,6 +32,7 @@
     using Decode = std::function<Result<Body>(const httplib::Request &)>;
 
     void addRoutes();
+    void answerRefusals();
     void addRequest(const std::string &method, const std::string &path, const Decode &decode);
     void serve(const httplib::Request &request, httplib::Response &response, const Decode &decode);
     void ask(Body body, httplib::Response &response);
@@ -38,7 +40,7 @@
 
     EventRing &events_;
     const std::atomic<bool> &ready_;
-    httplib::Server server_;
+    CallerServer server_;
     std::mutex mutex_;
     std::unordered_map<RequestId, std::shared_ptr<AnswerRing>> waiting_;
     std::uint64_t lastRequest_ = 0;
--- /dev/null
+++ b/Tests/Processes/LinksTest.cpp
@@ -0,0 +1,120 @@
+#include "Support/TestFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <stdexcept>
+#include <thread>
+
+namespace caraway::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using SteadyClock = std::chrono::steady_clock;
+
+std::int64_t msSince(SteadyClock::time_point begin)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - begin)
+            .count();
+}
+
+/// A plain connection that sends what it is told and nothing more.
+class RawConnection
+{
+public:
+    explicit RawConnection(int port)
+        : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address = {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (connect(socket_, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0)
+            throw std::runtime_error("the instance does not accept");
+    }
+    ~RawConnection() { close(socket_); }
+    RawConnection(const RawConnection &) = delete;
+    RawConnection &operator=(const RawConnection &) = delete;
+
+    void sendText(const std::string &text) const
+    {
+        send(socket_, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+
+private:
+    int socket_;
+};
+
+} // namespace
+
+/// Callers that misbehave towards one instance while others are served.
+class CallerLimitsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CallerLimitsTest);
+    CPPUNIT_TEST(run_besideSlowCallers_isServedAtOnce);
+    CPPUNIT_TEST(submit_hostileInput_getsTypedErrorAndServesOn);
+    CPPUNIT_TEST_SUITE_END();
+
+    TestFleet fleet_ {{.zones = {"klang-a"}, .entries = 1}};
+
+    static std::string kindOf(const HttpAnswer &answer)
+    {
+        return answer.body.is_object() && answer.body.contains("error")
+                ? answer.body["error"].value("kind", "")
+                : "";
+    }
+
+public:
+    void setUp() override { fleet_.start(); }
+
+    void run_besideSlowCallers_isServedAtOnce()
+    {
+        std::vector<std::unique_ptr<RawConnection>> slow;
+        for (int i = 0; i < 100; ++i) {
+            slow.push_back(std::make_unique<RawConnection>(fleet_.callerPort(0)));
+            slow.back()->sendText(
+                    i % 2 == 0 ? "POST /v1/jobs HTTP/1.1\r\nX-Slow: "
+                               : "POST /v1/jobs HTTP/1.1\r\nContent-Length: 900\r\n\r\n{");
+        }
+        std::int64_t longest = 0;
+        for (int i = 0; i < 20; ++i) {
+            for (const auto &connection : slow)
+                connection->sendText("a");
+            const auto begin = SteadyClock::now();
+            const HttpAnswer answer
+                    = fleet_.run(0, TestFleet::makeJob("beside-" + std::to_string(i)), 3000);
+            longest = std::max(longest, msSince(begin));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body.dump(), 200, answer.status);
+        }
+        fmt::print("\nlongest answer beside 100 slow callers: {} ms\n", longest);
+        CPPUNIT_ASSERT(longest < 500);
+    }
+
+    void submit_hostileInput_getsTypedErrorAndServesOn()
+    {
+        const std::string tooLarge(3 << 20, ' ');
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid_request"),
+                             kindOf(fleet_.postText(0, "/v1/jobs", tooLarge)));
+        CPPUNIT_ASSERT_EQUAL(413, fleet_.postText(0, "/v1/jobs", tooLarge).status);
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid_message"),
+                             kindOf(fleet_.postText(0, "/v1/jobs", std::string(500'000, '['))));
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid_message"),
+                             kindOf(fleet_.postText(0, "/v1/reports", "{\"worker\":\"\xFF\"}")));
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid_request"), kindOf(fleet_.get(0, "/v1/nothing")));
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid_request"),
+                             kindOf(fleet_.get(0, "/v1/jobs/%FF%FE")));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown_job"), kindOf(fleet_.get(0, "/v1/jobs/%C3%A9")));
+        CPPUNIT_ASSERT_EQUAL(200, fleet_.run(0, TestFleet::makeJob("after")).status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerLimitsTest);
+
+} // namespace caraway::tests
--- a/Tests/Support/TestFleet.h
+++ b/Tests/Support/TestFleet.h
@@ -55,6 +55,8 @@
     void startEntry(int entry);
     void startWorker(int worker);
 
+    /// Where callers reach \a entry, through the proxy.
+    int callerPort(int entry) const { return ports_.at("caller-" + entryName(entry)); }
     HttpAnswer get(int entry, const std::string &path, int limitMs = 25'000) const;
     HttpAnswer post(int entry, const std::string &path, const nlohmann::json &body,
                     int limitMs = 25'000) const;
