Measure what an instance does, and show it at /metrics

Cause: counts, waits, store calls and lease states could not be seen without reading the log.

Change: a duty takes samples from the others over a bounded ring and renders Boost.Accumulators' counts and quantiles in the Prometheus text format on request; the state of process, preset and shards is asked of the decisions.

Ruled out: extended_p_square_quantile, whose extractor does not compile here; extended_p_square gives the same heights at the four quantiles.

--- a/Source/Decisions/Actions.h
+++ b/Source/Decisions/Actions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Core/Metric.h"
 #include "Decisions/Events.h"
 
 #include <optional>
@@ -27,11 +28,28 @@
     /// Time since the instance last said so.
     Milliseconds age;
 };
+/// How one shard stands, as this instance sees it.
+struct ShardStatus
+{
+    ShardId shard;
+    std::string leaseState;
+    Epoch epoch;
+    std::size_t waiting = 0;
+    std::size_t jobs = 0;
+};
+/// How this instance stands.
+struct InstanceStatus
+{
+    std::string processState;
+    Revision presetRevision;
+    std::size_t openRequests = 0;
+    std::vector<ShardStatus> shards;
+};
 struct AnswerCaller
 {
     RequestId request;
     std::variant<JobReport, std::vector<WorkerRow>, PresetInForce, std::vector<PresetDefinition>,
-                 std::vector<Follower>, std::vector<ChangeNote>, Error>
+                 std::vector<Follower>, std::vector<ChangeNote>, InstanceStatus, Error>
             body;
 };
 
@@ -99,13 +117,18 @@
     std::string subject;
     std::string change;
 };
+/// Something to be counted or measured.
+struct Observe
+{
+    Sample sample;
+};
 /// All work is handed over and answered; the process may end.
 struct LeaveNow
 {
 };
 
 using Action = std::variant<AnswerCaller, SendToPeer, CallStore, CallWorker, ConnectPeers,
-                            RecordChange, LeaveNow, CallConfiguration>;
+                            RecordChange, LeaveNow, CallConfiguration, Observe>;
 using Actions = std::vector<Action>;
 
 } // namespace caraway
--- a/Source/Decisions/Events.h
+++ b/Source/Decisions/Events.h
@@ -61,12 +61,17 @@
     AuditDay day;
 };
 
+/// Asks how this instance stands.
+struct ShowStatus
+{
+};
+
 /// A request over the callers' interface, from a caller or an operator.
 struct CallerRequest
 {
     RequestId id;
     std::variant<SubmitJob, QueryJob, CancelJob, ListWorkers, ShowPresetInForce, UsePreset,
-                 ListPresets, DefinePreset, ListFollowers, ShowAuditTrail>
+                 ListPresets, DefinePreset, ListFollowers, ShowAuditTrail, ShowStatus>
             body;
 };
 
--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -99,6 +99,17 @@
             "No preset is in force here yet. Put one in force with `preset use`."});
 }
 
+void Instance::onCaller(RequestId id, const ShowStatus & /*body*/)
+{
+    InstanceStatus status {
+            machine_.stateName(), presets_.revision(), router_.openRequestCount(), {}};
+    for (const auto &[shardId, shard] : shards_) {
+        status.shards.push_back({shardId, shard.lease.stateName(), shard.lease.epoch(),
+                                 shard.scheduler.waitingCount(), shard.scheduler.jobCount()});
+    }
+    actions_.push_back(AnswerCaller {id, std::move(status)});
+}
+
 void Instance::on(const PeerMessageReceived &received)
 {
     // An entry that the list does not name yet says it again once the list does.
--- a/Source/Decisions/Instance.h
+++ b/Source/Decisions/Instance.h
@@ -62,6 +62,8 @@
     }
     void onCaller(RequestId id, const ShowAuditTrail &body) { presets_.showAudit(id, body); }
 
+    void onCaller(RequestId id, const ShowStatus &body);
+
     void onPeer(const InstanceId &from, const HolderRequest &request);
     void onPeer(const InstanceId &from, const HolderReply &reply);
     void onPeer(const InstanceId &from, const PeerHeartbeat &heartbeat);
--- a/Source/Decisions/JobRecord.h
+++ b/Source/Decisions/JobRecord.h
@@ -36,6 +36,7 @@
     /// Raises the event that follows from the states of the tasks; true when the job ended.
     bool updateFromTasks();
     JobReport report() const;
+    const std::string &stateName() const { return machine_.stateName(); }
 
     std::vector<Waiter> waiters;
     TimePoint endedAt;
--- a/Source/Decisions/RequestRouter.h
+++ b/Source/Decisions/RequestRouter.h
@@ -23,6 +23,7 @@
     void onTick(TimePoint now);
 
     bool hasOpenRequests() const { return !open_.empty(); }
+    std::size_t openRequestCount() const { return open_.size(); }
     void drainActions(Actions &actions);
 
 private:
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -84,6 +84,8 @@
     }
     if (!job) {
         if (std::optional<Refusal> refusal = placer_.refusalOf(now, body.spec)) {
+            const std::string kind(errorKindName(refusal->error.kind));
+            actions_.push_back(Observe {{Metric::JobsRefused, 1, kind}});
             reply(entry, request,
                   {.name = body.spec.name,
                    .state = JobState::NotRun,
@@ -242,17 +244,29 @@
         workers_[task.worker()].stopped.emplace_back(id, task.attempt());
     if (effects.voidAttempt)
         workers_[task.worker()].voided.emplace_back(id, task.attempt());
-    if (!wasRunning && task.isIn(Task::State::Running))
+    if (!wasRunning && task.isIn(Task::State::Running)) {
         job.waited = std::max(job.waited, now - task.waitingSince);
+        observeStart(job.spec().kind, now - task.waitingSince);
+    }
     finishIfEnded(now, job);
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::observeStart(const KindId &kind, Milliseconds waited)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    const double seconds = static_cast<double>(waited.count()) / millisecondsPerSecond;
+    actions_.push_back(Observe {{Metric::TaskStarts, 1, kind.value()}});
+    actions_.push_back(Observe {{Metric::TaskWaitSeconds, seconds, kind.value()}});
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::finishIfEnded(TimePoint now, JobRecord &job)
 {
     if (!job.isOpen() || !job.updateFromTasks())
         return;
     job.endedAt = now;
+    actions_.push_back(Observe {{Metric::JobsEnded, 1, job.stateName()}});
     const JobReport report = job.report();
     for (const JobRecord::Waiter &waiter : job.waiters)
         reply(waiter.entry, waiter.request, report);
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -35,6 +35,8 @@
     void onTick(TimePoint now, TimePoint startsEndAt);
 
     std::vector<WorkerRow> workerRows() const;
+    std::size_t waitingCount() const { return placer_.waitingCount(); }
+    std::size_t jobCount() const { return jobs_.size(); }
     /// Moves the actions put out since the last call to the end of \a actions.
     void drainActions(Actions &actions);
 
@@ -72,6 +74,7 @@
     void handleEntry(TimePoint now, const WorkerId &worker, const InventoryEntry &entry);
     JobRecord &findOrAdopt(const InventoryEntry &entry);
     void raise(TimePoint now, JobRecord &job, TaskIndex index, Task::Event event);
+    void observeStart(const KindId &kind, Milliseconds waited);
     void finishIfEnded(TimePoint now, JobRecord &job);
     JobRecord *findJob(const JobName &name);
     Task *findAttempt(const TaskId &task, AttemptNumber attempt, const WorkerId &worker);
--- a/Source/Duties/CallersDuty.cpp
+++ b/Source/Duties/CallersDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "Messages/CallerCodec.h"
 #include "Messages/ObjectReader.h"
+#include "Messages/StatusMetrics.h"
 #include "Messages/WorkerCodec.h"
 
 #include <charconv>
@@ -48,9 +49,10 @@
 } // namespace
 
 CallersDuty::CallersDuty(EventRing &events, const std::atomic<bool> &ready,
-                         const ServeSettings &settings)
+                         const ServeSettings &settings, MetricsDuty &metrics)
     : events_(events)
     , ready_(ready)
+    , metrics_(metrics)
     , server_(static_cast<std::size_t>(settings.callerThreads))
 {
     server_.set_payload_max_length(static_cast<std::size_t>(settings.maxRequestBody.count()));
@@ -106,6 +108,8 @@
                    BOOST_LEAF_AUTO(name, readName(request));
                    return Body(CancelJob {std::move(name)});
                });
+    addRequest("GET", "/v1/status",
+               [](const httplib::Request &) -> Result<Body> { return Body(ShowStatus {}); });
     addRequest("GET", "/v1/workers",
                [](const httplib::Request &) -> Result<Body> { return Body(ListWorkers {}); });
     addRequest("GET", "/v1/preset-in-force",
@@ -122,6 +126,9 @@
     server_.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
         response.set_content("ok\n", "text/plain");
     });
+    server_.Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
+        showMetrics(response);
+    });
     server_.Get("/readyz", [this](const httplib::Request &, httplib::Response &response) {
         response.status = ready_ ? 200 : serverErrorStatus;
         response.set_content(ready_ ? "ready\n" : "not ready\n", "text/plain");
@@ -174,13 +181,15 @@
 {
     const auto handle = [&]() -> Result<void> {
         BOOST_LEAF_AUTO(body, decode(request));
-        ask(std::move(body), response);
+        BOOST_LEAF_AUTO(answer, ask(std::move(body)));
+        write(response, encodeAnswer(answer));
         return {};
     };
     recoverFrom(handle, [&](const Error &error) { write(response, encodeErrorAnswer(error)); });
+    metrics_.count(Metric::CallerRequests, std::to_string(response.status));
 }
 
-void CallersDuty::ask(Body body, httplib::Response &response)
+Result<AnswerCaller> CallersDuty::ask(Body body)
 {
     const auto ring = std::make_shared<AnswerRing>(1);
     RequestId id;
@@ -198,16 +207,29 @@
         waiting_.erase(id);
     }
     if (answer)
-        write(response, encodeAnswer(*answer));
-    else if (offered)
-        write(response,
-              encodeErrorAnswer({ErrorKind::FateUnknown,
-                                 "The instance stopped before it knew. Ask another one."}));
-    else
-        write(response,
-              encodeErrorAnswer({ErrorKind::Unavailable,
-                                 "The instance is overloaded and did not run this. Try "
-                                 "again later."}));
+        return std::move(*answer);
+    if (offered) {
+        return fail(ErrorKind::FateUnknown,
+                    "The instance stopped before it knew. Ask another one.");
+    }
+    metrics_.count(Metric::EventsDropped);
+    return fail(ErrorKind::Unavailable,
+                "The instance is overloaded and did not run this. Try again later.");
+}
+
+void CallersDuty::showMetrics(httplib::Response &response)
+{
+    const auto render = [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(answer, ask(ShowStatus {}));
+        const auto *status = std::get_if<InstanceStatus>(&answer.body);
+        std::string text = status ? encodeStatusMetrics(*status) : std::string();
+        text += encodeGauge("event_ring_depth", "Events that wait for the decisions.",
+                            events_.depth());
+        text += metrics_.render().value_or(std::string());
+        response.set_content(text, "text/plain; version=0.0.4");
+        return {};
+    };
+    recoverFrom(render, [&](const Error &error) { write(response, encodeErrorAnswer(error)); });
 }
 
 void CallersDuty::deliver(AnswerCaller answer)
--- a/Source/Duties/CallersDuty.h
+++ b/Source/Duties/CallersDuty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Duties/CallerServer.h"
+#include "Duties/MetricsDuty.h"
 #include "Duties/Rings.h"
 #include "Duties/ServeSettings.h"
 
@@ -20,7 +21,8 @@
 class CallersDuty
 {
 public:
-    CallersDuty(EventRing &events, const std::atomic<bool> &ready, const ServeSettings &settings);
+    CallersDuty(EventRing &events, const std::atomic<bool> &ready, const ServeSettings &settings,
+                MetricsDuty &metrics);
     ~CallersDuty();
 
     /// Hands an answer to the request that waits for it.
@@ -36,11 +38,14 @@
     void answerRefusals();
     void addRequest(const std::string &method, const std::string &path, const Decode &decode);
     void serve(const httplib::Request &request, httplib::Response &response, const Decode &decode);
-    void ask(Body body, httplib::Response &response);
+    /// Puts a request to the decisions and waits for the answer.
+    Result<AnswerCaller> ask(Body body);
+    void showMetrics(httplib::Response &response);
     void takeReport(const httplib::Request &request, httplib::Response &response);
 
     EventRing &events_;
     const std::atomic<bool> &ready_;
+    MetricsDuty &metrics_;
     CallerServer server_;
     std::mutex mutex_;
     std::unordered_map<RequestId, std::shared_ptr<AnswerRing>> waiting_;
--- a/Source/Duties/ConfigurationDuty.cpp
+++ b/Source/Duties/ConfigurationDuty.cpp
@@ -5,10 +5,11 @@
 
 namespace caraway {
 
-ConfigurationDuty::ConfigurationDuty(EventRing &events, const ServeSettings &settings)
+ConfigurationDuty::ConfigurationDuty(EventRing &events, const ServeSettings &settings,
+                                     MetricsDuty &metrics)
     : events_(events)
     , calls_(static_cast<std::size_t>(settings.outwardRing))
-    , store_(settings.store, settings.storeTimeout)
+    , store_(settings.store, settings.storeTimeout, metrics)
     , thread_([this] { run(); })
 {
 }
--- a/Source/Duties/ConfigurationDuty.h
+++ b/Source/Duties/ConfigurationDuty.h
@@ -13,7 +13,7 @@
 class ConfigurationDuty
 {
 public:
-    ConfigurationDuty(EventRing &events, const ServeSettings &settings);
+    ConfigurationDuty(EventRing &events, const ServeSettings &settings, MetricsDuty &metrics);
     ~ConfigurationDuty();
 
     /// Queues \a call; false when too many wait, and the call is dropped.
--- a/Source/Duties/DecisionsDuty.cpp
+++ b/Source/Duties/DecisionsDuty.cpp
@@ -1,18 +1,21 @@
 #include "Duties/DecisionsDuty.h"
 
+#include "Core/Stopwatch.h"
+
 namespace caraway {
 
 DecisionsDuty::DecisionsDuty(const ServeSettings &settings)
     : events_(static_cast<std::size_t>(settings.eventRing))
     , instance_(settings.decisions)
+    , metrics_(static_cast<std::size_t>(settings.eventRing))
     , audit_(settings.decisions.self, static_cast<std::size_t>(settings.outwardRing))
-    , store_(events_, clock_, settings)
-    , configuration_(events_, settings)
+    , store_(events_, clock_, settings, metrics_)
+    , configuration_(events_, settings, metrics_)
     , upstreams_(events_, clock_, settings)
     , peers_(events_, settings)
-    , callers_(events_, ready_, settings)
+    , callers_(events_, ready_, settings, metrics_)
     , list_(events_, settings)
-    , presetWatch_(events_, settings)
+    , presetWatch_(events_, settings, metrics_)
     , timer_(events_, settings.tick)
 {
 }
@@ -20,13 +23,22 @@
 void DecisionsDuty::run()
 {
     while (const std::optional<Event> event = events_.take()) {
-        Actions actions = instance_.handle(clock_.now(), *event);
+        Actions actions = decide(*event);
         ready_ = instance_.isReady();
         for (Action &action : actions)
             std::visit([this](auto &body) { carryOut(body); }, action);
     }
 }
 
+Actions DecisionsDuty::decide(const Event &event)
+{
+    const Stopwatch stopwatch;
+    Actions actions = instance_.handle(clock_.now(), event);
+    metrics_.count(Metric::EventsHandled);
+    metrics_.offer({Metric::DecisionSeconds, stopwatch.seconds(), {}});
+    return actions;
+}
+
 void DecisionsDuty::carryOut(CallConfiguration &action)
 {
     const RequestId request = std::visit(
--- a/Source/Duties/DecisionsDuty.h
+++ b/Source/Duties/DecisionsDuty.h
@@ -5,6 +5,7 @@
 #include "Duties/CallersDuty.h"
 #include "Duties/ConfigurationDuty.h"
 #include "Duties/InstanceListDuty.h"
+#include "Duties/MetricsDuty.h"
 #include "Duties/PeersDuty.h"
 #include "Duties/PresetWatchDuty.h"
 #include "Duties/StoreDuty.h"
@@ -30,6 +31,7 @@
     void stopNow() { events_.close(); }
 
 private:
+    Actions decide(const Event &event);
     void carryOut(AnswerCaller &action) { callers_.deliver(std::move(action)); }
     void carryOut(SendToPeer &action) { peers_.offer(std::move(action)); }
     void carryOut(CallStore &action) { store_.offer(std::move(action)); }
@@ -37,12 +39,14 @@
     void carryOut(CallWorker &action) { upstreams_.offer(std::move(action)); }
     void carryOut(ConnectPeers &action) { peers_.offer(std::move(action)); }
     void carryOut(RecordChange &action) { audit_.offer(std::move(action)); }
+    void carryOut(Observe &action) { metrics_.offer(std::move(action.sample)); }
     void carryOut(LeaveNow & /*action*/) { events_.close(); }
 
     Clock clock_;
     EventRing events_;
     std::atomic<bool> ready_ = false;
     Instance instance_;
+    MetricsDuty metrics_;
     AuditDuty audit_;
     StoreDuty store_;
     ConfigurationDuty configuration_;
--- a/Source/Duties/PresetWatchDuty.cpp
+++ b/Source/Duties/PresetWatchDuty.cpp
@@ -11,10 +11,11 @@
 
 } // namespace
 
-PresetWatchDuty::PresetWatchDuty(EventRing &events, const ServeSettings &settings)
+PresetWatchDuty::PresetWatchDuty(EventRing &events, const ServeSettings &settings,
+                                 MetricsDuty &metrics)
     : events_(events)
     , wait_(settings.presetWatch)
-    , store_(settings.store, settings.presetWatch + settings.storeTimeout)
+    , store_(settings.store, settings.presetWatch + settings.storeTimeout, metrics)
     , thread_([this] { run(); })
 {
 }
--- a/Source/Duties/PresetWatchDuty.h
+++ b/Source/Duties/PresetWatchDuty.h
@@ -13,7 +13,7 @@
 class PresetWatchDuty
 {
 public:
-    PresetWatchDuty(EventRing &events, const ServeSettings &settings);
+    PresetWatchDuty(EventRing &events, const ServeSettings &settings, MetricsDuty &metrics);
     ~PresetWatchDuty();
 
 private:
--- a/Source/Duties/StoreClient.h
+++ b/Source/Duties/StoreClient.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Core/Stopwatch.h"
 #include "Core/Units.h"
 #include "Decisions/Events.h"
 #include "Duties/HttpClient.h"
+#include "Duties/MetricsDuty.h"
 
 #include <memory>
 #include <optional>
@@ -44,7 +46,7 @@
 {
 public:
     /// Every call ends within \a timeout.
-    StoreClient(const Endpoint &store, Milliseconds timeout);
+    StoreClient(const Endpoint &store, Milliseconds timeout, MetricsDuty &metrics);
 
     StoreRead read(const std::string &key);
     StoreRead readRange(const std::string &prefix);
@@ -55,9 +57,11 @@
     StoreWrite compareAndSwap(const std::string &key, Revision expected, const std::string &value);
 
 private:
-    StoreRead get(const std::string &path);
+    StoreRead get(const std::string &path, const char *call);
+    void measure(const char *call, const Stopwatch &stopwatch, const httplib::Result &response);
 
     std::unique_ptr<httplib::Client> client_;
+    MetricsDuty &metrics_;
 };
 
 } // namespace caraway
--- a/Source/Duties/StoreDuty.cpp
+++ b/Source/Duties/StoreDuty.cpp
@@ -4,11 +4,12 @@
 
 namespace caraway {
 
-StoreDuty::StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings)
+StoreDuty::StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings,
+                     MetricsDuty &metrics)
     : events_(events)
     , clock_(clock)
     , calls_(static_cast<std::size_t>(settings.outwardRing))
-    , store_(settings.store, settings.storeTimeout)
+    , store_(settings.store, settings.storeTimeout, metrics)
     , thread_([this] { run(); })
 {
 }
--- a/Source/Duties/StoreDuty.h
+++ b/Source/Duties/StoreDuty.h
@@ -12,7 +12,8 @@
 class StoreDuty
 {
 public:
-    StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings);
+    StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings,
+              MetricsDuty &metrics);
     ~StoreDuty();
 
     /// Queues \a call; false when too many wait, and the call is dropped.
--- a/Source/Messages/CallerCodec.cpp
+++ b/Source/Messages/CallerCodec.cpp
@@ -102,6 +102,23 @@
     return {Ok, json.dump()};
 }
 
+CallerAnswer encodeBody(const InstanceStatus &status)
+{
+    nlohmann::json shards = nlohmann::json::array();
+    for (const ShardStatus &shard : status.shards) {
+        shards.push_back({{"shard", shard.shard.value()},
+                          {"lease", shard.leaseState},
+                          {"epoch", shard.epoch.value()},
+                          {"waiting", shard.waiting},
+                          {"jobs", shard.jobs}});
+    }
+    const nlohmann::json json = {{"process", status.processState},
+                                 {"preset_revision", status.presetRevision.value()},
+                                 {"open_requests", status.openRequests},
+                                 {"shards", std::move(shards)}};
+    return {Ok, json.dump()};
+}
+
 CallerAnswer encodeBody(const Error &error)
 {
     return encodeErrorAnswer(error);
--- a/Tests/Support/TestFleet.cpp
+++ b/Tests/Support/TestFleet.cpp
@@ -116,6 +116,14 @@
 }
 
 void TestFleet::start()
+{
+    startWithoutPreset();
+    if (!eventually([&] { return usePreset(0, "ordinary").status == 200; })
+        || !eventually([&] { return isServing(); }))
+        throw std::runtime_error("the fleet did not begin to serve");
+}
+
+void TestFleet::startWithoutPreset()
 {
     ports_["store"] = newPort();
     ports_["list"] = newPort();
@@ -152,9 +160,6 @@
     publishList();
     for (int entry = 0; entry < shape_.entries; ++entry)
         startEntry(entry);
-    if (!eventually([&] { return usePreset(0, "ordinary").status == 200; })
-        || !eventually([&] { return isServing(); }))
-        throw std::runtime_error("the fleet did not begin to serve");
 }
 
 void TestFleet::startWorker(int worker)
@@ -256,6 +261,13 @@
     return toAnswer(makeClient(ports_.at("caller-" + entryName(entry)), limitMs).Get(path));
 }
 
+std::string TestFleet::getText(int entry, const std::string &path) const
+{
+    const httplib::Result response
+            = makeClient(ports_.at("caller-" + entryName(entry)), 5000).Get(path);
+    return response ? response->body : std::string();
+}
+
 HttpAnswer TestFleet::post(int entry, const std::string &path, const nlohmann::json &body,
                            int limitMs) const
 {
--- a/Tests/Support/TestFleet.h
+++ b/Tests/Support/TestFleet.h
@@ -46,6 +46,8 @@
 
     /// Starts everything, puts the preset in force and waits until every shard serves.
     void start();
+    /// The same, but no preset is put in force and nothing is waited for.
+    void startWithoutPreset();
 
     const FleetShape &shape() const { return shape_; }
     std::string entryName(int entry) const;
@@ -58,6 +60,7 @@
     /// Where callers reach \a entry, through the proxy.
     int callerPort(int entry) const { return ports_.at("caller-" + entryName(entry)); }
     HttpAnswer get(int entry, const std::string &path, int limitMs = 25'000) const;
+    std::string getText(int entry, const std::string &path) const;
     HttpAnswer post(int entry, const std::string &path, const nlohmann::json &body,
                     int limitMs = 25'000) const;
     HttpAnswer put(int entry, const std::string &path, const nlohmann::json &body) const;
