Order work by shares, fit it tightly and hold room for gangs

Cause: first come, first served on the first worker with room lets a flood of one kind starve the others, and one task without room stops all behind it.

Change: a queue by weighted dominant shares of kinds and teams with a reserve for urgent kinds and team quotas; best fit over a grid of free room; gangs at one moment in few racks, with held room and backfill; refusals that name what is too large; refusal of work that would miss its promised wait. Instance uses StandardPolicy.

Ruled out: one heap over all waiting tasks (a head without room has to be skipped by size, or a round costs the whole backlog); an ordered set by one dimension for placement (it misses room in the others).

Measured: 22 of 22 decision tests and 4 of 4 test programs pass. With NoHolder in place of GangHolder 2 tests fail, with FifoQueue 8, with FirstFit 1, with QueueBoundAdmission 2.

--- a/Source/Core/Units.h
+++ b/Source/Core/Units.h
@@ -50,6 +50,7 @@
 using Millicores = Quantity<struct MillicoresUnit>;
 using Bytes = Quantity<struct BytesUnit>;
 using Accelerators = Quantity<struct AcceleratorsUnit>;
+using Percent = Quantity<struct PercentUnit>;
 using Slots = Quantity<struct SlotsUnit>;
 
 } // namespace caraway
--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -200,8 +200,13 @@
 void Instance::on(const InstanceListRead &read)
 {
     membership_.update(read.list);
-    for (const ShardId &id : membership_.shards())
+    Resources fleetCapacity;
+    for (const WorkerMember &worker : read.list.workers)
+        fleetCapacity += worker.capacity;
+    for (const ShardId &id : membership_.shards()) {
+        shardFor(id).scheduler.setFleetCapacity(fleetCapacity);
         shardFor(id).scheduler.setWorkers(now_, membership_.workersOf(id));
+    }
     ConnectPeers connect;
     std::ranges::copy_if(read.list.entries, std::back_inserter(connect.peers),
                          [this](const EntryMember &entry) { return entry.id != settings_.self; });
--- a/Source/Decisions/Instance.h
+++ b/Source/Decisions/Instance.h
@@ -2,7 +2,7 @@
 
 #include "Core/Lifecycle.h"
 #include "Decisions/Membership.h"
-#include "Decisions/Policy/BaselinePolicy.h"
+#include "Decisions/Policy/StandardPolicy.h"
 #include "Decisions/PresetKeeper.h"
 #include "Decisions/RequestRouter.h"
 #include "Decisions/ShardLease.h"
@@ -29,7 +29,7 @@
     bool isReady() const { return machine_.isIn(State::Ready); }
 
 private:
-    using Scheduler = ShardScheduler<BaselinePolicy>;
+    using Scheduler = ShardScheduler<StandardPolicy>;
     struct Shard
     {
         ShardLease lease;
--- a/Source/Decisions/Policy/BaselinePolicy.h
+++ b/Source/Decisions/Policy/BaselinePolicy.h
@@ -2,6 +2,8 @@
 
 #include "Decisions/Policy/FifoQueue.h"
 #include "Decisions/Policy/FirstFit.h"
+#include "Decisions/Policy/NoHolder.h"
+#include "Decisions/Policy/QueueBoundAdmission.h"
 
 namespace caraway {
 
@@ -10,6 +12,8 @@
 {
     using Queue = FifoQueue;
     using Placement = FirstFit;
+    using Admission = QueueBoundAdmission;
+    using Holder = NoHolder;
 };
 
 static_assert(SchedulingPolicy<BaselinePolicy>);
--- a/Source/Decisions/Preset.h
+++ b/Source/Decisions/Preset.h
@@ -49,6 +49,8 @@
     PresetName name;
     std::vector<KindPolicy> kinds;
     std::vector<TeamQuota> teams;
+    /// The part of each resource that only urgent kinds may use.
+    Percent urgentReserve {5};
 
     const KindPolicy *findKind(const KindId &kind) const;
     const TeamQuota *findTeam(const TeamId &team) const;
--- a/Source/Decisions/Resources.h
+++ b/Source/Decisions/Resources.h
@@ -24,6 +24,10 @@
     bool fitsIn(const Resources &room) const;
     /// Names the first dimension in which this exceeds \a room; empty when it fits.
     std::string firstExcessOver(const Resources &room) const;
+    /// How many tasks of this size fit side by side into \a room, up to \a most.
+    std::int64_t timesIn(const Resources &room, std::int64_t most) const;
+    /// The greatest part that this takes of any dimension of \a whole: the dominant share.
+    double dominantShareOf(const Resources &whole) const;
 };
 
 } // namespace caraway
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -1,6 +1,7 @@
 #include "Decisions/ShardScheduler.h"
 
 #include "Decisions/Policy/BaselinePolicy.h"
+#include "Decisions/Policy/StandardPolicy.h"
 
 #include <fmt/format.h>
 
@@ -402,5 +403,6 @@
 }
 
 template class ShardScheduler<BaselinePolicy>;
+template class ShardScheduler<StandardPolicy>;
 
 } // namespace caraway
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -26,6 +26,7 @@
     void setWorkers(TimePoint now, const std::vector<WorkerMember> &workers);
 
     void usePreset(const Preset &preset) { placer_.usePreset(preset); }
+    void setFleetCapacity(const Resources &capacity) { placer_.setFleetCapacity(capacity); }
     void onRequest(TimePoint now, const InstanceId &entry, const HolderRequest &request);
     void onStartAnswered(TimePoint now, const StartAnswered &answer);
     void onHeartbeatAnswered(TimePoint now, const HeartbeatAnswered &answer);
--- a/Source/Messages/PresetCodec.cpp
+++ b/Source/Messages/PresetCodec.cpp
@@ -9,6 +9,7 @@
 constexpr std::int64_t maxWeight = 1'000'000;
 constexpr std::int64_t maxQueueBound = 10'000'000;
 constexpr std::int64_t maxRetryBudget = 1000;
+constexpr std::int64_t maxUrgentReserve = 50;
 
 const std::vector<std::string_view> &preemptionNames()
 {
@@ -68,7 +69,8 @@
 {
     nlohmann::json json = {{"name", preset.name.value()},
                            {"kinds", nlohmann::json::array()},
-                           {"teams", nlohmann::json::array()}};
+                           {"teams", nlohmann::json::array()},
+                           {"urgent_reserve_percent", preset.urgentReserve.count()}};
     for (const KindPolicy &kind : preset.kinds)
         json["kinds"].push_back(encodeKind(kind));
     for (const TeamQuota &team : preset.teams)
@@ -81,6 +83,8 @@
     ObjectReader reader(json, "preset");
     Preset preset;
     preset.name = reader.id<PresetName>("name");
+    preset.urgentReserve = Percent(reader.numberOr(
+            "urgent_reserve_percent", preset.urgentReserve.count(), 0, maxUrgentReserve));
     for (const nlohmann::json &element : reader.array("kinds")) {
         BOOST_LEAF_AUTO(kind, decodeKind(element));
         preset.kinds.push_back(std::move(kind));
