Measure the decisions on generated events

Cause: no figure stood beside the policies.

Change: benchDecisions feeds generated work into the placers on a clock of its own and prints Markdown tables: cost of a decision, floods, packing, each for the baseline and the standard policy in one run. A smoke run is a test. PresetKeeper::call takes each body as it is: with the new field of Preset the compiler took a move of the whole variant for a use of uninitialized members and failed the build.

Ruled out: a simulator of the fleet; the bench holds no model of the network.

--- a/Source/Decisions/PresetKeeper.cpp
+++ b/Source/Decisions/PresetKeeper.cpp
@@ -183,11 +183,6 @@
     actions_.push_back(AnswerCaller {request, Error {kind, std::move(message)}});
 }
 
-void PresetKeeper::call(decltype(CallConfiguration::body) body)
-{
-    actions_.push_back(CallConfiguration {std::move(body)});
-}
-
 void PresetKeeper::drainActions(Actions &actions)
 {
     std::ranges::move(actions_, std::back_inserter(actions));
--- a/Source/Decisions/PresetKeeper.h
+++ b/Source/Decisions/PresetKeeper.h
@@ -52,7 +52,11 @@
     void settle(PresetChange &change);
     void announce(const PresetChange &change);
     void answer(RequestId request, ErrorKind kind, std::string message);
-    void call(decltype(CallConfiguration::body) body);
+    template<class Body>
+    void call(Body body)
+    {
+        actions_.push_back(CallConfiguration {std::move(body)});
+    }
 
     InstanceId self_;
     std::optional<PresetInForce> inForce_;
--- /dev/null
+++ b/Tests/Bench/BenchOptions.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace caraway::bench {
+
+/// How much the bench runs.
+struct BenchOptions
+{
+    std::vector<std::uint32_t> seeds;
+    std::vector<std::size_t> fleetSizes;
+    std::size_t decisions = 0;
+    double warmUpSeconds = 0;
+    double measuredSeconds = 0;
+};
+
+/// Each prints one table in Markdown to standard output.
+void printDecisionCost(const BenchOptions &options);
+void printFlood(const BenchOptions &options);
+void printPacking(const BenchOptions &options);
+
+} // namespace caraway::bench
