--- a/Source/Core/Ids.h
+++ b/Source/Core/Ids.h
@@ -62,10 +62,14 @@
 
 /// Position of a task in its job, from 0.
 using TaskIndex = NumberId<struct TaskIndexTag>;
-/// Counts the attempts at one task, from 1.
+/// One attempt at a task. No two holders of a shard give the same number: see attemptsBefore().
 using AttemptNumber = NumberId<struct AttemptNumberTag>;
 /// Grows with each change of a shard's holder.
 using Epoch = NumberId<struct EpochTag>;
+/// One unbroken lease of a worker to its holder. A worker never uses the same one twice.
+using SessionId = NameId<struct SessionIdTag>;
+/// Counts a worker's answers to heartbeats within one session.
+using BeatNumber = NumberId<struct BeatNumberTag>;
 /// A revision of the platform's key-value store, or of a record in it.
 using Revision = NumberId<struct RevisionTag>;
 /// A caller's request, unique within one process.
@@ -73,6 +77,13 @@
 /// A call to an outside system, unique within one process.
 using CallId = NumberId<struct CallIdTag>;
 
+/// The number below the first attempt that the holder of \a epoch may make.
+constexpr AttemptNumber attemptsBefore(Epoch epoch)
+{
+    constexpr unsigned attemptBits = 16;
+    return AttemptNumber(epoch.value() << attemptBits);
+}
+
 /// One task of one job.
 struct TaskId
 {
--- a/Source/Decisions/Actions.h
+++ b/Source/Decisions/Actions.h
@@ -62,7 +62,8 @@
     AttemptNumber attempt;
     Epoch epoch;
     JobSpec spec;
-    Milliseconds taskLease;
+    /// The worker refuses the start in any other session.
+    SessionId session;
     /// The start is dropped unless it is sent before this time.
     TimePoint notAfter;
 };
@@ -73,9 +74,15 @@
     WorkerId worker;
     Endpoint endpoint;
     Epoch epoch;
+    /// The session and the answer in it that the holder saw last. The session's lease is renewed
+    /// from when the worker gave that answer; no other session is renewed.
+    SessionId session;
+    BeatNumber beat;
     /// Zero to read the inventory without renewing.
     Milliseconds taskLease;
-    /// Finished attempts whose answers need not be kept any more.
+    /// Attempts whose inventory entries need not be sent in full again in this epoch.
+    std::vector<std::pair<TaskId, AttemptNumber>> known;
+    /// Finished attempts that the worker may forget.
     std::vector<std::pair<TaskId, AttemptNumber>> taken;
     /// Attempts to stop.
     std::vector<std::pair<TaskId, AttemptNumber>> stopped;
--- a/Source/Decisions/Events.h
+++ b/Source/Decisions/Events.h
@@ -123,9 +123,12 @@
     AttemptNumber attempt;
     Epoch epoch;
     TaskCondition condition = TaskCondition::Running;
-    JobSpec spec;
+    /// Left out once the holder knows the attempt in full.
+    std::optional<JobSpec> spec;
     /// The answer, once the task has finished.
     std::string content;
+    /// Whether the answer has the length and the checksum that the worker gave it.
+    bool intact = true;
 };
 /// A worker's answer to a heartbeat.
 struct HeartbeatAnswered
@@ -134,6 +137,8 @@
     WorkerId worker;
     TimePoint sentAt;
     bool answered = false;
+    SessionId session;
+    BeatNumber beat;
     std::vector<InventoryEntry> tasks;
     /// The attempts named in the heartbeat's voided list that will certainly never run.
     std::vector<std::pair<TaskId, AttemptNumber>> voided;
--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -51,7 +51,7 @@
     if (!shard.lease.isHeld())
         return;
     const TimePoint startsEndAt = shard.lease.isServing() ? shard.lease.startsEndAt() : TimePoint();
-    shard.scheduler.onTick(now_, startsEndAt);
+    shard.scheduler.onTick(now_, startsEndAt, shard.lease.startsEndAt());
     if (shard.lease.isRecovering() && shard.scheduler.isRecovered())
         shard.lease.onRecovered();
 }
--- a/Source/Decisions/Ledger.h
+++ b/Source/Decisions/Ledger.h
@@ -25,6 +25,7 @@
 
     void setCapacity(const WorkerId &worker, const Resources &capacity);
     void setOpen(const WorkerId &worker, bool isOpen);
+    void removeAccount(const WorkerId &worker) { accounts_.erase(worker); }
     /// Drops every reservation and closes every worker.
     void clearReservations();
 
--- a/Source/Decisions/Policy/TaskPlacer.h
+++ b/Source/Decisions/Policy/TaskPlacer.h
@@ -38,6 +38,8 @@
 
     void setWorker(const WorkerMember &worker, bool isOpen);
     void closeWorker(const WorkerId &worker) { ledger_.setOpen(worker, false); }
+    /// Forgets a worker that is gone for good.
+    void removeWorker(const WorkerId &worker) { ledger_.removeAccount(worker); }
 
     /// Why \a spec is refused; nothing when it is taken.
     std::optional<Refusal> refusalOf(TimePoint now, const JobSpec &spec) const;
--- a/Source/Decisions/Settings.h
+++ b/Source/Decisions/Settings.h
@@ -22,6 +22,9 @@
     /// How long a worker keeps a task running without a heartbeat.
     Milliseconds taskLease {6000};
     Milliseconds workerHeartbeat {1000};
+    /// How long a holder whose shard lease ran out goes on renewing task leases, so that what runs
+    /// outlives the time that a dead candidate takes to leave the instance list.
+    Milliseconds renewalGrace {10000};
     Milliseconds peerHeartbeat {500};
     /// How often the preset in force is read from the store.
     Milliseconds presetRead {1000};
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -11,8 +11,13 @@
 
 namespace {
 
-/// Heartbeats go out this much more often while a worker has something to say.
-constexpr std::int64_t busyHeartbeatDivisor = 4;
+/// Whether an attempt that another holder began, or that was given up, stands for its task. A
+/// failed one does only where no other may follow.
+bool mayStandFor(const JobSpec &spec, const InventoryEntry &entry)
+{
+    return entry.condition == TaskCondition::Running || entry.condition == TaskCondition::Succeeded
+            || !spec.idempotent;
+}
 
 } // namespace
 
@@ -30,28 +35,44 @@
     placer_.reset();
     jobs_.clear();
     for (auto &[id, worker] : workers_)
-        worker = WorkerState {.member = worker.member, .leasesRenewedBy = now};
+        worker.beginRecovery(now);
 }
 
 template<SchedulingPolicy Policy>
 bool ShardScheduler<Policy>::isRecovered() const
 {
-    return std::ranges::all_of(workers_, [](const auto &entry) { return entry.second.read; });
+    return std::ranges::none_of(workers_,
+                                [](const auto &entry) { return entry.second.isUnread(); });
 }
 
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::setWorkers(TimePoint now, const std::vector<WorkerMember> &workers)
 {
-    for (const WorkerMember &member : workers) {
-        const auto [place, isNew] = workers_.try_emplace(member.id);
-        place->second.member = member;
-        if (isNew)
-            place->second.leasesRenewedBy = now;
-        placer_.setWorker(member, place->second.read && member.state == MemberState::Live);
-    }
     for (auto &[id, worker] : workers_) {
-        if (std::ranges::find(workers, id, &WorkerMember::id) == workers.end())
+        if (std::ranges::find(workers, id, &WorkerMember::id) == workers.end()) {
+            worker.setUnlisted(now);
             placer_.closeWorker(id);
+        }
+    }
+    for (const WorkerMember &member : workers) {
+        WorkerSession &worker
+                = workers_.try_emplace(member.id, member, now, settings_).first->second;
+        worker.setListed(member);
+        placer_.setWorker(member, worker.isOpen());
+    }
+    removeGoneWorkers(now);
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::removeGoneWorkers(TimePoint now)
+{
+    for (auto entry = workers_.begin(); entry != workers_.end();) {
+        if (entry->second.isGone(now)) {
+            placer_.removeWorker(entry->first);
+            entry = workers_.erase(entry);
+        } else {
+            ++entry;
+        }
     }
 }
 
@@ -150,12 +171,16 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::onStartAnswered(TimePoint now, const StartAnswered &answer)
 {
-    if (!findAttempt(answer.task, answer.attempt, answer.worker))
+    const auto worker = workers_.find(answer.worker);
+    if (worker == workers_.end() || !findAttempt(answer.task, answer.attempt, answer.worker))
         return;
     constexpr Task::Event events[] = {Task::Event::Started, Task::Event::Refused,
                                       Task::Event::Refused, Task::Event::Unanswered};
     raise(now, *findJob(answer.task.job), answer.task.index,
           events[static_cast<std::size_t>(answer.outcome)]);
+    // A refusal stands, but a session that ended took with it what it had started.
+    if (!worker->second.isInSession(answer.task))
+        loseAttempt(now, answer.task);
 }
 
 template<SchedulingPolicy Policy>
@@ -164,28 +189,33 @@
     const auto found = workers_.find(answer.worker);
     if (found == workers_.end())
         return;
-    WorkerState &worker = found->second;
-    worker.heartbeatOutstanding = false;
-    worker.lastAnswered = answer.answered;
-    if (!answer.answered)
+    WorkerSession &worker = found->second;
+    if (!answer.answered) {
+        worker.onUnanswered();
         return;
-    worker.read = true;
-    worker.leasesRenewedBy = now;
-    placer_.setWorker(worker.member, worker.member.state == MemberState::Live);
+    }
+    const std::vector<TaskId> ended = worker.onAnswered(now, answer);
+    placer_.setWorker(worker.member(), worker.isOpen());
     for (const InventoryEntry &entry : answer.tasks)
         handleEntry(now, answer.worker, entry);
     for (const auto &[task, attempt] : answer.voided) {
-        std::erase(worker.voided, std::pair(task, attempt));
-        if (findAttempt(task, attempt, answer.worker))
+        worker.forgetVoided({task, attempt});
+        // A worker that lost its session may have forgotten that it ran the attempt.
+        if (findAttempt(task, attempt, answer.worker) && worker.isInSession(task))
             raise(now, *findJob(task.job), task.index, Task::Event::Refused);
     }
+    for (const TaskId &task : ended) {
+        // Whether a start was refused is known only from its own answer.
+        if (!findJob(task.job)->task(task.index).isIn(Task::State::Starting))
+            loseAttempt(now, task);
+    }
 }
 
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::onTaskReported(TimePoint now, const TaskReported &report)
 {
     const auto found = workers_.find(report.worker);
-    if (found != workers_.end() && found->second.read)
+    if (found != workers_.end() && !found->second.isUnread())
         handleEntry(now, report.worker, report.entry);
 }
 
@@ -193,35 +223,58 @@
 void ShardScheduler<Policy>::handleEntry(TimePoint now, const WorkerId &worker,
                                          const InventoryEntry &entry)
 {
-    JobRecord &job = findOrAdopt(entry);
-    if (!job.hasTask(entry.task.index))
+    JobRecord *job = findOrAdopt(entry);
+    if (!job || !job->hasTask(entry.task.index))
         return;
-    Task &task = job.task(entry.task.index);
-    const bool isForeign = task.attempt() != entry.attempt || task.worker() != worker;
-    if (isForeign && task.isIn(Task::State::Waiting)) {
+    Task &task = job->task(entry.task.index);
+    WorkerSession &session = workers_.at(worker);
+    const WorkerSession::Attempt attempt {entry.task, entry.attempt};
+    session.forgetVoided(attempt);
+    if (task.isIn(Task::State::Waiting)) {
+        if (!mayStandFor(job->spec(), entry)) {
+            session.noteTaken(attempt);
+            return;
+        }
         placer_.withdraw(entry.task);
         task.adopt(worker, entry.attempt);
-        placer_.onFound(worker, job.spec(), entry.task.index);
-        raise(now, job, entry.task.index, Task::Event::Found);
-    } else if (isForeign) {
+        placer_.onFound(worker, job->spec(), entry.task.index);
+        session.addAttempt(entry.task);
+    } else if (task.attempt() != entry.attempt || task.worker() != worker) {
+        if (entry.condition != TaskCondition::Running)
+            session.noteTaken(attempt);
         return;
     }
-    if (entry.condition == TaskCondition::Running) {
-        raise(now, job, entry.task.index, Task::Event::Found);
+    raise(now, *job, entry.task.index, Task::Event::Found);
+    if (entry.condition != TaskCondition::Running)
+        takeAnswer(now, *job, entry);
+    else if (entry.spec)
+        session.noteKnown(attempt);
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::takeAnswer(TimePoint now, JobRecord &job, const InventoryEntry &entry)
+{
+    // A damaged answer stays with the worker, which sends it again.
+    if (!entry.intact)
         return;
-    }
+    Task &task = job.task(entry.task.index);
+    const WorkerId worker = task.worker();
     if (task.isIn(Task::State::OnWorker)) {
         const bool succeeded = entry.condition == TaskCondition::Succeeded;
         task.answer = {entry.task.index, entry.attempt, worker, succeeded, entry.content};
         raise(now, job, entry.task.index, succeeded ? Task::Event::Succeeded : Task::Event::Failed);
     }
-    workers_[worker].taken.emplace_back(entry.task, entry.attempt);
+    workers_.at(worker).noteTaken({entry.task, entry.attempt});
 }
 
 template<SchedulingPolicy Policy>
-JobRecord &ShardScheduler<Policy>::findOrAdopt(const InventoryEntry &entry)
+JobRecord *ShardScheduler<Policy>::findOrAdopt(const InventoryEntry &entry)
 {
-    return jobs_.try_emplace(entry.task.job, entry.spec).first->second;
+    JobRecord *job = findJob(entry.task.job);
+    if (job || !entry.spec || entry.spec->name != entry.task.job
+        || !mayStandFor(*entry.spec, entry))
+        return job;
+    return &jobs_.try_emplace(entry.task.job, *entry.spec).first->second;
 }
 
 template<SchedulingPolicy Policy>
@@ -232,16 +285,18 @@
     const bool wasRunning = task.isIn(Task::State::Running);
     const TaskId id {job.spec().name, index};
     const Task::Effects effects = task.handle(event);
-    if (effects.releaseReservation)
+    if (effects.releaseReservation) {
         placer_.onReleased(task.worker(), job.spec(), index);
+        workers_.at(task.worker()).removeAttempt(id);
+    }
     if (effects.requeue) {
         task.waitingSince = now;
         placer_.enqueue(now, job.spec(), index);
     }
     if (effects.stopAttempt)
-        workers_[task.worker()].stopped.emplace_back(id, task.attempt());
+        workers_.at(task.worker()).noteStopped({id, task.attempt()});
     if (effects.voidAttempt)
-        workers_[task.worker()].voided.emplace_back(id, task.attempt());
+        workers_.at(task.worker()).noteVoided({id, task.attempt()});
     if (!wasRunning && task.isIn(Task::State::Running))
         job.waited = std::max(job.waited, now - task.waitingSince);
     finishIfEnded(now, job);
@@ -260,11 +315,11 @@
 }
 
 template<SchedulingPolicy Policy>
-void ShardScheduler<Policy>::onTick(TimePoint now, TimePoint startsEndAt)
+void ShardScheduler<Policy>::onTick(TimePoint now, TimePoint startsEndAt, TimePoint leaseEndsAt)
 {
-    lapseLeases(now);
+    endLeases(now);
     placeWaiting(now, startsEndAt);
-    sendHeartbeats(now);
+    sendHeartbeats(now, leaseEndsAt);
     endWaits(now);
     forgetOldAnswers(now);
 }
@@ -284,48 +339,43 @@
     const TaskId &id = placed.waiting.task;
     JobRecord &job = *findJob(id.job);
     Task &task = job.task(id.index);
-    task.placeOn(placed.worker);
+    WorkerSession &worker = workers_.at(placed.worker);
+    task.placeOn(placed.worker, epoch_);
+    worker.addAttempt(id);
     raise(now, job, id.index, Task::Event::Placed);
-    actions_.push_back(CallWorker {
-            StartTask {shard_, placed.worker, workers_.at(placed.worker).member.endpoint, id,
-                       task.attempt(), epoch_, job.spec(), settings_.taskLease, startsEndAt}});
+    actions_.push_back(CallWorker {StartTask {shard_, placed.worker, worker.member().endpoint, id,
+                                              task.attempt(), epoch_, job.spec(), worker.session(),
+                                              startsEndAt}});
 }
 
 template<SchedulingPolicy Policy>
-void ShardScheduler<Policy>::sendHeartbeats(TimePoint now)
+void ShardScheduler<Policy>::sendHeartbeats(TimePoint now, TimePoint leaseEndsAt)
 {
+    const TimePoint renewalsEndAt = leaseEndsAt + settings_.renewalGrace;
     for (auto &[id, worker] : workers_) {
-        const bool isBusy = !worker.voided.empty() || !worker.stopped.empty() || !worker.read;
-        const Milliseconds interval = isBusy ? settings_.workerHeartbeat / busyHeartbeatDivisor
-                                             : settings_.workerHeartbeat;
-        const bool isDue = now - worker.heartbeatSentAt >= interval;
-        if (worker.heartbeatOutstanding || !isDue)
-            continue;
-        worker.heartbeatOutstanding = true;
-        worker.heartbeatSentAt = now;
-        actions_.push_back(CallWorker {
-                HeartbeatWorker {shard_, id, worker.member.endpoint, epoch_,
-                                 worker.lastAnswered ? settings_.taskLease : Milliseconds(),
-                                 std::exchange(worker.taken, {}), std::exchange(worker.stopped, {}),
-                                 worker.voided}});
+        if (auto heartbeat = worker.heartbeatIfDue(now, renewalsEndAt, shard_, epoch_))
+            actions_.push_back(CallWorker {std::move(*heartbeat)});
     }
 }
 
 template<SchedulingPolicy Policy>
-void ShardScheduler<Policy>::lapseLeases(TimePoint now)
+void ShardScheduler<Policy>::endLeases(TimePoint now)
 {
     for (auto &[id, worker] : workers_) {
-        // One unanswered heartbeat may arrive just before the leases end and renew them once more.
-        const Milliseconds longest = settings_.taskLease * 2 + settings_.leaseMargin;
-        if (now - worker.leasesRenewedBy < longest)
+        if (!worker.endLeaseIfDue(now))
             continue;
-        worker.read = true;
         placer_.closeWorker(id);
-        for (const TaskId &task : tasksOn(id))
-            raise(now, *findJob(task.job), task.index, Task::Event::LeaseLapsed);
+        for (const TaskId &task : worker.attempts())
+            loseAttempt(now, task);
     }
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::loseAttempt(TimePoint now, const TaskId &task)
+{
+    raise(now, *findJob(task.job), task.index, Task::Event::LeaseLapsed);
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::endWaits(TimePoint now)
 {
@@ -369,20 +419,6 @@
     return found.attempt() == attempt && found.worker() == worker ? &found : nullptr;
 }
 
-template<SchedulingPolicy Policy>
-std::vector<TaskId> ShardScheduler<Policy>::tasksOn(const WorkerId &worker)
-{
-    std::vector<TaskId> tasks;
-    for (auto &[name, job] : jobs_) {
-        for (std::uint64_t i = 0; i < job.tasks().size(); ++i) {
-            const Task &task = job.task(TaskIndex(i));
-            if (task.isIn(Task::State::OnWorker) && task.worker() == worker)
-                tasks.push_back({name, TaskIndex(i)});
-        }
-    }
-    return tasks;
-}
-
 template<SchedulingPolicy Policy>
 std::vector<WorkerRow> ShardScheduler<Policy>::workerRows() const
 {
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -4,6 +4,7 @@
 #include "Decisions/JobRecord.h"
 #include "Decisions/Policy/TaskPlacer.h"
 #include "Decisions/Settings.h"
+#include "Decisions/WorkerSession.h"
 
 #include <map>
 #include <unordered_map>
@@ -32,28 +33,14 @@
     void onTaskReported(TimePoint now, const TaskReported &report);
     /// Sends due heartbeats and places waiting tasks, while starts may be sent before \a
     /// startsEndAt.
-    void onTick(TimePoint now, TimePoint startsEndAt);
+    /// The shard lease ends at \a leaseEndsAt.
+    void onTick(TimePoint now, TimePoint startsEndAt, TimePoint leaseEndsAt);
 
     std::vector<WorkerRow> workerRows() const;
     /// Moves the actions put out since the last call to the end of \a actions.
     void drainActions(Actions &actions);
 
 private:
-    struct WorkerState
-    {
-        WorkerMember member;
-        bool read = false;
-        /// When a heartbeat was last answered.
-        TimePoint leasesRenewedBy;
-        TimePoint heartbeatSentAt;
-        bool heartbeatOutstanding = false;
-        /// Only a heartbeat that follows an answered one renews task leases.
-        bool lastAnswered = true;
-        std::vector<std::pair<TaskId, AttemptNumber>> taken;
-        std::vector<std::pair<TaskId, AttemptNumber>> stopped;
-        std::vector<std::pair<TaskId, AttemptNumber>> voided;
-    };
-
     void submit(TimePoint now, const InstanceId &entry, RequestId request,
                 const HolderSubmit &body);
     void query(TimePoint now, const InstanceId &entry, RequestId request, const HolderQuery &body);
@@ -64,24 +51,26 @@
 
     void placeWaiting(TimePoint now, TimePoint startsEndAt);
     void start(TimePoint now, const PlacedTask &placed, TimePoint startsEndAt);
-    void sendHeartbeats(TimePoint now);
-    void lapseLeases(TimePoint now);
+    void sendHeartbeats(TimePoint now, TimePoint leaseEndsAt);
+    void endLeases(TimePoint now);
+    void removeGoneWorkers(TimePoint now);
+    void loseAttempt(TimePoint now, const TaskId &task);
     void endWaits(TimePoint now);
     void forgetOldAnswers(TimePoint now);
 
     void handleEntry(TimePoint now, const WorkerId &worker, const InventoryEntry &entry);
-    JobRecord &findOrAdopt(const InventoryEntry &entry);
+    JobRecord *findOrAdopt(const InventoryEntry &entry);
+    void takeAnswer(TimePoint now, JobRecord &job, const InventoryEntry &entry);
     void raise(TimePoint now, JobRecord &job, TaskIndex index, Task::Event event);
     void finishIfEnded(TimePoint now, JobRecord &job);
     JobRecord *findJob(const JobName &name);
     Task *findAttempt(const TaskId &task, AttemptNumber attempt, const WorkerId &worker);
-    std::vector<TaskId> tasksOn(const WorkerId &worker);
 
     ShardId shard_;
     const DecisionSettings &settings_;
     Epoch epoch_;
     TaskPlacer<Policy> placer_;
-    std::map<WorkerId, WorkerState> workers_;
+    std::map<WorkerId, WorkerSession> workers_;
     std::unordered_map<JobName, JobRecord> jobs_;
     Actions actions_;
 };
--- a/Source/Decisions/Task.cpp
+++ b/Source/Decisions/Task.cpp
@@ -1,5 +1,6 @@
 #include "Decisions/Task.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace caraway {
@@ -28,10 +29,10 @@
     return std::exchange(effects_, {});
 }
 
-void Task::placeOn(const WorkerId &worker)
+void Task::placeOn(const WorkerId &worker, Epoch epoch)
 {
     worker_ = worker;
-    attempt_ = attempt_.next();
+    attempt_ = std::max(attempt_, attemptsBefore(epoch)).next();
 }
 
 void Task::adopt(const WorkerId &worker, AttemptNumber attempt)
--- a/Source/Decisions/Task.h
+++ b/Source/Decisions/Task.h
@@ -55,7 +55,8 @@
     bool isIn(State state) const { return machine_.isIn(state); }
     bool isFinal() const { return machine_.isFinal(); }
 
-    void placeOn(const WorkerId &worker);
+    /// Begins a new attempt on \a worker, by the holder of \a epoch.
+    void placeOn(const WorkerId &worker, Epoch epoch);
     const WorkerId &worker() const { return worker_; }
     AttemptNumber attempt() const { return attempt_; }
     /// Takes over an attempt that another holder began.
--- a/Source/Messages/WorkerCodec.cpp
+++ b/Source/Messages/WorkerCodec.cpp
@@ -1,7 +1,10 @@
 #include "Messages/WorkerCodec.h"
 
+#include "Decisions/StableHash.h"
 #include "Messages/JobCodec.h"
 
+#include <fmt/format.h>
+
 namespace caraway {
 
 namespace {
@@ -43,28 +46,40 @@
 {
     ObjectReader reader(json, "inventory entry");
     InventoryEntry entry;
+    entry.task.job = reader.id<JobName>("job");
     entry.task.index = TaskIndex(readCount(reader, "task"));
     entry.attempt = AttemptNumber(readCount(reader, "attempt"));
     entry.epoch = Epoch(readCount(reader, "epoch"));
     entry.condition = static_cast<TaskCondition>(
             reader.choice("condition", {"running", "succeeded", "failed", "stopped"}, 0));
     entry.content = reader.textOr("content", "");
-    const nlohmann::json &spec = reader.object("spec");
+    const std::string checksum = reader.textOr("checksum", "");
+    const auto length = static_cast<std::size_t>(reader.numberOr("length", 0));
+    entry.intact = entry.condition == TaskCondition::Running
+            || (length == entry.content.size() && checksum == checksumOf(entry.content));
+    const bool isFull = reader.has("spec");
+    const nlohmann::json &spec = isFull ? reader.object("spec") : json;
     BOOST_LEAF_CHECK(reader.finish());
-    BOOST_LEAF_ASSIGN(entry.spec, decodeJobSpec(spec));
-    entry.task.job = entry.spec.name;
+    if (isFull) {
+        BOOST_LEAF_ASSIGN(entry.spec, decodeJobSpec(spec));
+    }
     return entry;
 }
 
 } // namespace
 
+std::string checksumOf(std::string_view content)
+{
+    return fmt::format("{:016x}", stableHash(content));
+}
+
 std::string encodeStart(const StartTask &start, Milliseconds remaining, const Endpoint &reportTo)
 {
     const nlohmann::json json = {{"task", start.task.index.value()},
                                  {"attempt", start.attempt.value()},
                                  {"epoch", start.epoch.value()},
                                  {"shard", start.shard.value()},
-                                 {"lease_ms", start.taskLease.count()},
+                                 {"session", start.session.value()},
                                  {"not_after_ms", remaining.count()},
                                  {"report_to", {{"host", reportTo.host}, {"port", reportTo.port}}},
                                  {"spec", encodeJobSpec(start.spec)}};
@@ -75,7 +90,10 @@
 {
     const nlohmann::json json = {{"shard", heartbeat.shard.value()},
                                  {"epoch", heartbeat.epoch.value()},
+                                 {"session", heartbeat.session.value()},
+                                 {"beat", heartbeat.beat.value()},
                                  {"lease_ms", heartbeat.taskLease.count()},
+                                 {"known", encodeAttempts(heartbeat.known)},
                                  {"taken", encodeAttempts(heartbeat.taken)},
                                  {"stopped", encodeAttempts(heartbeat.stopped)},
                                  {"voided", encodeAttempts(heartbeat.voided)}};
@@ -88,6 +106,8 @@
     ObjectReader reader(json, "heartbeat answer");
     HeartbeatAnswered answer;
     answer.answered = true;
+    answer.session = reader.id<SessionId>("session");
+    answer.beat = BeatNumber(readCount(reader, "beat"));
     for (const nlohmann::json &element : reader.array("tasks")) {
         BOOST_LEAF_AUTO(entry, decodeInventoryEntry(element));
         answer.tasks.push_back(std::move(entry));
--- a/Source/Messages/WorkerCodec.h
+++ b/Source/Messages/WorkerCodec.h
@@ -6,6 +6,10 @@
 /// Encodings of what passes between the system and the workers.
 namespace caraway {
 
+/// The checksum of an answer: 64-bit FNV-1a, finished as in MurmurHash3, in
+/// 16 hexadecimal digits.
+std::string checksumOf(std::string_view content);
+
 /// Body of POST /v1/tasks. \a remaining is the time left until the start is void.
 std::string encodeStart(const StartTask &start, Milliseconds remaining, const Endpoint &reportTo);
 /// Body of POST /v1/heartbeat.
--- /dev/null
+++ b/Tests/Decisions/ShardSchedulerTest.cpp
@@ -0,0 +1,245 @@
+#include "Decisions/ShardScheduler.h"
+
+#include "Decisions/Policy/BaselinePolicy.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace caraway::tests {
+
+/// One shard with two workers that hold one task each.
+class ShardSchedulerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ShardSchedulerTest);
+    CPPUNIT_TEST(start_placed_namesSessionOfWorker);
+    CPPUNIT_TEST(heartbeat_afterUnanswered_echoesLastAnsweredBeat);
+    CPPUNIT_TEST(lease_oneTaskLeaseAfterLastAnswer_lapsesAndRetriesElsewhere);
+    CPPUNIT_TEST(session_replacedWhileRunning_retriesIdempotent);
+    CPPUNIT_TEST(session_replacedWhileRunning_makesNonIdempotentUnknown);
+    CPPUNIT_TEST(voided_confirmedInNewSession_isNotTakenForRefusal);
+    CPPUNIT_TEST(worker_goneFromList_losesItsAccount);
+    CPPUNIT_TEST(worker_staysAnswering_isNotLapsed);
+    CPPUNIT_TEST(renewal_longAfterShardLease_isWithheld);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Scheduler = ShardScheduler<BaselinePolicy>;
+
+    DecisionSettings settings_;
+    TimePoint now_ {Milliseconds(100'000)};
+    std::unique_ptr<Scheduler> scheduler_;
+    std::vector<StartTask> starts_;
+    std::vector<HeartbeatWorker> heartbeats_;
+    std::vector<HolderReply> replies_;
+    TimePoint leaseEndsAt_;
+
+    static Resources oneTask() { return {Millicores(1000), Bytes(1), Accelerators(0), Slots(1)}; }
+    static JobSpec makeSpec(const std::string &name, bool idempotent = true)
+    {
+        JobSpec spec;
+        spec.name = JobName(name);
+        spec.kind = KindId("merge");
+        spec.team = TeamId("editors");
+        spec.idempotent = idempotent;
+        spec.perTask = oneTask();
+        return spec;
+    }
+    static WorkerMember makeWorker(const std::string &name)
+    {
+        return {WorkerId(name), ZoneId("z"), RackId("r"), {}, oneTask(), MemberState::Live};
+    }
+    static Preset makePreset()
+    {
+        Preset preset;
+        preset.kinds.push_back({.kind = KindId("merge"), .queueBound = 100});
+        preset.teams.push_back({.team = TeamId("editors")});
+        return preset;
+    }
+
+    void tick(std::int64_t ms = 0)
+    {
+        now_ = now_ + Milliseconds(ms);
+        scheduler_->onTick(now_, leaseEndsAt_, leaseEndsAt_);
+        Actions actions;
+        scheduler_->drainActions(actions);
+        for (Action &action : actions) {
+            if (auto *call = std::get_if<CallWorker>(&action)) {
+                if (auto *start = std::get_if<StartTask>(&call->body))
+                    starts_.push_back(*start);
+                else
+                    heartbeats_.push_back(std::get<HeartbeatWorker>(call->body));
+            } else if (auto *send = std::get_if<SendToPeer>(&action)) {
+                replies_.push_back(std::get<HolderReply>(send->message));
+            }
+        }
+    }
+
+    void answer(const std::string &worker, const std::string &session, std::uint64_t beat,
+                std::vector<InventoryEntry> tasks = {})
+    {
+        scheduler_->onHeartbeatAnswered(now_,
+                                        {.shard = ShardId("z"),
+                                         .worker = WorkerId(worker),
+                                         .answered = true,
+                                         .session = SessionId(session),
+                                         .beat = BeatNumber(beat),
+                                         .tasks = std::move(tasks)});
+    }
+
+    void submit(const JobSpec &spec)
+    {
+        scheduler_->onRequest(
+                now_, InstanceId("entry"),
+                {ShardId("z"), RequestId(7), HolderSubmit {spec, Milliseconds(60'000)}});
+        tick();
+    }
+
+    void answerStart(const StartTask &start, StartOutcome outcome)
+    {
+        scheduler_->onStartAnswered(
+                now_, {ShardId("z"), start.worker, start.task, start.attempt, outcome});
+    }
+
+    /// Starts the job on one of the workers and returns the start.
+    StartTask begin(const JobSpec &spec)
+    {
+        submit(spec);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+        StartTask start = starts_.front();
+        starts_.clear();
+        return start;
+    }
+
+    static std::string otherThan(const WorkerId &worker)
+    {
+        return worker == WorkerId("a") ? "b" : "a";
+    }
+
+public:
+    void setUp() override
+    {
+        scheduler_ = std::make_unique<Scheduler>(ShardId("z"), settings_);
+        scheduler_->setWorkers(now_, {makeWorker("a"), makeWorker("b")});
+        scheduler_->usePreset(makePreset());
+        scheduler_->beginRecovery(now_, Epoch(3));
+        leaseEndsAt_ = now_ + Milliseconds(3'600'000);
+        tick();
+        answer("a", "a-1", 1);
+        answer("b", "b-1", 1);
+        starts_.clear();
+        heartbeats_.clear();
+        replies_.clear();
+    }
+
+    void start_placed_namesSessionOfWorker()
+    {
+        const StartTask start = begin(makeSpec("j"));
+        CPPUNIT_ASSERT_EQUAL(start.worker.value() + "-1", start.session.value());
+        CPPUNIT_ASSERT(start.attempt > attemptsBefore(Epoch(3)));
+    }
+
+    void heartbeat_afterUnanswered_echoesLastAnsweredBeat()
+    {
+        answer("a", "a-1", 5);
+        tick(1000);
+        scheduler_->onHeartbeatAnswered(now_, {.shard = ShardId("z"), .worker = WorkerId("a")});
+        heartbeats_.clear();
+        tick(1000);
+        const auto next = std::ranges::find(heartbeats_, WorkerId("a"), &HeartbeatWorker::worker);
+        CPPUNIT_ASSERT(next != heartbeats_.end());
+        CPPUNIT_ASSERT(next->beat == BeatNumber(5) && next->session == SessionId("a-1"));
+    }
+
+    void lease_oneTaskLeaseAfterLastAnswer_lapsesAndRetriesElsewhere()
+    {
+        const StartTask first = begin(makeSpec("j"));
+        answerStart(first, StartOutcome::Unanswered);
+        const Milliseconds lapse = settings_.taskLease + settings_.leaseMargin;
+        const std::string other = otherThan(first.worker);
+        tick(lapse.count() - 1);
+        answer(other, other + "-1", 2);
+        tick();
+        CPPUNIT_ASSERT(starts_.empty());
+        tick(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+        CPPUNIT_ASSERT_EQUAL(other, starts_.front().worker.value());
+        CPPUNIT_ASSERT(starts_.front().attempt != first.attempt);
+    }
+
+    void session_replacedWhileRunning_retriesIdempotent()
+    {
+        const StartTask first = begin(makeSpec("j"));
+        answerStart(first, StartOutcome::Started);
+        answer(first.worker.value(), "restarted", 1);
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+    }
+
+    void session_replacedWhileRunning_makesNonIdempotentUnknown()
+    {
+        const StartTask first = begin(makeSpec("j", false));
+        answerStart(first, StartOutcome::Started);
+        answer(first.worker.value(), "restarted", 1);
+        tick();
+        CPPUNIT_ASSERT(starts_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), replies_.size());
+        CPPUNIT_ASSERT(replies_.front().report.state == JobState::Unknown);
+    }
+
+    void voided_confirmedInNewSession_isNotTakenForRefusal()
+    {
+        const StartTask first = begin(makeSpec("j", false));
+        answerStart(first, StartOutcome::Unanswered);
+        scheduler_->onHeartbeatAnswered(now_,
+                                        {.shard = ShardId("z"),
+                                         .worker = first.worker,
+                                         .answered = true,
+                                         .session = SessionId("restarted"),
+                                         .beat = BeatNumber(1),
+                                         .voided = {{first.task, first.attempt}}});
+        tick();
+        CPPUNIT_ASSERT(starts_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), replies_.size());
+        CPPUNIT_ASSERT(replies_.front().report.state == JobState::Unknown);
+    }
+
+    void worker_goneFromList_losesItsAccount()
+    {
+        const StartTask first = begin(makeSpec("j"));
+        answerStart(first, StartOutcome::Started);
+        scheduler_->setWorkers(now_, {makeWorker(otherThan(first.worker))});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scheduler_->workerRows().size());
+        tick(settings_.taskLease.count() + settings_.leaseMargin.count());
+        now_ = now_ + settings_.renewalGrace;
+        scheduler_->setWorkers(now_, {makeWorker(otherThan(first.worker))});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler_->workerRows().size());
+    }
+
+    void worker_staysAnswering_isNotLapsed()
+    {
+        const StartTask first = begin(makeSpec("j"));
+        answerStart(first, StartOutcome::Started);
+        for (std::uint64_t beat = 2; beat < 20; ++beat) {
+            tick(1000);
+            answer("a", "a-1", beat);
+            answer("b", "b-1", beat);
+        }
+        CPPUNIT_ASSERT(starts_.empty());
+    }
+
+    void renewal_longAfterShardLease_isWithheld()
+    {
+        leaseEndsAt_ = now_;
+        tick(settings_.renewalGrace.count() - 1);
+        CPPUNIT_ASSERT(!heartbeats_.empty());
+        CPPUNIT_ASSERT(heartbeats_.back().taskLease == settings_.taskLease);
+        answer("a", "a-1", 2);
+        answer("b", "b-1", 2);
+        heartbeats_.clear();
+        tick(1000);
+        CPPUNIT_ASSERT(!heartbeats_.empty());
+        CPPUNIT_ASSERT(heartbeats_.back().taskLease == Milliseconds());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ShardSchedulerTest);
+
+} // namespace caraway::tests
--- a/Tests/Standins/WorkerStandin.cpp
+++ b/Tests/Standins/WorkerStandin.cpp
@@ -1,6 +1,10 @@
 #include "Standins/WorkerStandin.h"
 
+#include "Decisions/StableHash.h"
+
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
 namespace caraway::standins {
 
@@ -23,6 +27,7 @@
     : options_(std::move(options))
 {
     records_.open(options_.recordFile, std::ios::app);
+    beginSession();
 }
 
 int WorkerStandin::serve()
@@ -45,7 +50,9 @@
     const std::lock_guard lock(mutex_);
     if (runs_.contains(attempt))
         return;
-    if (body["epoch"] < highestEpoch_ || voided_.contains(attempt)) {
+    endSessionIfDue();
+    const bool isInSession = sessionIsLeased_ && body["session"] == session_;
+    if (body["epoch"] < highestEpoch_ || voided_.contains(attempt) || !isInSession) {
         response.status = 409;
         return;
     }
@@ -54,12 +61,12 @@
     run.spec = body["spec"];
     run.reportTo = body["report_to"];
     run.epoch = body["epoch"];
+    run.knownInEpoch = run.epoch;
     const std::string payload = run.spec["payload"];
     const nlohmann::json orders = nlohmann::json::parse(payload, nullptr, false);
     const bool hasOrders = orders.is_object();
     const Time now = SteadyClock::now();
     run.endsAt = now + std::chrono::milliseconds(hasOrders ? orders.value("run_ms", 10) : 10);
-    run.leaseEndsAt = now + std::chrono::milliseconds(body["lease_ms"].get<std::int64_t>());
     run.willFail = failEverything_ || (hasOrders && orders.value("fail", false));
     run.answer = hasOrders ? orders.value("answer", "done") : "done: " + payload;
     runs_[attempt] = std::move(run);
@@ -101,7 +108,14 @@
         response.status = 409;
         return;
     }
+    endSessionIfDue();
     highestEpoch_ = body["epoch"];
+    renewLease(body);
+    for (const nlohmann::json &known : body["known"]) {
+        const auto found = runs_.find(readAttempt(known));
+        if (found != runs_.end())
+            found->second.knownInEpoch = highestEpoch_;
+    }
     for (const nlohmann::json &taken : body["taken"])
         runs_.erase(readAttempt(taken));
     for (const nlohmann::json &stopped : body["stopped"]) {
@@ -109,8 +123,11 @@
         if (found != runs_.end() && found->second.condition == "running")
             finish(found->first, found->second, "stopped");
     }
-    nlohmann::json answer
-            = {{"tasks", nlohmann::json::array()}, {"voided", nlohmann::json::array()}};
+    beats_[++lastBeat_] = SteadyClock::now();
+    nlohmann::json answer = {{"session", session_},
+                             {"beat", lastBeat_},
+                             {"tasks", nlohmann::json::array()},
+                             {"voided", nlohmann::json::array()}};
     for (const nlohmann::json &doubtful : body["voided"]) {
         const Attempt attempt = readAttempt(doubtful);
         if (runs_.contains(attempt))
@@ -118,15 +135,52 @@
         voided_.insert(attempt);
         answer["voided"].push_back(doubtful);
     }
-    const std::chrono::milliseconds lease(body["lease_ms"].get<std::int64_t>());
-    for (auto &[attempt, run] : runs_) {
-        if (lease > 0ms)
-            run.leaseEndsAt = SteadyClock::now() + lease;
-        answer["tasks"].push_back(describe(attempt, run));
+    for (const auto &[attempt, run] : runs_) {
+        if (run.knownInEpoch != highestEpoch_)
+            answer["tasks"].push_back(describeInFull(attempt, run));
+        else if (run.condition == "running")
+            answer["tasks"].push_back(describe(attempt, run));
     }
     response.set_content(answer.dump(), "application/json");
 }
 
+void WorkerStandin::beginSession()
+{
+    session_ = options_.id + "-" + std::to_string(SteadyClock::now().time_since_epoch().count());
+    sessionIsLeased_ = false;
+    beats_.clear();
+    lastBeat_ = 0;
+}
+
+void WorkerStandin::renewLease(const nlohmann::json &heartbeat)
+{
+    const std::chrono::milliseconds lease(heartbeat["lease_ms"].get<std::int64_t>());
+    if (lease == 0ms)
+        return;
+    if (!sessionIsLeased_) {
+        // Nothing runs in a session without a lease, so this heartbeat may come from anywhere.
+        sessionIsLeased_ = true;
+        leaseEndsAt_ = SteadyClock::now() + lease;
+        return;
+    }
+    const auto echoed = beats_.find(heartbeat["beat"].get<std::uint64_t>());
+    if (heartbeat["session"] != session_ || echoed == beats_.end())
+        return;
+    leaseEndsAt_ = std::max(leaseEndsAt_, echoed->second + lease);
+    beats_.erase(beats_.begin(), echoed);
+}
+
+void WorkerStandin::endSessionIfDue()
+{
+    if (!sessionIsLeased_ || SteadyClock::now() < leaseEndsAt_)
+        return;
+    beginSession();
+    for (auto &[attempt, run] : runs_) {
+        if (run.condition == "running")
+            finish(attempt, run, "stopped");
+    }
+}
+
 void WorkerStandin::control(const httplib::Request &request)
 {
     const nlohmann::json orders = nlohmann::json::parse(request.body);
@@ -140,15 +194,16 @@
     for (;;) {
         Time next = SteadyClock::now() + 1s;
         const Time now = SteadyClock::now();
+        endSessionIfDue();
+        if (sessionIsLeased_)
+            next = std::min(next, leaseEndsAt_);
         for (auto &[attempt, run] : runs_) {
             if (run.condition != "running")
                 continue;
-            if (run.leaseEndsAt <= now)
-                finish(attempt, run, "stopped");
-            else if (run.endsAt <= now)
+            if (run.endsAt <= now)
                 finish(attempt, run, run.willFail ? "failed" : "succeeded");
             else
-                next = std::min({next, run.endsAt, run.leaseEndsAt});
+                next = std::min(next, run.endsAt);
         }
         changed_.wait_until(lock, next);
     }
@@ -157,9 +212,10 @@
 void WorkerStandin::finish(const Attempt &attempt, Run &run, const std::string &condition)
 {
     run.condition = condition;
+    run.knownInEpoch = 0;
     run.content = condition == "succeeded" ? run.answer : condition;
     record(condition, attempt);
-    std::thread([this, to = run.reportTo, entry = describe(attempt, run)] {
+    std::thread([this, to = run.reportTo, entry = describeInFull(attempt, run)] {
         report(to, entry);
     }).detach();
 }
@@ -183,10 +239,27 @@
     records_ << line.dump() << std::endl;
 }
 
-nlohmann::json WorkerStandin::describe(const Attempt &attempt, const Run &run) const
+nlohmann::json WorkerStandin::describe(const Attempt &attempt, const Run &run)
+{
+    return {{"job", std::get<0>(attempt)},
+            {"task", std::get<1>(attempt)},
+            {"attempt", std::get<2>(attempt)},
+            {"epoch", run.epoch},
+            {"condition", run.condition}};
+}
+
+nlohmann::json WorkerStandin::describeInFull(const Attempt &attempt, const Run &run)
 {
-    return {{"task", std::get<1>(attempt)}, {"attempt", std::get<2>(attempt)}, {"epoch", run.epoch},
-            {"condition", run.condition},   {"content", run.content},          {"spec", run.spec}};
+    constexpr std::size_t checksumDigits = 16;
+    std::ostringstream checksum;
+    checksum << std::hex << std::setw(checksumDigits) << std::setfill('0')
+             << stableHash(run.content);
+    nlohmann::json entry = describe(attempt, run);
+    entry["spec"] = run.spec;
+    entry["content"] = run.content;
+    entry["length"] = run.content.size();
+    entry["checksum"] = checksum.str();
+    return entry;
 }
 
 } // namespace caraway::standins
--- a/Tests/Standins/WorkerStandin.h
+++ b/Tests/Standins/WorkerStandin.h
@@ -47,10 +47,11 @@
         nlohmann::json spec;
         nlohmann::json reportTo;
         std::uint64_t epoch = 0;
+        /// The epoch whose holder knows this attempt in full.
+        std::uint64_t knownInEpoch = 0;
         std::string condition = "running";
         std::string content;
         Time endsAt;
-        Time leaseEndsAt;
         bool willFail = false;
         std::string answer;
     };
@@ -58,12 +59,16 @@
     void start(const httplib::Request &request, httplib::Response &response);
     void heartbeat(const httplib::Request &request, httplib::Response &response);
     void control(const httplib::Request &request);
+    void beginSession();
+    void endSessionIfDue();
+    void renewLease(const nlohmann::json &heartbeat);
     void runTasks();
     void finish(const Attempt &attempt, Run &run, const std::string &condition);
     void report(const nlohmann::json &reportTo, const nlohmann::json &entry) const;
     void checkCapacity();
     void record(const std::string &what, const Attempt &attempt);
-    nlohmann::json describe(const Attempt &attempt, const Run &run) const;
+    static nlohmann::json describe(const Attempt &attempt, const Run &run);
+    static nlohmann::json describeInFull(const Attempt &attempt, const Run &run);
     static Attempt readAttempt(const nlohmann::json &json);
 
     WorkerOptions options_;
@@ -73,6 +78,13 @@
     std::map<Attempt, Run> runs_;
     std::set<Attempt> voided_;
     std::uint64_t highestEpoch_ = 0;
+    /// Changes when its lease ends, and never comes back.
+    std::string session_;
+    bool sessionIsLeased_ = false;
+    Time leaseEndsAt_;
+    /// When each answer of the session was given; only those of the last lease matter.
+    std::map<std::uint64_t, Time> beats_;
+    std::uint64_t lastBeat_ = 0;
     bool failEverything_ = false;
     std::ofstream records_;
 };
