--- a/Source/Decisions/Policy/TaskPlacer.cpp
+++ b/Source/Decisions/Policy/TaskPlacer.cpp
@@ -114,6 +114,18 @@
         setOpen(*index, false);
 }
 
+template<SchedulingPolicy Policy>
+void TaskPlacer<Policy>::removeWorker(const WorkerId &worker)
+{
+    const std::optional<WorkerIndex> index = ledger_.find(worker);
+    if (!index)
+        return;
+    setOpen(*index, false);
+    // The place in the ledger stays, so that indexes hold; it counts for nothing.
+    const RackId rack;
+    ledger_.setWorker({.id = worker, .rack = rack});
+}
+
 template<SchedulingPolicy Policy>
 void TaskPlacer<Policy>::setOpen(WorkerIndex worker, bool isOpen)
 {
--- a/Source/Decisions/Policy/TaskPlacer.h
+++ b/Source/Decisions/Policy/TaskPlacer.h
@@ -44,6 +44,8 @@
 
     void setWorker(const WorkerMember &worker, bool isOpen);
     void closeWorker(const WorkerId &worker);
+    /// Forgets the capacity of a worker that is gone for good.
+    void removeWorker(const WorkerId &worker);
 
     /// Why \a spec is refused; nothing when it is taken.
     std::optional<Refusal> refusalOf(TimePoint now, const JobSpec &spec) const;
