--- a/Source/Decisions/JobRecord.h
+++ b/Source/Decisions/JobRecord.h
@@ -38,6 +38,9 @@
     JobReport report() const;
     const std::string &stateName() const { return machine_.stateName(); }
 
+    /// Adds a waiter, or replaces it when the same request was sent again.
+    void addWaiter(Waiter waiter);
+
     std::vector<Waiter> waiters;
     TimePoint endedAt;
     Milliseconds waited;
