--- a/Tests/Processes/ProductTest.cpp
+++ b/Tests/Processes/ProductTest.cpp
@@ -19,7 +19,7 @@
     TestFleet fleet_;
 
     /// The target's limit for one daemon.
-    static constexpr long memoryLimitKb = 32 * 1024;
+    static constexpr long memoryLimitKb = 32L * 1024;
 
     static long residentKb(pid_t process)
     {
