Take shards over faster, and only from a record read again

Cause: a candidate took a lease for lapsed by the time since its last reading, though the store might not have answered since; entries learned a new holder only by their next reading; a resumed holder forgot its jobs; a request that reached a new holder before its first tick was forgotten by the recovery. Change: a claim needs a reading sent after the lease's end. The record names who may claim, so that a holder knows of every instance that can. A holder announces claims and hand-overs to its peers. A holder suspended under an unbroken epoch serves on without a new recovery. Recovery begins with the answer to the claim. A conflict with an own lost write is renewed over at once. A stopping instance claims nothing. Ruled out: a failed claim as the cause of lost requests: in the kept logs of one such run the new holder served within 3 s, and no worker had been asked to start the job.

--- a/Source/Decisions/Fleet.h
+++ b/Source/Decisions/Fleet.h
@@ -60,6 +60,9 @@
     bool released = false;
     /// The record's revision in the store.
     Revision revision;
+    /// Who may claim the shard from this holder. A claim swaps this very record, so that the
+    /// holder knows of every instance that can.
+    std::vector<InstanceId> candidates;
 };
 
 } // namespace caraway
--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -36,18 +36,19 @@
 
 void Instance::on(const Tick & /*tick*/)
 {
-    readStoreIfDue();
     sendPeerHeartbeatsIfDue();
-    router_.onTick(now_);
     for (auto &[id, shard] : shards_)
         tickShard(shard);
+    router_.onTick(now_);
+    readStoreIfDue();
 }
 
 void Instance::tickShard(Shard &shard)
 {
     shard.lease.onTick(now_);
-    if (shard.lease.takeRecoveryBegun())
-        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
+    if (shard.lease.takeReadWanted())
+        shardsReadAt_ = now_ - settings_.shardRead;
+    beginRecoveryIfHeldAnew(shard);
     if (!shard.lease.isHeld())
         return;
     const TimePoint startsEndAt = shard.lease.isServing() ? shard.lease.startsEndAt() : TimePoint();
@@ -56,6 +57,12 @@
         shard.lease.onRecovered();
 }
 
+void Instance::beginRecoveryIfHeldAnew(Shard &shard)
+{
+    if (shard.lease.takeRecoveryBegun())
+        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
+}
+
 void Instance::on(const CallerRequest &request)
 {
     std::visit([&](const auto &body) { onCaller(request.id, body); }, request.body);
@@ -130,6 +137,12 @@
     learnPreset(preset.inForce);
 }
 
+void Instance::onPeer(const InstanceId & /*from*/, const ShardRecordNotice &notice)
+{
+    shardFor(notice.record.shard).lease.onRecordNotice(now_, notice.record);
+    membership_.learnHolder(notice.record);
+}
+
 void Instance::on(const PeerLinkChanged & /*changed*/) { }
 
 void Instance::on(const StoreAnswered &answered)
@@ -146,7 +159,9 @@
         std::optional<ShardRecord> record;
         if (found != read.records.end())
             record = *found;
-        shardFor(id).lease.onRecordRead(now_, sentAt, record);
+        Shard &shard = shardFor(id);
+        shard.lease.onRecordRead(now_, sentAt, record);
+        beginRecoveryIfHeldAnew(shard);
     }
     for (const ShardRecord &record : read.records)
         membership_.learnHolder(record);
@@ -156,6 +171,8 @@
 {
     Shard &shard = shardFor(written.record.shard);
     shard.lease.onRecordWritten(now_, sentAt, written);
+    // At once: a request that came before would be forgotten by the recovery.
+    beginRecoveryIfHeldAnew(shard);
     if (written.outcome == StoreOutcome::Done)
         membership_.learnHolder(written.record);
 }
--- a/Source/Decisions/Instance.h
+++ b/Source/Decisions/Instance.h
@@ -58,6 +58,7 @@
     void onPeer(const InstanceId &from, const HolderReply &reply);
     void onPeer(const InstanceId &from, const PeerHeartbeat &heartbeat);
     void onPeer(const InstanceId &from, const PeerPreset &preset);
+    void onPeer(const InstanceId &from, const ShardRecordNotice &notice);
 
     void onStore(TimePoint sentAt, const ShardRecordsRead &read);
     void onStore(TimePoint sentAt, const ShardRecordWritten &written);
@@ -67,6 +68,7 @@
     void readStoreIfDue();
     void sendPeerHeartbeatsIfDue();
     void tickShard(Shard &shard);
+    void beginRecoveryIfHeldAnew(Shard &shard);
     void learnPreset(const PresetInForce &inForce);
     void collectActions();
     void deliverToSelf();
--- a/Source/Decisions/PeerMessage.h
+++ b/Source/Decisions/PeerMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Ids.h"
+#include "Decisions/Fleet.h"
 #include "Decisions/Job.h"
 #include "Decisions/Preset.h"
 
@@ -51,6 +52,13 @@
     PresetInForce inForce;
 };
 
-using PeerMessage = std::variant<HolderRequest, HolderReply, PeerHeartbeat, PeerPreset>;
+/// A shard's record as its holder has just written it: the shard was claimed or handed over.
+struct ShardRecordNotice
+{
+    ShardRecord record;
+};
+
+using PeerMessage
+        = std::variant<HolderRequest, HolderReply, PeerHeartbeat, PeerPreset, ShardRecordNotice>;
 
 } // namespace caraway
--- a/Source/Decisions/ShardLease.cpp
+++ b/Source/Decisions/ShardLease.cpp
@@ -8,6 +8,8 @@
 
 /// Keeps candidates from claiming at the same moment.
 constexpr Milliseconds claimStagger(300);
+/// Between readings of the record beside the regular ones.
+constexpr Milliseconds extraReadInterval(100);
 
 } // namespace
 
@@ -18,9 +20,12 @@
             {"following", "claiming", "holding", "recovering", "serving", "suspended", "releasing"},
             {"claimDue", "written", "superseded", "claimAbandoned", "recovered", "leaseRanOut",
              "stopRequested"},
-            {{"isCandidate", &ShardLease::isCandidate}},
+            {{"mayClaim", &ShardLease::mayClaim},
+             {"wasRecovered", &ShardLease::wasRecovered},
+             {"isStopping", &ShardLease::isStopping}},
             {{"sendClaim", &ShardLease::sendClaim},
              {"sendRelease", &ShardLease::sendRelease},
+             {"announce", &ShardLease::announce},
              {"beginRecovery",
               &ShardLease::beginRecovery}}}.loadedOrAbort();
     return bound;
@@ -39,24 +44,43 @@
                               const std::optional<ShardRecord> &record)
 {
     now_ = now;
+    readSentAt_ = std::max(readSentAt_, sentAt);
     noteUnchangedRecord(sentAt, record);
-    if (!record)
+    if (record)
+        takeRecord(*record);
+}
+
+void ShardLease::onRecordNotice(TimePoint now, const ShardRecord &record)
+{
+    now_ = now;
+    if (record.revision <= record_.revision)
         return;
-    if (isOurs(*record)) {
+    noteUnchangedRecord(now, record);
+    takeRecord(record);
+}
+
+void ShardLease::takeRecord(const ShardRecord &record)
+{
+    if (isOurs(record)) {
         // The store shows a write of ours whose answer may have been lost.
         leaseCountedFrom_ = std::max(leaseCountedFrom_, pendingSentAt_);
-        record_ = *record;
+        record_ = record;
         pending_.reset();
         changeState(Event::Written);
         return;
     }
-    if (record->revision < record_.revision)
+    if (record.revision < record_.revision)
         return;
-    record_ = *record;
+    const bool changed = record.revision != record_.revision;
+    record_ = record;
     if (record_.holder != settings_.self) {
         pending_.reset();
         changeState(Event::Superseded);
+        return;
     }
+    // An older write of ours took effect unanswered: the newest one met a conflict.
+    if (changed && isHeld())
+        renew();
 }
 
 void ShardLease::onRecordWritten(TimePoint now, TimePoint sentAt, const ShardRecordWritten &written)
@@ -72,9 +96,11 @@
         changeState(Event::Written);
         return;
     }
-    // A conflict or a lost answer is settled by the next reading of the record.
+    // A conflict or a lost answer is settled by reading the record.
+    wantRead();
     if (written.outcome == StoreOutcome::Conflict && !isHeld()) {
         pending_.reset();
+        recordSeen_ = false;
         changeState(Event::ClaimAbandoned);
     }
 }
@@ -82,6 +108,7 @@
 void ShardLease::onStopRequested(TimePoint now)
 {
     now_ = now;
+    stopping_ = true;
     changeState(Event::StopRequested);
 }
 
@@ -94,13 +121,35 @@
         renewIfDue();
         return;
     }
+    claimIfDue();
+    if (machine_.isIn(State::Claiming) && now - pendingSentAt_ >= settings_.shardLease)
+        changeState(Event::ClaimAbandoned);
+}
+
+void ShardLease::claimIfDue()
+{
     if (!recordSeen_)
         return;
-    const bool lapsed = now - unchangedSince_ >= settings_.shardLease + claimDelay();
-    if (record_.revision == Revision() || record_.released || lapsed)
+    if (record_.revision == Revision()) {
         changeState(Event::ClaimDue);
-    if (machine_.isIn(State::Claiming) && now - pendingSentAt_ >= settings_.shardLease)
-        changeState(Event::ClaimAbandoned);
+        return;
+    }
+    const Milliseconds wait = record_.released ? claimDelay() : settings_.shardLease + claimDelay();
+    const TimePoint lapsesAt = unchangedSince_ + wait;
+    if (now_ < lapsesAt)
+        return;
+    if (record_.released || readSentAt_ >= lapsesAt)
+        changeState(Event::ClaimDue);
+    else
+        wantRead();
+}
+
+void ShardLease::wantRead()
+{
+    if (now_ - readWantedAt_ < extraReadInterval)
+        return;
+    readWantedAt_ = now_;
+    readWanted_ = true;
 }
 
 void ShardLease::drainActions(Actions &actions)
@@ -109,10 +158,32 @@
     actions_.clear();
 }
 
-bool ShardLease::isCandidate() const
+bool ShardLease::mayClaim() const
+{
+    const std::vector<InstanceId> allowed = candidates();
+    return !stopping_ && std::ranges::find(allowed, settings_.self) != allowed.end();
+}
+
+std::vector<InstanceId> ShardLease::candidates() const
+{
+    const bool anyListed = std::ranges::any_of(record_.candidates, [this](const InstanceId &id) {
+        return membership_.findEntry(id) != nullptr;
+    });
+    return anyListed ? record_.candidates : membership_.candidates(shard_);
+}
+
+void ShardLease::beginRecovery()
 {
-    const std::vector<InstanceId> candidates = membership_.candidates(shard_);
-    return std::ranges::find(candidates, settings_.self) != candidates.end();
+    recoveryBegun_ = true;
+    recovered_ = false;
+}
+
+void ShardLease::announce()
+{
+    for (const EntryMember &entry : membership_.list().entries) {
+        if (entry.id != settings_.self)
+            actions_.push_back(SendToPeer {entry.id, ShardRecordNotice {record_}});
+    }
 }
 
 void ShardLease::sendClaim()
@@ -136,6 +207,8 @@
 {
     // Each write has its own number: an older one that took effect must not pass for this one.
     next.renewal = ++writesSent_;
+    if (std::vector<InstanceId> listed = membership_.candidates(shard_); !listed.empty())
+        next.candidates = std::move(listed);
     pending_ = next;
     pendingSentAt_ = now_;
     actions_.push_back(CallStore {WriteShardRecord {std::move(next)}});
@@ -145,12 +218,15 @@
 {
     if (now_ - pendingSentAt_ < settings_.shardRenewal)
         return;
-    if (machine_.isIn(State::Releasing)) {
+    renew();
+}
+
+void ShardLease::renew()
+{
+    if (machine_.isIn(State::Releasing))
         sendRelease();
-        return;
-    }
-    ShardRecord renewal = record_;
-    write(std::move(renewal));
+    else
+        write(record_);
 }
 
 void ShardLease::noteUnchangedRecord(TimePoint sentAt, const std::optional<ShardRecord> &record)
@@ -171,8 +247,9 @@
 
 Milliseconds ShardLease::claimDelay() const
 {
-    const std::vector<InstanceId> candidates = membership_.candidates(shard_);
-    const auto place = std::ranges::find(candidates, settings_.self) - candidates.begin();
+    std::vector<InstanceId> others = candidates();
+    std::erase(others, record_.holder);
+    const auto place = std::ranges::find(others, settings_.self) - others.begin();
     return claimStagger * place;
 }
 
--- a/Source/Decisions/ShardLease.h
+++ b/Source/Decisions/ShardLease.h
@@ -13,7 +13,8 @@
 /// This instance's part in one shard's lease: follow, claim, renew, release.
 ///
 /// A holder counts its lease from before the renewal was sent. A claimant counts it
-/// from after it first saw the record unchanged, so its count always ends later.
+/// from after it first saw the record unchanged, so its count always ends later; it claims
+/// only once a reading sent after that end has shown the record still unchanged.
 class ShardLease
 {
 public:
@@ -34,7 +35,13 @@
     /// Takes in the shard's record as the store has it now.
     void onRecordRead(TimePoint now, TimePoint sentAt, const std::optional<ShardRecord> &record);
     void onRecordWritten(TimePoint now, TimePoint sentAt, const ShardRecordWritten &written);
-    void onRecovered() { machine_.handle(*this, Event::Recovered); }
+    /// Takes in a record that its writer has sent; it proves nothing about later times.
+    void onRecordNotice(TimePoint now, const ShardRecord &record);
+    void onRecovered()
+    {
+        recovered_ = true;
+        changeState(Event::Recovered);
+    }
     void onStopRequested(TimePoint now);
     void onTick(TimePoint now);
 
@@ -51,16 +58,27 @@
     const std::string &stateName() const { return machine_.stateName(); }
     /// Whether recovery began since the last call.
     bool takeRecoveryBegun() { return std::exchange(recoveryBegun_, false); }
+    /// Whether the shard's record should be read from the store at once.
+    bool takeReadWanted() { return std::exchange(readWanted_, false); }
     /// Moves the actions put out since the last call to the end of \a actions.
     void drainActions(Actions &actions);
 
 private:
-    bool isCandidate() const;
+    bool mayClaim() const;
+    bool isStopping() const { return stopping_; }
+    bool wasRecovered() const { return recovered_; }
     void sendClaim();
     void sendRelease();
-    void beginRecovery() { recoveryBegun_ = true; }
+    void beginRecovery();
+    void announce();
     void write(ShardRecord next);
+    void claimIfDue();
+    void wantRead();
+    void takeRecord(const ShardRecord &record);
+    /// Who may claim from the record as last seen; the list decides once it names none of them.
+    std::vector<InstanceId> candidates() const;
     void renewIfDue();
+    void renew();
     void noteUnchangedRecord(TimePoint sentAt, const std::optional<ShardRecord> &record);
     bool isOurs(const ShardRecord &record) const;
     Milliseconds claimDelay() const;
@@ -75,12 +93,18 @@
     ShardRecord record_;
     bool recordSeen_ = false;
     TimePoint unchangedSince_;
+    /// When the newest answered reading of the record was sent.
+    TimePoint readSentAt_;
+    bool readWanted_ = false;
+    TimePoint readWantedAt_;
     /// The newest write; its answer may be outstanding or lost.
     std::optional<ShardRecord> pending_;
     TimePoint pendingSentAt_;
     std::uint64_t writesSent_ = 0;
     TimePoint leaseCountedFrom_;
     bool recoveryBegun_ = false;
+    bool recovered_ = false;
+    bool stopping_ = false;
     Actions actions_;
 };
 
--- a/Source/Messages/FleetCodec.cpp
+++ b/Source/Messages/FleetCodec.cpp
@@ -69,11 +69,13 @@
 
 std::string encodeShardRecord(const ShardRecord &record)
 {
-    const nlohmann::json json = {{"shard", record.shard.value()},
-                                 {"holder", record.holder.value()},
-                                 {"epoch", record.epoch.value()},
-                                 {"renewal", record.renewal},
-                                 {"released", record.released}};
+    nlohmann::json candidates = nlohmann::json::array();
+    for (const InstanceId &candidate : record.candidates)
+        candidates.push_back(candidate.value());
+    const nlohmann::json json
+            = {{"shard", record.shard.value()}, {"holder", record.holder.value()},
+               {"epoch", record.epoch.value()}, {"renewal", record.renewal},
+               {"released", record.released},   {"candidates", std::move(candidates)}};
     return json.dump();
 }
 
@@ -87,6 +89,12 @@
     record.epoch = Epoch(static_cast<std::uint64_t>(reader.number("epoch")));
     record.renewal = static_cast<std::uint64_t>(reader.number("renewal"));
     record.released = reader.flagOr("released", false);
+    for (const nlohmann::json &candidate : reader.array("candidates")) {
+        if (!candidate.is_string())
+            return fail(ErrorKind::InvalidMessage,
+                        "A candidate in a shard record is not text. Check the writer's release.");
+        record.candidates.emplace_back(candidate.get<std::string>());
+    }
     record.revision = revision;
     BOOST_LEAF_CHECK(reader.finish());
     return record;
--- a/Source/Messages/PeerCodec.cpp
+++ b/Source/Messages/PeerCodec.cpp
@@ -1,5 +1,6 @@
 #include "Messages/PeerCodec.h"
 
+#include "Messages/FleetCodec.h"
 #include "Messages/JobCodec.h"
 #include "Messages/PresetCodec.h"
 
@@ -62,6 +63,13 @@
             {"in_force", encodePresetInForce(preset.inForce)}};
 }
 
+Json encodeMessage(const ShardRecordNotice &notice)
+{
+    return {{"type", "shard_record"},
+            {"revision", notice.record.revision.value()},
+            {"record", encodeShardRecord(notice.record)}};
+}
+
 Result<PeerMessage> decodeSubmit(ObjectReader &reader)
 {
     HolderRequest request {ShardId(reader.text("shard")), RequestId(readCount(reader, "id")), {}};
@@ -125,17 +133,27 @@
     return PeerMessage(PeerPreset {std::move(decoded)});
 }
 
+Result<PeerMessage> decodeShardRecordNotice(ObjectReader &reader)
+{
+    const Revision revision(readCount(reader, "revision"));
+    const std::string text = reader.text("record");
+    BOOST_LEAF_CHECK(reader.finish());
+    BOOST_LEAF_AUTO(record, decodeShardRecord(text, revision));
+    return PeerMessage(ShardRecordNotice {std::move(record)});
+}
+
 using Decoder = Result<PeerMessage> (*)(ObjectReader &);
 
 const std::vector<std::string_view> &typeNames()
 {
     static const std::vector<std::string_view> names
-            = {"submit", "query", "cancel", "reply", "heartbeat", "preset"};
+            = {"submit", "query", "cancel", "reply", "heartbeat", "preset", "shard_record"};
     return names;
 }
 
-constexpr Decoder decoders[] = {decodeSubmit, decodeQuery,     decodeCancel,
-                                decodeReply,  decodeHeartbeat, decodePresetMessage};
+constexpr Decoder decoders[]
+        = {decodeSubmit,    decodeQuery,         decodeCancel,           decodeReply,
+           decodeHeartbeat, decodePresetMessage, decodeShardRecordNotice};
 
 } // namespace
 
--- /dev/null
+++ b/Tests/Processes/OwnershipTest.cpp
@@ -0,0 +1,113 @@
+#include "Support/TestFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace caraway::tests {
+
+namespace {
+
+std::int64_t wallMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
+/// Who starts work on a shard, while its holder dies, pauses or is cut off.
+class OwnershipTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OwnershipTest);
+    CPPUNIT_TEST(kill_holder_nextStartsWithinTarget);
+    CPPUNIT_TEST(pause_holder_nextStartsWithinTargetAndWokenHolderDoesNot);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::int64_t takeoverTargetMs = 5000;
+    TestFleet fleet_;
+
+    /// The wall clock time of the first start of \a job; 0 while there is none.
+    std::int64_t firstStartOf(const std::string &job) const
+    {
+        for (const nlohmann::json &line : fleet_.records()) {
+            if (line["what"] == "start" && line["job"] == job)
+                return line["at_ms"].get<std::int64_t>();
+        }
+        return 0;
+    }
+
+    /// Waits, so that over many runs the fault comes at every moment between two renewals.
+    static void awaitAnyPhaseOfRenewal()
+    {
+        const std::int64_t delay = 1000 + wallMs() % 700;
+        fmt::print(stderr, "[fault after {} ms]", delay);
+        std::this_thread::sleep_for(std::chrono::milliseconds(delay));
+    }
+
+    int otherThan(int entry) const { return (entry + 1) % fleet_.shape().entries; }
+
+    /// Names a job whose home is \a zone.
+    std::string jobAt(const std::string &zone, const std::string &stem) const
+    {
+        for (int i = 0;; ++i) {
+            std::string name = fmt::format("{}-{}", stem, i);
+            if (fleet_.homeOf(name) == zone)
+                return name;
+        }
+    }
+
+    /// Has a job wait at another entry while the holder is gone since \a lostAt.
+    std::int64_t measureTakeover(const std::string &job, int lost, std::int64_t lostAt) const
+    {
+        const HttpAnswer answer
+                = fleet_.run(otherThan(lost), TestFleet::makeJob(job), 2 * takeoverTargetMs);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body.dump(), 200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf(job));
+        return firstStartOf(job) - lostAt;
+    }
+
+public:
+    void setUp() override { fleet_.start(); }
+
+    void kill_holder_nextStartsWithinTarget()
+    {
+        const std::string zone = fleet_.shape().zones[0];
+        const int holder = fleet_.holderOf(zone);
+        const std::string job = jobAt(zone, "killed");
+        awaitAnyPhaseOfRenewal();
+        const std::int64_t lostAt = wallMs();
+        fleet_.entry(holder).kill();
+        const std::int64_t took = measureTakeover(job, holder, lostAt);
+        fmt::print(stderr, "[takeover after SIGKILL: {} ms]", took);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(took), took <= takeoverTargetMs);
+    }
+
+    void pause_holder_nextStartsWithinTargetAndWokenHolderDoesNot()
+    {
+        const std::string zone = fleet_.shape().zones[0];
+        const int holder = fleet_.holderOf(zone);
+        const std::string job = jobAt(zone, "paused");
+        const std::string queued = jobAt(zone, "queued");
+        awaitAnyPhaseOfRenewal();
+        const std::int64_t lostAt = wallMs();
+        fleet_.entry(holder).signal(SIGSTOP);
+        // These wait in the paused holder's sockets and rings until it wakes.
+        std::jthread waiting([&] { fleet_.run(holder, TestFleet::makeJob(queued), 8000); });
+        const std::int64_t took = measureTakeover(job, holder, lostAt);
+        fmt::print(stderr, "[takeover after SIGSTOP: {} ms]", took);
+        fleet_.entry(holder).signal(SIGCONT);
+        waiting.join();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(took), took <= takeoverTargetMs);
+        CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf(queued));
+        CPPUNIT_ASSERT(fleet_.holderOf(zone) != holder);
+        CPPUNIT_ASSERT(fleet_.violations().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
+
+} // namespace caraway::tests
