Go on through a store outage by promises, and part lease writes from readings

Cause: a holder stopped starting work 2.3 s into a store outage; a slow store let renewals queue behind readings; readings piled up; a claim held up by a pause could reach the store at any later time. Change: a holder whose renewal is overdue asks every instance that its record lets claim, and that the list names, to promise not to claim. It serves past its lease while each has promised and a fresh list names it (state byPromise); a promise counts from before the asking for the holder, and from the answer for the promiser. A candidate that the holder may not know of (no fresh list, off the list, or no renewal seen since it was listed) waits out lag, age and promise. Lease writes have two threads and connections of their own; one reading is under way at a time; a claim is not sent after 300 ms. The test recordRead_olderWriteOfOurs_doesNotExtendLease sent a second renewal while the first was under way; it now asserts that none is sent before the first is known unanswered. The test tick_foreignRecordUnchangedForLease_claims now sees one renewal first; InstanceTest gives its team a quota, which the merged admission asks for.

--- a/Source/Command/SettingsTable.cpp
+++ b/Source/Command/SettingsTable.cpp
@@ -1,5 +1,8 @@
 #include "Command/SettingsTable.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace caraway {
 
 namespace {
@@ -33,13 +36,30 @@
             [member](ServeSettings &s, std::int64_t n) { s.decisions.*member = Milliseconds(n); }};
 }
 
-} // namespace
+std::vector<SettingsKey> leaseKeys()
+{
+    using D = DecisionSettings;
+    return {
+            {"timing", "shard_lease_ms", "ms", "How long a shard lease lasts unrenewed.",
+             duration(&D::shardLease, 500, 60'000)},
+            {"timing", "shard_renewal_ms", "ms", "Interval between renewals of a shard lease.",
+             duration(&D::shardRenewal, 50, 20'000)},
+            {"timing", "shard_read_ms", "ms", "Interval between readings of the shard records.",
+             duration(&D::shardRead, 50, 20'000)},
+            {"timing", "lease_margin_ms", "ms", "Taken off a lease for clocks of unlike rates.",
+             duration(&D::leaseMargin, 0, 10'000)},
+            {"timing", "promise_ms", "ms", "How long a candidate keeps a promise not to claim.",
+             duration(&D::promise, 500, 60'000)},
+            {"timing", "promise_interval_ms", "ms", "Interval between requests for promises.",
+             duration(&D::promiseInterval, 50, 20'000)},
+    };
+}
 
-const std::vector<SettingsKey> &settingsTable()
+std::vector<SettingsKey> makeTable()
 {
     using S = ServeSettings;
     using D = DecisionSettings;
-    static const std::vector<SettingsKey> table = {
+    std::vector<SettingsKey> table = {
             {"instance", "id", "", "Name of this entry instance in the platform's instance list.",
              text([](S &s, const std::string &t) { s.decisions.self = InstanceId(t); })},
             {"instance", "zone", "", "Availability zone this instance runs in.",
@@ -70,14 +90,10 @@
              quantity(&S::tick, 5, 1000)},
             {"timing", "worker_timeout_ms", "ms", "Longest wait for one call to a worker.",
              quantity(&S::workerTimeout, 50, 60'000)},
-            {"timing", "shard_lease_ms", "ms", "How long a shard lease lasts unrenewed.",
-             duration(&D::shardLease, 500, 60'000)},
-            {"timing", "shard_renewal_ms", "ms", "Interval between renewals of a shard lease.",
-             duration(&D::shardRenewal, 50, 20'000)},
-            {"timing", "shard_read_ms", "ms", "Interval between readings of the shard records.",
-             duration(&D::shardRead, 50, 20'000)},
-            {"timing", "lease_margin_ms", "ms", "Taken off a lease for clocks of unlike rates.",
-             duration(&D::leaseMargin, 0, 10'000)},
+            {"platform", "list_lag_ms", "ms", "How far the instance list may lag behind.",
+             duration(&D::listLag, 0, 60'000)},
+            {"platform", "list_age_ms", "ms", "Oldest reading of the list that leases rest on.",
+             duration(&D::listAge, 200, 60'000)},
             {"timing", "task_lease_ms", "ms", "How long a task runs on without a heartbeat.",
              duration(&D::taskLease, 500, 600'000)},
             {"timing", "worker_heartbeat_ms", "ms", "Interval between heartbeats to a worker.",
@@ -89,6 +105,15 @@
             {"timing", "answer_retention_ms", "ms", "How long answers are kept for their callers.",
              duration(&D::answerRetention, 1000, 86'400'000)},
     };
+    std::ranges::move(leaseKeys(), std::back_inserter(table));
+    return table;
+}
+
+} // namespace
+
+const std::vector<SettingsKey> &settingsTable()
+{
+    static const std::vector<SettingsKey> table = makeTable();
     return table;
 }
 
--- a/Source/Decisions/Actions.h
+++ b/Source/Decisions/Actions.h
@@ -48,6 +48,8 @@
 {
     /// The record to write; its revision is the one that the store must still have.
     ShardRecord record;
+    /// Unless zero, the write is dropped as a conflict when it cannot be sent before this time.
+    TimePoint notAfter;
 };
 struct CallStore
 {
--- a/Source/Decisions/Events.h
+++ b/Source/Decisions/Events.h
@@ -148,6 +148,8 @@
 struct InstanceListRead
 {
     InstanceList list;
+    /// When the reading was sent.
+    TimePoint readAt;
 };
 struct Tick
 {
--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -5,6 +5,13 @@
 
 namespace caraway {
 
+namespace {
+
+/// After this long the answer to a reading has been dropped on its way.
+constexpr Milliseconds storeAnswerLimit(5000);
+
+} // namespace
+
 const BoundChart<Instance> &Instance::chart()
 {
     static const BoundChart<Instance> bound = BoundChart<Instance> {
@@ -49,7 +56,7 @@
 {
     shard.lease.onTick(now_);
     if (shard.lease.takeReadWanted())
-        shardsReadAt_ = now_ - settings_.shardRead;
+        shardReadWanted_ = true;
     beginRecoveryIfHeldAnew(shard);
     if (!shard.lease.isHeld())
         return;
@@ -144,10 +151,26 @@
 
 void Instance::onPeer(const InstanceId & /*from*/, const ShardRecordNotice &notice)
 {
-    shardFor(notice.record.shard).lease.onRecordNotice(now_, notice.record);
+    const auto known = shards_.find(notice.record.shard);
+    if (known == shards_.end())
+        return;
+    known->second.lease.onRecordNotice(now_, notice.record);
     membership_.learnHolder(notice.record);
 }
 
+void Instance::onPeer(const InstanceId &from, const PromiseRequest &request)
+{
+    const auto known = shards_.find(request.shard);
+    if (known != shards_.end())
+        known->second.lease.onPromiseRequest(now_, from, request);
+}
+
+void Instance::onPeer(const InstanceId &from, const PromiseReply &reply)
+{
+    if (Shard *shard = heldShard(reply.shard))
+        shard->lease.onPromiseReply(now_, from, reply);
+}
+
 void Instance::on(const PeerLinkChanged & /*changed*/) { }
 
 void Instance::on(const StoreAnswered &answered)
@@ -157,6 +180,7 @@
 
 void Instance::onStore(TimePoint sentAt, const ShardRecordsRead &read)
 {
+    shardReadOutstanding_ = false;
     if (read.outcome != StoreOutcome::Done)
         return;
     for (const ShardId &id : membership_.shards()) {
@@ -214,7 +238,7 @@
 
 void Instance::on(const InstanceListRead &read)
 {
-    membership_.update(read.list);
+    membership_.update(read.list, read.readAt);
     Resources fleetCapacity;
     for (const WorkerMember &worker : read.list.workers)
         fleetCapacity += worker.capacity;
@@ -249,10 +273,15 @@
 
 void Instance::readStoreIfDue()
 {
-    if (now_ - shardsReadAt_ >= settings_.shardRead) {
-        shardsReadAt_ = now_;
-        actions_.push_back(CallStore {ReadShardRecords {}});
-    }
+    const Milliseconds sinceRead = now_ - shardsReadAt_;
+    if (shardReadOutstanding_ && sinceRead < storeAnswerLimit)
+        return;
+    if (!shardReadWanted_ && sinceRead < settings_.shardRead)
+        return;
+    shardsReadAt_ = now_;
+    shardReadOutstanding_ = true;
+    shardReadWanted_ = false;
+    actions_.push_back(CallStore {ReadShardRecords {}});
 }
 
 void Instance::sendPeerHeartbeatsIfDue()
--- a/Source/Decisions/Instance.h
+++ b/Source/Decisions/Instance.h
@@ -67,6 +67,8 @@
     void onPeer(const InstanceId &from, const PeerHeartbeat &heartbeat);
     void onPeer(const InstanceId &from, const PeerPreset &preset);
     void onPeer(const InstanceId &from, const ShardRecordNotice &notice);
+    void onPeer(const InstanceId &from, const PromiseRequest &request);
+    void onPeer(const InstanceId &from, const PromiseReply &reply);
 
     void onStore(TimePoint sentAt, const ShardRecordsRead &read);
     void onStore(TimePoint sentAt, const ShardRecordWritten &written);
@@ -94,6 +96,9 @@
     std::map<ShardId, Shard> shards_;
     Lifecycle<Instance> machine_;
     TimePoint shardsReadAt_;
+    /// A reading is under way; at most one at a time, however slow the store.
+    bool shardReadOutstanding_ = false;
+    bool shardReadWanted_ = false;
     TimePoint heartbeatSentAt_;
     Actions actions_;
 };
--- a/Source/Decisions/Membership.cpp
+++ b/Source/Decisions/Membership.cpp
@@ -7,10 +7,18 @@
 
 namespace caraway {
 
-void Membership::update(InstanceList list)
+void Membership::update(InstanceList list, TimePoint readAt)
 {
+    const bool hasGap = readAt - readAt_ > settings_.listAge;
+    readAt_ = std::max(readAt_, readAt);
+    for (const EntryMember &entry : list.entries)
+        lastNamed_[entry.id] = readAt_;
     list_ = std::move(list);
     std::set<ShardId> zones;
+    if (!findEntry(settings_.self))
+        namedSince_.reset();
+    else if (!namedSince_ || hasGap)
+        namedSince_ = readAt_;
     for (const WorkerMember &worker : list_.workers)
         zones.insert(ShardId(worker.zone.value()));
     shards_.assign(zones.begin(), zones.end());
@@ -50,6 +58,18 @@
     return found == records_.end() ? nullptr : &found->second;
 }
 
+std::optional<TimePoint> Membership::namedSince(TimePoint now) const
+{
+    return now - readAt_ <= settings_.listAge ? namedSince_ : std::nullopt;
+}
+
+bool Membership::isNamedOfLate(const InstanceId &id, TimePoint now) const
+{
+    const Milliseconds longest = settings_.listLag + settings_.listAge + settings_.promise;
+    const auto found = lastNamed_.find(id);
+    return found != lastNamed_.end() && now - found->second < longest;
+}
+
 const EntryMember *Membership::findEntry(const InstanceId &id) const
 {
     const auto found = std::ranges::find(list_.entries, id, &EntryMember::id);
--- a/Source/Decisions/PeerMessage.h
+++ b/Source/Decisions/PeerMessage.h
@@ -58,7 +58,23 @@
     ShardRecord record;
 };
 
-using PeerMessage
-        = std::variant<HolderRequest, HolderReply, PeerHeartbeat, PeerPreset, ShardRecordNotice>;
+/// A holder that cannot renew its lease asks a candidate not to claim the shard for a while.
+struct PromiseRequest
+{
+    ShardId shard;
+    Epoch epoch;
+    std::uint64_t round = 0;
+};
+struct PromiseReply
+{
+    ShardId shard;
+    /// The newest epoch that the promiser knows of.
+    Epoch epoch;
+    std::uint64_t round = 0;
+    bool granted = false;
+};
+
+using PeerMessage = std::variant<HolderRequest, HolderReply, PeerHeartbeat, PeerPreset,
+                                 ShardRecordNotice, PromiseRequest, PromiseReply>;
 
 } // namespace caraway
--- a/Source/Decisions/Settings.h
+++ b/Source/Decisions/Settings.h
@@ -25,6 +25,14 @@
     Milliseconds peerHeartbeat {500};
     /// How long answers are kept for callers that do not take them.
     Milliseconds answerRetention {60000};
+    /// How long a candidate that promised not to claim a shard keeps to it.
+    Milliseconds promise {3000};
+    /// How often a holder that cannot renew its lease asks for promises.
+    Milliseconds promiseInterval {300};
+    /// How far the platform's instance list may lag behind reality.
+    Milliseconds listLag {2000};
+    /// The oldest reading of the instance list that ownership of shards may rest on.
+    Milliseconds listAge {2000};
     std::uint32_t shardCandidates = 3;
 };
 
--- a/Source/Decisions/ShardLease.cpp
+++ b/Source/Decisions/ShardLease.cpp
@@ -1,6 +1,7 @@
 #include "Decisions/ShardLease.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace caraway {
 
@@ -10,6 +11,8 @@
 constexpr Milliseconds claimStagger(300);
 /// Between readings of the record beside the regular ones.
 constexpr Milliseconds extraReadInterval(100);
+/// A claim that cannot be sent within this time is not sent at all.
+constexpr Milliseconds claimSendLimit(300);
 
 } // namespace
 
@@ -17,9 +20,10 @@
 {
     static const BoundChart<ShardLease> bound = BoundChart<ShardLease> {
             "ShardLease.scxml",
-            {"following", "claiming", "holding", "recovering", "serving", "suspended", "releasing"},
+            {"following", "claiming", "holding", "recovering", "serving", "leased", "byPromise",
+             "suspended", "releasing"},
             {"claimDue", "written", "superseded", "claimAbandoned", "recovered", "leaseRanOut",
-             "stopRequested"},
+             "stopRequested", "promised"},
             {{"mayClaim", &ShardLease::mayClaim},
              {"wasRecovered", &ShardLease::wasRecovered},
              {"isStopping", &ShardLease::isStopping}},
@@ -36,6 +40,7 @@
     : shard_(std::move(shard))
     , settings_(settings)
     , membership_(membership)
+    , promises_(settings.promise)
 {
     record_.shard = shard_;
 }
@@ -44,6 +49,8 @@
                               const std::optional<ShardRecord> &record)
 {
     now_ = now;
+    if (recordSeen_ && record && record->revision > record_.revision)
+        recordWrittenAfter_ = readSentAt_;
     readSentAt_ = std::max(readSentAt_, sentAt);
     noteUnchangedRecord(sentAt, record);
     if (record)
@@ -65,7 +72,7 @@
         // The store shows a write of ours whose answer may have been lost.
         leaseCountedFrom_ = std::max(leaseCountedFrom_, pendingSentAt_);
         record_ = record;
-        pending_.reset();
+        becomeCertain();
         changeState(Event::Written);
         return;
     }
@@ -74,11 +81,14 @@
     const bool changed = record.revision != record_.revision;
     record_ = record;
     if (record_.holder != settings_.self) {
-        pending_.reset();
+        // While the record is unchanged, an unanswered claim may still take effect.
+        if (changed)
+            pending_.reset();
         changeState(Event::Superseded);
         return;
     }
     // An older write of ours took effect unanswered: the newest one met a conflict.
+    isDoubted_ = false;
     if (changed && isHeld())
         renew();
 }
@@ -89,15 +99,17 @@
     if (!pending_ || written.record.epoch != pending_->epoch
         || written.record.renewal != pending_->renewal)
         return;
+    writeOutstanding_ = false;
     if (written.outcome == StoreOutcome::Done) {
         record_ = written.record;
-        pending_.reset();
+        becomeCertain();
         leaseCountedFrom_ = sentAt;
         changeState(Event::Written);
         return;
     }
     // A conflict or a lost answer is settled by reading the record.
     wantRead();
+    isDoubted_ = isDoubted_ || written.outcome == StoreOutcome::Conflict;
     if (written.outcome == StoreOutcome::Conflict && !isHeld()) {
         pending_.reset();
         recordSeen_ = false;
@@ -118,7 +130,10 @@
     if (isHeld()) {
         if (now >= startsEndAt())
             changeState(Event::LeaseRanOut);
+        else if (now >= leaseEndsAt())
+            changeState(Event::Promised);
         renewIfDue();
+        askForPromisesIfDue();
         return;
     }
     claimIfDue();
@@ -136,7 +151,7 @@
     }
     const Milliseconds wait = record_.released ? claimDelay() : settings_.shardLease + claimDelay();
     const TimePoint lapsesAt = unchangedSince_ + wait;
-    if (now_ < lapsesAt)
+    if (now_ < lapsesAt || !isHolderBoundToAskUs())
         return;
     if (record_.released || readSentAt_ >= lapsesAt)
         changeState(Event::ClaimDue);
@@ -167,7 +182,7 @@
 std::vector<InstanceId> ShardLease::candidates() const
 {
     const bool anyListed = std::ranges::any_of(record_.candidates, [this](const InstanceId &id) {
-        return membership_.findEntry(id) != nullptr;
+        return membership_.isNamedOfLate(id, now_);
     });
     return anyListed ? record_.candidates : membership_.candidates(shard_);
 }
@@ -193,7 +208,7 @@
     claim.holder = settings_.self;
     claim.epoch = record_.epoch.next();
     claim.released = false;
-    write(std::move(claim));
+    write(std::move(claim), now_ + claimSendLimit);
 }
 
 void ShardLease::sendRelease()
@@ -203,20 +218,105 @@
     write(std::move(release));
 }
 
-void ShardLease::write(ShardRecord next)
+void ShardLease::write(ShardRecord next, TimePoint notAfter)
 {
     // Each write has its own number: an older one that took effect must not pass for this one.
     next.renewal = ++writesSent_;
     if (std::vector<InstanceId> listed = membership_.candidates(shard_); !listed.empty())
         next.candidates = std::move(listed);
+    possibleClaimants_.insert(next.candidates.begin(), next.candidates.end());
     pending_ = next;
     pendingSentAt_ = now_;
-    actions_.push_back(CallStore {WriteShardRecord {std::move(next)}});
+    writeOutstanding_ = true;
+    actions_.push_back(CallStore {WriteShardRecord {std::move(next), notAfter}});
+}
+
+void ShardLease::becomeCertain()
+{
+    pending_.reset();
+    isDoubted_ = false;
+    // The store itself has vouched for this holder; older promises must not outlive a restart
+    // of their promiser.
+    promises_.reset();
+    possibleClaimants_ = {record_.candidates.begin(), record_.candidates.end()};
+}
+
+void ShardLease::onPromiseRequest(TimePoint now, const InstanceId &from,
+                                  const PromiseRequest &request)
+{
+    now_ = now;
+    const Epoch newest = std::max(record_.epoch, request.epoch);
+    const bool mayHaveClaimed = pending_ || isHeld();
+    const bool granted = !mayHaveClaimed && newest == request.epoch;
+    if (granted)
+        promisedUntil_ = std::max(promisedUntil_, now + settings_.promise);
+    actions_.push_back(SendToPeer {from, PromiseReply {shard_, newest, request.round, granted}});
+}
+
+void ShardLease::onPromiseReply(TimePoint now, const InstanceId &from, const PromiseReply &reply)
+{
+    now_ = now;
+    if (!isHeld())
+        return;
+    if (reply.epoch > record_.epoch)
+        changeState(Event::Superseded);
+    else if (reply.granted)
+        promises_.onGranted(from, reply.round);
+    else
+        promises_.onRefused(from);
+}
+
+TimePoint ShardLease::promisesEndAt() const
+{
+    if (isDoubted_ || !recovered_ || !isHeld() || !membership_.namedSince(now_))
+        return {};
+    const TimePoint until = promises_.keptUntil(now_, promisers());
+    return until == TimePoint() ? until : until - settings_.leaseMargin;
+}
+
+std::vector<InstanceId> ShardLease::promisers() const
+{
+    std::vector<InstanceId> named;
+    std::ranges::copy_if(possibleClaimants_, std::back_inserter(named), [this](const auto &id) {
+        return id != settings_.self && membership_.isNamedOfLate(id, now_);
+    });
+    return named;
+}
+
+void ShardLease::askForPromisesIfDue()
+{
+    // A renewal is overdue only once the next one should have been answered.
+    const bool isOverdue = now_ - leaseCountedFrom_ >= settings_.shardRenewal * 3 / 2;
+    const bool isDue = now_ - promises_.lastRoundAt() >= settings_.promiseInterval;
+    if (!isOverdue || !isDue || !recovered_ || machine_.isIn(State::Releasing))
+        return;
+    const std::uint64_t round = promises_.beginRound(now_);
+    for (const InstanceId &promiser : promisers()) {
+        actions_.push_back(SendToPeer {promiser, PromiseRequest {shard_, record_.epoch, round}});
+    }
+}
+
+bool ShardLease::isHolderBoundToAskUs() const
+{
+    if (record_.released)
+        return true;
+    const std::optional<TimePoint> namedSince = membership_.namedSince(now_);
+    if (now_ < promisedUntil_ || !namedSince)
+        return false;
+    const Milliseconds longest = settings_.listLag + settings_.listAge + settings_.promise;
+    if (now_ - *namedSince >= longest)
+        return true;
+    // The holder wrote our name into the record while the list has named us all the time.
+    const bool isInRecord
+            = std::ranges::find(record_.candidates, settings_.self) != record_.candidates.end();
+    return isInRecord && recordWrittenAfter_ != TimePoint() && *namedSince <= recordWrittenAfter_;
 }
 
 void ShardLease::renewIfDue()
 {
-    if (now_ - pendingSentAt_ < settings_.shardRenewal)
+    const Milliseconds sinceWrite = now_ - pendingSentAt_;
+    const bool isLost = sinceWrite >= settings_.shardLease;
+    if (sinceWrite < settings_.shardRenewal || (writeOutstanding_ && !isLost))
         return;
     renew();
 }
--- a/Source/Decisions/ShardLease.h
+++ b/Source/Decisions/ShardLease.h
@@ -3,10 +3,12 @@
 #include "Core/Clock.h"
 #include "Core/Lifecycle.h"
 #include "Decisions/Actions.h"
+#include "Decisions/HolderPromises.h"
 #include "Decisions/Membership.h"
 #include "Decisions/Settings.h"
 
 #include <optional>
+#include <set>
 
 namespace caraway {
 
@@ -18,7 +20,17 @@
 class ShardLease
 {
 public:
-    enum class State { Following, Claiming, Holding, Recovering, Serving, Suspended, Releasing };
+    enum class State {
+        Following,
+        Claiming,
+        Holding,
+        Recovering,
+        Serving,
+        Leased,
+        ByPromise,
+        Suspended,
+        Releasing
+    };
     enum class Event {
         ClaimDue,
         Written,
@@ -27,6 +39,7 @@
         Recovered,
         LeaseRanOut,
         StopRequested,
+        Promised,
     };
     static const BoundChart<ShardLease> &chart();
 
@@ -37,6 +50,9 @@
     void onRecordWritten(TimePoint now, TimePoint sentAt, const ShardRecordWritten &written);
     /// Takes in a record that its writer has sent; it proves nothing about later times.
     void onRecordNotice(TimePoint now, const ShardRecord &record);
+    /// Promises not to claim the shard for a while, unless it is known to have a newer holder.
+    void onPromiseRequest(TimePoint now, const InstanceId &from, const PromiseRequest &request);
+    void onPromiseReply(TimePoint now, const InstanceId &from, const PromiseReply &reply);
     void onRecovered()
     {
         recovered_ = true;
@@ -51,10 +67,7 @@
     bool isServing() const { return machine_.isIn(State::Serving); }
     Epoch epoch() const { return record_.epoch; }
     /// No start may be sent at or after this time.
-    TimePoint startsEndAt() const
-    {
-        return leaseCountedFrom_ + settings_.shardLease - settings_.leaseMargin;
-    }
+    TimePoint startsEndAt() const { return std::max(leaseEndsAt(), promisesEndAt()); }
     const std::string &stateName() const { return machine_.stateName(); }
     /// Whether recovery began since the last call.
     bool takeRecoveryBegun() { return std::exchange(recoveryBegun_, false); }
@@ -71,8 +84,19 @@
     void sendRelease();
     void beginRecovery();
     void announce();
-    void write(ShardRecord next);
+    /// A write with a time in \a notAfter is not sent at or after it.
+    void write(ShardRecord next, TimePoint notAfter = {});
+    void becomeCertain();
     void claimIfDue();
+    TimePoint leaseEndsAt() const
+    {
+        return leaseCountedFrom_ + settings_.shardLease - settings_.leaseMargin;
+    }
+    TimePoint promisesEndAt() const;
+    /// The other candidates whose promises the holder needs.
+    std::vector<InstanceId> promisers() const;
+    void askForPromisesIfDue();
+    bool isHolderBoundToAskUs() const;
     void wantRead();
     void takeRecord(const ShardRecord &record);
     /// Who may claim from the record as last seen; the list decides once it names none of them.
@@ -100,8 +124,18 @@
     /// The newest write; its answer may be outstanding or lost.
     std::optional<ShardRecord> pending_;
     TimePoint pendingSentAt_;
+    bool writeOutstanding_ = false;
     std::uint64_t writesSent_ = 0;
     TimePoint leaseCountedFrom_;
+    HolderPromises promises_;
+    /// Every instance that a record which we wrote, or may have written, lets claim.
+    std::set<InstanceId> possibleClaimants_;
+    /// A write met a conflict: another instance may have claimed.
+    bool isDoubted_ = false;
+    /// Until when this instance has promised a holder not to claim.
+    TimePoint promisedUntil_;
+    /// The record as last seen was written after this; zero while no change has been seen.
+    TimePoint recordWrittenAfter_;
     bool recoveryBegun_ = false;
     bool recovered_ = false;
     bool stopping_ = false;
--- a/Source/Duties/DecisionsDuty.cpp
+++ b/Source/Duties/DecisionsDuty.cpp
@@ -11,7 +11,7 @@
     , upstreams_(events_, clock_, settings)
     , peers_(events_, settings)
     , callers_(events_, ready_, settings)
-    , list_(events_, settings)
+    , list_(events_, clock_, settings)
     , presetWatch_(events_, settings)
     , timer_(events_, settings.tick)
 {
--- a/Source/Duties/DecisionsDuty.h
+++ b/Source/Duties/DecisionsDuty.h
@@ -32,7 +32,7 @@
 private:
     void carryOut(AnswerCaller &action) { callers_.deliver(std::move(action)); }
     void carryOut(SendToPeer &action) { peers_.offer(std::move(action)); }
-    void carryOut(CallStore &action) { store_.offer(std::move(action)); }
+    void carryOut(CallStore &action) { store_.offer(action); }
     void carryOut(CallConfiguration &action);
     void carryOut(CallWorker &action) { upstreams_.offer(std::move(action)); }
     void carryOut(ConnectPeers &action) { peers_.offer(std::move(action)); }
--- a/Source/Duties/InstanceListDuty.cpp
+++ b/Source/Duties/InstanceListDuty.cpp
@@ -6,8 +6,10 @@
 
 namespace caraway {
 
-InstanceListDuty::InstanceListDuty(EventRing &events, const ServeSettings &settings)
+InstanceListDuty::InstanceListDuty(EventRing &events, const Clock &clock,
+                                   const ServeSettings &settings)
     : events_(events)
+    , clock_(clock)
     , interval_(settings.listRead)
     , client_(makeHttpClient(settings.instanceList, settings.storeTimeout))
     , thread_([this] { run(); })
@@ -29,12 +31,13 @@
 
 void InstanceListDuty::readOnce()
 {
+    const TimePoint readAt = clock_.now();
     const httplib::Result response = client_->Get("/instances");
     if (!response || response->status != 200)
         return;
     const auto offer = [&]() -> Result<void> {
         BOOST_LEAF_AUTO(list, decodeInstanceList(response->body));
-        events_.offer(InstanceListRead {std::move(list)});
+        events_.offer(InstanceListRead {std::move(list), readAt});
         return {};
     };
     recoverFrom(offer, [](const Error &error) {
--- a/Source/Duties/InstanceListDuty.h
+++ b/Source/Duties/InstanceListDuty.h
@@ -13,7 +13,7 @@
 class InstanceListDuty
 {
 public:
-    InstanceListDuty(EventRing &events, const ServeSettings &settings);
+    InstanceListDuty(EventRing &events, const Clock &clock, const ServeSettings &settings);
     ~InstanceListDuty();
 
 private:
@@ -21,6 +21,7 @@
     void readOnce();
 
     EventRing &events_;
+    const Clock &clock_;
     Milliseconds interval_;
     std::unique_ptr<httplib::Client> client_;
     StopSignal stop_;
--- a/Source/Duties/StoreDuty.h
+++ b/Source/Duties/StoreDuty.h
@@ -4,32 +4,50 @@
 #include "Duties/ServeSettings.h"
 #include "Duties/StoreClient.h"
 
+#include <memory>
 #include <thread>
+#include <vector>
 
 namespace caraway {
 
-/// Carries calls to the platform's key-value store, one at a time.
+/// Carries calls to the platform's key-value store. Readings have a thread and a connection of
+/// their own, and so have writes of leases, so that no renewal waits behind a reading.
 class StoreDuty
 {
 public:
     StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings);
     ~StoreDuty();
 
-    /// Queues \a call; false when too many wait, and the call is dropped.
-    bool offer(CallStore call) { return calls_.offer(std::move(call)); }
+    /// Queues \a call; one that finds no room is answered as unanswered.
+    void offer(const CallStore &call);
 
 private:
     using AnswerBody = decltype(StoreAnswered::body);
 
-    void run();
-    AnswerBody call(const ReadShardRecords &read);
-    AnswerBody call(const WriteShardRecord &write);
+    /// One thread with its own connection and ring.
+    struct Caller
+    {
+        explicit Caller(const ServeSettings &settings)
+            : calls(static_cast<std::size_t>(settings.outwardRing))
+            , store(settings.store, settings.storeTimeout)
+        {
+        }
+
+        Ring<CallStore> calls;
+        StoreClient store;
+        std::thread thread;
+    };
+
+    void run(Caller &caller);
+    Caller &callerFor(const CallStore &call);
+    AnswerBody call(StoreClient &store, const ReadShardRecords &read);
+    AnswerBody call(StoreClient &store, const WriteShardRecord &write);
+    static AnswerBody unanswered(const CallStore &call);
 
     EventRing &events_;
     const Clock &clock_;
-    Ring<CallStore> calls_;
-    StoreClient store_;
-    std::thread thread_;
+    /// The first one reads, the others write.
+    std::vector<std::unique_ptr<Caller>> callers_;
 };
 
 } // namespace caraway
--- a/Source/Messages/PeerCodec.cpp
+++ b/Source/Messages/PeerCodec.cpp
@@ -71,6 +71,23 @@
             {"record", encodeShardRecord(notice.record)}};
 }
 
+Json encodeMessage(const PromiseRequest &request)
+{
+    return {{"type", "promise_request"},
+            {"shard", request.shard.value()},
+            {"epoch", request.epoch.value()},
+            {"round", request.round}};
+}
+
+Json encodeMessage(const PromiseReply &reply)
+{
+    return {{"type", "promise_reply"},
+            {"shard", reply.shard.value()},
+            {"epoch", reply.epoch.value()},
+            {"round", reply.round},
+            {"granted", reply.granted}};
+}
+
 Result<PeerMessage> decodeSubmit(ObjectReader &reader)
 {
     HolderRequest request {ShardId(reader.text("shard")), RequestId(readCount(reader, "id")), {}};
@@ -143,18 +160,46 @@
     return PeerMessage(ShardRecordNotice {std::move(record)});
 }
 
+Result<PeerMessage> decodePromiseRequest(ObjectReader &reader)
+{
+    PromiseRequest request;
+    request.shard = ShardId(reader.text("shard"));
+    request.epoch = Epoch(readCount(reader, "epoch"));
+    request.round = readCount(reader, "round");
+    BOOST_LEAF_CHECK(reader.finish());
+    return PeerMessage(std::move(request));
+}
+
+Result<PeerMessage> decodePromiseReply(ObjectReader &reader)
+{
+    PromiseReply reply;
+    reply.shard = ShardId(reader.text("shard"));
+    reply.epoch = Epoch(readCount(reader, "epoch"));
+    reply.round = readCount(reader, "round");
+    reply.granted = reader.flagOr("granted", false);
+    BOOST_LEAF_CHECK(reader.finish());
+    return PeerMessage(std::move(reply));
+}
+
 using Decoder = Result<PeerMessage> (*)(ObjectReader &);
 
 const std::vector<std::string_view> &typeNames()
 {
     static const std::vector<std::string_view> names
-            = {"submit", "query", "cancel", "reply", "heartbeat", "preset", "shard_record"};
+            = {"submit", "query",        "cancel",          "reply",        "heartbeat",
+               "preset", "shard_record", "promise_request", "promise_reply"};
     return names;
 }
 
-constexpr Decoder decoders[]
-        = {decodeSubmit,    decodeQuery,         decodeCancel,           decodeReply,
-           decodeHeartbeat, decodePresetMessage, decodeShardRecordNotice};
+constexpr Decoder decoders[] = {decodeSubmit,
+                                decodeQuery,
+                                decodeCancel,
+                                decodeReply,
+                                decodeHeartbeat,
+                                decodePresetMessage,
+                                decodeShardRecordNotice,
+                                decodePromiseRequest,
+                                decodePromiseReply};
 
 } // namespace
 
--- a/Tests/Decisions/InstanceTest.cpp
+++ b/Tests/Decisions/InstanceTest.cpp
@@ -9,6 +9,7 @@
 {
     CPPUNIT_TEST_SUITE(InstanceTest);
     CPPUNIT_TEST(request_rightAfterClaim_outlivesRecovery);
+    CPPUNIT_TEST(tick_readingUnderWay_sendsNoOther);
     CPPUNIT_TEST_SUITE_END();
 
     const ShardId shard_ {"z"};
@@ -36,7 +37,8 @@
     {
         PresetInForce inForce;
         inForce.preset.kinds.push_back({.kind = KindId("preview"), .queueBound = 10});
-        inForce.preset.teams.push_back({.team = TeamId("editors")});
+        const Resources quota {Millicores(1000), Bytes(1000), Accelerators(), Slots(8)};
+        inForce.preset.teams.push_back({.team = TeamId("editors"), .quota = quota});
         inForce.revision = Revision(1);
         return inForce;
     }
@@ -100,7 +102,25 @@
         const std::optional<HolderReply> reply = lastSent<HolderReply>(
                 instance_.handle(at(1030), PeerMessageReceived {peer_, query}));
         CPPUNIT_ASSERT(reply && !reply->notHolder);
-        CPPUNIT_ASSERT(!reply->report.error);
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             reply->report.error ? reply->report.error->message : "");
+    }
+
+    void tick_readingUnderWay_sendsNoOther()
+    {
+        const auto readsFrom = [this](std::int64_t from, std::int64_t to) {
+            int reads = 0;
+            for (std::int64_t ms = from; ms < to; ms += 25) {
+                for (const Action &action : instance_.handle(at(ms), Tick {})) {
+                    const auto *call = std::get_if<CallStore>(&action);
+                    reads += call && std::holds_alternative<ReadShardRecords>(call->body) ? 1 : 0;
+                }
+            }
+            return reads;
+        };
+        CPPUNIT_ASSERT_EQUAL(1, readsFrom(1000, 4000));
+        instance_.handle(at(4000), StoreAnswered {at(1000), ShardRecordsRead {}});
+        CPPUNIT_ASSERT_EQUAL(1, readsFrom(4000, 5000));
     }
 };
 
--- a/Tests/Decisions/ShardLeaseTest.cpp
+++ b/Tests/Decisions/ShardLeaseTest.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace caraway::tests {
 
 class ShardLeaseTest : public CppUnit::TestFixture
@@ -10,6 +12,14 @@
     CPPUNIT_TEST(tick_recordAbsent_claims);
     CPPUNIT_TEST(tick_foreignRecordUnchangedForLease_claims);
     CPPUNIT_TEST(tick_storeUnreadPastForeignLease_doesNotClaim);
+    CPPUNIT_TEST(tick_storeDownAllPromised_servesPastLease);
+    CPPUNIT_TEST(tick_storeDownOneNotPromised_isSuspended);
+    CPPUNIT_TEST(tick_promiserFallsSilent_isSuspendedWithinPromise);
+    CPPUNIT_TEST(tick_listUnreadable_promisesDoNotCount);
+    CPPUNIT_TEST(promiseReply_newerEpoch_stopsHolding);
+    CPPUNIT_TEST(promiseRequest_thenStoreBack_claimsOnlyAfterPromise);
+    CPPUNIT_TEST(promiseRequest_claimUnderWay_isRefused);
+    CPPUNIT_TEST(tick_wokenOffList_waitsForListAndPromises);
     CPPUNIT_TEST(tick_notACandidateOfTheRecord_doesNotClaim);
     CPPUNIT_TEST(tick_noCandidateOfTheRecordListed_claims);
     CPPUNIT_TEST(tick_unrenewedPastLease_isSuspended);
@@ -37,13 +47,67 @@
     {
         return {ShardId("z"), InstanceId("b"), Epoch(4), 7, false, Revision(9), {}};
     }
-    void listEntries(const std::vector<std::string> &names)
+    void listEntries(const std::vector<std::string> &names, std::int64_t readAt = 0)
     {
         InstanceList list;
         for (const std::string &name : names)
             list.entries.push_back({InstanceId(name), ZoneId("z"), {}, {}, MemberState::Live});
-        membership_.update(list);
+        membership_.update(list, at(readAt));
+    }
+    /// Sees the holder renew a record that names this instance; unchanged from 1000 ms on.
+    ShardRecord followRenewal()
+    {
+        listEntries({"a", "b"}, 400);
+        ShardRecord foreign = foreignRecord();
+        foreign.candidates = {InstanceId("b"), InstanceId("a")};
+        foreign.revision = Revision(8);
+        lease_.onRecordRead(at(500), at(490), foreign);
+        foreign.revision = Revision(9);
+        lease_.onRecordRead(at(1000), at(990), foreign);
+        return foreign;
+    }
+    /// Serves from 1000 ms on, with "b" and "c" as the other candidates, and then loses the
+    /// store; one of \a promisers answers every request for a promise until \a silentAt.
+    void serveWithoutStore(std::int64_t until, const std::vector<std::string> &promisers,
+                           std::int64_t silentAt, std::int64_t listLostAt)
+    {
+        listEntries({"a", "b", "c"}, 1000);
+        holdFrom(1000);
+        lease_.onRecovered();
+        for (std::int64_t ms = 1000; ms < until; ms += 25) {
+            if (ms < listLostAt)
+                listEntries({"a", "b", "c"}, ms);
+            lease_.onTick(at(ms));
+            answerPromiseRequests(ms < silentAt ? promisers : std::vector<std::string>(), ms);
+        }
+    }
+    void answerPromiseRequests(const std::vector<std::string> &promisers, std::int64_t ms)
+    {
+        Actions actions;
+        lease_.drainActions(actions);
+        for (const Action &action : actions) {
+            const auto *send = std::get_if<SendToPeer>(&action);
+            const auto *request = send ? std::get_if<PromiseRequest>(&send->message) : nullptr;
+            if (!request || std::ranges::find(promisers, send->peer.value()) == promisers.end())
+                continue;
+            lease_.onPromiseReply(at(ms + 2), send->peer,
+                                  {request->shard, request->epoch, request->round, true});
+        }
     }
+    std::optional<PromiseReply> askForPromise(std::int64_t ms, Epoch epoch)
+    {
+        lease_.onPromiseRequest(at(ms), InstanceId("b"), {ShardId("z"), epoch, 1});
+        Actions actions;
+        lease_.drainActions(actions);
+        for (const Action &action : actions) {
+            const auto *send = std::get_if<SendToPeer>(&action);
+            if (send && std::holds_alternative<PromiseReply>(send->message))
+                return std::get<PromiseReply>(send->message);
+        }
+        return std::nullopt;
+    }
+    static constexpr std::int64_t never = 1'000'000;
+
     static TimePoint at(std::int64_t ms) { return TimePoint(Milliseconds(ms)); }
 
     std::optional<ShardRecord> takeWrite()
@@ -80,12 +144,13 @@
 
     void tick_foreignRecordUnchangedForLease_claims()
     {
-        const ShardRecord foreign = foreignRecord();
-        lease_.onRecordRead(at(1000), at(990), foreign);
+        const ShardRecord foreign = followRenewal();
         lease_.onTick(at(1000 + settings_.shardLease.count() - 1));
         CPPUNIT_ASSERT(!takeWrite());
         // The time alone proves nothing: the holder may have renewed since the last reading.
         const std::int64_t lapsesAt = 1000 + settings_.shardLease.count();
+        listEntries({"a", "b"}, 2000);
+        listEntries({"a", "b"}, lapsesAt);
         lease_.onTick(at(lapsesAt));
         CPPUNIT_ASSERT(!takeWrite());
         CPPUNIT_ASSERT(lease_.takeReadWanted());
@@ -107,17 +172,103 @@
     void tick_storeUnreadPastForeignLease_doesNotClaim()
     {
         lease_.onRecordRead(at(1000), at(990), foreignRecord());
-        for (std::int64_t ms = 1000; ms < 20'000; ms += 25)
+        for (std::int64_t ms = 1000; ms < 20'000; ms += 25) {
+            listEntries({"a", "b"}, ms);
             lease_.onTick(at(ms));
+        }
         CPPUNIT_ASSERT(!takeWrite());
     }
 
+    void tick_storeDownAllPromised_servesPastLease()
+    {
+        serveWithoutStore(20'000, {"b", "c"}, never, never);
+        CPPUNIT_ASSERT(lease_.isServing());
+        CPPUNIT_ASSERT_EQUAL(std::string("byPromise"), lease_.stateName());
+    }
+
+    void tick_storeDownOneNotPromised_isSuspended()
+    {
+        serveWithoutStore(1000 + settings_.shardLease.count(), {"b"}, never, never);
+        CPPUNIT_ASSERT(lease_.isHeld() && !lease_.isServing());
+    }
+
+    void tick_promiserFallsSilent_isSuspendedWithinPromise()
+    {
+        constexpr std::int64_t silentAt = 10'000;
+        serveWithoutStore(silentAt + settings_.promise.count() - settings_.leaseMargin.count() + 25,
+                          {"b", "c"}, silentAt, never);
+        CPPUNIT_ASSERT(lease_.isHeld() && !lease_.isServing());
+    }
+
+    void tick_listUnreadable_promisesDoNotCount()
+    {
+        constexpr std::int64_t lostAt = 10'000;
+        serveWithoutStore(lostAt + settings_.listAge.count() + 50, {"b", "c"}, never, lostAt);
+        CPPUNIT_ASSERT(lease_.isHeld() && !lease_.isServing());
+    }
+
+    void promiseReply_newerEpoch_stopsHolding()
+    {
+        serveWithoutStore(3000, {"b", "c"}, never, never);
+        lease_.onPromiseReply(at(3010), InstanceId("b"), {ShardId("z"), Epoch(2), 1, false});
+        CPPUNIT_ASSERT(!lease_.isHeld());
+    }
+
+    void promiseRequest_thenStoreBack_claimsOnlyAfterPromise()
+    {
+        const ShardRecord foreign = followRenewal();
+        constexpr std::int64_t promisedAt = 9000;
+        for (std::int64_t ms = 1000; ms <= promisedAt; ms += 100)
+            listEntries({"a", "b"}, ms);
+        CPPUNIT_ASSERT(askForPromise(promisedAt, foreign.epoch)->granted);
+        const std::int64_t endsAt = promisedAt + settings_.promise.count();
+        for (std::int64_t ms = promisedAt + 25; ms < endsAt; ms += 25) {
+            listEntries({"a", "b"}, ms);
+            lease_.onRecordRead(at(ms), at(ms), foreign);
+            lease_.onTick(at(ms));
+        }
+        CPPUNIT_ASSERT(!takeWrite());
+        lease_.onTick(at(endsAt));
+        CPPUNIT_ASSERT(takeWrite());
+    }
+
+    void promiseRequest_claimUnderWay_isRefused()
+    {
+        const ShardRecord foreign = followRenewal();
+        listEntries({"a", "b"}, 2300);
+        listEntries({"a", "b"}, 3600);
+        lease_.onRecordRead(at(3600), at(3600), foreign);
+        lease_.onTick(at(3600));
+        const ShardRecord claim = *takeWrite();
+        lease_.onRecordWritten(at(4000), at(3600), {claim, StoreOutcome::Unanswered});
+        lease_.onRecordRead(at(4100), at(4100), foreign);
+        // The claim may still take effect, however late.
+        CPPUNIT_ASSERT(!askForPromise(8000, foreign.epoch)->granted);
+    }
+
+    void tick_wokenOffList_waitsForListAndPromises()
+    {
+        ShardRecord foreign = followRenewal();
+        // A pause of a minute; the list dropped this instance, and the holder asks it no more.
+        constexpr std::int64_t wokenAt = 60'000;
+        const std::int64_t longest
+                = (settings_.listLag + settings_.listAge + settings_.promise).count();
+        for (std::int64_t ms = wokenAt; ms < wokenAt + longest; ms += 25) {
+            listEntries({"a", "b"}, ms);
+            lease_.onRecordRead(at(ms), at(ms), foreign);
+            lease_.onTick(at(ms));
+        }
+        CPPUNIT_ASSERT(!takeWrite());
+        lease_.onTick(at(wokenAt + longest));
+        CPPUNIT_ASSERT(takeWrite());
+    }
+
     void tick_notACandidateOfTheRecord_doesNotClaim()
     {
         ShardRecord foreign = foreignRecord();
         foreign.candidates = {InstanceId("b"), InstanceId("c")};
-        listEntries({"a", "b", "c"});
         for (std::int64_t ms = 1000; ms < 20'000; ms += 25) {
+            listEntries({"a", "b", "c"}, ms);
             lease_.onRecordRead(at(ms), at(ms), foreign);
             lease_.onTick(at(ms));
         }
@@ -129,6 +280,7 @@
         ShardRecord foreign = foreignRecord();
         foreign.candidates = {InstanceId("b"), InstanceId("c")};
         for (std::int64_t ms = 1000; ms < 20'000; ms += 25) {
+            listEntries({"a"}, ms);
             lease_.onRecordRead(at(ms), at(ms), foreign);
             lease_.onTick(at(ms));
         }
@@ -198,7 +350,7 @@
         ShardRecord foreign = foreignRecord();
         foreign.candidates = {InstanceId("b"), InstanceId("c"), InstanceId("a")};
         foreign.released = true;
-        listEntries({"a", "b", "c"});
+        listEntries({"a", "b", "c"}, 1000);
         lease_.onRecordRead(at(1000), at(990), foreign);
         lease_.onTick(at(1290));
         CPPUNIT_ASSERT(!takeWrite());
@@ -233,7 +385,11 @@
         const TimePoint end = lease_.startsEndAt();
         lease_.onTick(at(1800));
         ShardRecord first = *takeWrite();
+        // The second is sent only once the first is known to be unanswered.
         lease_.onTick(at(2600));
+        CPPUNIT_ASSERT(!takeWrite());
+        lease_.onRecordWritten(at(2610), at(1800), {first, StoreOutcome::Unanswered});
+        lease_.onTick(at(2625));
         CPPUNIT_ASSERT(takeWrite());
         first.revision = Revision(2);
         lease_.onRecordRead(at(2700), at(2690), first);
--- a/Tests/Processes/OwnershipTest.cpp
+++ b/Tests/Processes/OwnershipTest.cpp
@@ -25,6 +25,10 @@
     CPPUNIT_TEST_SUITE(OwnershipTest);
     CPPUNIT_TEST(kill_holder_nextStartsWithinTarget);
     CPPUNIT_TEST(pause_holder_nextStartsWithinTargetAndWokenHolderDoesNot);
+    CPPUNIT_TEST(slowStore_holdersGoOn);
+    CPPUNIT_TEST(storeOutage_workArrives_noneRefused);
+    CPPUNIT_TEST(storeOutage_holderCutOffFromPeers_startsNothing);
+    CPPUNIT_TEST(rest_fleetAtRest_keepsToStoreBudget);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::int64_t takeoverTargetMs = 5000;
@@ -106,6 +110,89 @@
         CPPUNIT_ASSERT(fleet_.holderOf(zone) != holder);
         CPPUNIT_ASSERT(fleet_.violations().empty());
     }
+
+    /// Sends small jobs to every entry in turn for \a ms; the answers other than "done".
+    std::vector<std::string> runSteadily(const std::string &stem, std::int64_t ms) const
+    {
+        std::vector<std::string> failures;
+        const std::int64_t end = wallMs() + ms;
+        for (int i = 0; wallMs() < end; ++i) {
+            const HttpAnswer answer = fleet_.run(i % fleet_.shape().entries,
+                                                 TestFleet::makeJob(fmt::format("{}-{}", stem, i)));
+            if (answer.status != 200)
+                failures.push_back(answer.body.dump());
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return failures;
+    }
+
+    /// Every shard's holder, which changes with a takeover.
+    std::vector<int> holders() const
+    {
+        std::vector<int> found;
+        for (const std::string &zone : fleet_.shape().zones)
+            found.push_back(fleet_.holderOf(zone));
+        return found;
+    }
+
+    void slowStore_holdersGoOn()
+    {
+        const std::vector<int> before = holders();
+        fleet_.controlStore({{"delay_ms", 300}});
+        const std::vector<std::string> failures = runSteadily("slow", 8000);
+        fleet_.controlStore({{"delay_ms", 0}});
+        CPPUNIT_ASSERT_MESSAGE(failures.empty() ? "" : failures.front(), failures.empty());
+        CPPUNIT_ASSERT(before == holders());
+    }
+
+    void storeOutage_workArrives_noneRefused()
+    {
+        constexpr std::int64_t outageMs = 12'000;
+        const std::vector<int> before = holders();
+        fleet_.controlStore({{"outage", true}});
+        std::vector<std::string> failures = runSteadily("outage", outageMs);
+        fleet_.controlStore({{"outage", false}});
+        const std::vector<std::string> later = runSteadily("after", 4000);
+        failures.insert(failures.end(), later.begin(), later.end());
+        CPPUNIT_ASSERT_MESSAGE(failures.empty() ? "" : failures.front(), failures.empty());
+        CPPUNIT_ASSERT(before == holders());
+        CPPUNIT_ASSERT(fleet_.violations().empty());
+    }
+
+    void storeOutage_holderCutOffFromPeers_startsNothing()
+    {
+        const std::string zone = fleet_.shape().zones[0];
+        const int holder = fleet_.holderOf(zone);
+        const std::string job = jobAt(zone, "cut-off");
+        fleet_.controlStore({{"outage", true}});
+        fleet_.setFaults("peer-" + fleet_.entryName(holder), {{"cut", true}});
+        std::this_thread::sleep_for(std::chrono::seconds(4));
+        fleet_.run(holder, TestFleet::makeJob(job), 2000);
+        CPPUNIT_ASSERT_EQUAL(0, fleet_.startsOf(job));
+        fleet_.controlStore({{"outage", false}});
+        fleet_.setFaults("peer-" + fleet_.entryName(holder), {{"cut", false}});
+        CPPUNIT_ASSERT(TestFleet::eventually(
+                [&] { return fleet_.run(holder, TestFleet::makeJob(job), 2000).status == 200; }));
+        CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf(job));
+    }
+
+    void rest_fleetAtRest_keepsToStoreBudget()
+    {
+        constexpr std::int64_t seconds = 5;
+        constexpr std::int64_t readsPerInstance = 5;
+        constexpr std::int64_t writesPerShard = 2;
+        const nlohmann::json before = fleet_.storeStats();
+        std::this_thread::sleep_for(std::chrono::seconds(seconds));
+        const nlohmann::json after = fleet_.storeStats();
+        const auto used = [&](const char *kind) {
+            return after[kind].get<std::int64_t>() - before[kind].get<std::int64_t>();
+        };
+        fmt::print(stderr, "[{} reads, {} writes, {} watches in {} s]", used("reads"),
+                   used("writes"), used("watches"), seconds);
+        CPPUNIT_ASSERT(used("reads") <= readsPerInstance * seconds * fleet_.shape().entries);
+        const auto shards = static_cast<std::int64_t>(fleet_.shape().zones.size());
+        CPPUNIT_ASSERT(used("writes") <= writesPerShard * seconds * shards);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
