Race a new connection against a silent peer link

Cause: a link whose connection went silent was closed after its pings, and every message sent meanwhile was lost: a forwarded request, or its answer, never came. An entry asks an unanswered holder again every 2 s, which attaches to the same job; a reply is taken only for the job that was asked about. Inbound connections are bounded and closed when no longer probed. An empty instance list no longer drops every link. Ruled out: TCP keep-alive (tens of seconds); one shared connection in both directions (the sides would race for which is current); closing the silent connection first (a pause of the peer would cut what it is about to answer).

--- a/Source/Decisions/ForwardedRequest.cpp
+++ b/Source/Decisions/ForwardedRequest.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Milliseconds retryAfterNoHolder(1000);
+/// An unanswered holder is asked again this often: the request or its answer may be lost.
+constexpr Milliseconds reaskInterval(2000);
 
 } // namespace
 
@@ -18,7 +20,8 @@
     static const BoundChart<ForwardedRequest> bound = BoundChart<ForwardedRequest> {
             "ForwardedRequest.scxml",
             {"open", "unsent", "sent", "closed"},
-            {"answered", "holderKnown", "holderChanged", "turnedAway", "deadlinePassed"},
+            {"answered", "holderKnown", "holderChanged", "reaskDue", "turnedAway",
+             "deadlinePassed"},
             {},
             {{"send", &ForwardedRequest::send},
              {"answerNotRun", &ForwardedRequest::answerNotRun},
@@ -50,6 +53,9 @@
         machine_.handle(*this, Event::TurnedAway);
         return;
     }
+    // A former life of this instance may have used the same number for another job.
+    if (reply.report.name != job_)
+        return;
     if (isOpen())
         answer(reply.report);
     machine_.handle(*this, Event::Answered);
@@ -57,6 +63,12 @@
 
 void ForwardedRequest::onTick(TimePoint now)
 {
+    if (reaskAt_ == TimePoint())
+        reaskAt_ = now + reaskInterval;
+    if (now >= reaskAt_) {
+        reaskAt_ = now + reaskInterval;
+        machine_.handle(*this, Event::ReaskDue);
+    }
     if (now >= deadline_)
         machine_.handle(*this, Event::DeadlinePassed);
 }
--- a/Source/Decisions/ForwardedRequest.h
+++ b/Source/Decisions/ForwardedRequest.h
@@ -11,7 +11,7 @@
 {
 public:
     enum class State { Open, Unsent, Sent, Closed };
-    enum class Event { Answered, HolderKnown, HolderChanged, TurnedAway, DeadlinePassed };
+    enum class Event { Answered, HolderKnown, HolderChanged, ReaskDue, TurnedAway, DeadlinePassed };
     static const BoundChart<ForwardedRequest> &chart();
 
     ForwardedRequest(HolderRequest request, JobName job, TimePoint deadline);
@@ -36,6 +36,7 @@
     HolderRequest request_;
     JobName job_;
     TimePoint deadline_;
+    TimePoint reaskAt_;
     InstanceId holder_;
     Epoch epoch_;
     Lifecycle<ForwardedRequest> machine_;
--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -202,6 +202,9 @@
 
 void Instance::on(const InstanceListRead &read)
 {
+    // The platform's list is empty for a moment now and then; the last one stays in use.
+    if (read.list.entries.empty() && read.list.workers.empty())
+        return;
     membership_.update(read.list);
     for (const ShardId &id : membership_.shards())
         shardFor(id).scheduler.setWorkers(now_, membership_.workersOf(id));
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -135,6 +135,10 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter)
 {
+    // An entry that asks again, or another life of it, replaces its earlier question.
+    std::erase_if(job.waiters, [&](const JobRecord::Waiter &other) {
+        return other.entry == waiter.entry && other.request == waiter.request;
+    });
     if (!job.isOpen() || waiter.until <= now)
         reply(waiter.entry, waiter.request, job.report());
     else
--- a/Source/Duties/WebSocketEndpoint.cpp
+++ b/Source/Duties/WebSocketEndpoint.cpp
@@ -5,8 +5,11 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <atomic>
 #include <map>
+#include <memory>
 #include <stdexcept>
+#include <vector>
 
 namespace caraway {
 
@@ -17,10 +20,14 @@
 using Handle = websocketpp::connection_hdl;
 
 constexpr std::size_t maxFrameBytes = 4 << 20;
+/// Bytes that may wait to be sent over one connection, and over all together.
 constexpr std::size_t maxWaitingBytes = 4 << 20;
-constexpr long pongLimitMs = 1000;
-constexpr long maintenanceIntervalMs = 400;
-constexpr long connectLimitMs = 1000;
+constexpr std::size_t maxPostedBytes = 16 << 20;
+constexpr long openLimitMs = 1000;
+constexpr long closeLimitMs = 500;
+constexpr std::size_t maxInbound = 256;
+/// A peer probes far more often than this.
+constexpr long inboundTicksLimit = 100;
 
 } // namespace
 
@@ -37,11 +44,12 @@
         client_.init_asio(&service_);
         server_.set_reuse_addr(true);
         server_.set_max_message_size(maxFrameBytes);
-        server_.set_message_handler([this](Handle, const Server::message_ptr &message) {
-            handlers_.received(message->get_payload());
-        });
-        client_.set_open_handshake_timeout(connectLimitMs);
-        client_.set_pong_timeout(pongLimitMs);
+        server_.set_open_handshake_timeout(openLimitMs);
+        server_.set_close_handshake_timeout(closeLimitMs);
+        client_.set_open_handshake_timeout(openLimitMs);
+        client_.set_close_handshake_timeout(closeLimitMs);
+        client_.set_max_message_size(maxFrameBytes);
+        setServerHandlers();
         websocketpp::lib::error_code error;
         server_.listen(host, std::to_string(port), error);
         if (error)
@@ -51,7 +59,7 @@
 
     void run()
     {
-        scheduleMaintenance();
+        scheduleTick();
         service_.run();
     }
 
@@ -67,46 +75,66 @@
         service_.stop();
     }
 
-    void keepConnected(const std::string &peer, const std::string &uri)
+    void open(std::uint64_t number, const std::string &uri)
     {
-        Link &link = links_[peer];
-        if (link.uri == uri)
+        websocketpp::lib::error_code error;
+        const Client::connection_ptr connection = client_.get_connection(uri, error);
+        if (error) {
+            handlers_.ended(number);
             return;
-        if (!link.uri.empty())
-            drop(peer, link);
-        link.uri = uri;
-        connect(peer, link);
+        }
+        connections_[number] = connection;
+        const std::weak_ptr<Implementation> weak = weak_from_this();
+        connection->set_open_handler([weak, number](Handle) {
+            if (const auto self = weak.lock())
+                self->handlers_.opened(number);
+        });
+        const auto ended = [weak, number](Handle) {
+            if (const auto self = weak.lock())
+                self->ended(number);
+        };
+        connection->set_fail_handler(ended);
+        connection->set_close_handler(ended);
+        connection->set_pong_handler([weak, number](Handle, const std::string &payload) {
+            if (const auto self = weak.lock())
+                self->handlers_.pingAnswered(number, payload);
+        });
+        client_.connect(connection);
     }
 
-    void forget(const std::string &peer)
+    void close(std::uint64_t number)
     {
-        const auto found = links_.find(peer);
-        if (found == links_.end())
+        const auto found = connections_.find(number);
+        if (found == connections_.end())
             return;
-        drop(peer, found->second);
-        links_.erase(found);
+        const Client::connection_ptr connection = std::move(found->second);
+        connections_.erase(found);
+        websocketpp::lib::error_code error;
+        connection->close(websocketpp::close::status::going_away, "", error);
     }
 
-    void send(const std::string &peer, const std::string &frame)
+    void send(std::uint64_t number, const std::string &frame)
     {
-        const auto found = links_.find(peer);
-        if (found == links_.end() || !found->second.open)
+        const auto found = connections_.find(number);
+        if (found == connections_.end())
             return;
-        Client::connection_ptr &connection = found->second.connection;
-        if (connection->get_buffered_amount() + frame.size() > maxWaitingBytes)
-            return;
-        connection->send(frame, websocketpp::frame::opcode::binary);
+        const Client::connection_ptr &connection = found->second;
+        if (connection->get_buffered_amount() + frame.size() <= maxWaitingBytes)
+            connection->send(frame, websocketpp::frame::opcode::binary);
     }
 
-private:
-    struct Link
+    void ping(std::uint64_t number, const std::string &payload)
     {
-        std::string uri;
-        Client::connection_ptr connection;
-        bool open = false;
-        bool connecting = false;
-    };
+        const auto found = connections_.find(number);
+        websocketpp::lib::error_code error;
+        if (found != connections_.end())
+            found->second->ping(payload, error);
+    }
+
+    /// Bytes handed over but not taken up by the thread of run() yet.
+    std::atomic<std::size_t> postedBytes = 0;
 
+private:
     template<class Endpoint>
     static void quieten(Endpoint &endpoint)
     {
@@ -114,91 +142,52 @@
         endpoint.clear_error_channels(websocketpp::log::elevel::all);
     }
 
-    void connect(const std::string &peer, Link &link)
+    void setServerHandlers()
     {
-        websocketpp::lib::error_code error;
-        const Client::connection_ptr connection = client_.get_connection(link.uri, error);
-        if (error)
-            return;
-        link.connection = connection;
-        link.connecting = true;
-        const std::weak_ptr<Implementation> weak = weak_from_this();
-        connection->set_open_handler([weak, peer, raw = connection.get()](Handle) {
-            if (const auto self = weak.lock())
-                self->opened(peer, raw);
+        server_.set_message_handler([this](Handle, const Server::message_ptr &message) {
+            handlers_.received(message->get_payload());
+        });
+        server_.set_validate_handler([this](Handle) { return inbound_.size() < maxInbound; });
+        server_.set_open_handler([this](Handle handle) { inbound_[handle] = ticks_; });
+        server_.set_close_handler([this](Handle handle) { inbound_.erase(handle); });
+        server_.set_ping_handler([this](Handle handle, const std::string &) {
+            inbound_[handle] = ticks_;
+            return true;
         });
-        const auto ended = [weak, peer, raw = connection.get()](Handle) {
-            if (const auto self = weak.lock())
-                self->ended(peer, raw);
-        };
-        connection->set_fail_handler(ended);
-        connection->set_close_handler(ended);
-        connection->set_pong_timeout_handler(
-                [weak, peer, raw = connection.get()](Handle, const std::string &) {
-                    if (const auto self = weak.lock())
-                        self->ended(peer, raw);
-                });
-        client_.connect(connection);
-    }
-
-    Link *linkOf(const std::string &peer, const Client::connection_type *connection)
-    {
-        const auto found = links_.find(peer);
-        const bool current = found != links_.end() && found->second.connection.get() == connection;
-        return current ? &found->second : nullptr;
-    }
-
-    void opened(const std::string &peer, const Client::connection_type *connection)
-    {
-        Link *link = linkOf(peer, connection);
-        if (!link)
-            return;
-        link->open = true;
-        link->connecting = false;
-        handlers_.linkChanged(peer, true);
-    }
-
-    void ended(const std::string &peer, const Client::connection_type *connection)
-    {
-        if (Link *link = linkOf(peer, connection))
-            drop(peer, *link);
     }
 
-    void drop(const std::string &peer, Link &link)
+    void ended(std::uint64_t number)
     {
-        const Client::connection_ptr old = std::move(link.connection);
-        const bool wasOpen = link.open;
-        link.connection.reset();
-        link.open = false;
-        link.connecting = false;
-        if (old && old->get_state() == websocketpp::session::state::open) {
-            websocketpp::lib::error_code error;
-            old->close(websocketpp::close::status::going_away, "", error);
-        }
-        if (wasOpen)
-            handlers_.linkChanged(peer, false);
+        if (connections_.erase(number) > 0)
+            handlers_.ended(number);
     }
 
-    void scheduleMaintenance()
+    void scheduleTick()
     {
         const std::weak_ptr<Implementation> weak = weak_from_this();
-        client_.set_timer(maintenanceIntervalMs, [weak](const websocketpp::lib::error_code &error) {
+        client_.set_timer(tickMs, [weak](const websocketpp::lib::error_code &error) {
             const auto self = weak.lock();
             if (!self || error || self->stopped_)
                 return;
-            self->maintain();
-            self->scheduleMaintenance();
+            ++self->ticks_;
+            self->closeForgotten();
+            self->handlers_.tick();
+            self->scheduleTick();
         });
     }
 
-    void maintain()
+    /// Closes connections from peers that stopped probing, and so use them no more.
+    void closeForgotten()
     {
-        for (auto &[peer, link] : links_) {
+        std::vector<Handle> forgotten;
+        for (const auto &[handle, probedAt] : inbound_) {
+            if (ticks_ - probedAt > inboundTicksLimit)
+                forgotten.push_back(handle);
+        }
+        for (const Handle &handle : forgotten) {
             websocketpp::lib::error_code error;
-            if (link.open)
-                link.connection->ping("", error);
-            else if (!link.connecting)
-                connect(peer, link);
+            inbound_.erase(handle);
+            server_.close(handle, websocketpp::close::status::going_away, "", error);
         }
     }
 
@@ -206,7 +195,9 @@
     boost::asio::io_service service_;
     Server server_;
     Client client_;
-    std::map<std::string, Link> links_;
+    std::map<std::uint64_t, Client::connection_ptr> connections_;
+    std::map<Handle, long, std::owner_less<Handle>> inbound_;
+    long ticks_ = 0;
     bool stopped_ = false;
 };
 
@@ -227,23 +218,36 @@
     implementation_->post([self = implementation_] { self->stop(); });
 }
 
-void WebSocketEndpoint::keepConnected(const std::string &peer, const std::string &host,
-                                      std::uint16_t port)
+void WebSocketEndpoint::open(std::uint64_t connection, const std::string &host, std::uint16_t port)
 {
     std::string uri = "ws://" + host + ":" + std::to_string(port) + "/peer";
-    implementation_->post([self = implementation_, peer, uri = std::move(uri)] {
-        self->keepConnected(peer, uri);
+    implementation_->post([self = implementation_, connection, uri = std::move(uri)] {
+        self->open(connection, uri);
     });
 }
 
-void WebSocketEndpoint::forget(const std::string &peer)
+void WebSocketEndpoint::close(std::uint64_t connection)
+{
+    implementation_->post([self = implementation_, connection] { self->close(connection); });
+}
+
+void WebSocketEndpoint::send(std::uint64_t connection, std::string frame)
 {
-    implementation_->post([self = implementation_, peer] { self->forget(peer); });
+    const std::size_t size = frame.size();
+    if (implementation_->postedBytes + size > maxPostedBytes)
+        return;
+    implementation_->postedBytes += size;
+    implementation_->post([self = implementation_, connection, size, frame = std::move(frame)] {
+        self->postedBytes -= size;
+        self->send(connection, frame);
+    });
 }
 
-void WebSocketEndpoint::send(const std::string &peer, const std::string &frame)
+void WebSocketEndpoint::ping(std::uint64_t connection, std::string payload)
 {
-    implementation_->post([self = implementation_, peer, frame] { self->send(peer, frame); });
+    implementation_->post([self = implementation_, connection, payload = std::move(payload)] {
+        self->ping(connection, payload);
+    });
 }
 
 } // namespace caraway
--- a/Source/Duties/WebSocketEndpoint.h
+++ b/Source/Duties/WebSocketEndpoint.h
@@ -7,19 +7,24 @@
 
 namespace caraway {
 
-/// Sends and receives binary frames over WebSocket, to named peers and from anyone.
-///
-/// Each side sends over the connections that it opened itself. A connection whose pings
-/// are not answered is closed and opened anew. This header is read as C++17 too, which
-/// websocketpp needs.
+/// Opens numbered WebSocket connections, sends binary frames over them, and receives frames
+/// from anyone. It decides nothing: whoever owns it says which connection to open, probe, use
+/// and close. This header is read as C++17 too, which websocketpp needs.
 class WebSocketEndpoint
 {
 public:
+    /// Called on the thread of run().
     struct Handlers
     {
-        std::function<void(std::string frame)> received;
-        std::function<void(const std::string &peer, bool up)> linkChanged;
+        std::function<void(const std::string &frame)> received;
+        std::function<void(std::uint64_t connection)> opened;
+        /// The connection was closed by the other side, or could not be opened.
+        std::function<void(std::uint64_t connection)> ended;
+        std::function<void(std::uint64_t connection, const std::string &payload)> pingAnswered;
+        /// Called every tickMs.
+        std::function<void()> tick;
     };
+    static constexpr long tickMs = 100;
 
     /// Listens on \a host and \a port; throws std::runtime_error when the port is taken.
     WebSocketEndpoint(const std::string &host, std::uint16_t port, Handlers handlers);
@@ -29,12 +34,11 @@
     void run();
     void stop();
 
-    /// Keeps a connection open to \a peer from now on.
-    void keepConnected(const std::string &peer, const std::string &host, std::uint16_t port);
-    void forget(const std::string &peer);
-    /// Sends over the open connection to \a peer; the frame is dropped when there is none
-    /// or when too much waits to be sent.
-    void send(const std::string &peer, const std::string &frame);
+    void open(std::uint64_t connection, const std::string &host, std::uint16_t port);
+    void close(std::uint64_t connection);
+    /// Sends a frame; it is dropped when the connection is not open or too much waits.
+    void send(std::uint64_t connection, std::string frame);
+    void ping(std::uint64_t connection, std::string payload);
 
 private:
     class Implementation;
--- a/Source/Messages/PeerCodec.cpp
+++ b/Source/Messages/PeerCodec.cpp
@@ -145,6 +145,8 @@
     Json json
             = std::visit([](const auto &message) { return encodeMessage(message); }, frame.message);
     json["from"] = frame.from.value();
+    json["incarnation"] = frame.incarnation.value();
+    json["number"] = frame.number.value();
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -161,11 +163,13 @@
         return fail(ErrorKind::InvalidMessage, "The frame is not CBOR. Check the peer's release.");
     ObjectReader reader(json, "peer frame");
     InstanceId from = reader.id<InstanceId>("from");
+    const Incarnation incarnation(readCount(reader, "incarnation"));
+    const FrameNumber number(readCount(reader, "number"));
     if (!reader.has("type"))
         return fail(ErrorKind::InvalidMessage, "The frame has no type. Check the peer's release.");
     const std::size_t type = reader.choice("type", typeNames(), 0);
     BOOST_LEAF_AUTO(message, decoders[type](reader));
-    return PeerFrame {std::move(from), std::move(message)};
+    return PeerFrame {std::move(from), std::move(message), incarnation, number};
 }
 
 } // namespace caraway
--- a/Source/Messages/PeerCodec.h
+++ b/Source/Messages/PeerCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Error.h"
+#include "Decisions/PeerLink.h"
 #include "Decisions/PeerMessage.h"
 
 #include <cstddef>
@@ -18,6 +19,10 @@
 {
     InstanceId from;
     PeerMessage message;
+    /// The sender's life, so that a restart begins its numbers anew.
+    Incarnation incarnation = {};
+    /// Set on frames that may come twice; zero on the others.
+    FrameNumber number = {};
 };
 
 std::string encodePeerFrame(const PeerFrame &frame);
--- a/Tests/Processes/LinksTest.cpp
+++ b/Tests/Processes/LinksTest.cpp
@@ -117,4 +117,72 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerLimitsTest);
 
+/// Links between entry instances that stop carrying bytes.
+class PeerLinksTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerLinksTest);
+    CPPUNIT_TEST(run_overLinkGoneSilent_isAnsweredOverNewOne);
+    CPPUNIT_TEST(run_answerLinkGoneSilent_isAnsweredOverNewOne);
+    CPPUNIT_TEST(run_overLinkHeldForWhile_isAnsweredOnceAndRunsOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::int64_t replacedWithinMs = 2500;
+
+    TestFleet fleet_ {{.zones = {"klang-a"}, .entries = 2}};
+    int holder_ = 0;
+    int other_ = 0;
+
+    std::int64_t runAndTime(const std::string &name)
+    {
+        const auto begin = SteadyClock::now();
+        const HttpAnswer answer = fleet_.run(other_, TestFleet::makeJob(name), 10'000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body.dump(), 200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), answer.body["state"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf(name));
+        return msSince(begin);
+    }
+    std::string linkTo(int entry) const { return "peer-" + fleet_.entryName(entry); }
+
+public:
+    void setUp() override
+    {
+        fleet_.start();
+        holder_ = fleet_.holderOf("klang-a");
+        other_ = 1 - holder_;
+        runAndTime("warm");
+    }
+
+    void run_overLinkGoneSilent_isAnsweredOverNewOne()
+    {
+        fleet_.setFaults(linkTo(holder_), {{"silence_open", true}});
+        const std::int64_t took = runAndTime("forward");
+        fmt::print("\nanswered {} ms after the forward link went silent\n", took);
+        CPPUNIT_ASSERT(took < replacedWithinMs);
+        CPPUNIT_ASSERT(runAndTime("forward-next") < 500);
+    }
+
+    void run_answerLinkGoneSilent_isAnsweredOverNewOne()
+    {
+        fleet_.setFaults(linkTo(other_), {{"silence_open", true}});
+        const std::int64_t took = runAndTime("back");
+        fmt::print("\nanswered {} ms after the answering link went silent\n", took);
+        CPPUNIT_ASSERT(took < replacedWithinMs);
+    }
+
+    void run_overLinkHeldForWhile_isAnsweredOnceAndRunsOnce()
+    {
+        fleet_.setFaults(linkTo(holder_), {{"hold_forward", true}, {"hold_back", true}});
+        std::jthread release([this] {
+            std::this_thread::sleep_for(3s);
+            fleet_.setFaults(linkTo(holder_), {{"hold_forward", false}, {"hold_back", false}});
+        });
+        const std::int64_t took = runAndTime("held");
+        release.join();
+        fmt::print("\nanswered {} ms after the link was held for 3000 ms\n", took);
+        CPPUNIT_ASSERT(took < 3000 + replacedWithinMs);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinksTest);
+
 } // namespace caraway::tests
--- a/Tests/Standins/ProxyStandin.cpp
+++ b/Tests/Standins/ProxyStandin.cpp
@@ -89,6 +89,8 @@
         link.delayMs = order.value("delay_ms", link.delayMs.load());
         link.holdForward = order.value("hold_forward", link.holdForward.load());
         link.holdBack = order.value("hold_back", link.holdBack.load());
+        if (order.value("silence_open", false))
+            link.silentUpTo = link.lastConnection.load();
         link.cut = order.value("cut", link.cut.load());
         if (!link.cut)
             continue;
@@ -116,9 +118,10 @@
             link.sockets.push_back(client);
             link.sockets.push_back(server);
         }
-        std::thread([&link, client, server] {
-            std::thread back([&] { pump(link, server, client, link.holdBack); });
-            pump(link, client, server, link.holdForward);
+        const std::int64_t connection = ++link.lastConnection;
+        std::thread([&link, connection, client, server] {
+            std::thread back([&] { pump(link, connection, server, client, link.holdBack); });
+            pump(link, connection, client, server, link.holdForward);
             back.join();
             const std::lock_guard lock(link.mutex);
             link.sockets.remove(client);
@@ -129,7 +132,8 @@
     }
 }
 
-void ProxyStandin::pump(Link &link, int from, int to, const std::atomic<bool> &hold)
+void ProxyStandin::pump(Link &link, std::int64_t connection, int from, int to,
+                        const std::atomic<bool> &hold)
 {
     std::array<char, bufferBytes> buffer {};
     for (;;) {
@@ -137,7 +141,8 @@
         if (count <= 0)
             break;
         std::this_thread::sleep_for(std::chrono::milliseconds(link.delayMs));
-        if (!hold && !sendAll(to, buffer.data(), static_cast<std::size_t>(count)))
+        const bool isSilent = hold || connection <= link.silentUpTo;
+        if (!isSilent && !sendAll(to, buffer.data(), static_cast<std::size_t>(count)))
             break;
     }
     shutdown(to, SHUT_RDWR);
--- a/Tests/Standins/ProxyStandin.h
+++ b/Tests/Standins/ProxyStandin.h
@@ -12,7 +12,8 @@
 namespace caraway::standins {
 
 /// A TCP proxy that injects faults. POST /links opens a link (name, listen, to_port);
-/// POST /faults sets the faults of one (name, delay_ms, cut, hold_forward, hold_back).
+/// POST /faults sets the faults of one (name, delay_ms, cut, hold_forward, hold_back,
+/// silence_open).
 class ProxyStandin
 {
 public:
@@ -28,6 +29,9 @@
         std::atomic<std::int64_t> delayMs = 0;
         /// Open connections are closed and new ones refused.
         std::atomic<bool> cut = false;
+        /// Connections numbered up to this one are silent for good; new ones work.
+        std::atomic<std::int64_t> silentUpTo = 0;
+        std::atomic<std::int64_t> lastConnection = 0;
         /// Bytes towards the server, or back, silently go nowhere.
         std::atomic<bool> holdForward = false;
         std::atomic<bool> holdBack = false;
@@ -38,7 +42,8 @@
     void openLink(const nlohmann::json &order);
     void setFaults(const nlohmann::json &order);
     static void acceptLoop(Link &link);
-    static void pump(Link &link, int from, int to, const std::atomic<bool> &hold);
+    static void pump(Link &link, std::int64_t connection, int from, int to,
+                     const std::atomic<bool> &hold);
 
     httplib::Server server_;
     std::mutex mutex_;
