--- a/Source/Duties/CallersDuty.h
+++ b/Source/Duties/CallersDuty.h
@@ -32,6 +32,7 @@
     using Decode = std::function<Result<Body>(const httplib::Request &)>;
 
     void addRoutes();
+    void addPresetRoutes();
     void answerRefusals();
     void addRequest(const std::string &method, const std::string &path, const Decode &decode);
     void serve(const httplib::Request &request, httplib::Response &response, const Decode &decode);
