--- /dev/null
+++ b/Tests/Decisions/TaskTest.cpp
@@ -0,0 +1,32 @@
+#include "Decisions/Task.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace caraway::tests {
+
+class TaskTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TaskTest);
+    CPPUNIT_TEST(found_whileOnWorker_keepsReservation);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void found_whileOnWorker_keepsReservation()
+    {
+        using Event = Task::Event;
+        for (const Event before : {Event::Placed, Event::Unanswered, Event::Started}) {
+            Task task(true);
+            task.handle(Event::Placed);
+            task.handle(before);
+            for (int heartbeat = 0; heartbeat < 2; ++heartbeat) {
+                CPPUNIT_ASSERT(!task.handle(Event::Found).releaseReservation);
+                CPPUNIT_ASSERT(task.isIn(Task::State::Running));
+            }
+            CPPUNIT_ASSERT(task.handle(Event::Succeeded).releaseReservation);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TaskTest);
+
+} // namespace caraway::tests
