Keep a worker that hangs from stalling the others

Cause: each worker belonged to one of 8 calling threads by hash, so that a call without an answer held up every worker of its thread for 800 ms; and work went on being placed on workers that did not answer. Change: each worker has a lane with its own bounded queue, one connection, one call outstanding, and a breaker (chart CallBreaker.scxml); calling threads take the next lane from a ring. While the breaker is open its starts are answered as not sent, and one heartbeat at a time is let through as a probe, with half the time limit, on two threads of their own. A worker whose heartbeat is not answered is closed to new work until one is. Ruled out: more threads (each costs a stack, and hash collisions stay); several calls outstanding per worker (their order would be lost).

--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -171,8 +171,11 @@
     WorkerState &worker = found->second;
     worker.heartbeatOutstanding = false;
     worker.lastAnswered = answer.answered;
-    if (!answer.answered)
+    if (!answer.answered) {
+        // No new work goes where it could not be started; what runs keeps its leases.
+        placer_.closeWorker(answer.worker);
         return;
+    }
     worker.read = true;
     worker.leasesRenewedBy = now;
     placer_.setWorker(worker.member, worker.member.state == MemberState::Live);
--- a/Source/Duties/ServeSettings.h
+++ b/Source/Duties/ServeSettings.h
@@ -19,6 +19,8 @@
     Endpoint instanceList;
     std::int64_t callerThreads = 32;
     std::int64_t upstreamThreads = 8;
+    /// Calls in a row without an answer that open a worker's breaker; 0 for never.
+    std::int64_t breakerFailures = 2;
     std::int64_t eventRing = 16'384;
     std::int64_t outwardRing = 4096;
     Bytes maxRequestBody {1 << 20};
--- a/Source/Duties/UpstreamsDuty.cpp
+++ b/Source/Duties/UpstreamsDuty.cpp
@@ -7,6 +7,13 @@
 
 namespace {
 
+/// Threads for the probes of workers whose breaker is open.
+constexpr int probeThreads = 2;
+/// A probe is given this part of the time of a regular call.
+constexpr std::int64_t probeTimeoutDivisor = 2;
+/// Calls that may wait for one worker.
+constexpr std::size_t maxWaitingCalls = 256;
+
 enum HttpStatus { Ok = 200, ConflictStatus = 409 };
 
 StartAnswered answerTo(const StartTask &start, StartOutcome outcome)
@@ -20,30 +27,103 @@
     : events_(events)
     , clock_(clock)
     , settings_(settings)
+    , ready_(static_cast<std::size_t>(settings.outwardRing))
+    , suspect_(static_cast<std::size_t>(settings.outwardRing))
 {
-    for (std::int64_t i = 0; i < settings_.upstreamThreads; ++i) {
-        senders_.push_back(
-                std::make_unique<Sender>(static_cast<std::size_t>(settings_.outwardRing)));
-        Sender &sender = *senders_.back();
-        sender.thread = std::thread([this, &sender] { run(sender); });
-    }
+    for (std::int64_t i = 0; i < settings_.upstreamThreads; ++i)
+        threads_.emplace_back([this] { run(ready_, CallSpeed::Regular); });
+    for (int i = 0; i < probeThreads; ++i)
+        threads_.emplace_back([this] { run(suspect_, CallSpeed::Probe); });
 }
 
 UpstreamsDuty::~UpstreamsDuty()
 {
-    for (const std::unique_ptr<Sender> &sender : senders_)
-        sender->calls.close();
-    for (const std::unique_ptr<Sender> &sender : senders_)
-        sender->thread.join();
+    ready_.close();
+    suspect_.close();
+    for (std::thread &thread : threads_)
+        thread.join();
 }
 
 void UpstreamsDuty::offer(CallWorker call)
 {
     const WorkerId &worker = std::visit(
             [](const auto &body) -> const WorkerId & { return body.worker; }, call.body);
-    Sender &sender = *senders_[stableHash(worker.value()) % senders_.size()];
-    if (!sender.calls.offer(call))
+    const std::lock_guard lock(mutex_);
+    Lane &lane = laneOf(worker);
+    if (lane.waiting.size() >= maxWaitingCalls || !isLetThrough(lane, call)) {
+        answerNotSent(call);
+        return;
+    }
+    lane.waiting.push_back(std::move(call));
+    schedule(lane);
+}
+
+UpstreamsDuty::Lane &UpstreamsDuty::laneOf(const WorkerId &worker)
+{
+    std::unique_ptr<Lane> &lane = lanes_[worker];
+    if (!lane) {
+        const auto limit = static_cast<std::uint32_t>(settings_.breakerFailures);
+        lane = std::make_unique<Lane>(limit, stableHash(worker.value()));
+    }
+    return *lane;
+}
+
+bool UpstreamsDuty::isLetThrough(Lane &lane, const CallWorker &call)
+{
+    if (lane.breaker.isClosed())
+        return true;
+    return std::holds_alternative<HeartbeatWorker>(call.body)
+            && lane.breaker.beginProbe(clock_.now());
+}
+
+void UpstreamsDuty::schedule(Lane &lane)
+{
+    if (lane.isScheduled || lane.waiting.empty())
+        return;
+    LaneRing &ring = lane.breaker.isClosed() ? ready_ : suspect_;
+    lane.isScheduled = ring.offer(&lane);
+    if (lane.isScheduled)
+        return;
+    for (const CallWorker &call : lane.waiting)
         answerNotSent(call);
+    lane.waiting.clear();
+}
+
+void UpstreamsDuty::run(LaneRing &ring, CallSpeed speed)
+{
+    while (const std::optional<Lane *> lane = ring.take())
+        callNext(**lane, speed);
+}
+
+void UpstreamsDuty::callNext(Lane &lane, CallSpeed speed)
+{
+    std::unique_lock lock(mutex_);
+    if (!lane.waiting.empty()) {
+        const CallWorker next = std::move(lane.waiting.front());
+        lane.waiting.pop_front();
+        lock.unlock();
+        const bool answered
+                = std::visit([&](const auto &body) { return call(lane, speed, body); }, next.body);
+        lock.lock();
+        if (answered)
+            lane.breaker.onAnswered(clock_.now());
+        else
+            lane.breaker.onUnanswered(clock_.now());
+    }
+    if (!lane.breaker.isClosed())
+        dropStarts(lane);
+    lane.isScheduled = false;
+    schedule(lane);
+}
+
+void UpstreamsDuty::dropStarts(Lane &lane)
+{
+    std::erase_if(lane.waiting, [this](const CallWorker &call) {
+        const bool isStart = std::holds_alternative<StartTask>(call.body);
+        if (isStart)
+            answerNotSent(call);
+        return isStart;
+    });
 }
 
 void UpstreamsDuty::answerNotSent(const CallWorker &call)
@@ -56,35 +136,30 @@
     events_.offer(HeartbeatAnswered {heartbeat.shard, heartbeat.worker, clock_.now()});
 }
 
-void UpstreamsDuty::run(Sender &sender)
-{
-    while (const std::optional<CallWorker> next = sender.calls.take())
-        std::visit([&](const auto &body) { call(sender, body); }, next->body);
-}
-
-void UpstreamsDuty::call(Sender &sender, const StartTask &start)
+bool UpstreamsDuty::call(Lane &lane, CallSpeed speed, const StartTask &start)
 {
     const TimePoint now = clock_.now();
     if (now >= start.notAfter) {
         events_.offer(answerTo(start, StartOutcome::NotSent));
-        return;
+        return true;
     }
     const std::string body = encodeStart(start, start.notAfter - now, settings_.callers);
     const httplib::Result response
-            = clientFor(sender, start.endpoint).Post("/v1/tasks", body, "application/json");
+            = clientFor(lane, speed, start.endpoint).Post("/v1/tasks", body, "application/json");
     StartOutcome outcome = StartOutcome::Unanswered;
     if (response && response->status == Ok)
         outcome = StartOutcome::Started;
     else if (response && response->status == ConflictStatus)
         outcome = StartOutcome::Refused;
     events_.offer(answerTo(start, outcome));
+    return static_cast<bool>(response);
 }
 
-void UpstreamsDuty::call(Sender &sender, const HeartbeatWorker &heartbeat)
+bool UpstreamsDuty::call(Lane &lane, CallSpeed speed, const HeartbeatWorker &heartbeat)
 {
     const TimePoint sentAt = clock_.now();
     const httplib::Result response
-            = clientFor(sender, heartbeat.endpoint)
+            = clientFor(lane, speed, heartbeat.endpoint)
                       .Post("/v1/heartbeat", encodeHeartbeat(heartbeat), "application/json");
     HeartbeatAnswered answer;
     if (response && response->status == Ok) {
@@ -95,14 +170,19 @@
     answer.worker = heartbeat.worker;
     answer.sentAt = sentAt;
     events_.offer(std::move(answer));
+    return static_cast<bool>(response);
 }
 
-httplib::Client &UpstreamsDuty::clientFor(Sender &sender, const Endpoint &endpoint)
+httplib::Client &UpstreamsDuty::clientFor(Lane &lane, CallSpeed speed, const Endpoint &endpoint)
 {
-    std::unique_ptr<httplib::Client> &client = sender.clients[endpoint];
-    if (!client)
-        client = makeHttpClient(endpoint, settings_.workerTimeout);
-    return *client;
+    if (!lane.client || lane.endpoint != endpoint) {
+        lane.client = makeHttpClient(endpoint, settings_.workerTimeout);
+        lane.endpoint = endpoint;
+    }
+    const bool isProbe = speed == CallSpeed::Probe;
+    setTimeLimit(*lane.client,
+                 isProbe ? settings_.workerTimeout / probeTimeoutDivisor : settings_.workerTimeout);
+    return *lane.client;
 }
 
 } // namespace caraway
--- a/Source/Duties/UpstreamsDuty.h
+++ b/Source/Duties/UpstreamsDuty.h
@@ -1,17 +1,23 @@
 #pragma once
 
+#include "Decisions/CallBreaker.h"
 #include "Duties/HttpClient.h"
 #include "Duties/Rings.h"
 #include "Duties/ServeSettings.h"
 
+#include <deque>
 #include <map>
+#include <memory>
+#include <mutex>
 #include <thread>
 #include <vector>
 
 namespace caraway {
 
-/// Carries starts and heartbeats to the workers over a fixed number of threads. Each worker
-/// belongs to one thread, which keeps one connection to it and keeps its calls in order.
+/// Carries starts and heartbeats to the workers. Each worker has a lane: a bounded queue, a
+/// breaker, and one connection with one call outstanding at a time, in order. Calling threads
+/// take the next lane with a call from a ring, so that a worker that does not answer holds one
+/// thread at most; once its breaker opens, its probes go to threads of their own.
 class UpstreamsDuty
 {
 public:
@@ -22,28 +28,47 @@
     void offer(CallWorker call);
 
 private:
-    struct Sender
+    struct Lane
     {
-        explicit Sender(std::size_t capacity)
-            : calls(capacity)
+        Lane(std::uint32_t breakerLimit, std::uint64_t seed)
+            : breaker(breakerLimit, seed)
         {
         }
 
-        Ring<CallWorker> calls;
-        std::map<Endpoint, std::unique_ptr<httplib::Client>> clients;
-        std::thread thread;
+        std::deque<CallWorker> waiting;
+        /// The lane is in a ring or in a thread's hands.
+        bool isScheduled = false;
+        CallBreaker breaker;
+        Endpoint endpoint;
+        /// Used by the thread that has the lane in hand, only.
+        std::unique_ptr<httplib::Client> client;
     };
+    /// How long a call may take.
+    enum class CallSpeed { Regular, Probe };
+    using LaneRing = Ring<Lane *>;
 
-    void run(Sender &sender);
-    void call(Sender &sender, const StartTask &start);
-    void call(Sender &sender, const HeartbeatWorker &heartbeat);
-    httplib::Client &clientFor(Sender &sender, const Endpoint &endpoint);
+    Lane &laneOf(const WorkerId &worker);
+    bool isLetThrough(Lane &lane, const CallWorker &call);
+    void schedule(Lane &lane);
+    void run(LaneRing &ring, CallSpeed speed);
+    void callNext(Lane &lane, CallSpeed speed);
+    void dropStarts(Lane &lane);
+
+    /// Each returns whether the worker answered.
+    bool call(Lane &lane, CallSpeed speed, const StartTask &start);
+    bool call(Lane &lane, CallSpeed speed, const HeartbeatWorker &heartbeat);
+    httplib::Client &clientFor(Lane &lane, CallSpeed speed, const Endpoint &endpoint);
     void answerNotSent(const CallWorker &call);
 
     EventRing &events_;
     const Clock &clock_;
     const ServeSettings &settings_;
-    std::vector<std::unique_ptr<Sender>> senders_;
+    std::mutex mutex_;
+    /// A lane stays at its address for good.
+    std::map<WorkerId, std::unique_ptr<Lane>> lanes_;
+    LaneRing ready_;
+    LaneRing suspect_;
+    std::vector<std::thread> threads_;
 };
 
 } // namespace caraway
