--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -249,6 +249,9 @@
 
 void Instance::on(const InstanceListRead &read)
 {
+    // The platform's list is empty for a moment now and then; the last one stays in use.
+    if (read.list.entries.empty() && read.list.workers.empty())
+        return;
     membership_.update(read.list, read.readAt);
     Resources fleetCapacity;
     for (const WorkerMember &worker : read.list.workers)
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -159,6 +159,10 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter)
 {
+    // An entry that asks again, or another life of it, replaces its earlier question.
+    std::erase_if(job.waiters, [&](const JobRecord::Waiter &other) {
+        return other.entry == waiter.entry && other.request == waiter.request;
+    });
     if (!job.isOpen() || waiter.until <= now)
         reply(waiter.entry, waiter.request, job.report());
     else
@@ -195,6 +199,8 @@
     WorkerSession &worker = found->second;
     if (!answer.answered) {
         worker.onUnanswered();
+        // No new work goes where it could not be started; what runs keeps its leases.
+        placer_.closeWorker(answer.worker);
         return;
     }
     const std::vector<TaskId> ended = worker.onAnswered(now, answer);
