--- a/Tests/Standins/ProxyStandin.cpp
+++ b/Tests/Standins/ProxyStandin.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <thread>
@@ -60,6 +61,9 @@
     server_.Post("/faults", [this](const httplib::Request &request, httplib::Response &) {
         setFaults(nlohmann::json::parse(request.body));
     });
+    server_.Get("/links", [this](const httplib::Request &, httplib::Response &response) {
+        response.set_content(describeLinks().dump(), "application/json");
+    });
     server_.set_tcp_nodelay(true);
     return server_.listen("127.0.0.1", port) ? 0 : 1;
 }
@@ -84,12 +88,14 @@
 {
     const std::lock_guard lock(mutex_);
     for (Link &link : links_) {
-        if (link.name != order["name"])
+        const std::string name = order["name"];
+        if (link.name != name && !link.name.starts_with(name + "/"))
             continue;
         link.delayMs = order.value("delay_ms", link.delayMs.load());
         link.holdForward = order.value("hold_forward", link.holdForward.load());
         link.holdBack = order.value("hold_back", link.holdBack.load());
         link.cut = order.value("cut", link.cut.load());
+        link.answersToLose = order.value("lose_answers", link.answersToLose.load());
         if (!link.cut)
             continue;
         const std::lock_guard socketsLock(link.mutex);
@@ -98,6 +104,17 @@
     }
 }
 
+nlohmann::json ProxyStandin::describeLinks()
+{
+    const std::lock_guard lock(mutex_);
+    nlohmann::json json;
+    for (Link &link : links_) {
+        const std::lock_guard socketsLock(link.mutex);
+        json[link.name] = {{"most_connections", link.mostConnections}};
+    }
+    return json;
+}
+
 void ProxyStandin::acceptLoop(Link &link)
 {
     for (;;) {
@@ -115,10 +132,11 @@
             const std::lock_guard lock(link.mutex);
             link.sockets.push_back(client);
             link.sockets.push_back(server);
+            link.mostConnections = std::max(link.mostConnections, link.sockets.size() / 2);
         }
         std::thread([&link, client, server] {
-            std::thread back([&] { pump(link, server, client, link.holdBack); });
-            pump(link, client, server, link.holdForward);
+            std::thread back([&] { pump(link, server, client, link.holdBack, true); });
+            pump(link, client, server, link.holdForward, false);
             back.join();
             const std::lock_guard lock(link.mutex);
             link.sockets.remove(client);
@@ -129,7 +147,7 @@
     }
 }
 
-void ProxyStandin::pump(Link &link, int from, int to, const std::atomic<bool> &hold)
+void ProxyStandin::pump(Link &link, int from, int to, const std::atomic<bool> &hold, bool isAnswer)
 {
     std::array<char, bufferBytes> buffer {};
     for (;;) {
@@ -137,6 +155,8 @@
         if (count <= 0)
             break;
         std::this_thread::sleep_for(std::chrono::milliseconds(link.delayMs));
+        if (isAnswer && link.answersToLose > 0 && link.answersToLose-- > 0)
+            break;
         if (!hold && !sendAll(to, buffer.data(), static_cast<std::size_t>(count)))
             break;
     }
--- a/Tests/Standins/ProxyStandin.h
+++ b/Tests/Standins/ProxyStandin.h
@@ -12,7 +12,8 @@
 namespace caraway::standins {
 
 /// A TCP proxy that injects faults. POST /links opens a link (name, listen, to_port);
-/// POST /faults sets the faults of one (name, delay_ms, cut, hold_forward, hold_back).
+/// POST /faults sets the faults of a link, or of all links below "name/" (name, delay_ms, cut,
+/// hold_forward, hold_back, lose_answers). GET /links shows the most connections each had open.
 class ProxyStandin
 {
 public:
@@ -31,14 +32,18 @@
         /// Bytes towards the server, or back, silently go nowhere.
         std::atomic<bool> holdForward = false;
         std::atomic<bool> holdBack = false;
+        /// So many answers are dropped, and their connections closed.
+        std::atomic<std::int64_t> answersToLose = 0;
         std::mutex mutex;
         std::list<int> sockets;
+        std::size_t mostConnections = 0;
     };
 
     void openLink(const nlohmann::json &order);
     void setFaults(const nlohmann::json &order);
     static void acceptLoop(Link &link);
-    static void pump(Link &link, int from, int to, const std::atomic<bool> &hold);
+    static void pump(Link &link, int from, int to, const std::atomic<bool> &hold, bool isAnswer);
+    nlohmann::json describeLinks();
 
     httplib::Server server_;
     std::mutex mutex_;
--- a/Tests/Standins/StoreStandin.cpp
+++ b/Tests/Standins/StoreStandin.cpp
@@ -43,6 +43,10 @@
     server_.Get("/watch", [this](const Request &q, Response &r) { watch(q, r); });
     server_.Post("/control", [this](const Request &q, Response &r) { control(q, r); });
     server_.Get("/stats", [this](const Request &, Response &r) { stats(r); });
+    server_.Get("/history", [this](const Request &, Response &r) {
+        const std::lock_guard lock(mutex_);
+        write(r, 200, history_);
+    });
 }
 
 bool StoreStandin::admit(httplib::Response &response, std::uint64_t &counter)
@@ -118,6 +122,7 @@
         }
         written = ++revision_;
         items_[key] = {request.body, written};
+        history_.push_back({{"key", key}, {"value", request.body}, {"revision", written}});
     }
     changed_.notify_all();
     finishWrite(response, written);
--- a/Tests/Standins/StoreStandin.h
+++ b/Tests/Standins/StoreStandin.h
@@ -12,7 +12,8 @@
 namespace caraway::standins {
 
 /// A small key-value service with compare-and-swap and watches, that counts its calls and
-/// can be told to fail: POST /control with outage, delay_ms, lose_answers.
+/// can be told to fail: POST /control with outage, delay_ms, lose_answers. GET /history lists
+/// every write that took effect.
 class StoreStandin
 {
 public:
@@ -43,6 +44,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, Item> items_;
+    nlohmann::json history_ = nlohmann::json::array();
     std::uint64_t revision_ = 0;
     bool outage_ = false;
     std::int64_t delayMs_ = 0;
--- a/Tests/Standins/WorkerStandin.cpp
+++ b/Tests/Standins/WorkerStandin.cpp
@@ -43,6 +43,7 @@
     const nlohmann::json body = nlohmann::json::parse(request.body);
     const Attempt attempt {body["spec"]["name"], body["task"], body["attempt"]};
     const std::lock_guard lock(mutex_);
+    endLapsedRuns();
     if (runs_.contains(attempt))
         return;
     if (body["epoch"] < highestEpoch_ || voided_.contains(attempt)) {
@@ -97,6 +98,7 @@
 {
     const nlohmann::json body = nlohmann::json::parse(request.body);
     const std::lock_guard lock(mutex_);
+    endLapsedRuns();
     if (body["epoch"] < highestEpoch_) {
         response.status = 409;
         return;
@@ -107,7 +109,7 @@
     for (const nlohmann::json &stopped : body["stopped"]) {
         const auto found = runs_.find(readAttempt(stopped));
         if (found != runs_.end() && found->second.condition == "running")
-            finish(found->first, found->second, "stopped");
+            finish(found->first, found->second, "stopped", SteadyClock::now());
     }
     nlohmann::json answer
             = {{"tasks", nlohmann::json::array()}, {"voided", nlohmann::json::array()}};
@@ -132,6 +134,18 @@
     const nlohmann::json orders = nlohmann::json::parse(request.body);
     const std::lock_guard lock(mutex_);
     failEverything_ = orders.value("fail_everything", failEverything_);
+    reportsToLose_ = orders.value("lose_reports", reportsToLose_);
+    reportCopies_ = orders.value("report_copies", reportCopies_);
+    reportDelayMs_ = orders.value("report_delay_ms", reportDelayMs_);
+}
+
+void WorkerStandin::endLapsedRuns()
+{
+    const Time now = SteadyClock::now();
+    for (auto &[attempt, run] : runs_) {
+        if (run.condition == "running" && run.leaseEndsAt <= now)
+            finish(attempt, run, "stopped", run.leaseEndsAt);
+    }
 }
 
 void WorkerStandin::runTasks()
@@ -144,9 +158,9 @@
             if (run.condition != "running")
                 continue;
             if (run.leaseEndsAt <= now)
-                finish(attempt, run, "stopped");
+                finish(attempt, run, "stopped", run.leaseEndsAt);
             else if (run.endsAt <= now)
-                finish(attempt, run, run.willFail ? "failed" : "succeeded");
+                finish(attempt, run, run.willFail ? "failed" : "succeeded", now);
             else
                 next = std::min({next, run.endsAt, run.leaseEndsAt});
         }
@@ -154,13 +168,26 @@
     }
 }
 
-void WorkerStandin::finish(const Attempt &attempt, Run &run, const std::string &condition)
+void WorkerStandin::finish(const Attempt &attempt, Run &run, const std::string &condition,
+                           Time endedAt)
 {
     run.condition = condition;
     run.content = condition == "succeeded" ? run.answer : condition;
-    record(condition, attempt);
-    std::thread([this, to = run.reportTo, entry = describe(attempt, run)] {
-        report(to, entry);
+    // A paused process does not run its tasks: they end with their lease, not when it wakes.
+    const auto late
+            = std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - endedAt);
+    record(condition, attempt, late);
+    if (reportsToLose_ > 0) {
+        --reportsToLose_;
+        return;
+    }
+    // Every other report waits, so that reports overtake each other.
+    const std::chrono::milliseconds delay(++reportsSent_ % 2 == 0 ? reportDelayMs_ : 0);
+    std::thread([this, delay, copies = reportCopies_, to = run.reportTo,
+                 entry = describe(attempt, run)] {
+        std::this_thread::sleep_for(delay);
+        for (int copy = 0; copy < copies; ++copy)
+            report(to, entry);
     }).detach();
 }
 
@@ -172,9 +199,10 @@
     client.Post("/v1/reports", body.dump(), "application/json");
 }
 
-void WorkerStandin::record(const std::string &what, const Attempt &attempt)
+void WorkerStandin::record(const std::string &what, const Attempt &attempt,
+                           std::chrono::milliseconds late)
 {
-    const nlohmann::json line = {{"at_ms", wallMs()},
+    const nlohmann::json line = {{"at_ms", wallMs() - late.count()},
                                  {"worker", options_.id},
                                  {"what", what},
                                  {"job", std::get<0>(attempt)},
--- a/Tests/Standins/WorkerStandin.h
+++ b/Tests/Standins/WorkerStandin.h
@@ -30,7 +30,8 @@
 };
 
 /// A worker that runs tasks under leases. It does what it is told, over-commitment included,
-/// and records every violation. A payload may be JSON with run_ms, answer and fail.
+/// and records every violation. A payload may be JSON with run_ms, answer and fail. POST
+/// /control takes fail_everything, lose_reports, report_copies and report_delay_ms.
 class WorkerStandin
 {
 public:
@@ -59,10 +60,12 @@
     void heartbeat(const httplib::Request &request, httplib::Response &response);
     void control(const httplib::Request &request);
     void runTasks();
-    void finish(const Attempt &attempt, Run &run, const std::string &condition);
+    void finish(const Attempt &attempt, Run &run, const std::string &condition, Time endedAt);
+    void endLapsedRuns();
     void report(const nlohmann::json &reportTo, const nlohmann::json &entry) const;
     void checkCapacity();
-    void record(const std::string &what, const Attempt &attempt);
+    void record(const std::string &what, const Attempt &attempt,
+                std::chrono::milliseconds late = {});
     nlohmann::json describe(const Attempt &attempt, const Run &run) const;
     static Attempt readAttempt(const nlohmann::json &json);
 
@@ -74,6 +77,10 @@
     std::set<Attempt> voided_;
     std::uint64_t highestEpoch_ = 0;
     bool failEverything_ = false;
+    int reportsToLose_ = 0;
+    int reportCopies_ = 1;
+    std::int64_t reportDelayMs_ = 0;
+    std::uint64_t reportsSent_ = 0;
     std::ofstream records_;
 };
 
--- a/Tests/Support/TestFleet.cpp
+++ b/Tests/Support/TestFleet.cpp
@@ -118,7 +118,6 @@
 void TestFleet::start()
 {
     ports_["store"] = newPort();
-    ports_["list"] = newPort();
     ports_["proxy"] = newPort();
     const auto startStandin = [&](const std::string &kind, std::vector<std::string> extra) {
         std::vector<std::string> command = {STANDIN_PATH, kind, std::to_string(ports_[kind])};
@@ -126,13 +125,9 @@
         return std::make_unique<ChildProcess>(command, path(kind + ".log"));
     };
     store_ = startStandin("store", {});
-    list_ = startStandin("list", {fmt::format("--lag={}", shape_.listLagMs)});
     proxy_ = startStandin("proxy", {});
-    for (const char *kind : {"store", "list", "proxy"}) {
-        const int port = ports_[kind];
-        if (!eventually([&] { return bool(makeClient(port, 1000).Get("/")); }))
-            throw std::runtime_error("a stand-in did not start");
-    }
+    for (const char *kind : {"store", "proxy"})
+        waitForStandin(ports_[kind]);
     for (int worker = 0; worker < workerCount(); ++worker) {
         const std::string link = "worker-" + workerName(worker);
         ports_[link] = newPort();
@@ -147,6 +142,14 @@
             ports_["real-" + link] = role == "store-" ? ports_["store"] : newPort();
             openLink(link, ports_[link], ports_["real-" + link]);
         }
+        for (int from = 0; from < shape_.entries; ++from) {
+            const std::string link = peerLink(from, entry);
+            ports_[link] = newPort();
+            openLink(link, ports_[link], ports_["real-peer-" + entryName(entry)]);
+        }
+        ports_["list"] = ports_["list-" + entryName(entry)] = newPort();
+        lists_.push_back(startStandin("list", {fmt::format("--lag={}", shape_.listLagMs)}));
+        waitForStandin(ports_["list"]);
         writeSettings(entry);
     }
     publishList();
@@ -157,6 +160,31 @@
         throw std::runtime_error("the fleet did not begin to serve");
 }
 
+void TestFleet::waitForStandin(int port)
+{
+    if (!eventually([&] { return bool(makeClient(port, 1000).Get("/")); }))
+        throw std::runtime_error("a stand-in did not start");
+}
+
+std::string TestFleet::peerLink(int from, int to) const
+{
+    return fmt::format("peer-{}/from-{}", entryName(to), entryName(from));
+}
+
+void TestFleet::killWorker(int worker)
+{
+    workers_.at(worker)->kill();
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const nlohmann::json line
+            = {{"at_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now).count()},
+               {"worker", workerName(worker)},
+               {"what", "killed"},
+               {"job", ""},
+               {"task", 0},
+               {"attempt", 0}};
+    std::ofstream(path(workerName(worker) + ".records"), std::ios::app) << line.dump() << '\n';
+}
+
 void TestFleet::startWorker(int worker)
 {
     const std::string name = workerName(worker);
@@ -195,7 +223,7 @@
 )",
                             name, shape_.zones[entry % shape_.zones.size()],
                             ports_.at("real-caller-" + name), ports_.at("real-peer-" + name),
-                            ports_.at("store-" + name), ports_.at("list"), shape_.timing);
+                            ports_.at("store-" + name), ports_.at("list-" + name), shape_.timing);
 }
 
 void TestFleet::openLink(const std::string &name, int listen, int to) const
@@ -204,6 +232,12 @@
 }
 
 void TestFleet::publishList() const
+{
+    for (int viewer = 0; viewer < shape_.entries; ++viewer)
+        mustPost(ports_.at("list-" + entryName(viewer)), "/instances", listSeenBy(viewer));
+}
+
+nlohmann::json TestFleet::listSeenBy(int viewer) const
 {
     nlohmann::json list
             = {{"entries", nlohmann::json::array()}, {"workers", nlohmann::json::array()}};
@@ -215,7 +249,7 @@
                                    {"zone", shape_.zones[entry % shape_.zones.size()]},
                                    {"host", "127.0.0.1"},
                                    {"caller_port", ports_.at("caller-" + name)},
-                                   {"peer_port", ports_.at("peer-" + name)},
+                                   {"peer_port", ports_.at(peerLink(viewer, entry))},
                                    {"state", entryStates_[entry]}});
     }
     for (int worker = 0; worker < workerCount(); ++worker) {
@@ -235,7 +269,7 @@
                                      {"accelerators", 0},
                                      {"slots", shape_.slots}}}});
     }
-    mustPost(ports_.at("list"), "/instances", list);
+    return list;
 }
 
 bool TestFleet::isServing() const
@@ -343,6 +377,22 @@
     mustPost(ports_.at("store"), "/control", orders);
 }
 
+nlohmann::json TestFleet::storeHistory() const
+{
+    return toAnswer(makeClient(ports_.at("store"), 2000).Get("/history")).body;
+}
+
+nlohmann::json TestFleet::links() const
+{
+    return toAnswer(makeClient(ports_.at("proxy"), 2000).Get("/links")).body;
+}
+
+HttpAnswer TestFleet::cancel(int entry, const std::string &job) const
+{
+    return toAnswer(
+            makeClient(ports_.at("caller-" + entryName(entry)), 10'000).Delete("/v1/jobs/" + job));
+}
+
 nlohmann::json TestFleet::storeStats() const
 {
     return toAnswer(makeClient(ports_.at("store"), 2000).Get("/stats")).body;
@@ -395,6 +445,13 @@
             found.push_back("over-committed: " + line.dump());
             continue;
         }
+        if (line["what"] == "killed") {
+            for (auto &[task, places] : running)
+                std::erase_if(places, [&](const std::string &place) {
+                    return place.starts_with(line["worker"].get<std::string>() + "#");
+                });
+            continue;
+        }
         std::set<std::string> &places = running[{line["job"], line["task"]}];
         const std::string place = fmt::format("{}#{}", line["worker"].get<std::string>(),
                                               line["attempt"].get<int>());
--- a/Tests/Support/TestFleet.h
+++ b/Tests/Support/TestFleet.h
@@ -54,6 +54,11 @@
     ChildProcess &worker(int worker) { return *workers_.at(worker); }
     void startEntry(int entry);
     void startWorker(int worker);
+    /// Kills a worker and notes in its records that its tasks ended there.
+    void killWorker(int worker);
+    int workerCount() const;
+    /// Whether every entry is ready and every worker takes work.
+    bool isServing() const;
 
     HttpAnswer get(int entry, const std::string &path, int limitMs = 25'000) const;
     HttpAnswer post(int entry, const std::string &path, const nlohmann::json &body,
@@ -64,6 +69,7 @@
     /// A job of one small task; \a changes are merged over it.
     static nlohmann::json makeJob(const std::string &name, const nlohmann::json &changes = {});
     static nlohmann::json makePreset(const std::string &name);
+    HttpAnswer cancel(int entry, const std::string &job) const;
     HttpAnswer usePreset(int entry, const std::string &name) const;
 
     /// The entry that holds \a zone's shard by the store's own record; -1 for none.
@@ -72,6 +78,12 @@
     std::string homeOf(const std::string &job) const;
     void controlStore(const nlohmann::json &orders) const;
     nlohmann::json storeStats() const;
+    /// Every write that took effect in the store, in order.
+    nlohmann::json storeHistory() const;
+    /// What the proxy counted for each link.
+    nlohmann::json links() const;
+    /// The link that \a from opens to \a to; "peer-entry-1" means all links to entry 1.
+    std::string peerLink(int from, int to) const;
     void controlWorker(int worker, const nlohmann::json &orders) const;
     /// Sets the faults of a link: "store-entry-1", "worker-<name>", "peer-entry-1",
     /// "caller-entry-1".
@@ -91,12 +103,12 @@
     static bool eventually(const std::function<bool()> &condition, int limitMs = 10'000);
 
 private:
-    int workerCount() const;
     int newPort();
     void openLink(const std::string &name, int listen, int to) const;
     void publishList() const;
+    nlohmann::json listSeenBy(int viewer) const;
+    static void waitForStandin(int port);
     void writeSettings(int entry) const;
-    bool isServing() const;
     std::string path(const std::string &file) const { return (directory_ / file).string(); }
 
     FleetShape shape_;
@@ -105,7 +117,7 @@
     std::vector<std::string> entryStates_;
     std::vector<std::string> workerStates_;
     std::unique_ptr<ChildProcess> store_;
-    std::unique_ptr<ChildProcess> list_;
+    std::vector<std::unique_ptr<ChildProcess>> lists_;
     std::unique_ptr<ChildProcess> proxy_;
     std::vector<std::unique_ptr<ChildProcess>> workers_;
     std::vector<std::unique_ptr<ChildProcess>> entries_;
