--- a/Tests/Standins/WorkerStandin.cpp
+++ b/Tests/Standins/WorkerStandin.cpp
@@ -1,6 +1,10 @@
 #include "Standins/WorkerStandin.h"
 
+#include "Decisions/StableHash.h"
+
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
 namespace caraway::standins {
 
@@ -23,6 +27,7 @@
     : options_(std::move(options))
 {
     records_.open(options_.recordFile, std::ios::app);
+    beginSession();
 }
 
 int WorkerStandin::serve()
@@ -43,10 +48,11 @@
     const nlohmann::json body = nlohmann::json::parse(request.body);
     const Attempt attempt {body["spec"]["name"], body["task"], body["attempt"]};
     const std::lock_guard lock(mutex_);
-    endLapsedRuns();
     if (runs_.contains(attempt))
         return;
-    if (body["epoch"] < highestEpoch_ || voided_.contains(attempt)) {
+    endSessionIfDue();
+    const bool isInSession = sessionIsLeased_ && body["session"] == session_;
+    if (body["epoch"] < highestEpoch_ || voided_.contains(attempt) || !isInSession) {
         response.status = 409;
         return;
     }
@@ -55,12 +61,12 @@
     run.spec = body["spec"];
     run.reportTo = body["report_to"];
     run.epoch = body["epoch"];
+    run.knownInEpoch = run.epoch;
     const std::string payload = run.spec["payload"];
     const nlohmann::json orders = nlohmann::json::parse(payload, nullptr, false);
     const bool hasOrders = orders.is_object();
     const Time now = SteadyClock::now();
     run.endsAt = now + std::chrono::milliseconds(hasOrders ? orders.value("run_ms", 10) : 10);
-    run.leaseEndsAt = now + std::chrono::milliseconds(body["lease_ms"].get<std::int64_t>());
     run.willFail = failEverything_ || (hasOrders && orders.value("fail", false));
     run.answer = hasOrders ? orders.value("answer", "done") : "done: " + payload;
     runs_[attempt] = std::move(run);
@@ -98,12 +104,18 @@
 {
     const nlohmann::json body = nlohmann::json::parse(request.body);
     const std::lock_guard lock(mutex_);
-    endLapsedRuns();
     if (body["epoch"] < highestEpoch_) {
         response.status = 409;
         return;
     }
+    endSessionIfDue();
     highestEpoch_ = body["epoch"];
+    renewLease(body);
+    for (const nlohmann::json &known : body["known"]) {
+        const auto found = runs_.find(readAttempt(known));
+        if (found != runs_.end())
+            found->second.knownInEpoch = highestEpoch_;
+    }
     for (const nlohmann::json &taken : body["taken"])
         runs_.erase(readAttempt(taken));
     for (const nlohmann::json &stopped : body["stopped"]) {
@@ -111,8 +123,11 @@
         if (found != runs_.end() && found->second.condition == "running")
             finish(found->first, found->second, "stopped", SteadyClock::now());
     }
-    nlohmann::json answer
-            = {{"tasks", nlohmann::json::array()}, {"voided", nlohmann::json::array()}};
+    beats_[++lastBeat_] = SteadyClock::now();
+    nlohmann::json answer = {{"session", session_},
+                             {"beat", lastBeat_},
+                             {"tasks", nlohmann::json::array()},
+                             {"voided", nlohmann::json::array()}};
     for (const nlohmann::json &doubtful : body["voided"]) {
         const Attempt attempt = readAttempt(doubtful);
         if (runs_.contains(attempt))
@@ -120,15 +135,53 @@
         voided_.insert(attempt);
         answer["voided"].push_back(doubtful);
     }
-    const std::chrono::milliseconds lease(body["lease_ms"].get<std::int64_t>());
-    for (auto &[attempt, run] : runs_) {
-        if (lease > 0ms)
-            run.leaseEndsAt = SteadyClock::now() + lease;
-        answer["tasks"].push_back(describe(attempt, run));
+    for (const auto &[attempt, run] : runs_) {
+        if (run.knownInEpoch != highestEpoch_)
+            answer["tasks"].push_back(describeInFull(attempt, run));
+        else if (run.condition == "running")
+            answer["tasks"].push_back(describe(attempt, run));
     }
     response.set_content(answer.dump(), "application/json");
 }
 
+void WorkerStandin::beginSession()
+{
+    session_ = options_.id + "-" + std::to_string(SteadyClock::now().time_since_epoch().count());
+    sessionIsLeased_ = false;
+    beats_.clear();
+    lastBeat_ = 0;
+}
+
+void WorkerStandin::renewLease(const nlohmann::json &heartbeat)
+{
+    const std::chrono::milliseconds lease(heartbeat["lease_ms"].get<std::int64_t>());
+    if (lease == 0ms)
+        return;
+    if (!sessionIsLeased_) {
+        // Nothing runs in a session without a lease, so this heartbeat may come from anywhere.
+        sessionIsLeased_ = true;
+        leaseEndsAt_ = SteadyClock::now() + lease;
+        return;
+    }
+    const auto echoed = beats_.find(heartbeat["beat"].get<std::uint64_t>());
+    if (heartbeat["session"] != session_ || echoed == beats_.end())
+        return;
+    leaseEndsAt_ = std::max(leaseEndsAt_, echoed->second + lease);
+    beats_.erase(beats_.begin(), echoed);
+}
+
+void WorkerStandin::endSessionIfDue()
+{
+    if (!sessionIsLeased_ || SteadyClock::now() < leaseEndsAt_)
+        return;
+    const Time endedAt = leaseEndsAt_;
+    beginSession();
+    for (auto &[attempt, run] : runs_) {
+        if (run.condition == "running")
+            finish(attempt, run, "stopped", endedAt);
+    }
+}
+
 void WorkerStandin::control(const httplib::Request &request)
 {
     const nlohmann::json orders = nlohmann::json::parse(request.body);
@@ -139,30 +192,22 @@
     reportDelayMs_ = orders.value("report_delay_ms", reportDelayMs_);
 }
 
-void WorkerStandin::endLapsedRuns()
-{
-    const Time now = SteadyClock::now();
-    for (auto &[attempt, run] : runs_) {
-        if (run.condition == "running" && run.leaseEndsAt <= now)
-            finish(attempt, run, "stopped", run.leaseEndsAt);
-    }
-}
-
 void WorkerStandin::runTasks()
 {
     std::unique_lock lock(mutex_);
     for (;;) {
         Time next = SteadyClock::now() + 1s;
         const Time now = SteadyClock::now();
+        endSessionIfDue();
+        if (sessionIsLeased_)
+            next = std::min(next, leaseEndsAt_);
         for (auto &[attempt, run] : runs_) {
             if (run.condition != "running")
                 continue;
-            if (run.leaseEndsAt <= now)
-                finish(attempt, run, "stopped", run.leaseEndsAt);
-            else if (run.endsAt <= now)
+            if (run.endsAt <= now)
                 finish(attempt, run, run.willFail ? "failed" : "succeeded", now);
             else
-                next = std::min({next, run.endsAt, run.leaseEndsAt});
+                next = std::min(next, run.endsAt);
         }
         changed_.wait_until(lock, next);
     }
@@ -172,6 +217,7 @@
                            Time endedAt)
 {
     run.condition = condition;
+    run.knownInEpoch = 0;
     run.content = condition == "succeeded" ? run.answer : condition;
     // A paused process does not run its tasks: they end with their lease, not when it wakes.
     const auto late
@@ -184,7 +230,7 @@
     // Every other report waits, so that reports overtake each other.
     const std::chrono::milliseconds delay(++reportsSent_ % 2 == 0 ? reportDelayMs_ : 0);
     std::thread([this, delay, copies = reportCopies_, to = run.reportTo,
-                 entry = describe(attempt, run)] {
+                 entry = describeInFull(attempt, run)] {
         std::this_thread::sleep_for(delay);
         for (int copy = 0; copy < copies; ++copy)
             report(to, entry);
@@ -211,10 +257,27 @@
     records_ << line.dump() << std::endl;
 }
 
-nlohmann::json WorkerStandin::describe(const Attempt &attempt, const Run &run) const
+nlohmann::json WorkerStandin::describe(const Attempt &attempt, const Run &run)
+{
+    return {{"job", std::get<0>(attempt)},
+            {"task", std::get<1>(attempt)},
+            {"attempt", std::get<2>(attempt)},
+            {"epoch", run.epoch},
+            {"condition", run.condition}};
+}
+
+nlohmann::json WorkerStandin::describeInFull(const Attempt &attempt, const Run &run)
 {
-    return {{"task", std::get<1>(attempt)}, {"attempt", std::get<2>(attempt)}, {"epoch", run.epoch},
-            {"condition", run.condition},   {"content", run.content},          {"spec", run.spec}};
+    constexpr std::size_t checksumDigits = 16;
+    std::ostringstream checksum;
+    checksum << std::hex << std::setw(checksumDigits) << std::setfill('0')
+             << stableHash(run.content);
+    nlohmann::json entry = describe(attempt, run);
+    entry["spec"] = run.spec;
+    entry["content"] = run.content;
+    entry["length"] = run.content.size();
+    entry["checksum"] = checksum.str();
+    return entry;
 }
 
 } // namespace caraway::standins
