--- a/Source/Decisions/WorkerSession.cpp
+++ b/Source/Decisions/WorkerSession.cpp
@@ -73,7 +73,8 @@
 
 bool WorkerSession::isOpen() const
 {
-    return machine_.isIn(State::Leased) && !unlistedSince_ && member_.state == MemberState::Live;
+    return isAnswering_ && machine_.isIn(State::Leased) && !unlistedSince_
+            && member_.state == MemberState::Live;
 }
 
 bool WorkerSession::isGone(TimePoint now) const
@@ -85,6 +86,7 @@
 
 std::vector<TaskId> WorkerSession::onAnswered(TimePoint now, const HeartbeatAnswered &answer)
 {
+    isAnswering_ = true;
     heartbeatOutstanding_ = false;
     machine_.handle(*this, Event::Answered);
     known_.acknowledge();
--- a/Tests/Standins/WorkerStandin.cpp
+++ b/Tests/Standins/WorkerStandin.cpp
@@ -121,7 +121,7 @@
     for (const nlohmann::json &stopped : body["stopped"]) {
         const auto found = runs_.find(readAttempt(stopped));
         if (found != runs_.end() && found->second.condition == "running")
-            finish(found->first, found->second, "stopped");
+            finish(found->first, found->second, "stopped", SteadyClock::now());
     }
     beats_[++lastBeat_] = SteadyClock::now();
     nlohmann::json answer = {{"session", session_},
@@ -174,10 +174,11 @@
 {
     if (!sessionIsLeased_ || SteadyClock::now() < leaseEndsAt_)
         return;
+    const Time endedAt = leaseEndsAt_;
     beginSession();
     for (auto &[attempt, run] : runs_) {
         if (run.condition == "running")
-            finish(attempt, run, "stopped");
+            finish(attempt, run, "stopped", endedAt);
     }
 }
 
@@ -186,6 +187,9 @@
     const nlohmann::json orders = nlohmann::json::parse(request.body);
     const std::lock_guard lock(mutex_);
     failEverything_ = orders.value("fail_everything", failEverything_);
+    reportsToLose_ = orders.value("lose_reports", reportsToLose_);
+    reportCopies_ = orders.value("report_copies", reportCopies_);
+    reportDelayMs_ = orders.value("report_delay_ms", reportDelayMs_);
 }
 
 void WorkerStandin::runTasks()
@@ -201,7 +205,7 @@
             if (run.condition != "running")
                 continue;
             if (run.endsAt <= now)
-                finish(attempt, run, run.willFail ? "failed" : "succeeded");
+                finish(attempt, run, run.willFail ? "failed" : "succeeded", now);
             else
                 next = std::min(next, run.endsAt);
         }
@@ -209,14 +213,27 @@
     }
 }
 
-void WorkerStandin::finish(const Attempt &attempt, Run &run, const std::string &condition)
+void WorkerStandin::finish(const Attempt &attempt, Run &run, const std::string &condition,
+                           Time endedAt)
 {
     run.condition = condition;
     run.knownInEpoch = 0;
     run.content = condition == "succeeded" ? run.answer : condition;
-    record(condition, attempt);
-    std::thread([this, to = run.reportTo, entry = describeInFull(attempt, run)] {
-        report(to, entry);
+    // A paused process does not run its tasks: they end with their lease, not when it wakes.
+    const auto late
+            = std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - endedAt);
+    record(condition, attempt, late);
+    if (reportsToLose_ > 0) {
+        --reportsToLose_;
+        return;
+    }
+    // Every other report waits, so that reports overtake each other.
+    const std::chrono::milliseconds delay(++reportsSent_ % 2 == 0 ? reportDelayMs_ : 0);
+    std::thread([this, delay, copies = reportCopies_, to = run.reportTo,
+                 entry = describeInFull(attempt, run)] {
+        std::this_thread::sleep_for(delay);
+        for (int copy = 0; copy < copies; ++copy)
+            report(to, entry);
     }).detach();
 }
 
@@ -228,9 +245,10 @@
     client.Post("/v1/reports", body.dump(), "application/json");
 }
 
-void WorkerStandin::record(const std::string &what, const Attempt &attempt)
+void WorkerStandin::record(const std::string &what, const Attempt &attempt,
+                           std::chrono::milliseconds late)
 {
-    const nlohmann::json line = {{"at_ms", wallMs()},
+    const nlohmann::json line = {{"at_ms", wallMs() - late.count()},
                                  {"worker", options_.id},
                                  {"what", what},
                                  {"job", std::get<0>(attempt)},
