--- a/Source/Decisions/ForwardedRequest.cpp
+++ b/Source/Decisions/ForwardedRequest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Milliseconds retryAfterNoHolder(1000);
+constexpr Milliseconds resendInterval(500);
 
 } // namespace
 
@@ -18,7 +19,8 @@
     static const BoundChart<ForwardedRequest> bound = BoundChart<ForwardedRequest> {
             "ForwardedRequest.scxml",
             {"open", "unsent", "sent", "closed"},
-            {"answered", "holderKnown", "holderChanged", "turnedAway", "deadlinePassed"},
+            {"answered", "holderKnown", "holderChanged", "turnedAway", "resendDue",
+             "deadlinePassed"},
             {},
             {{"send", &ForwardedRequest::send},
              {"answerNotRun", &ForwardedRequest::answerNotRun},
@@ -34,13 +36,13 @@
 {
 }
 
-void ForwardedRequest::onHolder(const InstanceId &holder, Epoch epoch)
+void ForwardedRequest::onHolder(TimePoint now, const InstanceId &holder, Epoch epoch)
 {
+    now_ = now;
     const bool changed = holder != holder_ || epoch != epoch_;
     holder_ = holder;
     epoch_ = epoch;
-    machine_.handle(*this, Event::HolderKnown);
-    if (changed)
+    if (!machine_.handle(*this, Event::HolderKnown) && changed)
         machine_.handle(*this, Event::HolderChanged);
 }
 
@@ -57,8 +59,11 @@
 
 void ForwardedRequest::onTick(TimePoint now)
 {
+    now_ = now;
     if (now >= deadline_)
         machine_.handle(*this, Event::DeadlinePassed);
+    if (now - sentAt_ >= resendInterval)
+        machine_.handle(*this, Event::ResendDue);
 }
 
 void ForwardedRequest::drainActions(Actions &actions)
@@ -69,6 +74,7 @@
 
 void ForwardedRequest::send()
 {
+    sentAt_ = now_;
     actions_.push_back(SendToPeer {holder_, request_});
 }
 
--- a/Source/Decisions/ForwardedRequest.h
+++ b/Source/Decisions/ForwardedRequest.h
@@ -11,13 +11,20 @@
 {
 public:
     enum class State { Open, Unsent, Sent, Closed };
-    enum class Event { Answered, HolderKnown, HolderChanged, TurnedAway, DeadlinePassed };
+    enum class Event {
+        Answered,
+        HolderKnown,
+        HolderChanged,
+        TurnedAway,
+        ResendDue,
+        DeadlinePassed
+    };
     static const BoundChart<ForwardedRequest> &chart();
 
     ForwardedRequest(HolderRequest request, JobName job, TimePoint deadline);
 
     /// Sends the request if \a holder is another one than it was last sent to.
-    void onHolder(const InstanceId &holder, Epoch epoch);
+    void onHolder(TimePoint now, const InstanceId &holder, Epoch epoch);
     /// Answers the caller with the holder's report, or waits for another holder.
     void onReply(const HolderReply &reply);
     void onTick(TimePoint now);
@@ -36,6 +43,8 @@
     HolderRequest request_;
     JobName job_;
     TimePoint deadline_;
+    TimePoint now_;
+    TimePoint sentAt_;
     InstanceId holder_;
     Epoch epoch_;
     Lifecycle<ForwardedRequest> machine_;
--- a/Source/Decisions/JobRecord.cpp
+++ b/Source/Decisions/JobRecord.cpp
@@ -44,6 +44,18 @@
     return !isOpen();
 }
 
+void JobRecord::addWaiter(Waiter waiter)
+{
+    const auto isSame = [&](const Waiter &known) {
+        return known.entry == waiter.entry && known.request == waiter.request;
+    };
+    const auto found = std::ranges::find_if(waiters, isSame);
+    if (found == waiters.end())
+        waiters.push_back(std::move(waiter));
+    else
+        *found = std::move(waiter);
+}
+
 JobReport JobRecord::report() const
 {
     JobReport report;
--- a/Source/Duties/StoreDuty.cpp
+++ b/Source/Duties/StoreDuty.cpp
@@ -12,12 +12,13 @@
 
 } // namespace
 
-StoreDuty::StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings)
+StoreDuty::StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings,
+                     MetricsDuty &metrics)
     : events_(events)
     , clock_(clock)
 {
     for (std::size_t i = 0; i < 1 + leaseWriterCount; ++i) {
-        callers_.push_back(std::make_unique<Caller>(settings));
+        callers_.push_back(std::make_unique<Caller>(settings, metrics));
         Caller &caller = *callers_.back();
         caller.thread = std::thread([this, &caller] { run(caller); });
     }
--- a/Source/Duties/StoreDuty.h
+++ b/Source/Duties/StoreDuty.h
@@ -15,7 +15,8 @@
 class StoreDuty
 {
 public:
-    StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings);
+    StoreDuty(EventRing &events, const Clock &clock, const ServeSettings &settings,
+              MetricsDuty &metrics);
     ~StoreDuty();
 
     /// Queues \a call; one that finds no room is answered as unanswered.
@@ -27,9 +28,9 @@
     /// One thread with its own connection and ring.
     struct Caller
     {
-        explicit Caller(const ServeSettings &settings)
+        Caller(const ServeSettings &settings, MetricsDuty &metrics)
             : calls(static_cast<std::size_t>(settings.outwardRing))
-            , store(settings.store, settings.storeTimeout)
+            , store(settings.store, settings.storeTimeout, metrics)
         {
         }
 
