--- a/Source/Decisions/Actions.h
+++ b/Source/Decisions/Actions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Core/Metric.h"
 #include "Decisions/Events.h"
 
 #include <optional>
@@ -27,11 +28,28 @@
     /// Time since the instance last said so.
     Milliseconds age;
 };
+/// How one shard stands, as this instance sees it.
+struct ShardStatus
+{
+    ShardId shard;
+    std::string leaseState;
+    Epoch epoch;
+    std::size_t waiting = 0;
+    std::size_t jobs = 0;
+};
+/// How this instance stands.
+struct InstanceStatus
+{
+    std::string processState;
+    Revision presetRevision;
+    std::size_t openRequests = 0;
+    std::vector<ShardStatus> shards;
+};
 struct AnswerCaller
 {
     RequestId request;
     std::variant<JobReport, std::vector<WorkerRow>, PresetInForce, std::vector<PresetDefinition>,
-                 std::vector<Follower>, std::vector<ChangeNote>, Error>
+                 std::vector<Follower>, std::vector<ChangeNote>, InstanceStatus, Error>
             body;
 };
 
@@ -63,7 +81,8 @@
     AttemptNumber attempt;
     Epoch epoch;
     JobSpec spec;
-    Milliseconds taskLease;
+    /// The worker refuses the start in any other session.
+    SessionId session;
     /// The start is dropped unless it is sent before this time.
     TimePoint notAfter;
 };
@@ -74,9 +93,15 @@
     WorkerId worker;
     Endpoint endpoint;
     Epoch epoch;
+    /// The session and the answer in it that the holder saw last. The session's lease is renewed
+    /// from when the worker gave that answer; no other session is renewed.
+    SessionId session;
+    BeatNumber beat;
     /// Zero to read the inventory without renewing.
     Milliseconds taskLease;
-    /// Finished attempts whose answers need not be kept any more.
+    /// Attempts whose inventory entries need not be sent in full again in this epoch.
+    std::vector<std::pair<TaskId, AttemptNumber>> known;
+    /// Finished attempts that the worker may forget.
     std::vector<std::pair<TaskId, AttemptNumber>> taken;
     /// Attempts to stop.
     std::vector<std::pair<TaskId, AttemptNumber>> stopped;
@@ -99,13 +124,18 @@
     std::string subject;
     std::string change;
 };
+/// Something to be counted or measured.
+struct Observe
+{
+    Sample sample;
+};
 /// All work is handed over and answered; the process may end.
 struct LeaveNow
 {
 };
 
 using Action = std::variant<AnswerCaller, SendToPeer, CallStore, CallWorker, ConnectPeers,
-                            RecordChange, LeaveNow, CallConfiguration>;
+                            RecordChange, LeaveNow, CallConfiguration, Observe>;
 using Actions = std::vector<Action>;
 
 } // namespace caraway
--- a/Source/Decisions/JobRecord.h
+++ b/Source/Decisions/JobRecord.h
@@ -36,6 +36,10 @@
     /// Raises the event that follows from the states of the tasks; true when the job ended.
     bool updateFromTasks();
     JobReport report() const;
+    const std::string &stateName() const { return machine_.stateName(); }
+
+    /// Adds a waiter, or replaces it when the same request was sent again.
+    void addWaiter(Waiter waiter);
 
     std::vector<Waiter> waiters;
     TimePoint endedAt;
