--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -53,7 +53,7 @@
     if (!shard.lease.isHeld())
         return;
     const TimePoint startsEndAt = shard.lease.isServing() ? shard.lease.startsEndAt() : TimePoint();
-    shard.scheduler.onTick(now_, startsEndAt);
+    shard.scheduler.onTick(now_, startsEndAt, shard.lease.startsEndAt());
     if (shard.lease.isRecovering() && shard.scheduler.isRecovered())
         shard.lease.onRecovered();
 }
@@ -201,8 +201,13 @@
     if (read.list.entries.empty() && read.list.workers.empty())
         return;
     membership_.update(read.list);
-    for (const ShardId &id : membership_.shards())
+    Resources fleetCapacity;
+    for (const WorkerMember &worker : read.list.workers)
+        fleetCapacity += worker.capacity;
+    for (const ShardId &id : membership_.shards()) {
+        shardFor(id).scheduler.setFleetCapacity(fleetCapacity);
         shardFor(id).scheduler.setWorkers(now_, membership_.workersOf(id));
+    }
     ConnectPeers connect;
     std::ranges::copy_if(read.list.entries, std::back_inserter(connect.peers),
                          [this](const EntryMember &entry) { return entry.id != settings_.self; });
--- a/Source/Decisions/JobRecord.h
+++ b/Source/Decisions/JobRecord.h
@@ -37,6 +37,9 @@
     bool updateFromTasks();
     JobReport report() const;
 
+    /// Adds a waiter, or replaces it when the same request was sent again.
+    void addWaiter(Waiter waiter);
+
     std::vector<Waiter> waiters;
     TimePoint endedAt;
     Milliseconds waited;
--- a/Source/Decisions/Policy/BaselinePolicy.h
+++ b/Source/Decisions/Policy/BaselinePolicy.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "Decisions/Policy/Ejection.h"
 #include "Decisions/Policy/FifoQueue.h"
 #include "Decisions/Policy/FirstFit.h"
+#include "Decisions/Policy/NoHolder.h"
+#include "Decisions/Policy/QueueBoundAdmission.h"
 
 namespace caraway {
 
@@ -10,6 +13,9 @@
 {
     using Queue = FifoQueue;
     using Placement = FirstFit;
+    using Admission = QueueBoundAdmission;
+    using Holder = NoHolder;
+    using Ejection = NeverEject;
 };
 
 static_assert(SchedulingPolicy<BaselinePolicy>);
--- a/Source/Decisions/RequestRouter.h
+++ b/Source/Decisions/RequestRouter.h
@@ -27,7 +27,7 @@
 
 private:
     void forward(TimePoint now, HolderRequest request, const JobName &job, Milliseconds wait);
-    void offerHolder(ForwardedRequest &request) const;
+    void offerHolder(TimePoint now, ForwardedRequest &request) const;
 
     const Membership &membership_;
     std::unordered_map<RequestId, ForwardedRequest> open_;
