--- a/Source/Decisions/Policy/BaselinePolicy.h
+++ b/Source/Decisions/Policy/BaselinePolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decisions/Policy/Ejection.h"
 #include "Decisions/Policy/FifoQueue.h"
 #include "Decisions/Policy/FirstFit.h"
 #include "Decisions/Policy/NoHolder.h"
@@ -16,6 +17,7 @@
     using Admission = QueueBoundAdmission;
     using Holder = NoHolder;
     using KindHolder = NoKindHolder;
+    using Ejection = NeverEject;
 };
 
 static_assert(SchedulingPolicy<BaselinePolicy>);
--- a/Source/Decisions/Policy/Concepts.h
+++ b/Source/Decisions/Policy/Concepts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Decisions/Ledger.h"
+#include "Decisions/Policy/Ejection.h"
 #include "Decisions/Policy/Refusal.h"
 #include "Decisions/Policy/WaitingUnit.h"
 #include "Decisions/Preset.h"
@@ -155,6 +156,7 @@
     requires Admission<typename P::Admission>;
     requires RoomHolder<typename P::Holder>;
     requires ShareHolder<typename P::KindHolder>;
+    requires Ejection<typename P::Ejection>;
 };
 
 } // namespace caraway
--- a/Source/Decisions/Policy/StandardPolicy.h
+++ b/Source/Decisions/Policy/StandardPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Decisions/Policy/BestFit.h"
+#include "Decisions/Policy/Ejection.h"
 #include "Decisions/Policy/FairQueue.h"
 #include "Decisions/Policy/GangHolder.h"
 #include "Decisions/Policy/KindHolder.h"
@@ -17,6 +18,7 @@
     using Admission = PromisedWaitAdmission;
     using Holder = GangHolder;
     using KindHolder = caraway::KindHolder;
+    using Ejection = FleetRateEjection;
 };
 
 static_assert(SchedulingPolicy<StandardPolicy>);
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -59,8 +59,9 @@
         WorkerSession &worker
                 = workers_.try_emplace(member.id, member, now, settings_).first->second;
         worker.setListed(member);
-        placer_.setWorker(member, worker.isOpen());
+        openOrClose(worker);
     }
+    ejection_.setWorkerCount(workers.size());
     removeGoneWorkers(now);
 }
 
@@ -159,10 +160,6 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter)
 {
-    // An entry that asks again, or another life of it, replaces its earlier question.
-    std::erase_if(job.waiters, [&](const JobRecord::Waiter &other) {
-        return other.entry == waiter.entry && other.request == waiter.request;
-    });
     if (!job.isOpen() || waiter.until <= now)
         reply(waiter.entry, waiter.request, job.report());
     else
@@ -199,12 +196,11 @@
     WorkerSession &worker = found->second;
     if (!answer.answered) {
         worker.onUnanswered();
-        // No new work goes where it could not be started; what runs keeps its leases.
-        placer_.closeWorker(answer.worker);
+        openOrClose(worker);
         return;
     }
     const std::vector<TaskId> ended = worker.onAnswered(now, answer);
-    placer_.setWorker(worker.member(), worker.isOpen());
+    openOrClose(worker);
     for (const InventoryEntry &entry : answer.tasks)
         handleEntry(now, answer.worker, entry);
     for (const auto &[task, attempt] : answer.voided) {
@@ -271,6 +267,7 @@
     if (task.isIn(Task::State::OnWorker)) {
         const bool succeeded = entry.condition == TaskCondition::Succeeded;
         task.answer = {entry.task.index, entry.attempt, worker, succeeded, entry.content};
+        ejection_.onOutcome(now, worker, {job.spec().kind, job.spec().name, !succeeded});
         raise(now, job, entry.task.index, succeeded ? Task::Event::Succeeded : Task::Event::Failed);
     }
     workers_.at(worker).noteTaken({entry.task, entry.attempt});
@@ -341,12 +338,38 @@
 void ShardScheduler<Policy>::onTick(TimePoint now, TimePoint startsEndAt, TimePoint leaseEndsAt)
 {
     endLeases(now);
+    ejection_.onTick(now);
+    applyEjections();
     placeWaiting(now, startsEndAt);
     sendHeartbeats(now, leaseEndsAt);
     endWaits(now);
     forgetOldAnswers(now);
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::openOrClose(const WorkerSession &worker)
+{
+    WorkerMember member = worker.member();
+    const WorkAllowance allowance = ejection_.allowanceOf(member.id);
+    // One slot lets a single task at a time through.
+    if (allowance == WorkAllowance::OneTask)
+        member.capacity.slots = std::min(member.capacity.slots, Slots(1));
+    placer_.setWorker(member, worker.isOpen() && allowance != WorkAllowance::None);
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::applyEjections()
+{
+    for (const AllowanceChange &change : ejection_.takeChanges()) {
+        const auto found = workers_.find(change.worker);
+        if (found == workers_.end())
+            continue;
+        openOrClose(found->second);
+        actions_.push_back(RecordChange {fmt::format("worker {}", change.worker.value()),
+                                         fmt::format("health is {}", change.state)});
+    }
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::placeWaiting(TimePoint now, TimePoint startsEndAt)
 {
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -52,6 +52,8 @@
     void answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter);
     void reply(const InstanceId &entry, RequestId request, JobReport report);
 
+    void openOrClose(const WorkerSession &worker);
+    void applyEjections();
     void placeWaiting(TimePoint now, TimePoint startsEndAt);
     void start(TimePoint now, const PlacedTask &placed, TimePoint startsEndAt);
     void sendHeartbeats(TimePoint now, TimePoint leaseEndsAt);
@@ -74,6 +76,7 @@
     const DecisionSettings &settings_;
     Epoch epoch_;
     TaskPlacer<Policy> placer_;
+    typename Policy::Ejection ejection_;
     std::map<WorkerId, WorkerSession> workers_;
     std::unordered_map<JobName, JobRecord> jobs_;
     Actions actions_;
--- a/Source/Decisions/WorkerSession.h
+++ b/Source/Decisions/WorkerSession.h
@@ -96,9 +96,9 @@
     std::optional<TimePoint> unlistedSince_;
     TimePoint heartbeatSentAt_;
     bool heartbeatOutstanding_ = false;
+    /// No new work goes where the last heartbeat was not answered; what runs keeps its lease.
+    bool isAnswering_ = true;
     bool sessionIsNew_ = false;
-    /// Whether the last heartbeat that ended was answered.
-    bool isAnswering_ = false;
     /// The tasks with an attempt on the worker, and the session in which each was started.
     std::map<TaskId, SessionId> attempts_;
     Outbox known_;
