--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -5,6 +5,13 @@
 
 namespace caraway {
 
+namespace {
+
+/// After this long the answer to a reading has been dropped on its way.
+constexpr Milliseconds storeAnswerLimit(5000);
+
+} // namespace
+
 const BoundChart<Instance> &Instance::chart()
 {
     static const BoundChart<Instance> bound = BoundChart<Instance> {
@@ -37,19 +44,20 @@
 
 void Instance::on(const Tick & /*tick*/)
 {
-    readStoreIfDue();
     sendPeerHeartbeatsIfDue();
-    router_.onTick(now_);
     presets_.onTick(now_);
     for (auto &[id, shard] : shards_)
         tickShard(shard);
+    router_.onTick(now_);
+    readStoreIfDue();
 }
 
 void Instance::tickShard(Shard &shard)
 {
     shard.lease.onTick(now_);
-    if (shard.lease.takeRecoveryBegun())
-        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
+    if (shard.lease.takeReadWanted())
+        shardReadWanted_ = true;
+    beginRecoveryIfHeldAnew(shard);
     if (!shard.lease.isHeld())
         return;
     const TimePoint startsEndAt = shard.lease.isServing() ? shard.lease.startsEndAt() : TimePoint();
@@ -58,6 +66,12 @@
         shard.lease.onRecovered();
 }
 
+void Instance::beginRecoveryIfHeldAnew(Shard &shard)
+{
+    if (shard.lease.takeRecoveryBegun())
+        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
+}
+
 void Instance::on(const CallerRequest &request)
 {
     std::visit([&](const auto &body) { onCaller(request.id, body); }, request.body);
@@ -99,6 +113,17 @@
             "No preset is in force here yet. Put one in force with `preset use`."});
 }
 
+void Instance::onCaller(RequestId id, const ShowStatus & /*body*/)
+{
+    InstanceStatus status {
+            machine_.stateName(), presets_.revision(), router_.openRequestCount(), {}};
+    for (const auto &[shardId, shard] : shards_) {
+        status.shards.push_back({shardId, shard.lease.stateName(), shard.lease.epoch(),
+                                 shard.scheduler.waitingCount(), shard.scheduler.jobCount()});
+    }
+    actions_.push_back(AnswerCaller {id, std::move(status)});
+}
+
 void Instance::on(const PeerMessageReceived &received)
 {
     // An entry that the list does not name yet says it again once the list does.
@@ -135,6 +160,28 @@
     noticePreset();
 }
 
+void Instance::onPeer(const InstanceId & /*from*/, const ShardRecordNotice &notice)
+{
+    const auto known = shards_.find(notice.record.shard);
+    if (known == shards_.end())
+        return;
+    known->second.lease.onRecordNotice(now_, notice.record);
+    membership_.learnHolder(notice.record);
+}
+
+void Instance::onPeer(const InstanceId &from, const PromiseRequest &request)
+{
+    const auto known = shards_.find(request.shard);
+    if (known != shards_.end())
+        known->second.lease.onPromiseRequest(now_, from, request);
+}
+
+void Instance::onPeer(const InstanceId &from, const PromiseReply &reply)
+{
+    if (Shard *shard = heldShard(reply.shard))
+        shard->lease.onPromiseReply(now_, from, reply);
+}
+
 void Instance::on(const PeerLinkChanged & /*changed*/) { }
 
 void Instance::on(const StoreAnswered &answered)
@@ -144,6 +191,7 @@
 
 void Instance::onStore(TimePoint sentAt, const ShardRecordsRead &read)
 {
+    shardReadOutstanding_ = false;
     if (read.outcome != StoreOutcome::Done)
         return;
     for (const ShardId &id : membership_.shards()) {
@@ -151,7 +199,9 @@
         std::optional<ShardRecord> record;
         if (found != read.records.end())
             record = *found;
-        shardFor(id).lease.onRecordRead(now_, sentAt, record);
+        Shard &shard = shardFor(id);
+        shard.lease.onRecordRead(now_, sentAt, record);
+        beginRecoveryIfHeldAnew(shard);
     }
     for (const ShardRecord &record : read.records)
         membership_.learnHolder(record);
@@ -161,6 +211,8 @@
 {
     Shard &shard = shardFor(written.record.shard);
     shard.lease.onRecordWritten(now_, sentAt, written);
+    // At once: a request that came before would be forgotten by the recovery.
+    beginRecoveryIfHeldAnew(shard);
     if (written.outcome == StoreOutcome::Done)
         membership_.learnHolder(written.record);
 }
@@ -197,7 +249,10 @@
 
 void Instance::on(const InstanceListRead &read)
 {
-    membership_.update(read.list);
+    // The platform's list is empty for a moment now and then; the last one stays in use.
+    if (read.list.entries.empty() && read.list.workers.empty())
+        return;
+    membership_.update(read.list, read.readAt);
     Resources fleetCapacity;
     for (const WorkerMember &worker : read.list.workers)
         fleetCapacity += worker.capacity;
@@ -232,10 +287,15 @@
 
 void Instance::readStoreIfDue()
 {
-    if (now_ - shardsReadAt_ >= settings_.shardRead) {
-        shardsReadAt_ = now_;
-        actions_.push_back(CallStore {ReadShardRecords {}});
-    }
+    const Milliseconds sinceRead = now_ - shardsReadAt_;
+    if (shardReadOutstanding_ && sinceRead < storeAnswerLimit)
+        return;
+    if (!shardReadWanted_ && sinceRead < settings_.shardRead)
+        return;
+    shardsReadAt_ = now_;
+    shardReadOutstanding_ = true;
+    shardReadWanted_ = false;
+    actions_.push_back(CallStore {ReadShardRecords {}});
 }
 
 void Instance::sendPeerHeartbeatsIfDue()
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -106,6 +106,8 @@
     }
     if (!job) {
         if (std::optional<Refusal> refusal = placer_.refusalOf(now, body.spec)) {
+            const std::string kind(errorKindName(refusal->error.kind));
+            actions_.push_back(Observe {{Metric::JobsRefused, 1, kind}});
             reply(entry, request,
                   {.name = body.spec.name,
                    .state = JobState::NotRun,
@@ -157,6 +159,10 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter)
 {
+    // An entry that asks again, or another life of it, replaces its earlier question.
+    std::erase_if(job.waiters, [&](const JobRecord::Waiter &other) {
+        return other.entry == waiter.entry && other.request == waiter.request;
+    });
     if (!job.isOpen() || waiter.until <= now)
         reply(waiter.entry, waiter.request, job.report());
     else
@@ -193,6 +199,8 @@
     WorkerSession &worker = found->second;
     if (!answer.answered) {
         worker.onUnanswered();
+        // No new work goes where it could not be started; what runs keeps its leases.
+        placer_.closeWorker(answer.worker);
         return;
     }
     const std::vector<TaskId> ended = worker.onAnswered(now, answer);
@@ -298,17 +306,31 @@
         workers_.at(task.worker()).noteStopped({id, task.attempt()});
     if (effects.voidAttempt)
         workers_.at(task.worker()).noteVoided({id, task.attempt()});
-    if (!wasRunning && task.isIn(Task::State::Running))
+    // A task that was adopted running did not wait here.
+    const bool waitedHere = task.waitingSince != TimePoint();
+    if (!wasRunning && waitedHere && task.isIn(Task::State::Running)) {
         job.waited = std::max(job.waited, now - task.waitingSince);
+        observeStart(job.spec().kind, now - task.waitingSince);
+    }
     finishIfEnded(now, job);
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::observeStart(const KindId &kind, Milliseconds waited)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    const double seconds = static_cast<double>(waited.count()) / millisecondsPerSecond;
+    actions_.push_back(Observe {{Metric::TaskStarts, 1, kind.value()}});
+    actions_.push_back(Observe {{Metric::TaskWaitSeconds, seconds, kind.value()}});
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::finishIfEnded(TimePoint now, JobRecord &job)
 {
     if (!job.isOpen() || !job.updateFromTasks())
         return;
     job.endedAt = now;
+    actions_.push_back(Observe {{Metric::JobsEnded, 1, job.stateName()}});
     const JobReport report = job.report();
     for (const JobRecord::Waiter &waiter : job.waiters)
         reply(waiter.entry, waiter.request, report);
--- a/Source/Messages/PeerCodec.cpp
+++ b/Source/Messages/PeerCodec.cpp
@@ -1,6 +1,7 @@
 #include "Messages/PeerCodec.h"
 
 #include "Messages/CborCheck.h"
+#include "Messages/FleetCodec.h"
 #include "Messages/JobCodec.h"
 #include "Messages/PresetCodec.h"
 
@@ -63,6 +64,30 @@
             {"in_force", encodePresetInForce(preset.inForce)}};
 }
 
+Json encodeMessage(const ShardRecordNotice &notice)
+{
+    return {{"type", "shard_record"},
+            {"revision", notice.record.revision.value()},
+            {"record", encodeShardRecord(notice.record)}};
+}
+
+Json encodeMessage(const PromiseRequest &request)
+{
+    return {{"type", "promise_request"},
+            {"shard", request.shard.value()},
+            {"epoch", request.epoch.value()},
+            {"round", request.round}};
+}
+
+Json encodeMessage(const PromiseReply &reply)
+{
+    return {{"type", "promise_reply"},
+            {"shard", reply.shard.value()},
+            {"epoch", reply.epoch.value()},
+            {"round", reply.round},
+            {"granted", reply.granted}};
+}
+
 Result<PeerMessage> decodeSubmit(ObjectReader &reader)
 {
     HolderRequest request {ShardId(reader.text("shard")), RequestId(readCount(reader, "id")), {}};
@@ -126,17 +151,55 @@
     return PeerMessage(PeerPreset {std::move(decoded)});
 }
 
+Result<PeerMessage> decodeShardRecordNotice(ObjectReader &reader)
+{
+    const Revision revision(readCount(reader, "revision"));
+    const std::string text = reader.text("record");
+    BOOST_LEAF_CHECK(reader.finish());
+    BOOST_LEAF_AUTO(record, decodeShardRecord(text, revision));
+    return PeerMessage(ShardRecordNotice {std::move(record)});
+}
+
+Result<PeerMessage> decodePromiseRequest(ObjectReader &reader)
+{
+    PromiseRequest request;
+    request.shard = ShardId(reader.text("shard"));
+    request.epoch = Epoch(readCount(reader, "epoch"));
+    request.round = readCount(reader, "round");
+    BOOST_LEAF_CHECK(reader.finish());
+    return PeerMessage(std::move(request));
+}
+
+Result<PeerMessage> decodePromiseReply(ObjectReader &reader)
+{
+    PromiseReply reply;
+    reply.shard = ShardId(reader.text("shard"));
+    reply.epoch = Epoch(readCount(reader, "epoch"));
+    reply.round = readCount(reader, "round");
+    reply.granted = reader.flagOr("granted", false);
+    BOOST_LEAF_CHECK(reader.finish());
+    return PeerMessage(std::move(reply));
+}
+
 using Decoder = Result<PeerMessage> (*)(ObjectReader &);
 
 const std::vector<std::string_view> &typeNames()
 {
     static const std::vector<std::string_view> names
-            = {"submit", "query", "cancel", "reply", "heartbeat", "preset"};
+            = {"submit", "query",        "cancel",          "reply",        "heartbeat",
+               "preset", "shard_record", "promise_request", "promise_reply"};
     return names;
 }
 
-constexpr Decoder decoders[] = {decodeSubmit, decodeQuery,     decodeCancel,
-                                decodeReply,  decodeHeartbeat, decodePresetMessage};
+constexpr Decoder decoders[] = {decodeSubmit,
+                                decodeQuery,
+                                decodeCancel,
+                                decodeReply,
+                                decodeHeartbeat,
+                                decodePresetMessage,
+                                decodeShardRecordNotice,
+                                decodePromiseRequest,
+                                decodePromiseReply};
 
 } // namespace
 
@@ -145,6 +208,8 @@
     Json json
             = std::visit([](const auto &message) { return encodeMessage(message); }, frame.message);
     json["from"] = frame.from.value();
+    json["incarnation"] = frame.incarnation.value();
+    json["number"] = frame.number.value();
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -161,11 +226,13 @@
         return fail(ErrorKind::InvalidMessage, "The frame is not CBOR. Check the peer's release.");
     ObjectReader reader(json, "peer frame");
     InstanceId from = reader.id<InstanceId>("from");
+    const Incarnation incarnation(readCount(reader, "incarnation"));
+    const FrameNumber number(readCount(reader, "number"));
     if (!reader.has("type"))
         return fail(ErrorKind::InvalidMessage, "The frame has no type. Check the peer's release.");
     const std::size_t type = reader.choice("type", typeNames(), 0);
     BOOST_LEAF_AUTO(message, decoders[type](reader));
-    return PeerFrame {std::move(from), std::move(message)};
+    return PeerFrame {std::move(from), std::move(message), incarnation, number};
 }
 
 } // namespace caraway
