Hand shards over in a planned stop once no start is under way

Cause: a stopping holder released its shards while starts could still be on their way to workers; an answer that reached a request's ring just before the end was dropped with the ring; the last messages to peers could go down with the process; a stop in a store outage waited for the release for ever. The process leaves 300 ms after it last held a shard or owed an answer, refuses what comes in then as not run, and ends when no request waits. A request still open at the very end is told so without displacing a real answer. Ruled out: closing the answer rings at the end, which drops answers that were already there.

--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -9,6 +9,8 @@
 
 /// After this long the answer to a reading has been dropped on its way.
 constexpr Milliseconds storeAnswerLimit(5000);
+/// For the last messages to peers to leave before the process does.
+constexpr Milliseconds lastMessagesTime(300);
 
 } // namespace
 
@@ -58,6 +60,8 @@
     if (shard.lease.takeReadWanted())
         shardReadWanted_ = true;
     beginRecoveryIfHeldAnew(shard);
+    if (shard.lease.isSettling() && !shard.scheduler.hasStartsUnderWay())
+        shard.lease.onStartsSettled(now_);
     if (!shard.lease.isHeld())
         return;
     const TimePoint startsEndAt = shard.lease.isServing() ? shard.lease.startsEndAt() : TimePoint();
@@ -278,7 +282,9 @@
 {
     const bool holds = std::ranges::any_of(
             shards_, [](const auto &entry) { return entry.second.lease.isHeld(); });
-    if (!holds && !router_.hasOpenRequests() && machine_.handle(*this, Event::Drained))
+    if (holds || router_.hasOpenRequests())
+        busyAt_ = now_;
+    if (now_ - busyAt_ >= lastMessagesTime && machine_.handle(*this, Event::Drained))
         collectActions();
 }
 
--- a/Source/Decisions/Instance.h
+++ b/Source/Decisions/Instance.h
@@ -97,6 +97,8 @@
     RequestRouter router_;
     std::map<ShardId, Shard> shards_;
     Lifecycle<Instance> machine_;
+    /// When it last held a shard or owed a caller an answer.
+    TimePoint busyAt_;
     TimePoint shardsReadAt_;
     /// A reading is under way; at most one at a time, however slow the store.
     bool shardReadOutstanding_ = false;
--- a/Source/Decisions/ShardLease.cpp
+++ b/Source/Decisions/ShardLease.cpp
@@ -21,9 +21,9 @@
     static const BoundChart<ShardLease> bound = BoundChart<ShardLease> {
             "ShardLease.scxml",
             {"following", "claiming", "holding", "recovering", "serving", "leased", "byPromise",
-             "suspended", "releasing"},
+             "suspended", "settling", "releasing"},
             {"claimDue", "written", "superseded", "claimAbandoned", "recovered", "leaseRanOut",
-             "stopRequested", "promised"},
+             "stopRequested", "promised", "startsSettled"},
             {{"mayClaim", &ShardLease::mayClaim},
              {"wasRecovered", &ShardLease::wasRecovered},
              {"isStopping", &ShardLease::isStopping}},
@@ -124,6 +124,12 @@
     changeState(Event::StopRequested);
 }
 
+void ShardLease::onStartsSettled(TimePoint now)
+{
+    now_ = now;
+    changeState(Event::StartsSettled);
+}
+
 void ShardLease::onTick(TimePoint now)
 {
     now_ = now;
@@ -316,7 +322,9 @@
 {
     const Milliseconds sinceWrite = now_ - pendingSentAt_;
     const bool isLost = sinceWrite >= settings_.shardLease;
-    if (sinceWrite < settings_.shardRenewal || (writeOutstanding_ && !isLost))
+    // Unrenewed, the lease bounds the wait for starts on their way.
+    if (machine_.isIn(State::Settling) || sinceWrite < settings_.shardRenewal
+        || (writeOutstanding_ && !isLost))
         return;
     renew();
 }
--- a/Source/Decisions/ShardLease.h
+++ b/Source/Decisions/ShardLease.h
@@ -29,6 +29,7 @@
         Leased,
         ByPromise,
         Suspended,
+        Settling,
         Releasing
     };
     enum class Event {
@@ -40,6 +41,7 @@
         LeaseRanOut,
         StopRequested,
         Promised,
+        StartsSettled,
     };
     static const BoundChart<ShardLease> &chart();
 
@@ -59,11 +61,14 @@
         changeState(Event::Recovered);
     }
     void onStopRequested(TimePoint now);
+    /// Releases the shard, once no start is on its way to a worker.
+    void onStartsSettled(TimePoint now);
     void onTick(TimePoint now);
 
     const ShardId &shard() const { return shard_; }
     bool isHeld() const { return machine_.isIn(State::Holding); }
     bool isRecovering() const { return machine_.isIn(State::Recovering); }
+    bool isSettling() const { return machine_.isIn(State::Settling); }
     bool isServing() const { return machine_.isIn(State::Serving); }
     Epoch epoch() const { return record_.epoch; }
     /// No start may be sent at or after this time.
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -436,6 +436,16 @@
     return found.attempt() == attempt && found.worker() == worker ? &found : nullptr;
 }
 
+template<SchedulingPolicy Policy>
+bool ShardScheduler<Policy>::hasStartsUnderWay()
+{
+    return std::ranges::any_of(jobs_, [](auto &entry) {
+        return std::ranges::any_of(entry.second.tasks(), [](const Task &task) {
+            return task.isIn(Task::State::Starting);
+        });
+    });
+}
+
 template<SchedulingPolicy Policy>
 std::vector<WorkerRow> ShardScheduler<Policy>::workerRows() const
 {
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -37,6 +37,8 @@
     /// The shard lease ends at \a leaseEndsAt.
     void onTick(TimePoint now, TimePoint startsEndAt, TimePoint leaseEndsAt);
 
+    /// Whether a start has been sent whose answer is still to come.
+    bool hasStartsUnderWay();
     std::vector<WorkerRow> workerRows() const;
     std::size_t waitingCount() const { return placer_.waitingCount(); }
     std::size_t jobCount() const { return jobs_.size(); }
--- a/Source/Duties/CallersDuty.cpp
+++ b/Source/Duties/CallersDuty.cpp
@@ -46,6 +46,15 @@
     return JobName(std::move(name));
 }
 
+AnswerCaller fateUnknown(RequestId request)
+{
+    AnswerCaller answer;
+    answer.request = request;
+    answer.body.emplace<Error>(Error {ErrorKind::FateUnknown,
+                                      "The instance stopped before it knew. Ask another one."});
+    return answer;
+}
+
 } // namespace
 
 CallersDuty::CallersDuty(EventRing &events, const std::atomic<bool> &ready,
@@ -70,7 +79,7 @@
     {
         const std::lock_guard lock(mutex_);
         for (const auto &[id, ring] : waiting_)
-            ring->close();
+            ring->offer(fateUnknown(id));
     }
     thread_.join();
     server_.finish();
@@ -191,6 +200,10 @@
 
 Result<AnswerCaller> CallersDuty::ask(Body body)
 {
+    if (refusing_) {
+        return fail(ErrorKind::Stopping,
+                    "The instance is stopping and did not run this. Submit again to another one.");
+    }
     const auto ring = std::make_shared<AnswerRing>(1);
     RequestId id;
     {
@@ -232,6 +245,12 @@
     recoverFrom(render, [&](const Error &error) { write(response, encodeErrorAnswer(error)); });
 }
 
+bool CallersDuty::hasWaiting()
+{
+    const std::lock_guard lock(mutex_);
+    return !waiting_.empty();
+}
+
 void CallersDuty::deliver(AnswerCaller answer)
 {
     std::shared_ptr<AnswerRing> ring;
--- a/Source/Duties/CallersDuty.h
+++ b/Source/Duties/CallersDuty.h
@@ -27,6 +27,9 @@
 
     /// Hands an answer to the request that waits for it.
     void deliver(AnswerCaller answer);
+    /// Tells every new request from now on that it was not run.
+    void refuseNew() { refusing_ = true; }
+    bool hasWaiting();
 
 private:
     using AnswerRing = Ring<AnswerCaller>;
@@ -47,6 +50,7 @@
     const std::atomic<bool> &ready_;
     MetricsDuty &metrics_;
     CallerServer server_;
+    std::atomic<bool> refusing_ = false;
     std::mutex mutex_;
     std::unordered_map<RequestId, std::shared_ptr<AnswerRing>> waiting_;
     std::uint64_t lastRequest_ = 0;
--- a/Source/Duties/DecisionsDuty.cpp
+++ b/Source/Duties/DecisionsDuty.cpp
@@ -27,6 +27,9 @@
         ready_ = instance_.isReady();
         for (Action &action : actions)
             std::visit([this](auto &body) { carryOut(body); }, action);
+        // Requests that came in before the last moment are still answered.
+        if (isLeaving_ && !callers_.hasWaiting())
+            events_.close();
     }
 }
 
@@ -39,6 +42,12 @@
     return actions;
 }
 
+void DecisionsDuty::carryOut(LeaveNow & /*action*/)
+{
+    isLeaving_ = true;
+    callers_.refuseNew();
+}
+
 void DecisionsDuty::carryOut(CallConfiguration &action)
 {
     const RequestId request = std::visit(
--- a/Source/Duties/DecisionsDuty.h
+++ b/Source/Duties/DecisionsDuty.h
@@ -40,10 +40,11 @@
     void carryOut(ConnectPeers &action) { peers_.offer(std::move(action)); }
     void carryOut(RecordChange &action) { audit_.offer(std::move(action)); }
     void carryOut(Observe &action) { metrics_.offer(std::move(action.sample)); }
-    void carryOut(LeaveNow & /*action*/) { events_.close(); }
+    void carryOut(LeaveNow &action);
 
     Clock clock_;
     EventRing events_;
+    bool isLeaving_ = false;
     std::atomic<bool> ready_ = false;
     Instance instance_;
     MetricsDuty metrics_;
--- a/Tests/Decisions/InstanceTest.cpp
+++ b/Tests/Decisions/InstanceTest.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace caraway::tests {
 
 /// One instance's shards, leases and stop, over its events.
@@ -10,6 +12,7 @@
     CPPUNIT_TEST_SUITE(InstanceTest);
     CPPUNIT_TEST(request_rightAfterClaim_outlivesRecovery);
     CPPUNIT_TEST(tick_readingUnderWay_sendsNoOther);
+    CPPUNIT_TEST(stop_holdingShard_releasesThenLeaves);
     CPPUNIT_TEST_SUITE_END();
 
     const ShardId shard_ {"z"};
@@ -122,6 +125,24 @@
         instance_.handle(at(4000), StoreAnswered {at(1000), ShardRecordsRead {}});
         CPPUNIT_ASSERT_EQUAL(1, readsFrom(4000, 5000));
     }
+
+    void stop_holdingShard_releasesThenLeaves()
+    {
+        claimAt(1000);
+        instance_.handle(at(1010), StopRequested {});
+        const std::optional<ShardRecord> release = lastWrite(instance_.handle(at(1025), Tick {}));
+        CPPUNIT_ASSERT(release && release->released);
+        const std::optional<ShardRecordNotice> notice
+                = lastSent<ShardRecordNotice>(instance_.handle(
+                        at(1030),
+                        StoreAnswered {at(1025),
+                                       ShardRecordWritten {*release, StoreOutcome::Done}}));
+        CPPUNIT_ASSERT(notice && notice->record.released);
+        const Actions last = instance_.handle(at(1400), Tick {});
+        CPPUNIT_ASSERT(std::ranges::any_of(last, [](const Action &action) {
+            return std::holds_alternative<LeaveNow>(action);
+        }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(InstanceTest);
--- a/Tests/Processes/OwnershipTest.cpp
+++ b/Tests/Processes/OwnershipTest.cpp
@@ -3,9 +3,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace caraway::tests {
 
@@ -28,6 +31,8 @@
     CPPUNIT_TEST(slowStore_holdersGoOn);
     CPPUNIT_TEST(storeOutage_workArrives_noneRefused);
     CPPUNIT_TEST(storeOutage_holderCutOffFromPeers_startsNothing);
+    CPPUNIT_TEST(stop_requestsInFlight_allAnsweredAndShardsHandedOver);
+    CPPUNIT_TEST(stop_secondSignal_endsAtOnce);
     CPPUNIT_TEST(rest_fleetAtRest_keepsToStoreBudget);
     CPPUNIT_TEST_SUITE_END();
 
@@ -176,6 +181,54 @@
         CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf(job));
     }
 
+    void stop_requestsInFlight_allAnsweredAndShardsHandedOver()
+    {
+        constexpr int perEntry = 6;
+        constexpr int stopLimitMs = 8000;
+        const std::string zone = fleet_.shape().zones[0];
+        const int holder = fleet_.holderOf(zone);
+        std::atomic<int> done = 0;
+        std::vector<std::jthread> callers;
+        callers.reserve(static_cast<std::size_t>(perEntry * fleet_.shape().entries));
+        for (int i = 0; i < perEntry * fleet_.shape().entries; ++i) {
+            callers.emplace_back([this, i, &done] {
+                const nlohmann::json payload = {{"run_ms", 1000 + 100 * (i % perEntry)}};
+                const nlohmann::json job = TestFleet::makeJob(fmt::format("flight-{}", i),
+                                                              {{"payload", payload.dump()}});
+                const HttpAnswer answer = fleet_.run(i % fleet_.shape().entries, job);
+                if (answer.status == 200)
+                    ++done;
+                else
+                    fmt::print(stderr, "[{} {}]", answer.status, answer.body.dump());
+            });
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        const std::int64_t stoppedAt = wallMs();
+        fleet_.entry(holder).signal(SIGTERM);
+        const std::string job = jobAt(zone, "handed-over");
+        const std::int64_t took = measureTakeover(job, holder, stoppedAt);
+        const int exitCode = fleet_.entry(holder).waitForExit(stopLimitMs);
+        callers.clear();
+        fmt::print(stderr, "[next start after SIGTERM: {} ms]", took);
+        CPPUNIT_ASSERT_EQUAL(perEntry * fleet_.shape().entries, done.load());
+        CPPUNIT_ASSERT_EQUAL(0, exitCode);
+        CPPUNIT_ASSERT(took < 2000);
+        for (int i = 0; i < perEntry * fleet_.shape().entries; ++i)
+            CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf(fmt::format("flight-{}", i)));
+    }
+
+    void stop_secondSignal_endsAtOnce()
+    {
+        const nlohmann::json payload = {{"run_ms", 8000}};
+        const nlohmann::json job = TestFleet::makeJob("long", {{"payload", payload.dump()}});
+        const std::jthread waiting([&] { fleet_.run(0, job); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        fleet_.entry(0).signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(-1, fleet_.entry(0).waitForExit(1500));
+        fleet_.entry(0).signal(SIGTERM);
+        CPPUNIT_ASSERT(fleet_.entry(0).waitForExit(2000) >= 0);
+    }
+
     void rest_fleetAtRest_keepsToStoreBudget()
     {
         constexpr std::int64_t seconds = 5;
