--- a/Source/Decisions/Policy/BestFit.cpp
+++ b/Source/Decisions/Policy/BestFit.cpp
@@ -57,15 +57,18 @@
             + levelOf(free.memory.count(), greatest.memory.count());
 }
 
-void FreeRoomGrid::insert(std::uint32_t worker, std::uint32_t cell)
+void FreeRoomGrid::insert(const Entry &entry, std::uint32_t cell)
 {
+    const std::uint32_t worker = entry.worker;
     if (places_.size() <= worker)
         places_.resize(worker + 1);
-    if (places_[worker].cell == cell)
+    if (places_[worker].cell == cell) {
+        cells_[cell][places_[worker].position] = entry;
         return;
+    }
     remove(worker);
     places_[worker] = {cell, static_cast<std::uint32_t>(cells_[cell].size())};
-    cells_[cell].push_back(worker);
+    cells_[cell].push_back(entry);
     rows_[cell / levels] |= std::uint64_t(1) << (cell % levels);
 }
 
@@ -74,9 +77,9 @@
     if (places_.size() <= worker || places_[worker].cell == absent)
         return;
     const Place place = places_[worker];
-    std::vector<std::uint32_t> &cell = cells_[place.cell];
+    std::vector<Entry> &cell = cells_[place.cell];
     cell[place.position] = cell.back();
-    places_[cell.back()].position = place.position;
+    places_[cell.back().worker].position = place.position;
     cell.pop_back();
     places_[worker].cell = absent;
     if (cell.empty())
@@ -91,10 +94,10 @@
     for (std::uint32_t row = cell / levels; row < levels; ++row) {
         for (std::uint64_t left = rows_[row] & columns; left != 0; left &= left - 1) {
             const auto column = static_cast<std::uint32_t>(std::countr_zero(left));
-            const std::vector<std::uint32_t> &workers = cells_[row * levels + column];
-            const std::size_t count = std::min(workers.size(), maxExaminedInCell);
+            const std::vector<Entry> &entries = cells_[row * levels + column];
+            const std::size_t count = std::min(entries.size(), maxExaminedInCell);
             for (std::size_t i = 0; i < count; ++i) {
-                if (examine(workers[i]) || ++examined >= maxExamined)
+                if (examine(entries[i]) || ++examined >= maxExamined)
                     return;
             }
         }
@@ -125,7 +128,7 @@
     const bool isUsable = account.isOpen && account.heldFor == serves_ && free.slots > Slots();
     FreeRoomGrid &grid = account.capacity.accelerators > Accelerators() ? accelerated_ : plain_;
     if (isUsable)
-        grid.insert(number, FreeRoomGrid::cellOf(free, greatest_));
+        grid.insert({free, number}, FreeRoomGrid::cellOf(free, greatest_));
     else
         grid.remove(number);
 }
@@ -146,11 +149,11 @@
     std::size_t compared = 0;
     const bool mustSpare = &grid == &accelerated_ && needs.accelerators == Accelerators()
             && ledger.couldFitWithoutAccelerators(needs);
-    grid.search(FreeRoomGrid::cellOf(needs, greatest_), [&](std::uint32_t number) {
-        const WorkerIndex worker(number);
-        const Ledger::Account &account = ledger.account(worker);
-        if (!needs.fitsIn(account.free()))
+    grid.search(FreeRoomGrid::cellOf(needs, greatest_), [&](const FreeRoomGrid::Entry &entry) {
+        if (!needs.fitsIn(entry.free))
             return false;
+        const WorkerIndex worker(entry.worker);
+        const Ledger::Account &account = ledger.account(worker);
         if (mustSpare && account.free().accelerators > Accelerators()
             && !sparesAccelerators(account, needs))
             return false;
--- a/Source/Decisions/Policy/BestFit.h
+++ b/Source/Decisions/Policy/BestFit.h
@@ -14,12 +14,20 @@
 class FreeRoomGrid
 {
 public:
+    /// A worker with its free room, which stands here again so that a search reads memory in
+    /// order.
+    struct Entry
+    {
+        Resources free;
+        std::uint32_t worker = 0;
+    };
+
     FreeRoomGrid();
 
-    void insert(std::uint32_t worker, std::uint32_t cell);
+    void insert(const Entry &entry, std::uint32_t cell);
     void remove(std::uint32_t worker);
 
-    /// Calls \a examine with each worker in a cell at or above the one given, until it returns
+    /// Calls \a examine with each entry in a cell at or above the one given, until it returns
     /// true or a bound is met.
     template<class Examine>
     void search(std::uint32_t cell, Examine &&examine) const;
@@ -38,7 +46,7 @@
         std::uint32_t position = 0;
     };
 
-    std::vector<std::vector<std::uint32_t>> cells_;
+    std::vector<std::vector<Entry>> cells_;
     /// For each row, a bit for each cell that has workers.
     std::array<std::uint64_t, levels> rows_ {};
     std::vector<Place> places_;
--- a/Source/Decisions/Resources.cpp
+++ b/Source/Decisions/Resources.cpp
@@ -45,12 +45,6 @@
     return *this;
 }
 
-bool Resources::fitsIn(const Resources &room) const
-{
-    return processors <= room.processors && memory <= room.memory
-            && accelerators <= room.accelerators && slots <= room.slots;
-}
-
 std::string Resources::firstExcessOver(const Resources &room) const
 {
     if (processors > room.processors)
--- a/Source/Decisions/Resources.h
+++ b/Source/Decisions/Resources.h
@@ -21,7 +21,11 @@
     friend bool operator==(const Resources &, const Resources &) = default;
 
     /// Whether this fits into \a room in every dimension.
-    bool fitsIn(const Resources &room) const;
+    bool fitsIn(const Resources &room) const
+    {
+        return processors <= room.processors && memory <= room.memory
+                && accelerators <= room.accelerators && slots <= room.slots;
+    }
     /// Names the first dimension in which this exceeds \a room; empty when it fits.
     std::string firstExcessOver(const Resources &room) const;
     /// How many tasks of this size fit side by side into \a room, up to \a most.
--- a/Tests/Bench/BenchOptions.h
+++ b/Tests/Bench/BenchOptions.h
@@ -20,5 +20,6 @@
 void printDecisionCost(const BenchOptions &options);
 void printFlood(const BenchOptions &options);
 void printPacking(const BenchOptions &options);
+void printControlBytes();
 
 } // namespace caraway::bench
--- a/Tests/Bench/main.cpp
+++ b/Tests/Bench/main.cpp
@@ -2,10 +2,12 @@
 
 #include <fmt/format.h>
 
+#include <string>
 #include <string_view>
 
-/// Measures the decisions on generated events: all tables, or the one named cost, flood or
-/// packing. `benchDecisions smoke` runs a short version of all.
+/// Measures the decisions on generated events: all tables, or the one named cost, flood,
+/// packing or bytes. `benchDecisions smoke` runs a short version of all,
+/// `benchDecisions cost 4600` the cost for one number of workers.
 int main(int argc, char *argv[])
 {
     using namespace caraway::bench;
@@ -13,7 +15,9 @@
     const bool isSmoke = part == "smoke";
     const bool isWhole = part.empty() || isSmoke;
     const BenchOptions smoke {{1}, {46}, 2000, 4, 4};
-    const BenchOptions full {{1, 2, 3, 4, 5}, {46, 184, 460, 4600}, 100000, 30, 60};
+    BenchOptions full {{1, 2, 3, 4, 5}, {46, 184, 460, 4600}, 100000, 30, 60};
+    if (argc > 2)
+        full.fleetSizes = {std::stoul(argv[2])};
     const BenchOptions &options = isSmoke ? smoke : full;
     fmt::print("Mean and standard deviation over {} seeds.\n", options.seeds.size());
     if (isWhole || part == "cost")
@@ -22,5 +26,7 @@
         printFlood(options);
     if (isWhole || part == "packing")
         printPacking(options);
+    if (isWhole || part == "bytes")
+        printControlBytes();
     return 0;
 }
