--- a/Source/Decisions/ForwardedRequest.cpp
+++ b/Source/Decisions/ForwardedRequest.cpp
@@ -52,9 +52,6 @@
         machine_.handle(*this, Event::TurnedAway);
         return;
     }
-    // A former life of this instance may have used the same number for another job.
-    if (reply.report.name != job_)
-        return;
     if (isOpen())
         answer(reply.report);
     machine_.handle(*this, Event::Answered);
