--- a/Source/Decisions/Events.h
+++ b/Source/Decisions/Events.h
@@ -20,6 +20,8 @@
     JobSpec spec;
     /// How long the caller is ready to wait for the result.
     Milliseconds wait;
+    /// The caller never submitted this name before, through any instance.
+    bool isFirst = false;
 };
 struct QueryJob
 {
--- a/Source/Decisions/ForwardedRequest.cpp
+++ b/Source/Decisions/ForwardedRequest.cpp
@@ -17,9 +17,10 @@
 {
     static const BoundChart<ForwardedRequest> bound = BoundChart<ForwardedRequest> {
             "ForwardedRequest.scxml",
-            {"open", "unsent", "sent", "closed"},
+            {"open", "unsent", "between", "sent", "closed"},
             {"answered", "holderKnown", "holderChanged", "turnedAway", "deadlinePassed"},
-            {},
+            {{"isFirstSubmission", &ForwardedRequest::isFirstSubmission},
+             {"mayBeHeld", &ForwardedRequest::mayBeHeld}},
             {{"send", &ForwardedRequest::send},
              {"answerNotRun", &ForwardedRequest::answerNotRun},
              {"answerUnknown",
@@ -47,6 +48,7 @@
 void ForwardedRequest::onReply(const HolderReply &reply)
 {
     if (reply.notHolder) {
+        --unanswered_;
         machine_.handle(*this, Event::TurnedAway);
         return;
     }
@@ -67,9 +69,19 @@
     actions_.clear();
 }
 
+bool ForwardedRequest::isFirstSubmission() const
+{
+    const auto *submission = std::get_if<HolderSubmit>(&request_.body);
+    return submission && submission->isFirst;
+}
+
 void ForwardedRequest::send()
 {
     actions_.push_back(SendToPeer {holder_, request_});
+    ++unanswered_;
+    // A holder that gets it after this one cannot know whether this one began it.
+    if (auto *submission = std::get_if<HolderSubmit>(&request_.body))
+        submission->isFirst = false;
 }
 
 void ForwardedRequest::answerNotRun()
--- a/Source/Decisions/ForwardedRequest.h
+++ b/Source/Decisions/ForwardedRequest.h
@@ -10,7 +10,7 @@
 class ForwardedRequest
 {
 public:
-    enum class State { Open, Unsent, Sent, Closed };
+    enum class State { Open, Unsent, Between, Sent, Closed };
     enum class Event { Answered, HolderKnown, HolderChanged, TurnedAway, DeadlinePassed };
     static const BoundChart<ForwardedRequest> &chart();
 
@@ -28,6 +28,8 @@
     void drainActions(Actions &actions);
 
 private:
+    bool isFirstSubmission() const;
+    bool mayBeHeld() const { return unanswered_ > 0; }
     void send();
     void answerNotRun();
     void answerUnknown();
@@ -38,6 +40,8 @@
     TimePoint deadline_;
     InstanceId holder_;
     Epoch epoch_;
+    /// How many holders were sent the request and have not turned it away.
+    int unanswered_ = 0;
     Lifecycle<ForwardedRequest> machine_;
     Actions actions_;
 };
--- a/Source/Decisions/JobRecord.cpp
+++ b/Source/Decisions/JobRecord.cpp
@@ -11,8 +11,11 @@
     static const BoundChart<JobRecord> bound = BoundChart<JobRecord> {
             "Job.scxml",
             {"open", "queued", "running", "done", "failed", "unknown", "cancelled", "notRun"},
-            {"taskStarted", "allSucceeded", "taskFailed", "taskFateLost", "allDropped"},
-            {{"anyTaskRan", &JobRecord::anyTaskRan}},
+            {"taskStarted", "allEnded"},
+            {{"anyFateLost", &JobRecord::anyFateLost},
+             {"anyFailed", &JobRecord::anyFailed},
+             {"allSucceeded", &JobRecord::allSucceeded},
+             {"mayHaveRun", &JobRecord::mayHaveRun}},
             {}}.loadedOrAbort();
     return bound;
 }
@@ -23,25 +26,32 @@
     tasks_.assign(spec_.taskCount, Task(spec_.idempotent));
 }
 
-bool JobRecord::updateFromTasks()
+Task::Effects JobRecord::handle(TaskIndex index, Task::Event event)
 {
-    const auto all = [this](Task::State state) {
-        return std::ranges::all_of(tasks_, [=](const Task &t) { return t.isIn(state); });
-    };
-    const auto any = [this](Task::State state) {
-        return std::ranges::any_of(tasks_, [=](const Task &t) { return t.isIn(state); });
-    };
-    if (any(Task::State::Running))
+    Task &changed = task(index);
+    count(changed, -1);
+    const Task::Effects effects = changed.handle(event);
+    count(changed, 1);
+    mayHaveRun_ = mayHaveRun_ || changed.mayHaveRun();
+    if (changed.isIn(Task::State::Running))
         machine_.handle(*this, Event::TaskStarted);
-    if (all(Task::State::Done))
-        machine_.handle(*this, Event::AllSucceeded);
-    else if (any(Task::State::FailedForGood))
-        machine_.handle(*this, Event::TaskFailed);
-    else if (any(Task::State::Unknown))
-        machine_.handle(*this, Event::TaskFateLost);
-    else if (std::ranges::all_of(tasks_, [](const Task &t) { return t.isFinal(); }))
-        machine_.handle(*this, Event::AllDropped);
-    return !isOpen();
+    if (endedCount_ == std::ssize(tasks_))
+        machine_.handle(*this, Event::AllEnded);
+    return effects;
+}
+
+void JobRecord::count(const Task &task, std::ptrdiff_t step)
+{
+    if (task.isFinal())
+        endedCount_ += step;
+    else if (!task.isIn(Task::State::Absent))
+        activeCount_ += step;
+    if (task.isIn(Task::State::Done))
+        doneCount_ += step;
+    else if (task.isIn(Task::State::FailedForGood))
+        failedCount_ += step;
+    else if (task.isIn(Task::State::Unknown))
+        unknownCount_ += step;
 }
 
 JobReport JobRecord::report() const
@@ -64,11 +74,6 @@
     return report;
 }
 
-bool JobRecord::anyTaskRan() const
-{
-    return std::ranges::any_of(tasks_, [](const Task &task) { return task.everRan(); });
-}
-
 JobState JobRecord::state() const
 {
     constexpr std::pair<State, JobState> shown[] = {
--- /dev/null
+++ b/Source/Decisions/JobTable.cpp
@@ -0,0 +1,33 @@
+#include "Decisions/JobTable.h"
+
+namespace caraway {
+
+JobRecord *JobTable::find(const JobName &name)
+{
+    const auto found = jobs_.find(name);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+JobRecord &JobTable::findOrAdd(const JobSpec &spec)
+{
+    return jobs_.try_emplace(spec.name, spec).first->second;
+}
+
+void JobTable::clear()
+{
+    jobs_.clear();
+    waitEnds_.clear();
+    reviews_.clear();
+}
+
+std::vector<JobName> JobTable::takeDue(Schedule &schedule, TimePoint now)
+{
+    const auto end = schedule.upper_bound(now);
+    std::vector<JobName> due;
+    for (auto entry = schedule.begin(); entry != end; ++entry)
+        due.push_back(std::move(entry->second));
+    schedule.erase(schedule.begin(), end);
+    return due;
+}
+
+} // namespace caraway
--- a/Source/Decisions/PeerMessage.h
+++ b/Source/Decisions/PeerMessage.h
@@ -14,6 +14,8 @@
 {
     JobSpec spec;
     Milliseconds wait;
+    /// The caller says that it never submitted the name before, and no holder was sent it.
+    bool isFirst = false;
 };
 struct HolderQuery
 {
--- a/Source/Decisions/RequestRouter.cpp
+++ b/Source/Decisions/RequestRouter.cpp
@@ -15,7 +15,8 @@
 void RequestRouter::submit(TimePoint now, RequestId id, const SubmitJob &body)
 {
     const ShardId shard = membership_.homeShard(body.spec.name);
-    forward(now, {shard, id, HolderSubmit {body.spec, body.wait}}, body.spec.name, body.wait);
+    forward(now, {shard, id, HolderSubmit {body.spec, body.wait, body.isFirst}}, body.spec.name,
+            body.wait);
 }
 
 void RequestRouter::query(TimePoint now, RequestId id, const QueryJob &body)
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -11,6 +11,16 @@
 
 namespace {
 
+/// How long after a takeover the entries take to learn of it and submit attached jobs again.
+constexpr Milliseconds resubmissionTime(3000);
+
+/// Whether an attempt that another holder began may be adopted.
+bool isWithoutAttempt(const Task &task)
+{
+    return task.isIn(Task::State::Waiting) || task.isIn(Task::State::Absent)
+            || task.isIn(Task::State::Held) || task.isIn(Task::State::Withdrawn);
+}
+
 /// Whether an attempt that another holder began, or that was given up, stands for its task. A
 /// failed one does only where no other may follow.
 bool mayStandFor(const JobSpec &spec, const InventoryEntry &entry)
@@ -32,6 +42,11 @@
 void ShardScheduler<Policy>::beginRecovery(TimePoint now, Epoch epoch)
 {
     epoch_ = epoch;
+    recoveryBegan_ = now;
+    inventoriesLost_ = false;
+    inventoriesLostUntil_ = {};
+    heldTasks_.clear();
+    heldRequests_.clear();
     placer_.reset();
     jobs_.clear();
     for (auto &[id, worker] : workers_)
@@ -41,8 +56,21 @@
 template<SchedulingPolicy Policy>
 bool ShardScheduler<Policy>::isRecovered() const
 {
-    return std::ranges::none_of(workers_,
-                                [](const auto &entry) { return entry.second.isUnread(); });
+    return !hasUnreadWorker() || std::ranges::any_of(workers_, [](const auto &entry) {
+        return entry.second.isOpen();
+    });
+}
+
+template<SchedulingPolicy Policy>
+bool ShardScheduler<Policy>::hasUnreadWorker() const
+{
+    return std::ranges::any_of(workers_, [](const auto &entry) { return entry.second.isUnread(); });
+}
+
+template<SchedulingPolicy Policy>
+bool ShardScheduler<Policy>::isSettled(TimePoint now) const
+{
+    return !hasUnreadWorker() && now - recoveryBegan_ >= resubmissionTime;
 }
 
 template<SchedulingPolicy Policy>
@@ -55,8 +83,10 @@
         }
     }
     for (const WorkerMember &member : workers) {
+        // What an earlier holder began is over everywhere at the same time.
         WorkerSession &worker
-                = workers_.try_emplace(member.id, member, now, settings_).first->second;
+                = workers_.try_emplace(member.id, member, recoveryBegan_, settings_).first->second;
+        worker.endLeaseIfDue(now);
         worker.setListed(member);
         placer_.setWorker(member, worker.isOpen());
     }
@@ -104,19 +134,16 @@
         return;
     }
     if (!job) {
-        if (std::optional<Refusal> refusal = placer_.refusalOf(now, body.spec)) {
-            reply(entry, request,
-                  {.name = body.spec.name,
-                   .state = JobState::NotRun,
-                   .error = std::move(refusal->error),
-                   .retryAfter = refusal->retryAfter});
+        if (const std::optional<Refusal> refusal = refusalOf(now, body.spec)) {
+            refuse(now, entry, request, *refusal, body);
             return;
         }
-        job = &jobs_.try_emplace(body.spec.name, body.spec).first->second;
-        for (std::uint64_t i = 0; i < body.spec.taskCount; ++i) {
-            job->task(TaskIndex(i)).waitingSince = now;
-            placer_.enqueue(now, body.spec, TaskIndex(i));
-        }
+        job = &jobs_.findOrAdd(body.spec);
+    }
+    const Task::Event event = submissionEvent(now, body);
+    for (std::uint64_t i = 0; i < body.spec.taskCount; ++i) {
+        if (job->task(TaskIndex(i)).isIn(Task::State::Absent))
+            raise(now, *job, TaskIndex(i), event);
     }
     answerOrWait(now, *job, {entry, request, now + body.wait});
 }
@@ -125,11 +152,14 @@
 void ShardScheduler<Policy>::query(TimePoint now, const InstanceId &entry, RequestId request,
                                    const HolderQuery &body)
 {
-    JobRecord *job = findJob(body.name);
-    if (job) {
+    if (JobRecord *job = findJob(body.name)) {
         answerOrWait(now, *job, {entry, request, now + body.wait});
         return;
     }
+    if (!isSettled(now)) {
+        heldRequests_.push_back({entry, {shard_, request, body}, body.name});
+        return;
+    }
     const std::string message = fmt::format("No job named {} is known here. Check the name, or "
                                             "submit the job again under the same name.",
                                             body.name.value());
@@ -143,23 +173,95 @@
 void ShardScheduler<Policy>::cancel(TimePoint now, const InstanceId &entry, RequestId request,
                                     const HolderCancel &body)
 {
-    if (JobRecord *job = findJob(body.name)) {
-        for (std::uint64_t i = 0; i < job->spec().taskCount; ++i) {
-            if (job->task(TaskIndex(i)).isIn(Task::State::Waiting))
-                placer_.withdraw({body.name, TaskIndex(i)});
-            raise(now, *job, TaskIndex(i), Task::Event::Cancelled);
-        }
+    JobRecord *job = findJob(body.name);
+    if (!job && !isSettled(now)) {
+        heldRequests_.push_back({entry, {shard_, request, body}, body.name});
+        return;
     }
+    if (job)
+        cancelTasks(now, *job);
     query(now, entry, request, {body.name, Milliseconds()});
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::cancelTasks(TimePoint now, JobRecord &job)
+{
+    for (std::uint64_t i = 0; i < job.spec().taskCount; ++i) {
+        if (job.task(TaskIndex(i)).isIn(Task::State::Waiting))
+            placer_.withdraw({job.spec().name, TaskIndex(i)});
+        raise(now, job, TaskIndex(i), Task::Event::Cancelled);
+    }
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::takeHeldRequests(TimePoint now)
+{
+    const bool settled = isSettled(now);
+    std::vector<HeldRequest> held = std::exchange(heldRequests_, {});
+    for (HeldRequest &each : held) {
+        if (settled || findJob(each.job))
+            onRequest(now, each.entry, each.request);
+        else
+            heldRequests_.push_back(std::move(each));
+    }
+}
+
+template<SchedulingPolicy Policy>
+Task::Event ShardScheduler<Policy>::submissionEvent(TimePoint now, const HolderSubmit &body) const
+{
+    if (body.isFirst)
+        return Task::Event::Submitted;
+    if (hasUnreadWorker())
+        return Task::Event::HeldBack;
+    return now < inventoriesLostUntil_ ? Task::Event::InventoriesLost : Task::Event::Submitted;
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::releaseHeldTasks(TimePoint now)
+{
+    if (heldTasks_.empty() || hasUnreadWorker())
+        return;
+    const Task::Event event
+            = inventoriesLost_ ? Task::Event::InventoriesLost : Task::Event::InventoriesRead;
+    for (const TaskId &task : std::exchange(heldTasks_, {})) {
+        if (JobRecord *job = findJob(task.job))
+            raise(now, *job, task.index, event);
+    }
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter)
 {
     if (!job.isOpen() || waiter.until <= now)
         reply(waiter.entry, waiter.request, job.report());
-    else
+    else {
+        jobs_.noteWaitEnd(waiter.until, job.spec().name);
         job.waiters.push_back(std::move(waiter));
+    }
+}
+
+template<SchedulingPolicy Policy>
+std::optional<Refusal> ShardScheduler<Policy>::refusalOf(TimePoint now, const JobSpec &spec) const
+{
+    if (spec.durability == Durability::Detached) {
+        return Refusal {{ErrorKind::Unavailable,
+                         "Detached jobs are not kept in the store by this release. Submit the job "
+                         "as attached."}};
+    }
+    return placer_.refusalOf(now, spec);
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::refuse(TimePoint now, const InstanceId &entry, RequestId request,
+                                    const Refusal &refusal, const HolderSubmit &body)
+{
+    // The request is refused, but an earlier one of that name may have run where nobody can look.
+    const bool mayHaveRun = submissionEvent(now, body) != Task::Event::Submitted;
+    reply(entry, request,
+          {.name = body.spec.name,
+           .state = mayHaveRun ? JobState::Unknown : JobState::NotRun,
+           .error = refusal.error,
+           .retryAfter = refusal.retryAfter});
 }
 
 template<SchedulingPolicy Policy>
@@ -223,14 +325,14 @@
 void ShardScheduler<Policy>::handleEntry(TimePoint now, const WorkerId &worker,
                                          const InventoryEntry &entry)
 {
-    JobRecord *job = findOrAdopt(entry);
+    JobRecord *job = findOrAdopt(now, entry);
     if (!job || !job->hasTask(entry.task.index))
         return;
     Task &task = job->task(entry.task.index);
     WorkerSession &session = workers_.at(worker);
     const WorkerSession::Attempt attempt {entry.task, entry.attempt};
     session.forgetVoided(attempt);
-    if (task.isIn(Task::State::Waiting)) {
+    if (isWithoutAttempt(task)) {
         if (!mayStandFor(job->spec(), entry)) {
             session.noteTaken(attempt);
             return;
@@ -259,22 +361,28 @@
         return;
     Task &task = job.task(entry.task.index);
     const WorkerId worker = task.worker();
+    const WorkerSession::Attempt attempt {entry.task, entry.attempt};
     if (task.isIn(Task::State::OnWorker)) {
         const bool succeeded = entry.condition == TaskCondition::Succeeded;
         task.answer = {entry.task.index, entry.attempt, worker, succeeded, entry.content};
         raise(now, job, entry.task.index, succeeded ? Task::Event::Succeeded : Task::Event::Failed);
     }
-    workers_.at(worker).noteTaken({entry.task, entry.attempt});
+    // Another holder must find the attempt until the job is forgotten, or it would run again.
+    if (task.isFinal())
+        workers_.at(worker).noteKnown(attempt);
+    else
+        workers_.at(worker).noteTaken(attempt);
 }
 
 template<SchedulingPolicy Policy>
-JobRecord *ShardScheduler<Policy>::findOrAdopt(const InventoryEntry &entry)
+JobRecord *ShardScheduler<Policy>::findOrAdopt(TimePoint now, const InventoryEntry &entry)
 {
     JobRecord *job = findJob(entry.task.job);
     if (job || !entry.spec || entry.spec->name != entry.task.job
         || !mayStandFor(*entry.spec, entry))
         return job;
-    return &jobs_.try_emplace(entry.task.job, *entry.spec).first->second;
+    jobs_.noteReview(now + settings_.answerRetention, entry.task.job);
+    return &jobs_.findOrAdd(*entry.spec);
 }
 
 template<SchedulingPolicy Policy>
@@ -284,15 +392,17 @@
     Task &task = job.task(index);
     const bool wasRunning = task.isIn(Task::State::Running);
     const TaskId id {job.spec().name, index};
-    const Task::Effects effects = task.handle(event);
+    const Task::Effects effects = job.handle(index, event);
     if (effects.releaseReservation) {
         placer_.onReleased(task.worker(), job.spec(), index);
         workers_.at(task.worker()).removeAttempt(id);
     }
-    if (effects.requeue) {
+    if (effects.enqueue) {
         task.waitingSince = now;
         placer_.enqueue(now, job.spec(), index);
     }
+    if (event == Task::Event::HeldBack || task.isIn(Task::State::Withdrawn))
+        heldTasks_.push_back(id);
     if (effects.stopAttempt)
         workers_.at(task.worker()).noteStopped({id, task.attempt()});
     if (effects.voidAttempt)
@@ -300,28 +410,41 @@
     if (!wasRunning && task.isIn(Task::State::Running))
         job.waited = std::max(job.waited, now - task.waitingSince);
     finishIfEnded(now, job);
+    stopRestOfGang(now, job);
 }
 
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::finishIfEnded(TimePoint now, JobRecord &job)
 {
-    if (!job.isOpen() || !job.updateFromTasks())
+    if (job.isOpen() || job.endedAt != TimePoint())
         return;
     job.endedAt = now;
+    jobs_.noteReview(now + settings_.answerRetention, job.spec().name);
     const JobReport report = job.report();
     for (const JobRecord::Waiter &waiter : job.waiters)
         reply(waiter.entry, waiter.request, report);
     job.waiters.clear();
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::stopRestOfGang(TimePoint now, JobRecord &job)
+{
+    if (!job.spec().gang || !job.isOpen() || !job.isLost() || job.isStopping)
+        return;
+    job.isStopping = true;
+    cancelTasks(now, job);
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::onTick(TimePoint now, TimePoint startsEndAt, TimePoint leaseEndsAt)
 {
     endLeases(now);
+    releaseHeldTasks(now);
+    takeHeldRequests(now);
     placeWaiting(now, startsEndAt);
     sendHeartbeats(now, leaseEndsAt);
     endWaits(now);
-    forgetOldAnswers(now);
+    reviewJobs(now);
 }
 
 template<SchedulingPolicy Policy>
@@ -362,8 +485,13 @@
 void ShardScheduler<Policy>::endLeases(TimePoint now)
 {
     for (auto &[id, worker] : workers_) {
+        const bool wasUnread = worker.isUnread();
         if (!worker.endLeaseIfDue(now))
             continue;
+        if (wasUnread) {
+            inventoriesLost_ = true;
+            inventoriesLostUntil_ = now + settings_.answerRetention;
+        }
         placer_.closeWorker(id);
         for (const TaskId &task : worker.attempts())
             loseAttempt(now, task);
@@ -379,11 +507,12 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::endWaits(TimePoint now)
 {
-    for (auto &[name, job] : jobs_) {
-        if (job.waiters.empty())
+    for (const JobName &name : jobs_.takeWaitEnds(now)) {
+        JobRecord *job = findJob(name);
+        if (!job)
             continue;
-        const JobReport report = job.report();
-        std::erase_if(job.waiters, [&](const JobRecord::Waiter &waiter) {
+        const JobReport report = job->report();
+        std::erase_if(job->waiters, [&](const JobRecord::Waiter &waiter) {
             if (waiter.until > now)
                 return false;
             reply(waiter.entry, waiter.request, report);
@@ -393,19 +522,30 @@
 }
 
 template<SchedulingPolicy Policy>
-void ShardScheduler<Policy>::forgetOldAnswers(TimePoint now)
+void ShardScheduler<Policy>::reviewJobs(TimePoint now)
 {
-    std::erase_if(jobs_, [&](const auto &entry) {
-        const JobRecord &job = entry.second;
-        return !job.isOpen() && now - job.endedAt >= settings_.answerRetention;
-    });
+    for (const JobName &name : jobs_.takeReviews(now)) {
+        JobRecord *job = findJob(name);
+        if (!job || (!job->isOpen() && now - job->endedAt < settings_.answerRetention))
+            continue;
+        if (job->isIdle())
+            forget(*job);
+        else if (job->isOpen())
+            jobs_.noteReview(now + settings_.answerRetention, name);
+    }
 }
 
 template<SchedulingPolicy Policy>
-JobRecord *ShardScheduler<Policy>::findJob(const JobName &name)
-{
-    const auto found = jobs_.find(name);
-    return found == jobs_.end() ? nullptr : &found->second;
+void ShardScheduler<Policy>::forget(const JobRecord &job)
+{
+    const JobName name = job.spec().name;
+    for (std::uint64_t i = 0; i < job.tasks().size(); ++i) {
+        const Task &task = job.tasks()[i];
+        const auto worker = workers_.find(task.worker());
+        if (worker != workers_.end())
+            worker->second.noteTaken({{name, TaskIndex(i)}, task.attempt()});
+    }
+    jobs_.remove(name);
 }
 
 template<SchedulingPolicy Policy>
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "Decisions/Actions.h"
-#include "Decisions/JobRecord.h"
+#include "Decisions/JobTable.h"
 #include "Decisions/Policy/TaskPlacer.h"
 #include "Decisions/Settings.h"
 #include "Decisions/WorkerSession.h"
 
 #include <map>
-#include <unordered_map>
 #include <vector>
 
 namespace caraway {
@@ -21,7 +20,8 @@
 
     /// Forgets everything and reads the inventory of every worker anew.
     void beginRecovery(TimePoint now, Epoch epoch);
-    /// Whether every worker has been read or its task leases have certainly lapsed.
+    /// Whether starts may go to some worker. A worker that is unread holds back itself and the jobs
+    /// that may run on it, but no other worker.
     bool isRecovered() const;
     /// Takes in the shard's workers as the instance list names them.
     void setWorkers(TimePoint now, const std::vector<WorkerMember> &workers);
@@ -41,11 +41,29 @@
     void drainActions(Actions &actions);
 
 private:
+    /// A question about a job that an entry may be about to submit again.
+    struct HeldRequest
+    {
+        InstanceId entry;
+        HolderRequest request;
+        JobName job;
+    };
+
     void submit(TimePoint now, const InstanceId &entry, RequestId request,
                 const HolderSubmit &body);
     void query(TimePoint now, const InstanceId &entry, RequestId request, const HolderQuery &body);
     void cancel(TimePoint now, const InstanceId &entry, RequestId request,
                 const HolderCancel &body);
+    std::optional<Refusal> refusalOf(TimePoint now, const JobSpec &spec) const;
+    void refuse(TimePoint now, const InstanceId &entry, RequestId request, const Refusal &refusal,
+                const HolderSubmit &body);
+    void cancelTasks(TimePoint now, JobRecord &job);
+    void stopRestOfGang(TimePoint now, JobRecord &job);
+    Task::Event submissionEvent(TimePoint now, const HolderSubmit &body) const;
+    bool isSettled(TimePoint now) const;
+    bool hasUnreadWorker() const;
+    void takeHeldRequests(TimePoint now);
+    void releaseHeldTasks(TimePoint now);
     void answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter);
     void reply(const InstanceId &entry, RequestId request, JobReport report);
 
@@ -56,14 +74,15 @@
     void removeGoneWorkers(TimePoint now);
     void loseAttempt(TimePoint now, const TaskId &task);
     void endWaits(TimePoint now);
-    void forgetOldAnswers(TimePoint now);
+    void reviewJobs(TimePoint now);
+    void forget(const JobRecord &job);
 
     void handleEntry(TimePoint now, const WorkerId &worker, const InventoryEntry &entry);
-    JobRecord *findOrAdopt(const InventoryEntry &entry);
+    JobRecord *findOrAdopt(TimePoint now, const InventoryEntry &entry);
     void takeAnswer(TimePoint now, JobRecord &job, const InventoryEntry &entry);
     void raise(TimePoint now, JobRecord &job, TaskIndex index, Task::Event event);
     void finishIfEnded(TimePoint now, JobRecord &job);
-    JobRecord *findJob(const JobName &name);
+    JobRecord *findJob(const JobName &name) { return jobs_.find(name); }
     Task *findAttempt(const TaskId &task, AttemptNumber attempt, const WorkerId &worker);
 
     ShardId shard_;
@@ -71,7 +90,13 @@
     Epoch epoch_;
     TaskPlacer<Policy> placer_;
     std::map<WorkerId, WorkerSession> workers_;
-    std::unordered_map<JobName, JobRecord> jobs_;
+    JobTable jobs_;
+    TimePoint recoveryBegan_;
+    /// Until then a name that is not found may be one that ran on a worker that was never read.
+    TimePoint inventoriesLostUntil_;
+    bool inventoriesLost_ = false;
+    std::vector<TaskId> heldTasks_;
+    std::vector<HeldRequest> heldRequests_;
     Actions actions_;
 };
 
--- a/Source/Decisions/Task.cpp
+++ b/Source/Decisions/Task.cpp
@@ -9,13 +9,13 @@
 {
     static const BoundChart<Task> bound = BoundChart<Task> {
             "Task.scxml",
-            {"waiting", "onWorker", "starting", "doubtful", "running", "stopping", "done",
-             "failedForGood", "unknown", "dropped"},
-            {"placed", "started", "refused", "unanswered", "found", "succeeded", "failed",
-             "leaseLapsed", "cancelled"},
+            {"absent", "held", "withdrawn", "waiting", "onWorker", "starting", "doubtful",
+             "running", "stopping", "done", "failedForGood", "unknown", "dropped"},
+            {"submitted", "heldBack", "inventoriesRead", "inventoriesLost", "placed", "started",
+             "refused", "unanswered", "found", "succeeded", "failed", "leaseLapsed", "cancelled"},
             {{"mayRetry", &Task::mayRetry}},
             {{"releaseReservation", &Task::releaseReservation},
-             {"requeue", &Task::requeue},
+             {"enqueue", &Task::enqueue},
              {"stopAttempt", &Task::stopAttempt},
              {"voidAttempt", &Task::voidAttempt}}}.loadedOrAbort();
     return bound;
@@ -24,8 +24,13 @@
 Task::Effects Task::handle(Event event)
 {
     effects_ = {};
-    machine_.handle(*this, event);
-    everRan_ = everRan_ || isIn(State::Running) || isIn(State::Done) || isIn(State::FailedForGood);
+    // Every other event leaves open that the attempt ran, or says so.
+    constexpr Event harmless[]
+            = {Event::Submitted, Event::HeldBack,   Event::InventoriesRead, Event::Placed,
+               Event::Refused,   Event::Unanswered, Event::Cancelled};
+    const bool happened = machine_.handle(*this, event);
+    if (happened && std::ranges::find(harmless, event) == std::end(harmless))
+        mayHaveRun_ = true;
     return std::exchange(effects_, {});
 }
 
--- a/Source/Decisions/Task.h
+++ b/Source/Decisions/Task.h
@@ -12,6 +12,9 @@
 {
 public:
     enum class State {
+        Absent,
+        Held,
+        Withdrawn,
         Waiting,
         OnWorker,
         Starting,
@@ -24,6 +27,10 @@
         Dropped,
     };
     enum class Event {
+        Submitted,
+        HeldBack,
+        InventoriesRead,
+        InventoriesLost,
         Placed,
         Started,
         Refused,
@@ -38,7 +45,7 @@
     struct Effects
     {
         bool releaseReservation = false;
-        bool requeue = false;
+        bool enqueue = false;
         bool stopAttempt = false;
         bool voidAttempt = false;
     };
@@ -61,7 +68,8 @@
     AttemptNumber attempt() const { return attempt_; }
     /// Takes over an attempt that another holder began.
     void adopt(const WorkerId &worker, AttemptNumber attempt);
-    bool everRan() const { return everRan_; }
+    /// Whether any attempt may have run, for however short a time.
+    bool mayHaveRun() const { return mayHaveRun_; }
 
     TaskAnswer answer;
     TimePoint waitingSince;
@@ -69,7 +77,7 @@
 private:
     bool mayRetry() const { return idempotent_; }
     void releaseReservation() { effects_.releaseReservation = true; }
-    void requeue() { effects_.requeue = true; }
+    void enqueue() { effects_.enqueue = true; }
     void stopAttempt() { effects_.stopAttempt = true; }
     void voidAttempt() { effects_.voidAttempt = true; }
 
@@ -78,7 +86,7 @@
     WorkerId worker_;
     AttemptNumber attempt_;
     bool idempotent_;
-    bool everRan_ = false;
+    bool mayHaveRun_ = false;
 };
 
 } // namespace caraway
--- a/Source/Messages/CallerCodec.cpp
+++ b/Source/Messages/CallerCodec.cpp
@@ -115,6 +115,7 @@
     ObjectReader reader(json, "request");
     SubmitJob submit;
     const nlohmann::json &job = reader.object("job");
+    submit.isFirst = reader.flagOr("first", false);
     submit.wait = Milliseconds(reader.numberOr("wait_ms", 0, 0, maxWaitMs));
     BOOST_LEAF_CHECK(reader.finish());
     BOOST_LEAF_ASSIGN(submit.spec, decodeJobSpec(job));
--- a/Source/Messages/PeerCodec.cpp
+++ b/Source/Messages/PeerCodec.cpp
@@ -17,7 +17,10 @@
 
 Json encodeBody(const HolderSubmit &body)
 {
-    return {{"type", "submit"}, {"spec", encodeJobSpec(body.spec)}, {"wait_ms", body.wait.count()}};
+    return {{"type", "submit"},
+            {"spec", encodeJobSpec(body.spec)},
+            {"wait_ms", body.wait.count()},
+            {"first", body.isFirst}};
 }
 
 Json encodeBody(const HolderQuery &body)
@@ -69,6 +72,7 @@
     HolderSubmit body;
     const Json &spec = reader.object("spec");
     body.wait = Milliseconds(reader.number("wait_ms"));
+    body.isFirst = reader.flagOr("first", false);
     BOOST_LEAF_CHECK(reader.finish());
     BOOST_LEAF_ASSIGN(body.spec, decodeJobSpec(spec));
     request.body = std::move(body);
--- a/Tests/Decisions/ShardSchedulerTest.cpp
+++ b/Tests/Decisions/ShardSchedulerTest.cpp
@@ -19,6 +19,19 @@
     CPPUNIT_TEST(worker_goneFromList_losesItsAccount);
     CPPUNIT_TEST(worker_staysAnswering_isNotLapsed);
     CPPUNIT_TEST(renewal_longAfterShardLease_isWithheld);
+    CPPUNIT_TEST(submission_whileWorkerIsUnread_isHeldUntilRead);
+    CPPUNIT_TEST(submission_firstOfItsName_startsBesideUnreadWorker);
+    CPPUNIT_TEST(submission_nonIdempotentAfterWorkerWasLost_isUnknown);
+    CPPUNIT_TEST(submission_idempotentAfterWorkerWasLost_starts);
+    CPPUNIT_TEST(query_beforeResubmission_waitsForIt);
+    CPPUNIT_TEST(cancel_whileStartIsDoubtful_waitsForItsFate);
+    CPPUNIT_TEST(cancel_whileWaiting_isNotRun);
+    CPPUNIT_TEST(cancel_afterLapse_isNotCalledNotRun);
+    CPPUNIT_TEST(refusal_whileWorkerIsUnread_isNotCalledNotRun);
+    CPPUNIT_TEST(adoptedJob_withTasksNotFound_startsThemWhenSubmittedAgain);
+    CPPUNIT_TEST(answer_damaged_isNotDelivered);
+    CPPUNIT_TEST(answer_delivered_staysWithWorkerUntilForgotten);
+    CPPUNIT_TEST(report_ofStoppedAttemptAfterRetry_changesNothing);
     CPPUNIT_TEST_SUITE_END();
 
     using Scheduler = ShardScheduler<BaselinePolicy>;
@@ -84,13 +97,45 @@
                                          .tasks = std::move(tasks)});
     }
 
-    void submit(const JobSpec &spec)
+    void request(std::variant<HolderSubmit, HolderQuery, HolderCancel> body)
     {
-        scheduler_->onRequest(
-                now_, InstanceId("entry"),
-                {ShardId("z"), RequestId(7), HolderSubmit {spec, Milliseconds(60'000)}});
+        scheduler_->onRequest(now_, InstanceId("entry"),
+                              {ShardId("z"), RequestId(7), std::move(body)});
         tick();
     }
+    void submit(const JobSpec &spec, bool isFirst = false)
+    {
+        request(HolderSubmit {spec, Milliseconds(60'000), isFirst});
+    }
+
+    /// Takes the shard over while worker b does not answer.
+    void takeOverWithoutB()
+    {
+        scheduler_->beginRecovery(now_, Epoch(4));
+        tick();
+        answer("a", "a-1", 2);
+    }
+    void waitUntilBHasLapsed()
+    {
+        tick((settings_.renewalGrace + settings_.taskLease + settings_.leaseMargin).count());
+        answer("a", "a-2", 1);
+        tick();
+    }
+    JobState lastState() const
+    {
+        CPPUNIT_ASSERT(!replies_.empty());
+        return replies_.back().report.state;
+    }
+    static InventoryEntry makeEntry(const JobSpec &spec, TaskCondition condition,
+                                    AttemptNumber attempt)
+    {
+        InventoryEntry entry;
+        entry.task = {spec.name, TaskIndex(0)};
+        entry.attempt = attempt;
+        entry.condition = condition;
+        entry.spec = spec;
+        return entry;
+    }
 
     void answerStart(const StartTask &start, StartOutcome outcome)
     {
@@ -238,6 +283,168 @@
         CPPUNIT_ASSERT(!heartbeats_.empty());
         CPPUNIT_ASSERT(heartbeats_.back().taskLease == Milliseconds());
     }
+
+    void submission_whileWorkerIsUnread_isHeldUntilRead()
+    {
+        takeOverWithoutB();
+        submit(makeSpec("j"));
+        CPPUNIT_ASSERT(starts_.empty() && scheduler_->isRecovered());
+        answer("b", "b-1", 2);
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+    }
+
+    void submission_firstOfItsName_startsBesideUnreadWorker()
+    {
+        takeOverWithoutB();
+        submit(makeSpec("j"), true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), starts_.front().worker.value());
+    }
+
+    void submission_nonIdempotentAfterWorkerWasLost_isUnknown()
+    {
+        takeOverWithoutB();
+        submit(makeSpec("early", false));
+        waitUntilBHasLapsed();
+        CPPUNIT_ASSERT(lastState() == JobState::Unknown);
+        submit(makeSpec("late", false));
+        CPPUNIT_ASSERT(lastState() == JobState::Unknown);
+        CPPUNIT_ASSERT(starts_.empty());
+        submit(makeSpec("fresh", false), true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+    }
+
+    void submission_idempotentAfterWorkerWasLost_starts()
+    {
+        takeOverWithoutB();
+        submit(makeSpec("j"));
+        waitUntilBHasLapsed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+    }
+
+    void query_beforeResubmission_waitsForIt()
+    {
+        takeOverWithoutB();
+        answer("b", "b-1", 2);
+        request(HolderQuery {JobName("j"), Milliseconds()});
+        CPPUNIT_ASSERT(replies_.empty());
+        submit(makeSpec("j"));
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), replies_.size());
+        CPPUNIT_ASSERT(lastState() == JobState::Queued);
+    }
+
+    void cancel_whileStartIsDoubtful_waitsForItsFate()
+    {
+        const StartTask first = begin(makeSpec("j"));
+        answerStart(first, StartOutcome::Unanswered);
+        request(HolderCancel {JobName("j")});
+        CPPUNIT_ASSERT(lastState() == JobState::Queued);
+        scheduler_->onHeartbeatAnswered(now_,
+                                        {.shard = ShardId("z"),
+                                         .worker = first.worker,
+                                         .answered = true,
+                                         .session = first.session,
+                                         .beat = BeatNumber(2),
+                                         .voided = {{first.task, first.attempt}}});
+        tick();
+        CPPUNIT_ASSERT(lastState() == JobState::NotRun);
+    }
+
+    void cancel_whileWaiting_isNotRun()
+    {
+        submit(makeSpec("one"));
+        submit(makeSpec("two"));
+        submit(makeSpec("three"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), starts_.size());
+        request(HolderCancel {JobName("three")});
+        CPPUNIT_ASSERT(lastState() == JobState::NotRun);
+    }
+
+    void cancel_afterLapse_isNotCalledNotRun()
+    {
+        answerStart(begin(makeSpec("j")), StartOutcome::Unanswered);
+        tick((settings_.taskLease + settings_.leaseMargin).count());
+        CPPUNIT_ASSERT(starts_.empty());
+        request(HolderCancel {JobName("j")});
+        CPPUNIT_ASSERT(lastState() == JobState::Cancelled);
+    }
+
+    void refusal_whileWorkerIsUnread_isNotCalledNotRun()
+    {
+        JobSpec spec = makeSpec("j");
+        spec.kind = KindId("none");
+        submit(spec);
+        CPPUNIT_ASSERT(lastState() == JobState::NotRun);
+        takeOverWithoutB();
+        submit(spec);
+        CPPUNIT_ASSERT(lastState() == JobState::Unknown);
+    }
+
+    void adoptedJob_withTasksNotFound_startsThemWhenSubmittedAgain()
+    {
+        JobSpec spec = makeSpec("j");
+        spec.taskCount = 2;
+        scheduler_->beginRecovery(now_, Epoch(4));
+        answer("a", "a-1", 2, {makeEntry(spec, TaskCondition::Running, AttemptNumber(200'000))});
+        answer("b", "b-1", 2);
+        tick();
+        CPPUNIT_ASSERT(starts_.empty());
+        submit(spec);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+        CPPUNIT_ASSERT(starts_.front().task.index == TaskIndex(1));
+    }
+
+    void answer_damaged_isNotDelivered()
+    {
+        const JobSpec spec = makeSpec("j");
+        const StartTask first = begin(spec);
+        InventoryEntry entry = makeEntry(spec, TaskCondition::Succeeded, first.attempt);
+        entry.intact = false;
+        scheduler_->onTaskReported(now_, {first.worker, entry});
+        CPPUNIT_ASSERT(replies_.empty());
+        entry.intact = true;
+        answer(first.worker.value(), first.session.value(), 2, {entry});
+        tick();
+        CPPUNIT_ASSERT(lastState() == JobState::Done);
+    }
+
+    void answer_delivered_staysWithWorkerUntilForgotten()
+    {
+        const JobSpec spec = makeSpec("j");
+        const StartTask first = begin(spec);
+        const auto entry = makeEntry(spec, TaskCondition::Succeeded, first.attempt);
+        scheduler_->onTaskReported(now_, {first.worker, entry});
+        tick(1000);
+        const auto isTaken = [](const HeartbeatWorker &sent) { return !sent.taken.empty(); };
+        CPPUNIT_ASSERT(lastState() == JobState::Done);
+        CPPUNIT_ASSERT(std::ranges::none_of(heartbeats_, isTaken));
+        answer("a", "a-1", 2);
+        answer("b", "b-1", 2);
+        tick(settings_.answerRetention.count());
+        CPPUNIT_ASSERT(std::ranges::none_of(heartbeats_, isTaken));
+        answer("a", "a-2", 1);
+        answer("b", "b-2", 1);
+        tick(1000);
+        CPPUNIT_ASSERT(std::ranges::any_of(heartbeats_, isTaken));
+    }
+
+    void report_ofStoppedAttemptAfterRetry_changesNothing()
+    {
+        const JobSpec spec = makeSpec("j");
+        const StartTask first = begin(spec);
+        answerStart(first, StartOutcome::Started);
+        answer(first.worker.value(), "restarted", 1);
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+        answerStart(starts_.front(), StartOutcome::Started);
+        scheduler_->onTaskReported(
+                now_, {first.worker, makeEntry(spec, TaskCondition::Stopped, first.attempt)});
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_.size());
+        CPPUNIT_ASSERT(replies_.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ShardSchedulerTest);
--- a/Tests/Processes/JobsTest.cpp
+++ b/Tests/Processes/JobsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <csignal>
 #include <future>
 
@@ -12,9 +13,12 @@
 {
     CPPUNIT_TEST_SUITE(JobsTest);
     CPPUNIT_TEST(start_inSocketOfStoppedWorker_neverRunsTwice);
+    CPPUNIT_TEST(resubmission_holderKilledAndWorkerUnreadable_neverRunsTwice);
+    CPPUNIT_TEST(submission_firstAfterTakeoverWithDeadWorker_startsAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
-    TestFleet fleet_ {FleetShape {.zones = {"klang-a"}, .timing = "task_lease_ms = 2000"}};
+    TestFleet fleet_ {FleetShape {.zones = {"klang-a"},
+                                  .timing = "task_lease_ms = 2000\nrenewal_grace_ms = 2000"}};
 
     static nlohmann::json runFor(int ms)
     {
@@ -53,6 +57,53 @@
         CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf("delayed"));
         assertNoViolations();
     }
+
+    void resubmission_holderKilledAndWorkerUnreadable_neverRunsTwice()
+    {
+        const int preferred = findPreferredWorker();
+        const nlohmann::json label
+                = TestFleet::makeJob("label", runFor(60'000))
+                          .patch(nlohmann::json::parse(
+                                  R"([{"op": "add", "path": "/idempotent", "value": false}])"));
+        const nlohmann::json merge = TestFleet::makeJob("merge", runFor(2500));
+        const int holder = fleet_.holderOf("klang-a");
+        const int other = (holder + 1) % fleet_.shape().entries;
+        const int third = (holder + 2) % fleet_.shape().entries;
+        fleet_.run(other, label, 0);
+        fleet_.run(other, merge, 0);
+        CPPUNIT_ASSERT(TestFleet::eventually(
+                [this] { return fleet_.startsOf("label") + fleet_.startsOf("merge") == 2; }));
+        fleet_.setFaults("worker-" + fleet_.workerName(preferred), {{"cut", true}});
+        fleet_.entry(holder).kill();
+        auto merged
+                = std::async(std::launch::async, [&] { return fleet_.run(third, merge, 20'000); });
+        const HttpAnswer labelled = fleet_.run(third, label, 15'000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(labelled.body.dump(), std::string("unknown"),
+                                     labelled.body.value("state", ""));
+        CPPUNIT_ASSERT_EQUAL(1, fleet_.startsOf("label"));
+        const HttpAnswer done = merged.get();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(done.body.dump(), 200, done.status);
+        assertNoViolations();
+    }
+
+    void submission_firstAfterTakeoverWithDeadWorker_startsAtOnce()
+    {
+        fleet_.worker(findPreferredWorker()).kill();
+        const int holder = fleet_.holderOf("klang-a");
+        fleet_.entry(holder).kill();
+        CPPUNIT_ASSERT(TestFleet::eventually([&] {
+            const int next = fleet_.holderOf("klang-a");
+            return next >= 0 && next != holder;
+        }));
+        const auto begun = std::chrono::steady_clock::now();
+        const HttpAnswer done = fleet_.post(
+                fleet_.holderOf("klang-a"), "/v1/jobs",
+                {{"job", TestFleet::makeJob("fresh")}, {"wait_ms", 10'000}, {"first", true}});
+        const auto taken = std::chrono::steady_clock::now() - begun;
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(taken).count();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(done.body.dump(), 200, done.status);
+        CPPUNIT_ASSERT_MESSAGE("took " + std::to_string(ms) + " ms", ms < 1000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobsTest);
