--- a/Source/Decisions/ForwardedRequest.cpp
+++ b/Source/Decisions/ForwardedRequest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Milliseconds retryAfterNoHolder(1000);
+constexpr Milliseconds resendInterval(500);
 
 } // namespace
 
@@ -18,8 +19,9 @@
     static const BoundChart<ForwardedRequest> bound = BoundChart<ForwardedRequest> {
             "ForwardedRequest.scxml",
             {"open", "unsent", "between", "sent", "closed"},
-            {"answered", "holderKnown", "holderChanged", "turnedAway", "deadlinePassed"},
-            {{"isFirstSubmission", &ForwardedRequest::isFirstSubmission},
+            {"answered", "holderKnown", "holderChanged", "turnedAway", "resendDue",
+             "deadlinePassed"},
+            {{"isSubmission", &ForwardedRequest::isSubmission},
              {"mayBeHeld", &ForwardedRequest::mayBeHeld}},
             {{"send", &ForwardedRequest::send},
              {"answerNotRun", &ForwardedRequest::answerNotRun},
@@ -35,13 +37,13 @@
 {
 }
 
-void ForwardedRequest::onHolder(const InstanceId &holder, Epoch epoch)
+void ForwardedRequest::onHolder(TimePoint now, const InstanceId &holder, Epoch epoch)
 {
+    now_ = now;
     const bool changed = holder != holder_ || epoch != epoch_;
     holder_ = holder;
     epoch_ = epoch;
-    machine_.handle(*this, Event::HolderKnown);
-    if (changed)
+    if (!machine_.handle(*this, Event::HolderKnown) && changed)
         machine_.handle(*this, Event::HolderChanged);
 }
 
@@ -49,6 +51,7 @@
 {
     if (reply.notHolder) {
         --unanswered_;
+        sentTo_ = {};
         machine_.handle(*this, Event::TurnedAway);
         return;
     }
@@ -59,8 +62,11 @@
 
 void ForwardedRequest::onTick(TimePoint now)
 {
+    now_ = now;
     if (now >= deadline_)
         machine_.handle(*this, Event::DeadlinePassed);
+    if (now - sentAt_ >= resendInterval)
+        machine_.handle(*this, Event::ResendDue);
 }
 
 void ForwardedRequest::drainActions(Actions &actions)
@@ -69,19 +75,25 @@
     actions_.clear();
 }
 
-bool ForwardedRequest::isFirstSubmission() const
+bool ForwardedRequest::isSubmission() const
 {
-    const auto *submission = std::get_if<HolderSubmit>(&request_.body);
-    return submission && submission->isFirst;
+    return std::holds_alternative<HolderSubmit>(request_.body);
 }
 
 void ForwardedRequest::send()
 {
-    actions_.push_back(SendToPeer {holder_, request_});
-    ++unanswered_;
-    // A holder that gets it after this one cannot know whether this one began it.
-    if (auto *submission = std::get_if<HolderSubmit>(&request_.body))
+    sentAt_ = now_;
+    const bool isAnother = holder_ != sentTo_ || epoch_ != sentEpoch_;
+    auto *submission = std::get_if<HolderSubmit>(&request_.body);
+    // A copy may still be on its way, and a second holder cannot know whether the first one began
+    // it.
+    if (submission && isAnother && (!sentTo_.isEmpty() || wasResent_))
         submission->isFirst = false;
+    wasResent_ = wasResent_ || !isAnother;
+    unanswered_ += isAnother ? 1 : 0;
+    sentTo_ = holder_;
+    sentEpoch_ = epoch_;
+    actions_.push_back(SendToPeer {holder_, request_});
 }
 
 void ForwardedRequest::answerNotRun()
--- a/Source/Decisions/ForwardedRequest.h
+++ b/Source/Decisions/ForwardedRequest.h
@@ -11,13 +11,20 @@
 {
 public:
     enum class State { Open, Unsent, Between, Sent, Closed };
-    enum class Event { Answered, HolderKnown, HolderChanged, TurnedAway, DeadlinePassed };
+    enum class Event {
+        Answered,
+        HolderKnown,
+        HolderChanged,
+        TurnedAway,
+        ResendDue,
+        DeadlinePassed
+    };
     static const BoundChart<ForwardedRequest> &chart();
 
     ForwardedRequest(HolderRequest request, JobName job, TimePoint deadline);
 
     /// Sends the request if \a holder is another one than it was last sent to.
-    void onHolder(const InstanceId &holder, Epoch epoch);
+    void onHolder(TimePoint now, const InstanceId &holder, Epoch epoch);
     /// Answers the caller with the holder's report, or waits for another holder.
     void onReply(const HolderReply &reply);
     void onTick(TimePoint now);
@@ -28,7 +35,7 @@
     void drainActions(Actions &actions);
 
 private:
-    bool isFirstSubmission() const;
+    bool isSubmission() const;
     bool mayBeHeld() const { return unanswered_ > 0; }
     void send();
     void answerNotRun();
@@ -38,8 +45,13 @@
     HolderRequest request_;
     JobName job_;
     TimePoint deadline_;
+    TimePoint now_;
+    TimePoint sentAt_;
     InstanceId holder_;
     Epoch epoch_;
+    InstanceId sentTo_;
+    Epoch sentEpoch_;
+    bool wasResent_ = false;
     /// How many holders were sent the request and have not turned it away.
     int unanswered_ = 0;
     Lifecycle<ForwardedRequest> machine_;
--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -48,8 +48,7 @@
 void Instance::tickShard(Shard &shard)
 {
     shard.lease.onTick(now_);
-    if (shard.lease.takeRecoveryBegun())
-        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
+    beginRecoveryIfDue(shard);
     if (!shard.lease.isHeld())
         return;
     const TimePoint startsEndAt = shard.lease.isServing() ? shard.lease.startsEndAt() : TimePoint();
@@ -99,6 +98,17 @@
             "No preset is in force here yet. Put one in force with `preset use`."});
 }
 
+void Instance::onCaller(RequestId id, const ShowStatus & /*body*/)
+{
+    InstanceStatus status {
+            machine_.stateName(), presets_.revision(), router_.openRequestCount(), {}};
+    for (const auto &[shardId, shard] : shards_) {
+        status.shards.push_back({shardId, shard.lease.stateName(), shard.lease.epoch(),
+                                 shard.scheduler.waitingCount(), shard.scheduler.jobCount()});
+    }
+    actions_.push_back(AnswerCaller {id, std::move(status)});
+}
+
 void Instance::on(const PeerMessageReceived &received)
 {
     // An entry that the list does not name yet says it again once the list does.
@@ -198,8 +208,13 @@
 void Instance::on(const InstanceListRead &read)
 {
     membership_.update(read.list);
-    for (const ShardId &id : membership_.shards())
+    Resources fleetCapacity;
+    for (const WorkerMember &worker : read.list.workers)
+        fleetCapacity += worker.capacity;
+    for (const ShardId &id : membership_.shards()) {
+        shardFor(id).scheduler.setFleetCapacity(fleetCapacity);
         shardFor(id).scheduler.setWorkers(now_, membership_.workersOf(id));
+    }
     ConnectPeers connect;
     std::ranges::copy_if(read.list.entries, std::back_inserter(connect.peers),
                          [this](const EntryMember &entry) { return entry.id != settings_.self; });
@@ -283,7 +298,18 @@
 Instance::Shard *Instance::heldShard(const ShardId &id)
 {
     const auto found = shards_.find(id);
-    return found != shards_.end() && found->second.lease.isHeld() ? &found->second : nullptr;
+    if (found == shards_.end() || !found->second.lease.isHeld())
+        return nullptr;
+    // Nothing may reach the scheduler between the claim and the start of its recovery: it would be
+    // forgotten.
+    beginRecoveryIfDue(found->second);
+    return &found->second;
+}
+
+void Instance::beginRecoveryIfDue(Shard &shard)
+{
+    if (shard.lease.takeRecoveryBegun())
+        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
 }
 
 Instance::Shard &Instance::shardFor(const ShardId &id)
--- a/Source/Decisions/Instance.h
+++ b/Source/Decisions/Instance.h
@@ -2,7 +2,7 @@
 
 #include "Core/Lifecycle.h"
 #include "Decisions/Membership.h"
-#include "Decisions/Policy/BaselinePolicy.h"
+#include "Decisions/Policy/StandardPolicy.h"
 #include "Decisions/PresetKeeper.h"
 #include "Decisions/RequestRouter.h"
 #include "Decisions/ShardLease.h"
@@ -29,7 +29,7 @@
     bool isReady() const { return machine_.isIn(State::Ready); }
 
 private:
-    using Scheduler = ShardScheduler<BaselinePolicy>;
+    using Scheduler = ShardScheduler<StandardPolicy>;
     struct Shard
     {
         ShardLease lease;
@@ -62,6 +62,8 @@
     }
     void onCaller(RequestId id, const ShowAuditTrail &body) { presets_.showAudit(id, body); }
 
+    void onCaller(RequestId id, const ShowStatus &body);
+
     void onPeer(const InstanceId &from, const HolderRequest &request);
     void onPeer(const InstanceId &from, const HolderReply &reply);
     void onPeer(const InstanceId &from, const PeerHeartbeat &heartbeat);
@@ -77,6 +79,7 @@
     void collectActions();
     void deliverToSelf();
     void checkDrained();
+    void beginRecoveryIfDue(Shard &shard);
     Shard *heldShard(const ShardId &id);
     Shard &shardFor(const ShardId &id);
     void answer(RequestId id, Error error);
--- a/Source/Decisions/JobRecord.h
+++ b/Source/Decisions/JobRecord.h
@@ -43,6 +43,10 @@
     /// Whether a task ended in a way that leaves nothing to gain from the others of a gang.
     bool isLost() const { return anyFailed() || anyFateLost(); }
     JobReport report() const;
+    const std::string &stateName() const { return machine_.stateName(); }
+
+    /// Adds a waiter, or replaces it when the same request was sent again.
+    void addWaiter(Waiter waiter);
 
     std::vector<Waiter> waiters;
     TimePoint endedAt;
--- a/Source/Decisions/JobTable.h
+++ b/Source/Decisions/JobTable.h
@@ -18,6 +18,7 @@
     JobRecord &findOrAdd(const JobSpec &spec);
     void remove(const JobName &name) { jobs_.erase(name); }
     void clear();
+    std::size_t size() const { return jobs_.size(); }
 
     /// Remembers that a wait of a caller for \a job ends at \a time.
     void noteWaitEnd(TimePoint time, const JobName &job) { waitEnds_.emplace(time, job); }
--- a/Source/Decisions/RequestRouter.cpp
+++ b/Source/Decisions/RequestRouter.cpp
@@ -37,15 +37,15 @@
     const RequestId id = request.id;
     ForwardedRequest forwarded(std::move(request), job, now + wait + holderAnswerLimit);
     ForwardedRequest &placed = open_.try_emplace(id, std::move(forwarded)).first->second;
-    offerHolder(placed);
+    offerHolder(now, placed);
     placed.drainActions(actions_);
 }
 
-void RequestRouter::offerHolder(ForwardedRequest &request) const
+void RequestRouter::offerHolder(TimePoint now, ForwardedRequest &request) const
 {
     const ShardRecord *record = membership_.recordOf(request.shard());
     if (record && !record->released && !record->holder.isEmpty())
-        request.onHolder(record->holder, record->epoch);
+        request.onHolder(now, record->holder, record->epoch);
 }
 
 void RequestRouter::onReply(const HolderReply &reply)
@@ -62,7 +62,7 @@
 void RequestRouter::onTick(TimePoint now)
 {
     for (auto &[id, request] : open_) {
-        offerHolder(request);
+        offerHolder(now, request);
         request.onTick(now);
         request.drainActions(actions_);
     }
--- a/Source/Decisions/RequestRouter.h
+++ b/Source/Decisions/RequestRouter.h
@@ -23,11 +23,12 @@
     void onTick(TimePoint now);
 
     bool hasOpenRequests() const { return !open_.empty(); }
+    std::size_t openRequestCount() const { return open_.size(); }
     void drainActions(Actions &actions);
 
 private:
     void forward(TimePoint now, HolderRequest request, const JobName &job, Milliseconds wait);
-    void offerHolder(ForwardedRequest &request) const;
+    void offerHolder(TimePoint now, ForwardedRequest &request) const;
 
     const Membership &membership_;
     std::unordered_map<RequestId, ForwardedRequest> open_;
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -1,6 +1,7 @@
 #include "Decisions/ShardScheduler.h"
 
 #include "Decisions/Policy/BaselinePolicy.h"
+#include "Decisions/Policy/StandardPolicy.h"
 
 #include <fmt/format.h>
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-/// How long after a takeover the entries take to learn of it and submit attached jobs again.
-constexpr Milliseconds resubmissionTime(3000);
-
 /// Whether an attempt that another holder began may be adopted.
 bool isWithoutAttempt(const Task &task)
 {
@@ -42,11 +40,7 @@
 void ShardScheduler<Policy>::beginRecovery(TimePoint now, Epoch epoch)
 {
     epoch_ = epoch;
-    recoveryBegan_ = now;
-    inventoriesLost_ = false;
-    inventoriesLostUntil_ = {};
-    heldTasks_.clear();
-    heldRequests_.clear();
+    takeover_.begin(now);
     placer_.reset();
     jobs_.clear();
     for (auto &[id, worker] : workers_)
@@ -70,7 +64,7 @@
 template<SchedulingPolicy Policy>
 bool ShardScheduler<Policy>::isSettled(TimePoint now) const
 {
-    return !hasUnreadWorker() && now - recoveryBegan_ >= resubmissionTime;
+    return !hasUnreadWorker() && takeover_.isResubmissionOver(now);
 }
 
 template<SchedulingPolicy Policy>
@@ -85,7 +79,8 @@
     for (const WorkerMember &member : workers) {
         // What an earlier holder began is over everywhere at the same time.
         WorkerSession &worker
-                = workers_.try_emplace(member.id, member, recoveryBegan_, settings_).first->second;
+                = workers_.try_emplace(member.id, member, takeover_.begunAt(), settings_)
+                          .first->second;
         worker.endLeaseIfDue(now);
         worker.setListed(member);
         placer_.setWorker(member, worker.isOpen());
@@ -157,7 +152,7 @@
         return;
     }
     if (!isSettled(now)) {
-        heldRequests_.push_back({entry, {shard_, request, body}, body.name});
+        takeover_.hold({entry, {shard_, request, body}, body.name});
         return;
     }
     const std::string message = fmt::format("No job named {} is known here. Check the name, or "
@@ -175,7 +170,7 @@
 {
     JobRecord *job = findJob(body.name);
     if (!job && !isSettled(now)) {
-        heldRequests_.push_back({entry, {shard_, request, body}, body.name});
+        takeover_.hold({entry, {shard_, request, body}, body.name});
         return;
     }
     if (job)
@@ -197,35 +192,28 @@
 void ShardScheduler<Policy>::takeHeldRequests(TimePoint now)
 {
     const bool settled = isSettled(now);
-    std::vector<HeldRequest> held = std::exchange(heldRequests_, {});
-    for (HeldRequest &each : held) {
+    for (TakeoverRecord::HeldRequest &each : takeover_.takeRequests()) {
         if (settled || findJob(each.job))
             onRequest(now, each.entry, each.request);
         else
-            heldRequests_.push_back(std::move(each));
+            takeover_.hold(std::move(each));
     }
 }
 
 template<SchedulingPolicy Policy>
 Task::Event ShardScheduler<Policy>::submissionEvent(TimePoint now, const HolderSubmit &body) const
 {
-    if (body.isFirst)
-        return Task::Event::Submitted;
-    if (hasUnreadWorker())
-        return Task::Event::HeldBack;
-    return now < inventoriesLostUntil_ ? Task::Event::InventoriesLost : Task::Event::Submitted;
+    return takeover_.submissionEvent(now, body.isFirst, hasUnreadWorker());
 }
 
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::releaseHeldTasks(TimePoint now)
 {
-    if (heldTasks_.empty() || hasUnreadWorker())
+    if (hasUnreadWorker())
         return;
-    const Task::Event event
-            = inventoriesLost_ ? Task::Event::InventoriesLost : Task::Event::InventoriesRead;
-    for (const TaskId &task : std::exchange(heldTasks_, {})) {
+    for (const TaskId &task : takeover_.takeTasks()) {
         if (JobRecord *job = findJob(task.job))
-            raise(now, *job, task.index, event);
+            raise(now, *job, task.index, takeover_.readingEndedEvent());
     }
 }
 
@@ -236,7 +224,7 @@
         reply(waiter.entry, waiter.request, job.report());
     else {
         jobs_.noteWaitEnd(waiter.until, job.spec().name);
-        job.waiters.push_back(std::move(waiter));
+        job.addWaiter(std::move(waiter));
     }
 }
 
@@ -255,6 +243,8 @@
 void ShardScheduler<Policy>::refuse(TimePoint now, const InstanceId &entry, RequestId request,
                                     const Refusal &refusal, const HolderSubmit &body)
 {
+    const std::string kind(errorKindName(refusal.error.kind));
+    actions_.push_back(Observe {{Metric::JobsRefused, 1, kind}});
     // The request is refused, but an earlier one of that name may have run where nobody can look.
     const bool mayHaveRun = submissionEvent(now, body) != Task::Event::Submitted;
     reply(entry, request,
@@ -402,17 +392,30 @@
         placer_.enqueue(now, job.spec(), index);
     }
     if (event == Task::Event::HeldBack || task.isIn(Task::State::Withdrawn))
-        heldTasks_.push_back(id);
+        takeover_.hold(id);
     if (effects.stopAttempt)
         workers_.at(task.worker()).noteStopped({id, task.attempt()});
     if (effects.voidAttempt)
         workers_.at(task.worker()).noteVoided({id, task.attempt()});
-    if (!wasRunning && task.isIn(Task::State::Running))
+    // A task that was adopted running did not wait here.
+    const bool waitedHere = task.waitingSince != TimePoint();
+    if (!wasRunning && waitedHere && task.isIn(Task::State::Running)) {
         job.waited = std::max(job.waited, now - task.waitingSince);
+        observeStart(job.spec().kind, now - task.waitingSince);
+    }
     finishIfEnded(now, job);
     stopRestOfGang(now, job);
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::observeStart(const KindId &kind, Milliseconds waited)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    const double seconds = static_cast<double>(waited.count()) / millisecondsPerSecond;
+    actions_.push_back(Observe {{Metric::TaskStarts, 1, kind.value()}});
+    actions_.push_back(Observe {{Metric::TaskWaitSeconds, seconds, kind.value()}});
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::finishIfEnded(TimePoint now, JobRecord &job)
 {
@@ -420,6 +423,7 @@
         return;
     job.endedAt = now;
     jobs_.noteReview(now + settings_.answerRetention, job.spec().name);
+    actions_.push_back(Observe {{Metric::JobsEnded, 1, job.stateName()}});
     const JobReport report = job.report();
     for (const JobRecord::Waiter &waiter : job.waiters)
         reply(waiter.entry, waiter.request, report);
@@ -488,10 +492,8 @@
         const bool wasUnread = worker.isUnread();
         if (!worker.endLeaseIfDue(now))
             continue;
-        if (wasUnread) {
-            inventoriesLost_ = true;
-            inventoriesLostUntil_ = now + settings_.answerRetention;
-        }
+        if (wasUnread)
+            takeover_.noteLostInventory(now + settings_.answerRetention);
         placer_.closeWorker(id);
         for (const TaskId &task : worker.attempts())
             loseAttempt(now, task);
@@ -564,6 +566,9 @@
 {
     std::vector<WorkerRow> rows;
     for (const auto &[id, account] : placer_.ledger().accounts()) {
+        // A worker that is gone for good keeps its place in the ledger, without capacity.
+        if (account.capacity == Resources())
+            continue;
         rows.push_back({shard_, id, account.capacity, account.reserved,
                         account.isOpen ? "open" : "closed"});
     }
@@ -578,5 +583,6 @@
 }
 
 template class ShardScheduler<BaselinePolicy>;
+template class ShardScheduler<StandardPolicy>;
 
 } // namespace caraway
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -4,6 +4,7 @@
 #include "Decisions/JobTable.h"
 #include "Decisions/Policy/TaskPlacer.h"
 #include "Decisions/Settings.h"
+#include "Decisions/TakeoverRecord.h"
 #include "Decisions/WorkerSession.h"
 
 #include <map>
@@ -27,6 +28,7 @@
     void setWorkers(TimePoint now, const std::vector<WorkerMember> &workers);
 
     void usePreset(const Preset &preset) { placer_.usePreset(preset); }
+    void setFleetCapacity(const Resources &capacity) { placer_.setFleetCapacity(capacity); }
     void onRequest(TimePoint now, const InstanceId &entry, const HolderRequest &request);
     void onStartAnswered(TimePoint now, const StartAnswered &answer);
     void onHeartbeatAnswered(TimePoint now, const HeartbeatAnswered &answer);
@@ -37,18 +39,12 @@
     void onTick(TimePoint now, TimePoint startsEndAt, TimePoint leaseEndsAt);
 
     std::vector<WorkerRow> workerRows() const;
+    std::size_t waitingCount() const { return placer_.waitingCount(); }
+    std::size_t jobCount() const { return jobs_.size(); }
     /// Moves the actions put out since the last call to the end of \a actions.
     void drainActions(Actions &actions);
 
 private:
-    /// A question about a job that an entry may be about to submit again.
-    struct HeldRequest
-    {
-        InstanceId entry;
-        HolderRequest request;
-        JobName job;
-    };
-
     void submit(TimePoint now, const InstanceId &entry, RequestId request,
                 const HolderSubmit &body);
     void query(TimePoint now, const InstanceId &entry, RequestId request, const HolderQuery &body);
@@ -81,6 +77,7 @@
     JobRecord *findOrAdopt(TimePoint now, const InventoryEntry &entry);
     void takeAnswer(TimePoint now, JobRecord &job, const InventoryEntry &entry);
     void raise(TimePoint now, JobRecord &job, TaskIndex index, Task::Event event);
+    void observeStart(const KindId &kind, Milliseconds waited);
     void finishIfEnded(TimePoint now, JobRecord &job);
     JobRecord *findJob(const JobName &name) { return jobs_.find(name); }
     Task *findAttempt(const TaskId &task, AttemptNumber attempt, const WorkerId &worker);
@@ -91,12 +88,7 @@
     TaskPlacer<Policy> placer_;
     std::map<WorkerId, WorkerSession> workers_;
     JobTable jobs_;
-    TimePoint recoveryBegan_;
-    /// Until then a name that is not found may be one that ran on a worker that was never read.
-    TimePoint inventoriesLostUntil_;
-    bool inventoriesLost_ = false;
-    std::vector<TaskId> heldTasks_;
-    std::vector<HeldRequest> heldRequests_;
+    TakeoverRecord takeover_;
     Actions actions_;
 };
 
--- a/Tests/Decisions/ShardSchedulerTest.cpp
+++ b/Tests/Decisions/ShardSchedulerTest.cpp
@@ -63,7 +63,9 @@
     {
         Preset preset;
         preset.kinds.push_back({.kind = KindId("merge"), .queueBound = 100});
-        preset.teams.push_back({.team = TeamId("editors")});
+        preset.teams.push_back(
+                {.team = TeamId("editors"),
+                 .quota = {Millicores(1'000'000), Bytes(1 << 20), Accelerators(0), Slots(1000)}});
         return preset;
     }
 
--- a/Tests/Processes/JobsTest.cpp
+++ b/Tests/Processes/JobsTest.cpp
@@ -33,6 +33,16 @@
         return answer.body["answers"][0]["worker"] == fleet_.workerName(0) ? 0 : 1;
     }
 
+    /// The worker that the job was started on first.
+    std::string workerOf(const std::string &job) const
+    {
+        for (const nlohmann::json &line : fleet_.records()) {
+            if (line["job"] == job)
+                return line["worker"];
+        }
+        return "";
+    }
+
     void assertNoViolations() const
     {
         for (const std::string &violation : fleet_.violations())
@@ -60,7 +70,6 @@
 
     void resubmission_holderKilledAndWorkerUnreadable_neverRunsTwice()
     {
-        const int preferred = findPreferredWorker();
         const nlohmann::json label
                 = TestFleet::makeJob("label", runFor(60'000))
                           .patch(nlohmann::json::parse(
@@ -73,7 +82,7 @@
         fleet_.run(other, merge, 0);
         CPPUNIT_ASSERT(TestFleet::eventually(
                 [this] { return fleet_.startsOf("label") + fleet_.startsOf("merge") == 2; }));
-        fleet_.setFaults("worker-" + fleet_.workerName(preferred), {{"cut", true}});
+        fleet_.setFaults("worker-" + workerOf("label"), {{"cut", true}});
         fleet_.entry(holder).kill();
         auto merged
                 = std::async(std::launch::async, [&] { return fleet_.run(third, merge, 20'000); });
