--- a/Source/Decisions/Instance.cpp
+++ b/Source/Decisions/Instance.cpp
@@ -5,6 +5,13 @@
 
 namespace caraway {
 
+namespace {
+
+/// After this long the answer to a reading has been dropped on its way.
+constexpr Milliseconds storeAnswerLimit(5000);
+
+} // namespace
+
 const BoundChart<Instance> &Instance::chart()
 {
     static const BoundChart<Instance> bound = BoundChart<Instance> {
@@ -37,18 +44,20 @@
 
 void Instance::on(const Tick & /*tick*/)
 {
-    readStoreIfDue();
     sendPeerHeartbeatsIfDue();
-    router_.onTick(now_);
     presets_.onTick(now_);
     for (auto &[id, shard] : shards_)
         tickShard(shard);
+    router_.onTick(now_);
+    readStoreIfDue();
 }
 
 void Instance::tickShard(Shard &shard)
 {
     shard.lease.onTick(now_);
-    beginRecoveryIfDue(shard);
+    if (shard.lease.takeReadWanted())
+        shardReadWanted_ = true;
+    beginRecoveryIfHeldAnew(shard);
     if (!shard.lease.isHeld())
         return;
     const TimePoint startsEndAt = shard.lease.isServing() ? shard.lease.startsEndAt() : TimePoint();
@@ -57,6 +66,12 @@
         shard.lease.onRecovered();
 }
 
+void Instance::beginRecoveryIfHeldAnew(Shard &shard)
+{
+    if (shard.lease.takeRecoveryBegun())
+        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
+}
+
 void Instance::on(const CallerRequest &request)
 {
     std::visit([&](const auto &body) { onCaller(request.id, body); }, request.body);
@@ -145,6 +160,28 @@
     noticePreset();
 }
 
+void Instance::onPeer(const InstanceId & /*from*/, const ShardRecordNotice &notice)
+{
+    const auto known = shards_.find(notice.record.shard);
+    if (known == shards_.end())
+        return;
+    known->second.lease.onRecordNotice(now_, notice.record);
+    membership_.learnHolder(notice.record);
+}
+
+void Instance::onPeer(const InstanceId &from, const PromiseRequest &request)
+{
+    const auto known = shards_.find(request.shard);
+    if (known != shards_.end())
+        known->second.lease.onPromiseRequest(now_, from, request);
+}
+
+void Instance::onPeer(const InstanceId &from, const PromiseReply &reply)
+{
+    if (Shard *shard = heldShard(reply.shard))
+        shard->lease.onPromiseReply(now_, from, reply);
+}
+
 void Instance::on(const PeerLinkChanged & /*changed*/) { }
 
 void Instance::on(const StoreAnswered &answered)
@@ -154,6 +191,7 @@
 
 void Instance::onStore(TimePoint sentAt, const ShardRecordsRead &read)
 {
+    shardReadOutstanding_ = false;
     if (read.outcome != StoreOutcome::Done)
         return;
     for (const ShardId &id : membership_.shards()) {
@@ -161,7 +199,9 @@
         std::optional<ShardRecord> record;
         if (found != read.records.end())
             record = *found;
-        shardFor(id).lease.onRecordRead(now_, sentAt, record);
+        Shard &shard = shardFor(id);
+        shard.lease.onRecordRead(now_, sentAt, record);
+        beginRecoveryIfHeldAnew(shard);
     }
     for (const ShardRecord &record : read.records)
         membership_.learnHolder(record);
@@ -171,6 +211,8 @@
 {
     Shard &shard = shardFor(written.record.shard);
     shard.lease.onRecordWritten(now_, sentAt, written);
+    // At once: a request that came before would be forgotten by the recovery.
+    beginRecoveryIfHeldAnew(shard);
     if (written.outcome == StoreOutcome::Done)
         membership_.learnHolder(written.record);
 }
@@ -207,7 +249,10 @@
 
 void Instance::on(const InstanceListRead &read)
 {
-    membership_.update(read.list);
+    // The platform's list is empty for a moment now and then; the last one stays in use.
+    if (read.list.entries.empty() && read.list.workers.empty())
+        return;
+    membership_.update(read.list, read.readAt);
     Resources fleetCapacity;
     for (const WorkerMember &worker : read.list.workers)
         fleetCapacity += worker.capacity;
@@ -242,10 +287,15 @@
 
 void Instance::readStoreIfDue()
 {
-    if (now_ - shardsReadAt_ >= settings_.shardRead) {
-        shardsReadAt_ = now_;
-        actions_.push_back(CallStore {ReadShardRecords {}});
-    }
+    const Milliseconds sinceRead = now_ - shardsReadAt_;
+    if (shardReadOutstanding_ && sinceRead < storeAnswerLimit)
+        return;
+    if (!shardReadWanted_ && sinceRead < settings_.shardRead)
+        return;
+    shardsReadAt_ = now_;
+    shardReadOutstanding_ = true;
+    shardReadWanted_ = false;
+    actions_.push_back(CallStore {ReadShardRecords {}});
 }
 
 void Instance::sendPeerHeartbeatsIfDue()
@@ -298,18 +348,7 @@
 Instance::Shard *Instance::heldShard(const ShardId &id)
 {
     const auto found = shards_.find(id);
-    if (found == shards_.end() || !found->second.lease.isHeld())
-        return nullptr;
-    // Nothing may reach the scheduler between the claim and the start of its recovery: it would be
-    // forgotten.
-    beginRecoveryIfDue(found->second);
-    return &found->second;
-}
-
-void Instance::beginRecoveryIfDue(Shard &shard)
-{
-    if (shard.lease.takeRecoveryBegun())
-        shard.scheduler.beginRecovery(now_, shard.lease.epoch());
+    return found != shards_.end() && found->second.lease.isHeld() ? &found->second : nullptr;
 }
 
 Instance::Shard &Instance::shardFor(const ShardId &id)
--- a/Source/Decisions/PeerMessage.h
+++ b/Source/Decisions/PeerMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Ids.h"
+#include "Decisions/Fleet.h"
 #include "Decisions/Job.h"
 #include "Decisions/Preset.h"
 
@@ -53,6 +54,29 @@
     PresetInForce inForce;
 };
 
-using PeerMessage = std::variant<HolderRequest, HolderReply, PeerHeartbeat, PeerPreset>;
+/// A shard's record as its holder has just written it: the shard was claimed or handed over.
+struct ShardRecordNotice
+{
+    ShardRecord record;
+};
+
+/// A holder that cannot renew its lease asks a candidate not to claim the shard for a while.
+struct PromiseRequest
+{
+    ShardId shard;
+    Epoch epoch;
+    std::uint64_t round = 0;
+};
+struct PromiseReply
+{
+    ShardId shard;
+    /// The newest epoch that the promiser knows of.
+    Epoch epoch;
+    std::uint64_t round = 0;
+    bool granted = false;
+};
+
+using PeerMessage = std::variant<HolderRequest, HolderReply, PeerHeartbeat, PeerPreset,
+                                 ShardRecordNotice, PromiseRequest, PromiseReply>;
 
 } // namespace caraway
--- a/Source/Decisions/WorkerSession.h
+++ b/Source/Decisions/WorkerSession.h
@@ -44,7 +44,11 @@
     /// Takes in an answer and returns the tasks whose attempts ended with an earlier session. Those
     /// that the inventory lists are not among them.
     std::vector<TaskId> onAnswered(TimePoint now, const HeartbeatAnswered &answer);
-    void onUnanswered() { heartbeatOutstanding_ = false; }
+    void onUnanswered()
+    {
+        heartbeatOutstanding_ = false;
+        isAnswering_ = false;
+    }
     /// Whether the leases have just run out; every attempt on the worker has ended then.
     bool endLeaseIfDue(TimePoint now);
     /// The next heartbeat if one is due. It renews the leases only before \a renewalsEndAt.
@@ -93,6 +97,8 @@
     TimePoint heartbeatSentAt_;
     bool heartbeatOutstanding_ = false;
     bool sessionIsNew_ = false;
+    /// Whether the last heartbeat that ended was answered.
+    bool isAnswering_ = false;
     /// The tasks with an attempt on the worker, and the session in which each was started.
     std::map<TaskId, SessionId> attempts_;
     Outbox known_;
--- a/Tests/Decisions/ShardSchedulerTest.cpp
+++ b/Tests/Decisions/ShardSchedulerTest.cpp
@@ -43,6 +43,7 @@
     std::vector<HeartbeatWorker> heartbeats_;
     std::vector<HolderReply> replies_;
     TimePoint leaseEndsAt_;
+    RequestId lastRequest_;
 
     static Resources oneTask() { return {Millicores(1000), Bytes(1), Accelerators(0), Slots(1)}; }
     static JobSpec makeSpec(const std::string &name, bool idempotent = true)
@@ -102,7 +103,7 @@
     void request(std::variant<HolderSubmit, HolderQuery, HolderCancel> body)
     {
         scheduler_->onRequest(now_, InstanceId("entry"),
-                              {ShardId("z"), RequestId(7), std::move(body)});
+                              {ShardId("z"), lastRequest_ = lastRequest_.next(), std::move(body)});
         tick();
     }
     void submit(const JobSpec &spec, bool isFirst = false)
--- a/Tests/Standins/WorkerStandin.h
+++ b/Tests/Standins/WorkerStandin.h
@@ -30,7 +30,8 @@
 };
 
 /// A worker that runs tasks under leases. It does what it is told, over-commitment included,
-/// and records every violation. A payload may be JSON with run_ms, answer and fail.
+/// and records every violation. A payload may be JSON with run_ms, answer and fail. POST
+/// /control takes fail_everything, lose_reports, report_copies and report_delay_ms.
 class WorkerStandin
 {
 public:
@@ -63,10 +64,11 @@
     void endSessionIfDue();
     void renewLease(const nlohmann::json &heartbeat);
     void runTasks();
-    void finish(const Attempt &attempt, Run &run, const std::string &condition);
+    void finish(const Attempt &attempt, Run &run, const std::string &condition, Time endedAt);
     void report(const nlohmann::json &reportTo, const nlohmann::json &entry) const;
     void checkCapacity();
-    void record(const std::string &what, const Attempt &attempt);
+    void record(const std::string &what, const Attempt &attempt,
+                std::chrono::milliseconds late = {});
     static nlohmann::json describe(const Attempt &attempt, const Run &run);
     static nlohmann::json describeInFull(const Attempt &attempt, const Run &run);
     static Attempt readAttempt(const nlohmann::json &json);
@@ -86,6 +88,10 @@
     std::map<std::uint64_t, Time> beats_;
     std::uint64_t lastBeat_ = 0;
     bool failEverything_ = false;
+    int reportsToLose_ = 0;
+    int reportCopies_ = 1;
+    std::int64_t reportDelayMs_ = 0;
+    std::uint64_t reportsSent_ = 0;
     std::ofstream records_;
 };
 
