Send the first submission of JobsTest to an entry that knows of the takeover

Cause: the test posted as soon as the store named the new holder; that entry could still send the request to the last holder, and a request that two holders were sent is rightly not called first any more. It was held until the dead worker had lapsed (7255 ms, 3046 ms). Change: the test waits until the new holder shows the shard's workers. The limit of 1000 ms stays. Ruled out: keeping the mark on the second send: the last holder may have started the job. That this race was the cause is inferred from the code; no log of the two runs shows it.

--- a/Tests/Processes/JobsTest.cpp
+++ b/Tests/Processes/JobsTest.cpp
@@ -102,7 +102,8 @@
         fleet_.entry(holder).kill();
         CPPUNIT_ASSERT(TestFleet::eventually([&] {
             const int next = fleet_.holderOf("klang-a");
-            return next >= 0 && next != holder;
+            // Only an entry that knows of the takeover sends nothing to the last holder.
+            return next >= 0 && next != holder && !fleet_.get(next, "/v1/workers").body.empty();
         }));
         const auto begun = std::chrono::steady_clock::now();
         const HttpAnswer done = fleet_.post(
