--- a/Source/Decisions/ForwardedRequest.cpp
+++ b/Source/Decisions/ForwardedRequest.cpp
@@ -18,10 +18,11 @@
 {
     static const BoundChart<ForwardedRequest> bound = BoundChart<ForwardedRequest> {
             "ForwardedRequest.scxml",
-            {"open", "unsent", "sent", "closed"},
+            {"open", "unsent", "between", "sent", "closed"},
             {"answered", "holderKnown", "holderChanged", "turnedAway", "resendDue",
              "deadlinePassed"},
-            {},
+            {{"isSubmission", &ForwardedRequest::isSubmission},
+             {"mayBeHeld", &ForwardedRequest::mayBeHeld}},
             {{"send", &ForwardedRequest::send},
              {"answerNotRun", &ForwardedRequest::answerNotRun},
              {"answerUnknown",
@@ -49,6 +50,8 @@
 void ForwardedRequest::onReply(const HolderReply &reply)
 {
     if (reply.notHolder) {
+        --unanswered_;
+        sentTo_ = {};
         machine_.handle(*this, Event::TurnedAway);
         return;
     }
@@ -72,9 +75,24 @@
     actions_.clear();
 }
 
+bool ForwardedRequest::isSubmission() const
+{
+    return std::holds_alternative<HolderSubmit>(request_.body);
+}
+
 void ForwardedRequest::send()
 {
     sentAt_ = now_;
+    const bool isAnother = holder_ != sentTo_ || epoch_ != sentEpoch_;
+    auto *submission = std::get_if<HolderSubmit>(&request_.body);
+    // A copy may still be on its way, and a second holder cannot know whether the first one began
+    // it.
+    if (submission && isAnother && (!sentTo_.isEmpty() || wasResent_))
+        submission->isFirst = false;
+    wasResent_ = wasResent_ || !isAnother;
+    unanswered_ += isAnother ? 1 : 0;
+    sentTo_ = holder_;
+    sentEpoch_ = epoch_;
     actions_.push_back(SendToPeer {holder_, request_});
 }
 
--- a/Source/Decisions/ForwardedRequest.h
+++ b/Source/Decisions/ForwardedRequest.h
@@ -10,7 +10,7 @@
 class ForwardedRequest
 {
 public:
-    enum class State { Open, Unsent, Sent, Closed };
+    enum class State { Open, Unsent, Between, Sent, Closed };
     enum class Event {
         Answered,
         HolderKnown,
@@ -35,6 +35,8 @@
     void drainActions(Actions &actions);
 
 private:
+    bool isSubmission() const;
+    bool mayBeHeld() const { return unanswered_ > 0; }
     void send();
     void answerNotRun();
     void answerUnknown();
@@ -47,6 +49,11 @@
     TimePoint sentAt_;
     InstanceId holder_;
     Epoch epoch_;
+    InstanceId sentTo_;
+    Epoch sentEpoch_;
+    bool wasResent_ = false;
+    /// How many holders were sent the request and have not turned it away.
+    int unanswered_ = 0;
     Lifecycle<ForwardedRequest> machine_;
     Actions actions_;
 };
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -12,6 +12,13 @@
 
 namespace {
 
+/// Whether an attempt that another holder began may be adopted.
+bool isWithoutAttempt(const Task &task)
+{
+    return task.isIn(Task::State::Waiting) || task.isIn(Task::State::Absent)
+            || task.isIn(Task::State::Held) || task.isIn(Task::State::Withdrawn);
+}
+
 /// Whether an attempt that another holder began, or that was given up, stands for its task. A
 /// failed one does only where no other may follow.
 bool mayStandFor(const JobSpec &spec, const InventoryEntry &entry)
@@ -33,6 +40,7 @@
 void ShardScheduler<Policy>::beginRecovery(TimePoint now, Epoch epoch)
 {
     epoch_ = epoch;
+    takeover_.begin(now);
     placer_.reset();
     jobs_.clear();
     for (auto &[id, worker] : workers_)
@@ -42,8 +50,21 @@
 template<SchedulingPolicy Policy>
 bool ShardScheduler<Policy>::isRecovered() const
 {
-    return std::ranges::none_of(workers_,
-                                [](const auto &entry) { return entry.second.isUnread(); });
+    return !hasUnreadWorker() || std::ranges::any_of(workers_, [](const auto &entry) {
+        return entry.second.isOpen();
+    });
+}
+
+template<SchedulingPolicy Policy>
+bool ShardScheduler<Policy>::hasUnreadWorker() const
+{
+    return std::ranges::any_of(workers_, [](const auto &entry) { return entry.second.isUnread(); });
+}
+
+template<SchedulingPolicy Policy>
+bool ShardScheduler<Policy>::isSettled(TimePoint now) const
+{
+    return !hasUnreadWorker() && takeover_.isResubmissionOver(now);
 }
 
 template<SchedulingPolicy Policy>
@@ -56,8 +77,11 @@
         }
     }
     for (const WorkerMember &member : workers) {
+        // What an earlier holder began is over everywhere at the same time.
         WorkerSession &worker
-                = workers_.try_emplace(member.id, member, now, settings_).first->second;
+                = workers_.try_emplace(member.id, member, takeover_.begunAt(), settings_)
+                          .first->second;
+        worker.endLeaseIfDue(now);
         worker.setListed(member);
         openOrClose(worker);
     }
@@ -106,21 +130,16 @@
         return;
     }
     if (!job) {
-        if (std::optional<Refusal> refusal = placer_.refusalOf(now, body.spec)) {
-            const std::string kind(errorKindName(refusal->error.kind));
-            actions_.push_back(Observe {{Metric::JobsRefused, 1, kind}});
-            reply(entry, request,
-                  {.name = body.spec.name,
-                   .state = JobState::NotRun,
-                   .error = std::move(refusal->error),
-                   .retryAfter = refusal->retryAfter});
+        if (const std::optional<Refusal> refusal = refusalOf(now, body.spec)) {
+            refuse(now, entry, request, *refusal, body);
             return;
         }
-        job = &jobs_.try_emplace(body.spec.name, body.spec).first->second;
-        for (std::uint64_t i = 0; i < body.spec.taskCount; ++i) {
-            job->task(TaskIndex(i)).waitingSince = now;
-            placer_.enqueue(now, body.spec, TaskIndex(i));
-        }
+        job = &jobs_.findOrAdd(body.spec);
+    }
+    const Task::Event event = submissionEvent(now, body);
+    for (std::uint64_t i = 0; i < body.spec.taskCount; ++i) {
+        if (job->task(TaskIndex(i)).isIn(Task::State::Absent))
+            raise(now, *job, TaskIndex(i), event);
     }
     answerOrWait(now, *job, {entry, request, now + body.wait});
 }
@@ -129,11 +148,14 @@
 void ShardScheduler<Policy>::query(TimePoint now, const InstanceId &entry, RequestId request,
                                    const HolderQuery &body)
 {
-    JobRecord *job = findJob(body.name);
-    if (job) {
+    if (JobRecord *job = findJob(body.name)) {
         answerOrWait(now, *job, {entry, request, now + body.wait});
         return;
     }
+    if (!isSettled(now)) {
+        takeover_.hold({entry, {shard_, request, body}, body.name});
+        return;
+    }
     const std::string message = fmt::format("No job named {} is known here. Check the name, or "
                                             "submit the job again under the same name.",
                                             body.name.value());
@@ -147,23 +169,90 @@
 void ShardScheduler<Policy>::cancel(TimePoint now, const InstanceId &entry, RequestId request,
                                     const HolderCancel &body)
 {
-    if (JobRecord *job = findJob(body.name)) {
-        for (std::uint64_t i = 0; i < job->spec().taskCount; ++i) {
-            if (job->task(TaskIndex(i)).isIn(Task::State::Waiting))
-                placer_.withdraw({body.name, TaskIndex(i)});
-            raise(now, *job, TaskIndex(i), Task::Event::Cancelled);
-        }
+    JobRecord *job = findJob(body.name);
+    if (!job && !isSettled(now)) {
+        takeover_.hold({entry, {shard_, request, body}, body.name});
+        return;
     }
+    if (job)
+        cancelTasks(now, *job);
     query(now, entry, request, {body.name, Milliseconds()});
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::cancelTasks(TimePoint now, JobRecord &job)
+{
+    for (std::uint64_t i = 0; i < job.spec().taskCount; ++i) {
+        if (job.task(TaskIndex(i)).isIn(Task::State::Waiting))
+            placer_.withdraw({job.spec().name, TaskIndex(i)});
+        raise(now, job, TaskIndex(i), Task::Event::Cancelled);
+    }
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::takeHeldRequests(TimePoint now)
+{
+    const bool settled = isSettled(now);
+    for (TakeoverRecord::HeldRequest &each : takeover_.takeRequests()) {
+        if (settled || findJob(each.job))
+            onRequest(now, each.entry, each.request);
+        else
+            takeover_.hold(std::move(each));
+    }
+}
+
+template<SchedulingPolicy Policy>
+Task::Event ShardScheduler<Policy>::submissionEvent(TimePoint now, const HolderSubmit &body) const
+{
+    return takeover_.submissionEvent(now, body.isFirst, hasUnreadWorker());
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::releaseHeldTasks(TimePoint now)
+{
+    if (hasUnreadWorker())
+        return;
+    for (const TaskId &task : takeover_.takeTasks()) {
+        if (JobRecord *job = findJob(task.job))
+            raise(now, *job, task.index, takeover_.readingEndedEvent());
+    }
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::answerOrWait(TimePoint now, JobRecord &job, JobRecord::Waiter waiter)
 {
     if (!job.isOpen() || waiter.until <= now)
         reply(waiter.entry, waiter.request, job.report());
-    else
+    else {
+        jobs_.noteWaitEnd(waiter.until, job.spec().name);
         job.addWaiter(std::move(waiter));
+    }
+}
+
+template<SchedulingPolicy Policy>
+std::optional<Refusal> ShardScheduler<Policy>::refusalOf(TimePoint now, const JobSpec &spec) const
+{
+    if (spec.durability == Durability::Detached) {
+        return Refusal {{ErrorKind::Unavailable,
+                         "Detached jobs are not kept in the store by this release. Submit the job "
+                         "as attached."}};
+    }
+    return placer_.refusalOf(now, spec);
+}
+
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::refuse(TimePoint now, const InstanceId &entry, RequestId request,
+                                    const Refusal &refusal, const HolderSubmit &body)
+{
+    const std::string kind(errorKindName(refusal.error.kind));
+    actions_.push_back(Observe {{Metric::JobsRefused, 1, kind}});
+    // The request is refused, but an earlier one of that name may have run where nobody can look.
+    const bool mayHaveRun = submissionEvent(now, body) != Task::Event::Submitted;
+    reply(entry, request,
+          {.name = body.spec.name,
+           .state = mayHaveRun ? JobState::Unknown : JobState::NotRun,
+           .error = refusal.error,
+           .retryAfter = refusal.retryAfter});
 }
 
 template<SchedulingPolicy Policy>
@@ -228,14 +317,14 @@
 void ShardScheduler<Policy>::handleEntry(TimePoint now, const WorkerId &worker,
                                          const InventoryEntry &entry)
 {
-    JobRecord *job = findOrAdopt(entry);
+    JobRecord *job = findOrAdopt(now, entry);
     if (!job || !job->hasTask(entry.task.index))
         return;
     Task &task = job->task(entry.task.index);
     WorkerSession &session = workers_.at(worker);
     const WorkerSession::Attempt attempt {entry.task, entry.attempt};
     session.forgetVoided(attempt);
-    if (task.isIn(Task::State::Waiting)) {
+    if (isWithoutAttempt(task)) {
         if (!mayStandFor(job->spec(), entry)) {
             session.noteTaken(attempt);
             return;
@@ -264,23 +353,29 @@
         return;
     Task &task = job.task(entry.task.index);
     const WorkerId worker = task.worker();
+    const WorkerSession::Attempt attempt {entry.task, entry.attempt};
     if (task.isIn(Task::State::OnWorker)) {
         const bool succeeded = entry.condition == TaskCondition::Succeeded;
         task.answer = {entry.task.index, entry.attempt, worker, succeeded, entry.content};
         ejection_.onOutcome(now, worker, {job.spec().kind, job.spec().name, !succeeded});
         raise(now, job, entry.task.index, succeeded ? Task::Event::Succeeded : Task::Event::Failed);
     }
-    workers_.at(worker).noteTaken({entry.task, entry.attempt});
+    // Another holder must find the attempt until the job is forgotten, or it would run again.
+    if (task.isFinal())
+        workers_.at(worker).noteKnown(attempt);
+    else
+        workers_.at(worker).noteTaken(attempt);
 }
 
 template<SchedulingPolicy Policy>
-JobRecord *ShardScheduler<Policy>::findOrAdopt(const InventoryEntry &entry)
+JobRecord *ShardScheduler<Policy>::findOrAdopt(TimePoint now, const InventoryEntry &entry)
 {
     JobRecord *job = findJob(entry.task.job);
     if (job || !entry.spec || entry.spec->name != entry.task.job
         || !mayStandFor(*entry.spec, entry))
         return job;
-    return &jobs_.try_emplace(entry.task.job, *entry.spec).first->second;
+    jobs_.noteReview(now + settings_.answerRetention, entry.task.job);
+    return &jobs_.findOrAdd(*entry.spec);
 }
 
 template<SchedulingPolicy Policy>
@@ -290,15 +385,17 @@
     Task &task = job.task(index);
     const bool wasRunning = task.isIn(Task::State::Running);
     const TaskId id {job.spec().name, index};
-    const Task::Effects effects = task.handle(event);
+    const Task::Effects effects = job.handle(index, event);
     if (effects.releaseReservation) {
         placer_.onReleased(task.worker(), job.spec(), index);
         workers_.at(task.worker()).removeAttempt(id);
     }
-    if (effects.requeue) {
+    if (effects.enqueue) {
         task.waitingSince = now;
         placer_.enqueue(now, job.spec(), index);
     }
+    if (event == Task::Event::HeldBack || task.isIn(Task::State::Withdrawn))
+        takeover_.hold(id);
     if (effects.stopAttempt)
         workers_.at(task.worker()).noteStopped({id, task.attempt()});
     if (effects.voidAttempt)
@@ -310,6 +407,7 @@
         observeStart(job.spec().kind, now - task.waitingSince);
     }
     finishIfEnded(now, job);
+    stopRestOfGang(now, job);
 }
 
 template<SchedulingPolicy Policy>
@@ -324,9 +422,10 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::finishIfEnded(TimePoint now, JobRecord &job)
 {
-    if (!job.isOpen() || !job.updateFromTasks())
+    if (job.isOpen() || job.endedAt != TimePoint())
         return;
     job.endedAt = now;
+    jobs_.noteReview(now + settings_.answerRetention, job.spec().name);
     actions_.push_back(Observe {{Metric::JobsEnded, 1, job.stateName()}});
     const JobReport report = job.report();
     for (const JobRecord::Waiter &waiter : job.waiters)
@@ -334,16 +433,27 @@
     job.waiters.clear();
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::stopRestOfGang(TimePoint now, JobRecord &job)
+{
+    if (!job.spec().gang || !job.isOpen() || !job.isLost() || job.isStopping)
+        return;
+    job.isStopping = true;
+    cancelTasks(now, job);
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::onTick(TimePoint now, TimePoint startsEndAt, TimePoint leaseEndsAt)
 {
     endLeases(now);
     ejection_.onTick(now);
     applyEjections();
+    releaseHeldTasks(now);
+    takeHeldRequests(now);
     placeWaiting(now, startsEndAt);
     sendHeartbeats(now, leaseEndsAt);
     endWaits(now);
-    forgetOldAnswers(now);
+    reviewJobs(now);
 }
 
 template<SchedulingPolicy Policy>
@@ -408,8 +518,11 @@
 void ShardScheduler<Policy>::endLeases(TimePoint now)
 {
     for (auto &[id, worker] : workers_) {
+        const bool wasUnread = worker.isUnread();
         if (!worker.endLeaseIfDue(now))
             continue;
+        if (wasUnread)
+            takeover_.noteLostInventory(now + settings_.answerRetention);
         placer_.closeWorker(id);
         for (const TaskId &task : worker.attempts())
             loseAttempt(now, task);
@@ -425,11 +538,12 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::endWaits(TimePoint now)
 {
-    for (auto &[name, job] : jobs_) {
-        if (job.waiters.empty())
+    for (const JobName &name : jobs_.takeWaitEnds(now)) {
+        JobRecord *job = findJob(name);
+        if (!job)
             continue;
-        const JobReport report = job.report();
-        std::erase_if(job.waiters, [&](const JobRecord::Waiter &waiter) {
+        const JobReport report = job->report();
+        std::erase_if(job->waiters, [&](const JobRecord::Waiter &waiter) {
             if (waiter.until > now)
                 return false;
             reply(waiter.entry, waiter.request, report);
@@ -439,19 +553,30 @@
 }
 
 template<SchedulingPolicy Policy>
-void ShardScheduler<Policy>::forgetOldAnswers(TimePoint now)
+void ShardScheduler<Policy>::reviewJobs(TimePoint now)
 {
-    std::erase_if(jobs_, [&](const auto &entry) {
-        const JobRecord &job = entry.second;
-        return !job.isOpen() && now - job.endedAt >= settings_.answerRetention;
-    });
+    for (const JobName &name : jobs_.takeReviews(now)) {
+        JobRecord *job = findJob(name);
+        if (!job || (!job->isOpen() && now - job->endedAt < settings_.answerRetention))
+            continue;
+        if (job->isIdle())
+            forget(*job);
+        else if (job->isOpen())
+            jobs_.noteReview(now + settings_.answerRetention, name);
+    }
 }
 
 template<SchedulingPolicy Policy>
-JobRecord *ShardScheduler<Policy>::findJob(const JobName &name)
+void ShardScheduler<Policy>::forget(const JobRecord &job)
 {
-    const auto found = jobs_.find(name);
-    return found == jobs_.end() ? nullptr : &found->second;
+    const JobName name = job.spec().name;
+    for (std::uint64_t i = 0; i < job.tasks().size(); ++i) {
+        const Task &task = job.tasks()[i];
+        const auto worker = workers_.find(task.worker());
+        if (worker != workers_.end())
+            worker->second.noteTaken({{name, TaskIndex(i)}, task.attempt()});
+    }
+    jobs_.remove(name);
 }
 
 template<SchedulingPolicy Policy>
--- a/Tests/Decisions/ForwardedRequestTest.cpp
+++ b/Tests/Decisions/ForwardedRequestTest.cpp
@@ -9,7 +9,10 @@
     CPPUNIT_TEST_SUITE(ForwardedRequestTest);
     CPPUNIT_TEST(tick_unansweredForInterval_sendsAgain);
     CPPUNIT_TEST(tick_deadlinePassedAfterSending_answersUnknown);
-    CPPUNIT_TEST(tick_deadlinePassedUnsent_answersNotRun);
+    CPPUNIT_TEST(tick_submissionUnsentAtDeadline_answersNotRun);
+    CPPUNIT_TEST(tick_queryUnsentAtDeadline_answersUnknown);
+    CPPUNIT_TEST(turnedAway_afterAnotherHolderWasSentIt_answersUnknown);
+    CPPUNIT_TEST(send_toSecondHolder_isNotCalledFirst);
     CPPUNIT_TEST_SUITE_END();
 
     ForwardedRequest request_ {
@@ -49,11 +52,49 @@
         CPPUNIT_ASSERT(answeredState(take()) == JobState::Unknown);
     }
 
-    void tick_deadlinePassedUnsent_answersNotRun()
+    static ForwardedRequest makeSubmission()
     {
+        return {{ShardId("z"), RequestId(1), HolderSubmit {{}, Milliseconds(), true}},
+                JobName("j"),
+                at(5000)};
+    }
+
+    void tick_submissionUnsentAtDeadline_answersNotRun()
+    {
+        request_ = makeSubmission();
         request_.onTick(at(5000));
         CPPUNIT_ASSERT(answeredState(take()) == JobState::NotRun);
     }
+
+    void tick_queryUnsentAtDeadline_answersUnknown()
+    {
+        request_.onTick(at(5000));
+        CPPUNIT_ASSERT(answeredState(take()) == JobState::Unknown);
+    }
+
+    void turnedAway_afterAnotherHolderWasSentIt_answersUnknown()
+    {
+        request_ = makeSubmission();
+        request_.onHolder(at(1000), InstanceId("a"), Epoch(1));
+        request_.onHolder(at(1000), InstanceId("b"), Epoch(2));
+        request_.onReply({RequestId(1), true, {}});
+        take();
+        request_.onTick(at(5000));
+        CPPUNIT_ASSERT(answeredState(take()) == JobState::Unknown);
+    }
+
+    void send_toSecondHolder_isNotCalledFirst()
+    {
+        const auto isFirst = [](const Action &action) {
+            const auto &message = std::get<SendToPeer>(action).message;
+            return std::get<HolderSubmit>(std::get<HolderRequest>(message).body).isFirst;
+        };
+        request_ = makeSubmission();
+        request_.onHolder(at(1000), InstanceId("a"), Epoch(1));
+        CPPUNIT_ASSERT(isFirst(take().at(0)));
+        request_.onHolder(at(1000), InstanceId("b"), Epoch(2));
+        CPPUNIT_ASSERT(!isFirst(take().at(0)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardedRequestTest);
--- a/Tests/Decisions/TaskTest.cpp
+++ b/Tests/Decisions/TaskTest.cpp
@@ -16,6 +16,7 @@
         using Event = Task::Event;
         for (const Event before : {Event::Placed, Event::Unanswered, Event::Started}) {
             Task task(true);
+            task.handle(Event::Submitted);
             task.handle(Event::Placed);
             task.handle(before);
             for (int heartbeat = 0; heartbeat < 2; ++heartbeat) {
