--- a/Source/Decisions/JobTable.cpp
+++ b/Source/Decisions/JobTable.cpp
@@ -1,5 +1,7 @@
 #include "Decisions/JobTable.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 JobRecord *JobTable::find(const JobName &name)
@@ -13,6 +15,14 @@
     return jobs_.try_emplace(spec.name, spec).first->second;
 }
 
+bool JobTable::hasTaskIn(Task::State state) const
+{
+    return std::ranges::any_of(jobs_, [state](const auto &entry) {
+        return std::ranges::any_of(entry.second.tasks(),
+                                   [state](const Task &task) { return task.isIn(state); });
+    });
+}
+
 void JobTable::clear()
 {
     jobs_.clear();
--- a/Source/Decisions/JobTable.h
+++ b/Source/Decisions/JobTable.h
@@ -19,6 +19,8 @@
     void remove(const JobName &name) { jobs_.erase(name); }
     void clear();
     std::size_t size() const { return jobs_.size(); }
+    /// Whether some task of some job is in \a state; looks at every job.
+    bool hasTaskIn(Task::State state) const;
 
     /// Remembers that a wait of a caller for \a job ends at \a time.
     void noteWaitEnd(TimePoint time, const JobName &job) { waitEnds_.emplace(time, job); }
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -591,13 +591,9 @@
 }
 
 template<SchedulingPolicy Policy>
-bool ShardScheduler<Policy>::hasStartsUnderWay()
+bool ShardScheduler<Policy>::hasStartsUnderWay() const
 {
-    return std::ranges::any_of(jobs_, [](auto &entry) {
-        return std::ranges::any_of(entry.second.tasks(), [](const Task &task) {
-            return task.isIn(Task::State::Starting);
-        });
-    });
+    return jobs_.hasTaskIn(Task::State::Starting);
 }
 
 template<SchedulingPolicy Policy>
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -39,7 +39,7 @@
     void onTick(TimePoint now, TimePoint startsEndAt, TimePoint leaseEndsAt);
 
     /// Whether a start has been sent whose answer is still to come.
-    bool hasStartsUnderWay();
+    bool hasStartsUnderWay() const;
     std::vector<WorkerRow> workerRows() const;
     std::size_t waitingCount() const { return placer_.waitingCount(); }
     std::size_t jobCount() const { return jobs_.size(); }
