--- a/Tests/Processes/OwnershipTest.cpp
+++ b/Tests/Processes/OwnershipTest.cpp
@@ -189,8 +189,9 @@
         const int holder = fleet_.holderOf(zone);
         std::atomic<int> done = 0;
         std::vector<std::jthread> callers;
-        callers.reserve(static_cast<std::size_t>(perEntry * fleet_.shape().entries));
-        for (int i = 0; i < perEntry * fleet_.shape().entries; ++i) {
+        const int callerCount = perEntry * fleet_.shape().entries;
+        callers.reserve(callerCount);
+        for (int i = 0; i < callerCount; ++i) {
             callers.emplace_back([this, i, &done] {
                 const nlohmann::json payload = {{"run_ms", 1000 + 100 * (i % perEntry)}};
                 const nlohmann::json job = TestFleet::makeJob(fmt::format("flight-{}", i),
