--- a/Source/Command/Commands.cpp
+++ b/Source/Command/Commands.cpp
@@ -71,6 +71,8 @@
     BOOST_LEAF_AUTO(job, readJob(textOf(arguments, "<job>")));
     BOOST_LEAF_AUTO(client, connectTo(arguments));
     nlohmann::json body = {{"job", std::move(job)}, {"wait_ms", 0}};
+    if (arguments.at("--first").asBool())
+        body["first"] = true;
     if (arguments.at("run").asBool())
         body["wait_ms"] = std::stoll(textOf(arguments, "--wait"));
     BOOST_LEAF_AUTO(answer, client.post("/v1/jobs", body));
--- a/Source/Command/Usage.cpp
+++ b/Source/Command/Usage.cpp
@@ -8,7 +8,7 @@
 
 Usage:
   carawaymount serve <settings>
-  carawaymount (submit | run) <job> [--entry=ADDR] [--wait=MS] [--json]
+  carawaymount (submit | run) <job> [--entry=ADDR] [--wait=MS] [--first] [--json]
   carawaymount status <name> [--entry=ADDR] [--wait=MS] [--json]
   carawaymount cancel <name> [--entry=ADDR] [--json]
   carawaymount workers [--entry=ADDR] [--json]
@@ -35,6 +35,8 @@
 Options:
   --entry=ADDR    Entry instance to ask, as host:port [default: 127.0.0.1:7100].
   --wait=MS       Longest wait for the result in ms, 0 to 20000 [default: 10000].
+  --first         The name was never submitted before, through any instance: the job starts
+                  at once even while some worker cannot be read after a takeover.
   --who=NAME      Operator named in the audit trail [default: operator].
   --why=TEXT      Reason written in the audit trail.
   --revision=N    Refuse the change unless the preset in force has this revision.
--- a/Source/Decisions/Actions.h
+++ b/Source/Decisions/Actions.h
@@ -4,6 +4,7 @@
 #include "Core/Metric.h"
 #include "Decisions/Events.h"
 
+#include <iterator>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -140,4 +141,11 @@
                             RecordChange, LeaveNow, CallConfiguration, Observe>;
 using Actions = std::vector<Action>;
 
+/// Moves every action of \a from to the end of \a to, in order.
+inline void moveActions(Actions &from, Actions &to)
+{
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+    from.clear();
+}
+
 } // namespace caraway
--- a/Source/Decisions/ForwardedRequest.cpp
+++ b/Source/Decisions/ForwardedRequest.cpp
@@ -2,15 +2,13 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <iterator>
-
 namespace caraway {
 
 namespace {
 
 constexpr Milliseconds retryAfterNoHolder(1000);
-constexpr Milliseconds resendInterval(500);
+/// Links keep a request until it is confirmed; this is for what they drop beyond their limits.
+constexpr Milliseconds resendInterval(2000);
 
 } // namespace
 
@@ -71,8 +69,7 @@
 
 void ForwardedRequest::drainActions(Actions &actions)
 {
-    std::ranges::move(actions_, std::back_inserter(actions));
-    actions_.clear();
+    moveActions(actions_, actions);
 }
 
 bool ForwardedRequest::isSubmission() const
--- a/Source/Decisions/JobRecord.cpp
+++ b/Source/Decisions/JobRecord.cpp
@@ -83,6 +83,12 @@
                                      "run twice. Find out from its effects whether it ran.",
                                      spec_.name.value())};
     }
+    if (report.state == JobState::Failed) {
+        report.error = Error {ErrorKind::TaskFailed,
+                              fmt::format("A task of job {} failed and is not tried again. Look at "
+                                          "its answer, then submit the job under a new name.",
+                                          spec_.name.value())};
+    }
     return report;
 }
 
--- a/Source/Decisions/Policy/BaselinePolicy.h
+++ b/Source/Decisions/Policy/BaselinePolicy.h
@@ -18,6 +18,7 @@
     using Holder = NoHolder;
     using KindHolder = NoKindHolder;
     using Ejection = NeverEject;
+    using Retries = AlwaysRetry;
 };
 
 static_assert(SchedulingPolicy<BaselinePolicy>);
--- a/Source/Decisions/Policy/Concepts.h
+++ b/Source/Decisions/Policy/Concepts.h
@@ -3,6 +3,7 @@
 #include "Decisions/Ledger.h"
 #include "Decisions/Policy/Ejection.h"
 #include "Decisions/Policy/Refusal.h"
+#include "Decisions/Policy/RetryBudget.h"
 #include "Decisions/Policy/WaitingUnit.h"
 #include "Decisions/Preset.h"
 
@@ -157,6 +158,7 @@
     requires RoomHolder<typename P::Holder>;
     requires ShareHolder<typename P::KindHolder>;
     requires Ejection<typename P::Ejection>;
+    requires RetryPolicy<typename P::Retries>;
 };
 
 } // namespace caraway
--- /dev/null
+++ b/Source/Decisions/Policy/RetryBudget.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Decisions/Preset.h"
+
+#include <concepts>
+#include <cstdint>
+#include <unordered_map>
+
+namespace caraway {
+
+/// Decides whether a task that ran and failed is tried again.
+template<class R>
+concept RetryPolicy
+        = requires(R retries, const Preset &preset, const KindId &kind, std::uint32_t failures)
+{
+    retries.usePreset(preset);
+    /// A task of \a kind starts for the first time.
+    retries.noteFirstStart(kind);
+    /// Whether a task of \a kind that has failed \a failures times may run again.
+    {
+        retries.grant(kind, failures)
+        } -> std::same_as<bool>;
+};
+
+/// Tries again without end.
+class AlwaysRetry
+{
+public:
+    void usePreset(const Preset & /*preset*/) { }
+    void noteFirstStart(const KindId & /*kind*/) { }
+    bool grant(const KindId & /*kind*/, std::uint32_t /*failures*/) { return true; }
+};
+
+/// Grants each kind of work as many retries as the preset's percentage of its first starts,
+/// and each task a fixed number of attempts.
+class RetryBudget
+{
+public:
+    static constexpr std::uint32_t maxFailuresOfTask = 4;
+
+    void usePreset(const Preset &preset);
+    void noteFirstStart(const KindId &kind);
+    bool grant(const KindId &kind, std::uint32_t failures);
+
+private:
+    struct Account
+    {
+        std::uint32_t percent = 0;
+        /// In hundredths of a retry.
+        std::uint32_t credit = 0;
+    };
+
+    std::unordered_map<KindId, Account> accounts_;
+};
+
+static_assert(RetryPolicy<AlwaysRetry>);
+static_assert(RetryPolicy<RetryBudget>);
+
+} // namespace caraway
--- a/Source/Decisions/Policy/StandardPolicy.h
+++ b/Source/Decisions/Policy/StandardPolicy.h
@@ -19,6 +19,7 @@
     using Holder = GangHolder;
     using KindHolder = caraway::KindHolder;
     using Ejection = FleetRateEjection;
+    using Retries = RetryBudget;
 };
 
 static_assert(SchedulingPolicy<StandardPolicy>);
--- a/Source/Decisions/PresetChange.cpp
+++ b/Source/Decisions/PresetChange.cpp
@@ -2,9 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <iterator>
-
 namespace caraway {
 
 namespace {
@@ -88,8 +85,7 @@
 
 void PresetChange::drainActions(Actions &actions)
 {
-    std::ranges::move(actions_, std::back_inserter(actions));
-    actions_.clear();
+    moveActions(actions_, actions);
 }
 
 void PresetChange::sendWrite()
--- a/Source/Decisions/PresetKeeper.cpp
+++ b/Source/Decisions/PresetKeeper.cpp
@@ -2,9 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <iterator>
-
 namespace caraway {
 
 namespace {
@@ -185,8 +182,7 @@
 
 void PresetKeeper::drainActions(Actions &actions)
 {
-    std::ranges::move(actions_, std::back_inserter(actions));
-    actions_.clear();
+    moveActions(actions_, actions);
 }
 
 } // namespace caraway
--- a/Source/Decisions/RequestRouter.cpp
+++ b/Source/Decisions/RequestRouter.cpp
@@ -1,8 +1,5 @@
 #include "Decisions/RequestRouter.h"
 
-#include <algorithm>
-#include <iterator>
-
 namespace caraway {
 
 namespace {
@@ -71,8 +68,7 @@
 
 void RequestRouter::drainActions(Actions &actions)
 {
-    std::ranges::move(actions_, std::back_inserter(actions));
-    actions_.clear();
+    moveActions(actions_, actions);
 }
 
 } // namespace caraway
--- a/Source/Decisions/ShardLease.cpp
+++ b/Source/Decisions/ShardLease.cpp
@@ -175,8 +175,7 @@
 
 void ShardLease::drainActions(Actions &actions)
 {
-    std::ranges::move(actions_, std::back_inserter(actions));
-    actions_.clear();
+    moveActions(actions_, actions);
 }
 
 bool ShardLease::mayClaim() const
--- a/Source/Decisions/ShardScheduler.cpp
+++ b/Source/Decisions/ShardScheduler.cpp
@@ -6,7 +6,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <iterator>
 
 namespace caraway {
 
@@ -102,6 +101,13 @@
     }
 }
 
+template<SchedulingPolicy Policy>
+void ShardScheduler<Policy>::usePreset(const Preset &preset)
+{
+    placer_.usePreset(preset);
+    retries_.usePreset(preset);
+}
+
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::onRequest(TimePoint now, const InstanceId &entry,
                                        const HolderRequest &request)
@@ -357,6 +363,9 @@
     if (task.isIn(Task::State::OnWorker)) {
         const bool succeeded = entry.condition == TaskCondition::Succeeded;
         task.answer = {entry.task.index, entry.attempt, worker, succeeded, entry.content};
+        // A task that was stopped did not fail.
+        if (entry.condition == TaskCondition::Failed)
+            task.setRetryGranted(retries_.grant(job.spec().kind, task.noteFailure()));
         ejection_.onOutcome(now, worker, {job.spec().kind, job.spec().name, !succeeded});
         raise(now, job, entry.task.index, succeeded ? Task::Event::Succeeded : Task::Event::Failed);
     }
@@ -496,6 +505,8 @@
     JobRecord &job = *findJob(id.job);
     Task &task = job.task(id.index);
     WorkerSession &worker = workers_.at(placed.worker);
+    if (task.attempt() == AttemptNumber())
+        retries_.noteFirstStart(job.spec().kind);
     task.placeOn(placed.worker, epoch_);
     worker.addAttempt(id);
     raise(now, job, id.index, Task::Event::Placed);
@@ -613,8 +624,7 @@
 template<SchedulingPolicy Policy>
 void ShardScheduler<Policy>::drainActions(Actions &actions)
 {
-    std::ranges::move(actions_, std::back_inserter(actions));
-    actions_.clear();
+    moveActions(actions_, actions);
 }
 
 template class ShardScheduler<BaselinePolicy>;
--- a/Source/Decisions/ShardScheduler.h
+++ b/Source/Decisions/ShardScheduler.h
@@ -27,7 +27,7 @@
     /// Takes in the shard's workers as the instance list names them.
     void setWorkers(TimePoint now, const std::vector<WorkerMember> &workers);
 
-    void usePreset(const Preset &preset) { placer_.usePreset(preset); }
+    void usePreset(const Preset &preset);
     void setFleetCapacity(const Resources &capacity) { placer_.setFleetCapacity(capacity); }
     void onRequest(TimePoint now, const InstanceId &entry, const HolderRequest &request);
     void onStartAnswered(TimePoint now, const StartAnswered &answer);
@@ -91,6 +91,7 @@
     Epoch epoch_;
     TaskPlacer<Policy> placer_;
     typename Policy::Ejection ejection_;
+    typename Policy::Retries retries_;
     std::map<WorkerId, WorkerSession> workers_;
     JobTable jobs_;
     TakeoverRecord takeover_;
--- a/Source/Decisions/Task.cpp
+++ b/Source/Decisions/Task.cpp
@@ -13,7 +13,7 @@
              "running", "stopping", "done", "failedForGood", "unknown", "dropped"},
             {"submitted", "heldBack", "inventoriesRead", "inventoriesLost", "placed", "started",
              "refused", "unanswered", "found", "succeeded", "failed", "leaseLapsed", "cancelled"},
-            {{"mayRetry", &Task::mayRetry}},
+            {{"mayRetry", &Task::mayRetry}, {"mayRetryFailure", &Task::mayRetryFailure}},
             {{"releaseReservation", &Task::releaseReservation},
              {"enqueue", &Task::enqueue},
              {"stopAttempt", &Task::stopAttempt},
--- a/Source/Decisions/Task.h
+++ b/Source/Decisions/Task.h
@@ -71,11 +71,17 @@
     /// Whether any attempt may have run, for however short a time.
     bool mayHaveRun() const { return mayHaveRun_; }
 
+    /// Counts one more attempt that ran and failed; returns how many there are.
+    std::uint32_t noteFailure() { return ++failures_; }
+    /// Whether an attempt that fails next may be followed by another.
+    void setRetryGranted(bool isGranted) { retryGranted_ = isGranted; }
+
     TaskAnswer answer;
     TimePoint waitingSince;
 
 private:
     bool mayRetry() const { return idempotent_; }
+    bool mayRetryFailure() const { return idempotent_ && retryGranted_; }
     void releaseReservation() { effects_.releaseReservation = true; }
     void enqueue() { effects_.enqueue = true; }
     void stopAttempt() { effects_.stopAttempt = true; }
@@ -87,6 +93,8 @@
     AttemptNumber attempt_;
     bool idempotent_;
     bool mayHaveRun_ = false;
+    bool retryGranted_ = true;
+    std::uint32_t failures_ = 0;
 };
 
 } // namespace caraway
--- a/Source/Duties/PeersDuty.cpp
+++ b/Source/Duties/PeersDuty.cpp
@@ -28,9 +28,11 @@
 
 } // namespace
 
-PeersDuty::PeersDuty(EventRing &events, const Clock &clock, const ServeSettings &settings)
+PeersDuty::PeersDuty(EventRing &events, const Clock &clock, const ServeSettings &settings,
+                     MetricsDuty &metrics)
     : events_(events)
     , clock_(clock)
+    , metrics_(metrics)
     , self_(settings.decisions.self)
     , incarnation_(static_cast<std::uint64_t>(Clock::wallClock().count()))
     , outward_(static_cast<std::size_t>(settings.outwardRing))
@@ -157,6 +159,8 @@
 
 void PeersDuty::carryOut(const InstanceId & /*id*/, const Peer & /*peer*/, PeerLink::Send &action)
 {
+    metrics_.count(Metric::PeerFramesSent);
+    metrics_.offer({Metric::PeerBytesSent, static_cast<double>(action.frame.size()), {}});
     endpoint_.send(action.connection.value(), std::move(action.frame));
 }
 
@@ -168,6 +172,8 @@
 
 void PeersDuty::receive(const std::string &frame)
 {
+    metrics_.count(Metric::PeerFramesReceived);
+    metrics_.offer({Metric::PeerBytesReceived, static_cast<double>(frame.size()), {}});
     const auto offer = [&]() -> Result<void> {
         BOOST_LEAF_AUTO(decoded, decodePeerFrame(frame));
         if (isNew(decoded))
--- a/Source/Duties/PeersDuty.h
+++ b/Source/Duties/PeersDuty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/MetricsDuty.h"
 #include "Duties/Rings.h"
 #include "Duties/ServeSettings.h"
 #include "Duties/WebSocketEndpoint.h"
@@ -17,7 +18,8 @@
 class PeersDuty
 {
 public:
-    PeersDuty(EventRing &events, const Clock &clock, const ServeSettings &settings);
+    PeersDuty(EventRing &events, const Clock &clock, const ServeSettings &settings,
+              MetricsDuty &metrics);
     ~PeersDuty();
 
     /// Queues a message; dropped when too many wait, for its sender says it again.
@@ -52,6 +54,7 @@
 
     EventRing &events_;
     const Clock &clock_;
+    MetricsDuty &metrics_;
     InstanceId self_;
     Incarnation incarnation_;
     Ring<Outward> outward_;
--- a/Source/Duties/UpstreamsDuty.cpp
+++ b/Source/Duties/UpstreamsDuty.cpp
@@ -1,5 +1,7 @@
 #include "Duties/UpstreamsDuty.h"
 
+#include "Core/Stopwatch.h"
+
 #include "Decisions/StableHash.h"
 #include "Messages/WorkerCodec.h"
 
@@ -23,10 +25,12 @@
 
 } // namespace
 
-UpstreamsDuty::UpstreamsDuty(EventRing &events, const Clock &clock, const ServeSettings &settings)
+UpstreamsDuty::UpstreamsDuty(EventRing &events, const Clock &clock, const ServeSettings &settings,
+                             MetricsDuty &metrics)
     : events_(events)
     , clock_(clock)
     , settings_(settings)
+    , metrics_(metrics)
     , ready_(static_cast<std::size_t>(settings.outwardRing))
     , suspect_(static_cast<std::size_t>(settings.outwardRing))
 {
@@ -144,8 +148,7 @@
         return true;
     }
     const std::string body = encodeStart(start, start.notAfter - now, settings_.callers);
-    const httplib::Result response
-            = clientFor(lane, speed, start.endpoint).Post("/v1/tasks", body, "application/json");
+    const httplib::Result response = post(lane, speed, start.endpoint, "tasks", body);
     StartOutcome outcome = StartOutcome::Unanswered;
     if (response && response->status == Ok)
         outcome = StartOutcome::Started;
@@ -159,8 +162,7 @@
 {
     const TimePoint sentAt = clock_.now();
     const httplib::Result response
-            = clientFor(lane, speed, heartbeat.endpoint)
-                      .Post("/v1/heartbeat", encodeHeartbeat(heartbeat), "application/json");
+            = post(lane, speed, heartbeat.endpoint, "heartbeat", encodeHeartbeat(heartbeat));
     HeartbeatAnswered answer;
     if (response && response->status == Ok) {
         answer = recoverFrom([&] { return decodeHeartbeatAnswer(response->body); },
@@ -173,6 +175,19 @@
     return static_cast<bool>(response);
 }
 
+httplib::Result UpstreamsDuty::post(Lane &lane, CallSpeed speed, const Endpoint &endpoint,
+                                    const std::string &call, const std::string &body)
+{
+    const Stopwatch stopwatch;
+    httplib::Result response
+            = clientFor(lane, speed, endpoint).Post("/v1/" + call, body, "application/json");
+    metrics_.count(Metric::WorkerCalls, call);
+    metrics_.offer({Metric::WorkerCallSeconds, stopwatch.seconds(), call});
+    if (!response)
+        metrics_.count(Metric::WorkerFailures, call);
+    return response;
+}
+
 httplib::Client &UpstreamsDuty::clientFor(Lane &lane, CallSpeed speed, const Endpoint &endpoint)
 {
     if (!lane.client || lane.endpoint != endpoint) {
--- a/Source/Duties/UpstreamsDuty.h
+++ b/Source/Duties/UpstreamsDuty.h
@@ -2,6 +2,7 @@
 
 #include "Decisions/CallBreaker.h"
 #include "Duties/HttpClient.h"
+#include "Duties/MetricsDuty.h"
 #include "Duties/Rings.h"
 #include "Duties/ServeSettings.h"
 
@@ -21,7 +22,8 @@
 class UpstreamsDuty
 {
 public:
-    UpstreamsDuty(EventRing &events, const Clock &clock, const ServeSettings &settings);
+    UpstreamsDuty(EventRing &events, const Clock &clock, const ServeSettings &settings,
+                  MetricsDuty &metrics);
     ~UpstreamsDuty();
 
     /// Queues \a call; one that finds no room is answered as not sent.
@@ -57,12 +59,16 @@
     /// Each returns whether the worker answered.
     bool call(Lane &lane, CallSpeed speed, const StartTask &start);
     bool call(Lane &lane, CallSpeed speed, const HeartbeatWorker &heartbeat);
+    /// Posts \a body to /v1/\a call of the worker at \a endpoint, and measures it.
+    httplib::Result post(Lane &lane, CallSpeed speed, const Endpoint &endpoint,
+                         const std::string &call, const std::string &body);
     httplib::Client &clientFor(Lane &lane, CallSpeed speed, const Endpoint &endpoint);
     void answerNotSent(const CallWorker &call);
 
     EventRing &events_;
     const Clock &clock_;
     const ServeSettings &settings_;
+    MetricsDuty &metrics_;
     std::mutex mutex_;
     /// A lane stays at its address for good.
     std::map<WorkerId, std::unique_ptr<Lane>> lanes_;
--- a/Tests/Decisions/ForwardedRequestTest.cpp
+++ b/Tests/Decisions/ForwardedRequestTest.cpp
@@ -38,9 +38,9 @@
     {
         request_.onHolder(at(1000), InstanceId("a"), Epoch(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), take().size());
-        request_.onTick(at(1400));
+        request_.onTick(at(2900));
         CPPUNIT_ASSERT(take().empty());
-        request_.onTick(at(1500));
+        request_.onTick(at(3000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), take().size());
     }
 
--- a/Tests/Standins/WorkerStandin.cpp
+++ b/Tests/Standins/WorkerStandin.cpp
@@ -241,6 +241,7 @@
 {
     httplib::Client client(reportTo["host"].get<std::string>(), reportTo["port"].get<int>());
     client.set_connection_timeout(1s);
+    client.set_tcp_nodelay(true);
     const nlohmann::json body = {{"worker", options_.id}, {"entry", entry}};
     client.Post("/v1/reports", body.dump(), "application/json");
 }
