Test commands by folders of expected files; name the field in a preset's error

Cause: no test ran the command line with bad input. The first one showed that a wrong field in a preset file gave "an error of no known kind": an error raised inside a LEAF handler is lost with the handler's context. `chart` also left out four charts that the lanes added.

Change: Tests/Command has a folder a case with the command, its expected output and its exit code. PresetReader raises its error outside the handler.

Ruled out: a loss in the decoder; its own tests give the right message.

--- a/Source/Command/ChartCommand.cpp
+++ b/Source/Command/ChartCommand.cpp
@@ -1,6 +1,10 @@
 #include "Command/ChartCommand.h"
 
+#include "Decisions/CallBreaker.h"
 #include "Decisions/Instance.h"
+#include "Decisions/PeerLink.h"
+#include "Decisions/WorkerHealth.h"
+#include "Decisions/WorkerSession.h"
 
 #include <fmt/format.h>
 
@@ -25,8 +29,10 @@
 const std::vector<NamedChart> &charts()
 {
     static const std::vector<NamedChart> all
-            = {named<Instance>(), named<ShardLease>(),       named<JobRecord>(),
-               named<Task>(),     named<ForwardedRequest>(), named<PresetChange>()};
+            = {named<Instance>(),    named<ShardLease>(),    named<JobRecord>(),
+               named<Task>(),        named<WorkerSession>(), named<WorkerHealth>(),
+               named<CallBreaker>(), named<PeerLink>(),      named<ForwardedRequest>(),
+               named<PresetChange>()};
     return all;
 }
 
--- a/Source/Command/PresetReader.cpp
+++ b/Source/Command/PresetReader.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <toml++/toml.h>
 
+#include <optional>
 #include <sstream>
 
 namespace caraway {
@@ -32,11 +33,20 @@
                                 error.description()));
     }
     BOOST_LEAF_AUTO(json, parseJson(toJsonText(document)));
-    return boost::leaf::try_handle_some([&] { return decodePreset(json); },
-                                        [&](const Error &error) -> Result<Preset> {
-                                            return fail(ErrorKind::InvalidSettings,
-                                                        fmt::format("{}: {}", path, error.message));
-                                        });
+    // An error raised inside a LEAF handler would be lost with the handler's own context.
+    std::string problem;
+    std::optional<Preset> preset = recoverFrom(
+            [&]() -> Result<std::optional<Preset>> {
+                BOOST_LEAF_AUTO(decoded, decodePreset(json));
+                return std::optional<Preset>(std::move(decoded));
+            },
+            [&](const Error &error) {
+                problem = error.message;
+                return std::optional<Preset>();
+            });
+    if (!preset)
+        return fail(ErrorKind::InvalidSettings, fmt::format("{}: {}", path, problem));
+    return std::move(*preset);
 }
 
 } // namespace caraway
--- /dev/null
+++ b/Tests/Command/RunCommand.cmake
@@ -0,0 +1,16 @@
+# Runs one command in its folder and compares output and exit code with the files beside it.
+file(READ "${FOLDER}/command.txt" words)
+string(STRIP "${words}" words)
+separate_arguments(words)
+execute_process(COMMAND "${BINARY}" ${words} WORKING_DIRECTORY "${FOLDER}"
+                OUTPUT_VARIABLE output ERROR_VARIABLE output RESULT_VARIABLE code)
+foreach(part IN ITEMS output exit-code)
+  file(READ "${FOLDER}/expected-${part}.txt" expected)
+  set(seen "${output}")
+  if(part STREQUAL "exit-code")
+    set(seen "${code}\n")
+  endif()
+  if(NOT seen STREQUAL expected)
+    message(FATAL_ERROR "The ${part} of `carawaymount ${words}` is\n${seen}\nand should be\n${expected}")
+  endif()
+endforeach()
