--- /dev/null
+++ b/Source/Cell/CellConfiguration.cpp
@@ -0,0 +1,26 @@
+#include "Cell/JobSpec.h"
+
+namespace caraway::cell {
+
+const Queue *CellConfiguration::queueAt(std::string_view host, std::string_view path) const
+{
+    const Queue *best = nullptr;
+    for (const Queue &candidate : queues) {
+        if (candidate.host != host || !path.starts_with(candidate.prefix))
+            continue;
+        if (!best || candidate.prefix.size() > best->prefix.size())
+            best = &candidate;
+    }
+    return best;
+}
+
+const Queue *CellConfiguration::queue(const QueueId &id) const
+{
+    for (const Queue &candidate : queues) {
+        if (candidate.id == id)
+            return &candidate;
+    }
+    return nullptr;
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/CellJob.cpp
@@ -0,0 +1,155 @@
+#include "Cell/CellJob.h"
+
+#include <algorithm>
+
+namespace caraway::cell {
+
+const std::string *StepApprovals::validTicket(const WorkerId &worker, TimePoint at) const
+{
+    const auto found = approved.find(worker);
+    return found != approved.end() && at < found->second.validUntil ? &found->second.text : nullptr;
+}
+
+std::size_t CellStep::count(CellTask::State state) const
+{
+    return static_cast<std::size_t>(std::count_if(
+            tasks.begin(), tasks.end(), [&](const CellTask &task) { return task.isIn(state); }));
+}
+
+CellJob::CellJob(AcceptedJob accepted, const JobProgress &progress, TimePoint now)
+    : accepted_(std::move(accepted))
+    , arrivedAt_(now)
+{
+    const JobSpec &spec = accepted_.spec;
+    const std::int64_t repetitions = std::max<std::int64_t>(spec.schedule.runs, 1);
+    for (std::int64_t k = 0; k < repetitions; ++k) {
+        for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+            CellStep step;
+            step.key = {spec.id, Occurrence(static_cast<std::uint64_t>(k)), StepIndex(index)};
+            step.spec = spec.steps[index];
+            if (spec.schedule.runs > 0) {
+                step.due = spec.schedule.firstDue + WallTime(spec.schedule.interval.count() * k);
+            }
+            step.tasks.resize(static_cast<std::size_t>(step.spec.tasks));
+            steps_.push_back(std::move(step));
+        }
+    }
+    restore(progress);
+}
+
+void CellJob::restore(const JobProgress &progress)
+{
+    for (std::size_t row = 0; row < std::min(progress.steps.size(), steps_.size()); ++row) {
+        CellStep &step = steps_[row];
+        const StepProgress &saved = progress.steps[row];
+        for (std::size_t i = 0; i < std::min(saved.done.size(), step.tasks.size()); ++i) {
+            if (!saved.done[i])
+                continue;
+            step.tasks[i].handle(CellTask::Event::Succeeded);
+            ++step.doneTasks;
+            begin();
+        }
+        for (const auto &[index, count] : saved.failures) {
+            begin();
+            if (step.spec.gang)
+                step.gangFailures = count;
+            else if (index < step.tasks.size())
+                step.tasks[index].failures = count;
+        }
+        for (const auto &[index, run] : saved.countedRuns) {
+            if (step.spec.gang)
+                step.countedGangRun = RunNumber(run);
+            else if (index < step.tasks.size())
+                step.tasks[index].countedRun = RunNumber(run);
+        }
+        for (const auto &[index, text] : saved.checkpoints) {
+            if (step.spec.gang)
+                step.gangCheckpoint = text;
+            else if (index < step.tasks.size())
+                step.tasks[index].checkpoint = text;
+        }
+    }
+}
+
+CellStep *CellJob::step(Occurrence occurrence, StepIndex index)
+{
+    const std::size_t width = accepted_.spec.steps.size();
+    const std::size_t row = occurrence.value() * width + index.value();
+    return index.value() < width && row < steps_.size() ? &steps_[row] : nullptr;
+}
+
+bool CellJob::begin()
+{
+    if (begun_)
+        return false;
+    begun_ = true;
+    if (!isFinal(state_))
+        state_ = JobState::Running;
+    return true;
+}
+
+void CellJob::finish(JobState state)
+{
+    state_ = state;
+    for (CellStep &step : steps_) {
+        for (CellTask &task : step.tasks)
+            task.withdraw();
+    }
+}
+
+bool CellJob::hasTasksOnWorkers() const
+{
+    return std::any_of(steps_.begin(), steps_.end(), [](const CellStep &step) {
+        return step.count(CellTask::State::OnWorker) > 0;
+    });
+}
+
+bool CellJob::isDone() const
+{
+    return std::all_of(steps_.begin(), steps_.end(),
+                       [](const CellStep &step) { return step.isDone(); });
+}
+
+bool CellJob::arePredecessorsDone(const CellStep &step) const
+{
+    const std::size_t width = accepted_.spec.steps.size();
+    const std::size_t first = step.key.occurrence.value() * width;
+    return std::all_of(step.spec.after.begin(), step.spec.after.end(), [&](StepIndex before) {
+        return before.value() < width && steps_[first + before.value()].isDone();
+    });
+}
+
+void CellJob::updateReadiness(TimePoint now, WallTime wallTime)
+{
+    for (CellStep &step : steps_) {
+        if (!step.readySince && wallTime >= step.due && arePredecessorsDone(step))
+            step.readySince = now;
+    }
+}
+
+JobProgress CellJob::progress() const
+{
+    JobProgress progress;
+    for (const CellStep &step : steps_) {
+        StepProgress &row = progress.steps.emplace_back();
+        if (step.gangFailures > 0) {
+            row.failures[0] = step.gangFailures;
+            row.countedRuns[0] = step.countedGangRun.value();
+        }
+        if (!step.gangCheckpoint.empty())
+            row.checkpoints[0] = step.gangCheckpoint;
+        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+            const CellTask &task = step.tasks[i];
+            row.done.push_back(task.isIn(CellTask::State::Done));
+            if (task.failures > 0) {
+                row.failures[i] = task.failures;
+                row.countedRuns[i] = task.countedRun.value();
+            }
+            if (!task.checkpoint.empty() && !task.isIn(CellTask::State::Done))
+                row.checkpoints[i] = task.checkpoint;
+        }
+    }
+    return progress;
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/CellNode.cpp
@@ -0,0 +1,371 @@
+#include "Cell/CellNode.h"
+
+namespace caraway::cell {
+
+namespace {
+
+/// Accepted jobs reach the holder over peer links; this is the sure way for those that do not.
+constexpr AreaFollower::Intervals intakeIntervals {Milliseconds(3000), Milliseconds(150)};
+/// A worker that drains has to be known within two seconds.
+constexpr AreaFollower::Intervals workerIntervals {Milliseconds(1000), Milliseconds(100)};
+/// States reach the other instances in batches of this length.
+constexpr Milliseconds broadcastInterval {60};
+/// Counts are sent this often also when nothing changed; it shows that the holder is there.
+constexpr Milliseconds loadsInterval {400};
+constexpr Milliseconds helloInterval {700};
+/// Longer silence than this means that states and counts may be old.
+constexpr Milliseconds holderSilence {1500};
+/// An instance that the store has not answered for this long sends callers elsewhere.
+constexpr Milliseconds storeSilence {2500};
+constexpr Milliseconds peerSilence {5000};
+
+} // namespace
+
+CellNode::CellNode(CellSettings settings, ProcessId self)
+    : context_(std::move(settings), std::move(self))
+    , configuration_(context_)
+    , scheduler_(context_, configuration_,
+                 {[this](const JobId &job, JobState state) { onStateChanged(job, state); },
+                  [this] { election_.onSuperseded(); }})
+    , election_(context_, {[this] { beginTerm(); }, [this] { endTerm(); }})
+    , intake_(context_, RecordArea::Intake, intakeIntervals,
+              {[this](const StoreItem &item) { onIntake(item); }, [](const RecordKey &) {},
+               [this](TimePoint) { checkLoaded(); }})
+    , workers_(context_, RecordArea::Workers, workerIntervals,
+               {[this](const StoreItem &item) { onWorkerItem(item); },
+                [this](const RecordKey &key) { scheduler_.removeWorker(WorkerId(key.name)); },
+                [this](TimePoint) { checkLoaded(); }})
+    , desk_(context_, configuration_, deskHandlers())
+{
+}
+
+EntryDesk::Handlers CellNode::deskHandlers()
+{
+    EntryDesk::Handlers handlers;
+    handlers.accepted = [this](const AcceptedJob &job) {
+        if (scheduler_.isActive())
+            scheduler_.addJob(job, {});
+        else if (const std::optional<Address> holder = holderAddress())
+            context_.send(*holder, PeerJobAccepted {job});
+    };
+    handlers.cancelled = [this](const JobId &job) {
+        if (scheduler_.isActive())
+            scheduler_.cancelJob(job);
+        else if (const std::optional<Address> holder = holderAddress())
+            context_.send(*holder, PeerJobCancelled {job});
+    };
+    handlers.generation = [this]() -> std::uint64_t {
+        return election_.holder() ? election_.holder()->generation : 0;
+    };
+    handlers.isHolderHeard = [this] { return isHolderHeard(); };
+    return handlers;
+}
+
+void CellNode::start(TimePoint now, WallTime wallTime)
+{
+    context_.setTime(now, wallTime);
+    context_.log("event=start instance={} zone={} life={}", context_.self().instance.value(),
+                 context_.settings().zone.value(), context_.self().life);
+    configuration_.start();
+    election_.start();
+}
+
+void CellNode::handle(TimePoint now, WallTime wallTime, const CellEvent &event)
+{
+    context_.setTime(now, wallTime);
+    std::visit([this](const auto &body) { on(body); }, event);
+}
+
+void CellNode::settle()
+{
+    scheduler_.settle(election_.maySchedule());
+    if (context_.now() >= nextBroadcast_)
+        broadcast();
+}
+
+bool CellNode::isReady() const
+{
+    return !stopping_ && configuration_.current()
+            && context_.now() - configuration_.confirmedAt() < storeSilence;
+}
+
+void CellNode::on(const Tick & /*tick*/)
+{
+    configuration_.tick();
+    election_.tick();
+    intake_.tick();
+    workers_.tick();
+    desk_.tick();
+    if (loading_) {
+        for (const std::function<void()> &retry : std::exchange(loading_->retries, {}))
+            retry();
+    }
+    scheduler_.tick(election_.maySchedule());
+    if (context_.now() >= nextHello_)
+        sayHello();
+}
+
+void CellNode::on(const StopRequested & /*stop*/)
+{
+    if (stopping_)
+        return;
+    stopping_ = true;
+    context_.log("event=stop_requested holder={} under_way={}", election_.isHolder(),
+                 desk_.requestsUnderWay());
+    election_.stop();
+}
+
+void CellNode::on(const PeerFrame &frame)
+{
+    std::visit([&](const auto &message) { onMessage(frame, message); }, frame.message);
+}
+
+void CellNode::on(const PeerLost &lost)
+{
+    peers_.erase(lost.peer);
+    scheduler_.approvals().onPeerLost(lost.peer);
+    if (lost.refused)
+        election_.onPeerRefused(lost.peer);
+}
+
+void CellNode::onMessage(const PeerFrame &frame, const PeerHello & /*hello*/)
+{
+    if (!peers_.contains(frame.fromAddress))
+        nextLoads_ = context_.now();
+    peers_[frame.fromAddress] = context_.now();
+    scheduler_.approvals().onPeer(frame.fromAddress);
+}
+
+void CellNode::onMessage(const PeerFrame & /*frame*/, const PeerJobAccepted &message)
+{
+    scheduler_.addJob(message.job, {});
+}
+
+void CellNode::onMessage(const PeerFrame & /*frame*/, const PeerJobCancelled &message)
+{
+    scheduler_.cancelJob(message.job);
+}
+
+void CellNode::onMessage(const PeerFrame &frame, const PeerApprovalRequest &message)
+{
+    context_.callApprovals(
+            message.request, message.timeout,
+            [this, to = frame.fromAddress, number = message.number](const ApprovalReply &reply) {
+                context_.send(to, PeerApprovalReply {number, reply});
+            });
+}
+
+void CellNode::onMessage(const PeerFrame & /*frame*/, const PeerApprovalReply &message)
+{
+    scheduler_.approvals().onPeerReply(message);
+}
+
+void CellNode::onMessage(const PeerFrame &frame, const PeerStateUpdate &message)
+{
+    configuration_.onHeard(message.configuration);
+    for (const JobStateRow &row : message.changed)
+        desk_.noteState(row.job, row.state);
+    const std::optional<HolderRecord> &holder = election_.holder();
+    if (!holder || holder->process != frame.from)
+        return;
+    holderHeard_ = true;
+    holderHeardAt_ = context_.now();
+    if (!message.queues.empty())
+        desk_.noteLoads(message.queues);
+}
+
+bool CellNode::isHolderHeard() const
+{
+    if (election_.isHolder())
+        return scheduler_.isActive();
+    return holderHeard_ && context_.now() - holderHeardAt_ < holderSilence;
+}
+
+std::optional<Address> CellNode::holderAddress() const
+{
+    const std::optional<HolderRecord> &holder = election_.holder();
+    if (!holder || holder->process == context_.self())
+        return std::nullopt;
+    return holder->peers;
+}
+
+void CellNode::sayHello()
+{
+    nextHello_ = context_.now() + helloInterval;
+    if (const std::optional<Address> holder = holderAddress())
+        context_.send(*holder, PeerHello {context_.settings().peers});
+}
+
+void CellNode::onStateChanged(const JobId &job, JobState state)
+{
+    desk_.noteState(job, state);
+    changedStates_.push_back({job, state});
+}
+
+void CellNode::broadcast()
+{
+    if (!scheduler_.isActive())
+        return;
+    const bool areLoadsDue = context_.now() >= nextLoads_;
+    if (changedStates_.empty() && !areLoadsDue)
+        return;
+    nextBroadcast_ = context_.now() + broadcastInterval;
+    PeerStateUpdate update;
+    update.configuration = configuration_.version();
+    update.changed = std::exchange(changedStates_, {});
+    if (areLoadsDue) {
+        nextLoads_ = context_.now() + loadsInterval;
+        update.queues = scheduler_.loads();
+        desk_.noteLoads(update.queues);
+    }
+    std::erase_if(peers_,
+                  [&](const auto &peer) { return context_.now() - peer.second > peerSilence; });
+    for (const auto &[address, heardAt] : peers_)
+        context_.send(address, update);
+}
+
+void CellNode::beginTerm()
+{
+    ++term_;
+    loading_.emplace();
+    intake_.start();
+    workers_.start();
+    loadProgress(term_, std::nullopt);
+    loadSequence(term_);
+    loadRoster(term_);
+}
+
+void CellNode::endTerm()
+{
+    ++term_;
+    loading_.reset();
+    intake_.stop();
+    workers_.stop();
+    scheduler_.end();
+}
+
+void CellNode::retryLoad(std::function<void()> part)
+{
+    loading_->retries.push_back(std::move(part));
+}
+
+void CellNode::loadProgress(std::uint64_t term, std::optional<RecordKey> after)
+{
+    context_.callStore(StoreList {RecordArea::Progress, after},
+                       [this, term, after](const StoreReply &reply) {
+                           if (term != term_ || !loading_)
+                               return;
+                           if (reply.outcome != StoreOutcome::Done) {
+                               retryLoad([this, term, after] { loadProgress(term, after); });
+                               return;
+                           }
+                           for (const StoreItem &item : reply.items) {
+                               if (const auto *progress = std::get_if<JobProgress>(&item.value))
+                                   loading_->progress[item.key.name] = *progress;
+                           }
+                           if (reply.hasMore && !reply.items.empty()) {
+                               loadProgress(term, reply.items.back().key);
+                               return;
+                           }
+                           loading_->progressRead = true;
+                           checkLoaded();
+                       });
+}
+
+void CellNode::loadSequence(std::uint64_t term)
+{
+    context_.callStore(StoreGet {{RecordArea::CommitSequence, {}}},
+                       [this, term](const StoreReply &reply) {
+                           if (term != term_ || !loading_)
+                               return;
+                           if (reply.outcome == StoreOutcome::Done)
+                               loading_->sequence = reply.items.front().revision;
+                           else if (reply.outcome == StoreOutcome::NotFound)
+                               loading_->sequence = Revision();
+                           else
+                               retryLoad([this, term] { loadSequence(term); });
+                           checkLoaded();
+                       });
+}
+
+void CellNode::loadRoster(std::uint64_t term)
+{
+    context_.callStore(StoreGet {{RecordArea::Roster, {}}}, [this, term](const StoreReply &reply) {
+        if (term != term_ || !loading_)
+            return;
+        const RosterRecord *roster = nullptr;
+        if (!reply.items.empty())
+            roster = std::get_if<RosterRecord>(&reply.items.front().value);
+        if (reply.outcome == StoreOutcome::Done && roster)
+            loading_->roster = roster->workers;
+        else if (reply.outcome == StoreOutcome::NotFound)
+            loading_->roster.emplace();
+        else
+            retryLoad([this, term] { loadRoster(term); });
+        checkLoaded();
+    });
+}
+
+void CellNode::checkLoaded()
+{
+    if (!loading_ || !loading_->progressRead || !loading_->sequence || !loading_->roster
+        || !intake_.isRead() || !workers_.isRead()) {
+        return;
+    }
+    const Loading loaded = std::move(*loading_);
+    loading_.reset();
+    context_.log("event=term_loaded generation={} jobs={} progress={} workers={} roster={}",
+                 election_.generation(), loaded.jobs.size(), loaded.progress.size(),
+                 loaded.workers.size(), loaded.roster->size());
+    scheduler_.begin({election_.token(), election_.generation(), election_.condition(),
+                      *loaded.sequence, *loaded.roster});
+    for (const WorkerEntry &entry : loaded.workers)
+        scheduler_.setWorker(entry);
+    for (const JobId &job : loaded.cancels)
+        scheduler_.cancelJob(job);
+    for (const AcceptedJob &job : loaded.jobs) {
+        const auto progress = loaded.progress.find(job.spec.id.value());
+        scheduler_.addJob(job,
+                          progress == loaded.progress.end() ? JobProgress() : progress->second);
+    }
+    nextLoads_ = context_.now();
+    election_.onLoaded();
+}
+
+void CellNode::onIntake(const StoreItem &item)
+{
+    const auto *job = std::get_if<AcceptedJob>(&item.value);
+    const bool isCancel = item.key.area == RecordArea::Cancels;
+    if (!job && !isCancel) {
+        context_.log("event=record_unreadable name={} revision={}", item.key.name,
+                     item.revision.value());
+        return;
+    }
+    if (loading_) {
+        if (job)
+            loading_->jobs.push_back(*job);
+        else
+            loading_->cancels.emplace_back(item.key.name);
+    } else if (job) {
+        scheduler_.addJob(*job, {});
+    } else {
+        scheduler_.cancelJob(JobId(item.key.name));
+    }
+}
+
+void CellNode::onWorkerItem(const StoreItem &item)
+{
+    const auto *entry = std::get_if<WorkerEntry>(&item.value);
+    if (!entry) {
+        context_.log("event=worker_entry_unreadable name={} revision={}", item.key.name,
+                     item.revision.value());
+        scheduler_.removeWorker(WorkerId(item.key.name));
+        return;
+    }
+    if (loading_)
+        loading_->workers.push_back(*entry);
+    else
+        scheduler_.setWorker(*entry);
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/CellPlacing.cpp
@@ -0,0 +1,303 @@
+#include "Cell/CellScheduler.h"
+
+#include <cmath>
+
+namespace caraway::cell {
+
+namespace {
+
+/// Most workers that one question to the policy service may name.
+constexpr std::size_t maxAskedWorkers = 100;
+/// Until something is learned, half of the workers are taken to be approved.
+constexpr double defaultApprovalShare = 0.5;
+/// Weight of the newest answer in the learned share.
+constexpr double approvalLearningRate = 0.1;
+/// Beyond what the learned share asks for, as answers vary.
+constexpr double askReserve = 1.3;
+constexpr std::size_t askAtLeast = 3;
+/// A question is not put while every instance has this much to ask already.
+constexpr Milliseconds longestAskQueue {600};
+/// A ticket is used up to this long before it expires, for the way to the worker.
+constexpr Milliseconds ticketMargin {200};
+constexpr Milliseconds askPause {60};
+/// Runs of a term begin above those of all earlier terms.
+constexpr unsigned runBits = 12;
+constexpr std::int64_t percent = 100;
+constexpr std::int64_t microsecondsPerMillisecond = 1000;
+
+Milliseconds longestChain(const JobSpec &spec)
+{
+    std::vector<Milliseconds> ends;
+    Milliseconds longest;
+    for (const StepSpec &step : spec.steps) {
+        Milliseconds begin;
+        for (const StepIndex before : step.after) {
+            if (before.value() < ends.size())
+                begin = std::max(begin, ends[before.value()]);
+        }
+        ends.push_back(begin + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace
+
+bool CellScheduler::isStartable(const CellJob &job, const CellStep &step) const
+{
+    if (!step.readySince || step.isDone() || isFinal(job.state()))
+        return false;
+    // An unread worker may run a task that an earlier holder started.
+    if (!fleet_.isRecovered() && job.accepted().generation < generation_)
+        return false;
+    const std::size_t waiting = step.count(CellTask::State::Waiting);
+    return step.spec.gang ? waiting == step.tasks.size() : waiting > 0;
+}
+
+TimePoint CellScheduler::objectiveOf(const CellJob &job, const Queue &queue) const
+{
+    const Milliseconds chain = longestChain(job.accepted().spec);
+    return job.arrivedAt() + chain * queue.stretchPercent / percent + queue.objective;
+}
+
+std::vector<StartCandidate> CellScheduler::candidates()
+{
+    std::vector<StartCandidate> found;
+    for (auto &[id, job] : jobs_) {
+        for (CellStep &step : job->steps()) {
+            if (!isStartable(*job, step))
+                continue;
+            const Queue &queue = termsOf(*job);
+            found.push_back({job.get(), &step, &queue, objectiveOf(*job, queue)});
+        }
+    }
+    std::sort(found.begin(), found.end(),
+              [now = context_.now()](const StartCandidate &a, const StartCandidate &b) {
+                  return Order::startsBefore(a, b, now);
+              });
+    return found;
+}
+
+void CellScheduler::startWhatFits()
+{
+    for (const StartCandidate &candidate : candidates())
+        startStep(candidate);
+}
+
+void CellScheduler::startStep(const StartCandidate &candidate)
+{
+    if (candidate.step->spec.gang)
+        startGang(candidate);
+    else
+        startSingles(candidate);
+}
+
+bool CellScheduler::needsApproval(const Queue &queue) const
+{
+    return queue.approval.has_value() && context_.settings().approvals.port != 0;
+}
+
+bool CellScheduler::mayRun(const CellWorker &worker, const StartCandidate &candidate) const
+{
+    const StepSpec &spec = candidate.step->spec;
+    if (!fleet_.isUsable(worker) || worker.entry->upstream != candidate.queue->upstream)
+        return false;
+    const std::vector<Label> &labels = worker.entry->labels;
+    return spec.requiredLabel.isEmpty()
+            || std::find(labels.begin(), labels.end(), spec.requiredLabel) != labels.end();
+}
+
+std::int64_t CellScheduler::roomFor(const CellWorker &worker, const CellStep &step) const
+{
+    Resources need = step.spec.need;
+    std::int64_t most = step.spec.tasks;
+    if (step.spec.maxPerWorker > 0) {
+        most = step.spec.maxPerWorker;
+        for (const Placement &placement : worker.placements) {
+            const TaskKey &task = placement.task;
+            const bool isSameStep = task.job == step.key.job && task.step == step.key.step
+                    && task.occurrence == step.key.occurrence;
+            most -= isSameStep ? 1 : 0;
+        }
+    }
+    if (step.spec.fillsIdleTime)
+        need.processors = {};
+    return most > 0 ? need.timesIn(worker.room(), most) : 0;
+}
+
+const CellWorker *CellScheduler::bestWorker(const StartCandidate &candidate)
+{
+    const bool asks = needsApproval(*candidate.queue);
+    const CellWorker *best = nullptr;
+    double bestValue = 0;
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (asks && !candidate.step->approvals.validTicket(id, context_.now()))
+            continue;
+        if (!mayRun(worker, candidate) || roomFor(worker, *candidate.step) < 1)
+            continue;
+        const double value = Choice::suitability(worker, worker.room(), candidate.step->spec);
+        if (!best || value > bestValue) {
+            best = &worker;
+            bestValue = value;
+        }
+    }
+    return best;
+}
+
+RunNumber CellScheduler::nextRun(const CellTask &task) const
+{
+    const std::uint64_t floor = generation_ << runBits;
+    return RunNumber(std::max(task.run().value(), floor) + 1);
+}
+
+void CellScheduler::startSingles(const StartCandidate &candidate)
+{
+    CellStep &step = *candidate.step;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        if (!step.tasks[i].isIn(CellTask::State::Waiting))
+            continue;
+        const CellWorker *worker = bestWorker(candidate);
+        if (!worker) {
+            askApproval(candidate, static_cast<std::int64_t>(step.count(CellTask::State::Waiting)));
+            return;
+        }
+        startTask(candidate, i, nextRun(step.tasks[i]), *worker);
+    }
+}
+
+void CellScheduler::startGang(const StartCandidate &candidate)
+{
+    CellStep &step = *candidate.step;
+    const bool asks = needsApproval(*candidate.queue);
+    std::vector<const CellWorker *> seats;
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (asks && !step.approvals.validTicket(id, context_.now()))
+            continue;
+        if (!mayRun(worker, candidate))
+            continue;
+        const auto room = static_cast<std::size_t>(roomFor(worker, step));
+        const std::size_t missing = step.tasks.size() - seats.size();
+        seats.insert(seats.end(), std::min(room, missing), &worker);
+    }
+    if (seats.size() < step.tasks.size()) {
+        askApproval(candidate, step.spec.tasks);
+        return;
+    }
+    RunNumber run;
+    for (const CellTask &task : step.tasks)
+        run = std::max(run, nextRun(task));
+    for (std::size_t i = 0; i < step.tasks.size(); ++i)
+        startTask(candidate, i, run, *seats[i]);
+}
+
+void CellScheduler::startTask(const StartCandidate &candidate, std::size_t index, RunNumber run,
+                              const CellWorker &worker)
+{
+    CellStep &step = *candidate.step;
+    CellTask &task = step.tasks[index];
+    WorkerFleet::StartOrder order;
+    order.task = step.taskKey(index);
+    order.run = run;
+    order.payload = candidate.job->accepted().spec.payload;
+    order.checkpoint = step.spec.gang ? step.gangCheckpoint : task.checkpoint;
+    order.need = step.spec.need;
+    if (step.spec.fillsIdleTime)
+        order.need.processors = {};
+    if (const std::string *ticket = step.approvals.validTicket(worker.id(), context_.now()))
+        order.ticket = *ticket;
+    task.assign(worker.id(), run, context_.now());
+    task.handle(CellTask::Event::Placed);
+    context_.log("event=task_start job={} step={} task={} run={} worker={} config={} waited_ms={}",
+                 step.key.job.value(), step.key.step.value(), index, run.value(),
+                 worker.id().value(), configuration_.version().value(),
+                 (context_.now() - *step.readySince).count());
+    fleet_.start(worker.id(), std::move(order));
+}
+
+std::vector<WorkerId> CellScheduler::workersToAsk(const StartCandidate &candidate,
+                                                  std::int64_t tasks)
+{
+    const CellStep &step = *candidate.step;
+    const auto share = approvalShare_.try_emplace(candidate.queue->id, defaultApprovalShare);
+    std::vector<std::pair<std::int64_t, WorkerId>> unknown;
+    std::vector<WorkerId> asked;
+    std::int64_t seats = 0;
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (step.approvals.denied.contains(id) || !mayRun(worker, candidate))
+            continue;
+        const std::int64_t room = roomFor(worker, step);
+        if (room < 1)
+            continue;
+        if (!step.approvals.approved.contains(id)) {
+            unknown.emplace_back(room, id);
+        } else if (!step.approvals.validTicket(id, context_.now())) {
+            asked.push_back(id);
+            seats += room;
+        } else {
+            seats += room;
+        }
+    }
+    std::sort(unknown.begin(), unknown.end(), std::greater<>());
+    double expected = static_cast<double>(seats);
+    const double wanted = static_cast<double>(tasks) * askReserve;
+    for (const auto &[room, id] : unknown) {
+        const bool isEnough = expected >= wanted && asked.size() >= askAtLeast;
+        if (isEnough || asked.size() >= maxAskedWorkers)
+            break;
+        asked.push_back(id);
+        expected += static_cast<double>(room) * share.first->second;
+    }
+    return asked;
+}
+
+void CellScheduler::askApproval(const StartCandidate &candidate, std::int64_t tasks)
+{
+    StepApprovals &approvals = candidate.step->approvals;
+    if (!needsApproval(*candidate.queue) || approvals.asking || context_.now() < approvals.nextAsk)
+        return;
+    if (approvals_.shortestQueue() > longestAskQueue)
+        return;
+    std::vector<WorkerId> asked = workersToAsk(candidate, tasks);
+    if (asked.empty())
+        return;
+    const ApprovalTerms &terms = *candidate.queue->approval;
+    const std::int64_t micros
+            = terms.perWorkerMicroseconds * static_cast<std::int64_t>(asked.size());
+    const Milliseconds cost = terms.perDecision + Milliseconds(micros / microsecondsPerMillisecond);
+    approvals.asking = true;
+    approvals.nextAsk = context_.now() + askPause;
+    ApprovalRequest request {candidate.step->key, asked};
+    approvals_.ask(std::move(request), cost,
+                   [this, term = term_, key = candidate.step->key, asked = std::move(asked),
+                    askedAt = context_.now(),
+                    validity = terms.validity](const ApprovalReply &reply) {
+                       if (term == term_ && active_)
+                           onApproval(key, asked, askedAt, validity, reply);
+                   });
+}
+
+void CellScheduler::onApproval(const StepKey &key, const std::vector<WorkerId> &asked,
+                               TimePoint /*askedAt*/, Milliseconds validity,
+                               const ApprovalReply &reply)
+{
+    CellJob *job = findJob(key.job);
+    CellStep *step = job ? job->step(key.occurrence, key.step) : nullptr;
+    if (!step)
+        return;
+    step->approvals.asking = false;
+    changed_ = true;
+    if (!reply.answered)
+        return;
+    step->approvals.denied.insert(asked.begin(), asked.end());
+    for (const Approval &approval : reply.approved) {
+        step->approvals.denied.erase(approval.worker);
+        step->approvals.approved[approval.worker]
+                = {approval.ticket, context_.now() + validity - ticketMargin};
+    }
+    const double share = static_cast<double>(reply.approved.size())
+            / static_cast<double>(std::max<std::size_t>(asked.size(), 1));
+    double &learned = approvalShare_[termsOf(*job).id];
+    learned += (share - learned) * approvalLearningRate;
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/CellScheduler.cpp
@@ -0,0 +1,434 @@
+#include "Cell/CellScheduler.h"
+
+namespace caraway::cell {
+
+namespace {
+
+/// Between two looks for gangs that lost a member.
+constexpr Milliseconds repairInterval {100};
+
+} // namespace
+
+CellScheduler::CellScheduler(CellContext &context, const ConfigurationKeeper &configuration,
+                             Handlers handlers)
+    : context_(context)
+    , configuration_(configuration)
+    , handlers_(std::move(handlers))
+    , fleet_(context, fleetHandlers())
+    , recorder_(context, recorderHandlers())
+    , approvals_(context)
+{
+}
+
+WorkerFleet::Handlers CellScheduler::fleetHandlers()
+{
+    WorkerFleet::Handlers handlers;
+    handlers.started = [this](const CellWorker &worker, const TaskKey &key, RunNumber run) {
+        onStarted(worker, key, run);
+    };
+    handlers.found = [this](const CellWorker &worker, const RunningTask &running) {
+        return onFound(worker, running);
+    };
+    handlers.progressed = [this](const CellWorker &worker, const RunningTask &running) {
+        onProgressed(worker, running);
+    };
+    handlers.ended = [this](const CellWorker &worker, const EndedTask &end) {
+        return onEnded(worker, end);
+    };
+    handlers.absent = [this](const CellWorker &worker, const TaskKey &key, RunNumber run,
+                             WorkerOutcome outcome) { onAbsent(worker, key, run, outcome); };
+    handlers.unanswered = [this](const TaskKey &key, RunNumber run) { onUnanswered(key, run); };
+    handlers.fenced = [this] { handlers_.superseded(); };
+    return handlers;
+}
+
+ProgressRecorder::Handlers CellScheduler::recorderHandlers()
+{
+    ProgressRecorder::Handlers handlers;
+    handlers.snapshot = [this](const JobId &id) { return snapshot(id); };
+    handlers.endRecorded = [this](const ProgressRecorder::CoveredEnd &end) {
+        fleet_.recorded(end.worker, end.life, end.number);
+    };
+    handlers.resultRecorded
+            = [this](const JobId &id, JobState state) { onResultRecorded(id, state); };
+    handlers.rosterRecorded = [this](const std::vector<WorkerId> &roster) {
+        rosterAsked_ = false;
+        roster_ = {roster.begin(), roster.end()};
+        fleet_.setRostered(roster_);
+        changed_ = true;
+    };
+    handlers.superseded = [this] { handlers_.superseded(); };
+    return handlers;
+}
+
+void CellScheduler::begin(Term term)
+{
+    end();
+    ++term_;
+    active_ = true;
+    generation_ = term.generation;
+    roster_ = {term.roster.begin(), term.roster.end()};
+    fleet_.begin(term.token, term.roster);
+    recorder_.begin(std::move(term.holder), term.sequence);
+}
+
+void CellScheduler::end()
+{
+    active_ = false;
+    rosterAsked_ = false;
+    jobs_.clear();
+    ended_.clear();
+    cancels_.clear();
+    fleet_.end();
+    recorder_.end();
+    approvals_.clear();
+}
+
+CellJob *CellScheduler::findJob(const JobId &id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+CellStep *CellScheduler::findStep(const TaskKey &key, CellJob *&job)
+{
+    job = findJob(key.job);
+    CellStep *step = job ? job->step(key.occurrence, key.step) : nullptr;
+    return step && key.index.value() < step->tasks.size() ? step : nullptr;
+}
+
+CellTask *CellScheduler::findRun(const TaskKey &key, RunNumber run, const WorkerId &worker)
+{
+    CellJob *job = nullptr;
+    CellStep *step = findStep(key, job);
+    if (!step)
+        return nullptr;
+    CellTask &task = step->tasks[key.index.value()];
+    const bool isPresent
+            = task.isIn(CellTask::State::OnWorker) && task.run() == run && task.worker() == worker;
+    return isPresent ? &task : nullptr;
+}
+
+const Queue &CellScheduler::termsOf(const CellJob &job) const
+{
+    const Queue &accepted = job.accepted().terms;
+    const CellConfiguration *configuration = configuration_.current();
+    const Queue *present = configuration ? configuration->queue(accepted.id) : nullptr;
+    return present ? *present : accepted;
+}
+
+void CellScheduler::addJob(const AcceptedJob &job, const JobProgress &progress)
+{
+    const JobId &id = job.spec.id;
+    if (!active_ || jobs_.contains(id) || ended_.contains(id))
+        return;
+    auto added = std::make_unique<CellJob>(job, progress, context_.now());
+    CellJob &known = *added;
+    jobs_.emplace(id, std::move(added));
+    known.updateReadiness(context_.now(), context_.wallTime());
+    context_.log("event=job_taken_on job={} queue={} steps={} accepted_generation={}", id.value(),
+                 job.terms.id.value(), job.spec.steps.size(), job.generation);
+    changed_ = true;
+    if (known.isDone())
+        finish(known, JobState::Completed);
+    else if (cancels_.contains(id))
+        finish(known, JobState::Cancelled);
+}
+
+void CellScheduler::cancelJob(const JobId &id)
+{
+    if (!active_ || ended_.contains(id))
+        return;
+    cancels_.insert(id);
+    CellJob *job = findJob(id);
+    if (job && !isFinal(job->state()))
+        finish(*job, JobState::Cancelled);
+}
+
+void CellScheduler::finish(CellJob &job, JobState state)
+{
+    context_.log("event=job_over job={} state={} after_ms={}", job.id().value(),
+                 static_cast<int>(state), (context_.now() - job.arrivedAt()).count());
+    job.finish(state);
+    for (CellStep &step : job.steps()) {
+        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+            const CellTask &task = step.tasks[i];
+            if (task.isIn(CellTask::State::Stopping))
+                fleet_.stop(task.worker(), step.taskKey(i), task.run());
+        }
+    }
+    recorder_.markChanged(job.id());
+    changed_ = true;
+}
+
+std::optional<ProgressRecorder::Snapshot> CellScheduler::snapshot(const JobId &id)
+{
+    const CellJob *job = findJob(id);
+    if (!job)
+        return std::nullopt;
+    if (isFinal(job->state())) {
+        return ProgressRecorder::Snapshot {JobResult {job->state(), context_.wallTime()},
+                                           cancels_.contains(id)};
+    }
+    return ProgressRecorder::Snapshot {job->progress(), false};
+}
+
+void CellScheduler::onResultRecorded(const JobId &id, JobState state)
+{
+    jobs_.erase(id);
+    cancels_.erase(id);
+    ended_[id] = context_.now() + context_.settings().resultLifetime;
+    handlers_.stateChanged(id, state);
+}
+
+void CellScheduler::noteBegun(CellJob &job)
+{
+    if (job.begin())
+        handlers_.stateChanged(job.id(), job.state());
+}
+
+void CellScheduler::onStarted(const CellWorker &worker, const TaskKey &key, RunNumber run)
+{
+    CellTask *task = findRun(key, run, worker.id());
+    if (!task)
+        return;
+    task->handle(CellTask::Event::Started);
+    noteBegun(*findJob(key.job));
+}
+
+std::optional<Resources> CellScheduler::onFound(const CellWorker &worker,
+                                                const RunningTask &running)
+{
+    CellJob *job = nullptr;
+    CellStep *step = findStep(running.task, job);
+    if (!step || isFinal(job->state()))
+        return std::nullopt;
+    CellTask &task = step->tasks[running.task.index.value()];
+    const bool isPresent = findRun(running.task, running.run, worker.id()) != nullptr;
+    if (isPresent)
+        return step->spec.need;
+    if (!task.isIn(CellTask::State::Waiting))
+        return std::nullopt;
+    task.assign(worker.id(), running.run, context_.now());
+    task.handle(CellTask::Event::Found);
+    noteBegun(*job);
+    return step->spec.need;
+}
+
+void CellScheduler::onProgressed(const CellWorker &worker, const RunningTask &running)
+{
+    CellTask *task = findRun(running.task, running.run, worker.id());
+    if (!task)
+        return;
+    if (!task->isIn(CellTask::State::Stopping))
+        task->handle(CellTask::Event::Found);
+    task->progress = running.progress;
+    if (!running.checkpoint.empty())
+        task->checkpoint = running.checkpoint;
+}
+
+void CellScheduler::onUnanswered(const TaskKey &key, RunNumber run)
+{
+    CellJob *job = nullptr;
+    CellStep *step = findStep(key, job);
+    if (!step)
+        return;
+    CellTask &task = step->tasks[key.index.value()];
+    if (task.isIn(CellTask::State::OnWorker) && task.run() == run) {
+        task.handle(CellTask::Event::Unanswered);
+        task.handle(CellTask::Event::StopRequested);
+    }
+    context_.log("event=start_unanswered job={} step={} task={} run={}", key.job.value(),
+                 key.step.value(), key.index.value(), run.value());
+}
+
+bool CellScheduler::onEnded(const CellWorker &worker, const EndedTask &end)
+{
+    CellJob *job = nullptr;
+    CellStep *step = findStep(end.task, job);
+    if (!step || isFinal(job->state()))
+        return false;
+    CellTask &task = step->tasks[end.task.index.value()];
+    const bool isPresent = findRun(end.task, end.run, worker.id()) != nullptr;
+    const bool isWaiting = task.isIn(CellTask::State::Waiting);
+    keepCheckpoint(*step, task, end);
+    if (end.reason == EndReason::Failed && !task.isOver())
+        countFailure(*job, *step, task, end);
+    if (end.reason == EndReason::Done && (isPresent || isWaiting) && !step->spec.longRunning)
+        succeed(*job, *step, task, end.run);
+    else if (isPresent)
+        task.handle(CellTask::Event::Ended);
+    if (end.reason != EndReason::Done || !isPresent) {
+        context_.log("event=run_ended job={} step={} task={} run={} worker={} reason={} present={}",
+                     end.task.job.value(), end.task.step.value(), end.task.index.value(),
+                     end.run.value(), worker.id().value(), static_cast<int>(end.reason), isPresent);
+    }
+    changed_ = true;
+    recorder_.markChanged(job->id(),
+                          ProgressRecorder::CoveredEnd {
+                                  worker.id(), worker.life.value_or(WorkerLife()), end.number});
+    return true;
+}
+
+void CellScheduler::keepCheckpoint(CellStep &step, CellTask &task, const EndedTask &end)
+{
+    if (end.checkpoint.empty() || task.isOver())
+        return;
+    task.checkpoint = end.checkpoint;
+    if (step.spec.gang)
+        step.gangCheckpoint = end.checkpoint;
+}
+
+void CellScheduler::countFailure(CellJob &job, CellStep &step, CellTask &task, const EndedTask &end)
+{
+    RunNumber &counted = step.spec.gang ? step.countedGangRun : task.countedRun;
+    if (end.run <= counted || step.spec.longRunning)
+        return;
+    counted = end.run;
+    std::int64_t &failures = step.spec.gang ? step.gangFailures : task.failures;
+    ++failures;
+    if (failures >= termsOf(job).maxAttempts)
+        finish(job, JobState::Failed);
+}
+
+void CellScheduler::succeed(CellJob &job, CellStep &step, CellTask &task, RunNumber run)
+{
+    noteBegun(job);
+    for (CellTask &member : step.tasks) {
+        const bool endsToo = &member == &task || (step.spec.gang && !member.isOver());
+        if (endsToo && member.handle(CellTask::Event::Succeeded))
+            ++step.doneTasks;
+    }
+    if (!step.isDone())
+        return;
+    context_.log("event=step_done job={} step={} run={} after_ms={}", job.id().value(),
+                 step.key.step.value(), run.value(), (context_.now() - job.arrivedAt()).count());
+    job.updateReadiness(context_.now(), context_.wallTime());
+    if (job.isDone())
+        finish(job, JobState::Completed);
+}
+
+void CellScheduler::onAbsent(const CellWorker &worker, const TaskKey &key, RunNumber run,
+                             WorkerOutcome outcome)
+{
+    changed_ = true;
+    CellTask *task = findRun(key, run, worker.id());
+    if (!task)
+        return;
+    CellJob *job = nullptr;
+    CellStep *step = findStep(key, job);
+    context_.log("event=run_absent job={} step={} task={} run={} worker={} outcome={}",
+                 key.job.value(), key.step.value(), key.index.value(), run.value(),
+                 worker.id().value(), static_cast<int>(outcome));
+    if (outcome == WorkerOutcome::TicketInvalid)
+        step->approvals.approved.erase(worker.id());
+    task->handle(CellTask::Event::Ended);
+    if (step->spec.gang)
+        stopGang(*step, run);
+}
+
+void CellScheduler::stopGang(CellStep &step, RunNumber run)
+{
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        CellTask &member = step.tasks[i];
+        if (!member.isIn(CellTask::State::OnWorker) || member.run() != run)
+            continue;
+        member.handle(CellTask::Event::StopRequested);
+        fleet_.stop(member.worker(), step.taskKey(i), run);
+    }
+}
+
+/// A gang of which some members run and others wait works on nothing; it is stopped as a whole.
+void CellScheduler::repairGangs()
+{
+    for (auto &[id, job] : jobs_) {
+        for (CellStep &step : job->steps()) {
+            if (!step.spec.gang || step.count(CellTask::State::Waiting) == 0)
+                continue;
+            for (const CellTask &member : step.tasks) {
+                const bool isOld = context_.now() - member.placedAt() > repairInterval * 3;
+                if (member.isIn(CellTask::State::OnWorker) && isOld) {
+                    stopGang(step, member.run());
+                    break;
+                }
+            }
+        }
+    }
+}
+
+void CellScheduler::updateRoster()
+{
+    if (rosterAsked_)
+        return;
+    std::vector<WorkerId> roster;
+    bool isComplete = true;
+    for (const auto &[id, worker] : fleet_.workers()) {
+        const bool mayRun = worker.isListed || !worker.placements.empty()
+                || (!worker.isRead && !fleet_.isRecovered());
+        if (!mayRun)
+            continue;
+        roster.push_back(id);
+        isComplete &= worker.isRostered;
+    }
+    if (isComplete)
+        return;
+    rosterAsked_ = true;
+    recorder_.markRoster(std::move(roster));
+}
+
+void CellScheduler::forgetOldResults()
+{
+    std::erase_if(ended_, [&](const auto &entry) { return entry.second < context_.now(); });
+}
+
+void CellScheduler::tick(bool maySchedule)
+{
+    if (!active_)
+        return;
+    fleet_.tick(maySchedule);
+    approvals_.tick();
+    updateRoster();
+    if (context_.now() >= nextRepair_) {
+        nextRepair_ = context_.now() + repairInterval;
+        forgetOldResults();
+        for (auto &[id, job] : jobs_)
+            job->updateReadiness(context_.now(), context_.wallTime());
+        if (fleet_.isRecovered())
+            repairGangs();
+        changed_ = true;
+    }
+    recorder_.tick();
+}
+
+void CellScheduler::settle(bool maySchedule)
+{
+    if (!active_)
+        return;
+    if (changed_ && maySchedule && configuration_.current()) {
+        changed_ = false;
+        startWhatFits();
+    }
+    fleet_.tick(maySchedule);
+    recorder_.tick();
+}
+
+std::vector<QueueLoad> CellScheduler::loads() const
+{
+    std::map<QueueId, QueueLoad> loads;
+    if (const CellConfiguration *configuration = configuration_.current()) {
+        for (const Queue &queue : configuration->queues)
+            loads[queue.id].queue = queue.id;
+    }
+    for (const auto &[id, job] : jobs_) {
+        const QueueId &queue = job->accepted().terms.id;
+        QueueLoad &load = loads[queue];
+        load.queue = queue;
+        load.pendingJobs += !job->hasBegun() && !isFinal(job->state()) ? 1 : 0;
+    }
+    std::vector<QueueLoad> rows;
+    for (auto &[id, load] : loads)
+        rows.push_back(load);
+    return rows;
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/CellScheduler.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "Cell/ApprovalDesk.h"
+#include "Cell/CellJob.h"
+#include "Cell/ConfigurationKeeper.h"
+#include "Cell/HolderElection.h"
+#include "Cell/Policy/StartOrder.h"
+#include "Cell/Policy/WorkerChoice.h"
+#include "Cell/ProgressRecorder.h"
+#include "Cell/WorkerFleet.h"
+
+namespace caraway::cell {
+
+/// The holder's work: follows accepted jobs, starts their tasks on workers with room, takes in
+/// ends, and has them recorded. It lives for the process; begin() and end() bound a term.
+class CellScheduler
+{
+public:
+    struct Term
+    {
+        FencingToken token;
+        std::uint64_t generation = 0;
+        StoreCondition holder;
+        Revision sequence;
+        std::vector<WorkerId> roster;
+    };
+    struct Handlers
+    {
+        std::function<void(const JobId &, JobState)> stateChanged;
+        std::function<void()> superseded;
+    };
+
+    CellScheduler(CellContext &context, const ConfigurationKeeper &configuration,
+                  Handlers handlers);
+
+    void begin(Term term);
+    void end();
+    bool isActive() const { return active_; }
+
+    /// A job of the store; one that is known or has ended is ignored.
+    void addJob(const AcceptedJob &job, const JobProgress &progress);
+    void cancelJob(const JobId &job);
+    void setWorker(const WorkerEntry &entry) { fleet_.setEntry(entry); }
+    void removeWorker(const WorkerId &id) { fleet_.removeEntry(id); }
+
+    /// Does what is due; \a maySchedule tells whether work may be started.
+    void tick(bool maySchedule);
+    /// Starts what fits after a series of events.
+    void settle(bool maySchedule);
+
+    ApprovalDesk &approvals() { return approvals_; }
+    std::vector<QueueLoad> loads() const;
+    std::size_t liveJobs() const { return jobs_.size(); }
+
+private:
+    using Choice = TightFitChoice;
+    using Order = ObjectiveOrder;
+
+    WorkerFleet::Handlers fleetHandlers();
+    ProgressRecorder::Handlers recorderHandlers();
+
+    CellJob *findJob(const JobId &id);
+    CellStep *findStep(const TaskKey &key, CellJob *&job);
+    /// The task, when \a run on \a worker is its present run.
+    CellTask *findRun(const TaskKey &key, RunNumber run, const WorkerId &worker);
+    const Queue &termsOf(const CellJob &job) const;
+
+    void onStarted(const CellWorker &worker, const TaskKey &key, RunNumber run);
+    std::optional<Resources> onFound(const CellWorker &worker, const RunningTask &running);
+    void onProgressed(const CellWorker &worker, const RunningTask &running);
+    bool onEnded(const CellWorker &worker, const EndedTask &end);
+    void onAbsent(const CellWorker &worker, const TaskKey &key, RunNumber run,
+                  WorkerOutcome outcome);
+    void onUnanswered(const TaskKey &key, RunNumber run);
+    void succeed(CellJob &job, CellStep &step, CellTask &task, RunNumber run);
+    void countFailure(CellJob &job, CellStep &step, CellTask &task, const EndedTask &end);
+    void keepCheckpoint(CellStep &step, CellTask &task, const EndedTask &end);
+    void stopGang(CellStep &step, RunNumber run);
+    void repairGangs();
+
+    void finish(CellJob &job, JobState state);
+    std::optional<ProgressRecorder::Snapshot> snapshot(const JobId &id);
+    void onResultRecorded(const JobId &id, JobState state);
+    void noteBegun(CellJob &job);
+    void updateRoster();
+    void forgetOldResults();
+
+    void startWhatFits();
+    std::vector<StartCandidate> candidates();
+    TimePoint objectiveOf(const CellJob &job, const Queue &queue) const;
+    bool isStartable(const CellJob &job, const CellStep &step) const;
+    void startStep(const StartCandidate &candidate);
+    void startSingles(const StartCandidate &candidate);
+    void startGang(const StartCandidate &candidate);
+    void startTask(const StartCandidate &candidate, std::size_t index, RunNumber run,
+                   const CellWorker &worker);
+    RunNumber nextRun(const CellTask &task) const;
+    const CellWorker *bestWorker(const StartCandidate &candidate);
+    std::int64_t roomFor(const CellWorker &worker, const CellStep &step) const;
+    bool mayRun(const CellWorker &worker, const StartCandidate &candidate) const;
+    bool needsApproval(const Queue &queue) const;
+    void askApproval(const StartCandidate &candidate, std::int64_t tasks);
+    std::vector<WorkerId> workersToAsk(const StartCandidate &candidate, std::int64_t tasks);
+    void onApproval(const StepKey &key, const std::vector<WorkerId> &asked, TimePoint askedAt,
+                    Milliseconds validity, const ApprovalReply &reply);
+
+    CellContext &context_;
+    const ConfigurationKeeper &configuration_;
+    Handlers handlers_;
+    bool active_ = false;
+    std::uint64_t generation_ = 0;
+    std::uint64_t term_ = 0;
+    std::unordered_map<JobId, std::unique_ptr<CellJob>> jobs_;
+    /// Jobs that ended in this term or were recorded, with the time at which to forget them.
+    std::unordered_map<JobId, TimePoint> ended_;
+    std::set<JobId> cancels_;
+    std::set<WorkerId> roster_;
+    bool rosterAsked_ = false;
+    bool changed_ = false;
+    /// Share of the asked workers that were approved lately, by queue.
+    std::unordered_map<QueueId, double> approvalShare_;
+    TimePoint nextRepair_;
+    WorkerFleet fleet_;
+    ProgressRecorder recorder_;
+    ApprovalDesk approvals_;
+};
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/ConfigurationKeeper.cpp
@@ -0,0 +1,47 @@
+#include "Cell/ConfigurationKeeper.h"
+
+namespace caraway::cell {
+
+namespace {
+
+/// A change has to be in force within two seconds also when the watch misses it.
+constexpr AreaFollower::Intervals intervals {Milliseconds(800), Milliseconds(60)};
+
+} // namespace
+
+ConfigurationKeeper::ConfigurationKeeper(CellContext &context)
+    : context_(context)
+    , follower_(context, RecordArea::Configuration, intervals,
+                {[this](const StoreItem &item) { take(item); }, [](const RecordKey &) {},
+                 [this](TimePoint sentAt) { confirmedAt_ = sentAt; }})
+{
+}
+
+ConfigurationVersion ConfigurationKeeper::version() const
+{
+    return current_ ? current_->version : ConfigurationVersion();
+}
+
+void ConfigurationKeeper::onHeard(ConfigurationVersion version)
+{
+    if (version > this->version())
+        follower_.rereadSoon();
+}
+
+void ConfigurationKeeper::take(const StoreItem &item)
+{
+    const auto *configuration = std::get_if<CellConfiguration>(&item.value);
+    if (!configuration) {
+        context_.log("event=configuration_unreadable revision={} in_force={}",
+                     item.revision.value(), version().value());
+        return;
+    }
+    if (current_ && configuration->version <= current_->version)
+        return;
+    context_.log("event=configuration_in_force version={} before={} revision={} queues={}",
+                 configuration->version.value(), version().value(), item.revision.value(),
+                 configuration->queues.size());
+    current_ = *configuration;
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/EntryDesk.cpp
@@ -0,0 +1,428 @@
+#include "Cell/EntryDesk.h"
+
+namespace caraway::cell {
+
+namespace {
+
+/// Jobs in one commit: each takes two conditions and a write of the store's 32 entries.
+constexpr std::size_t jobsPerCommit = 10;
+constexpr std::size_t maxCommitsUnderWay = 4;
+constexpr Milliseconds commitTimeout {900};
+constexpr Milliseconds retryPause {120};
+/// The answer has to reach the caller before its own limit.
+constexpr Milliseconds answerMargin {250};
+constexpr Milliseconds defaultCallerTimeout {3000};
+/// A store that refuses this long is not waited for: the caller is told to come back.
+constexpr Milliseconds refuseAfter {1000};
+constexpr Milliseconds refusedRetryAfter {1000};
+constexpr Milliseconds notReadyRetryAfter {500};
+constexpr Milliseconds forgetInterval {5000};
+constexpr std::size_t maxTasks = 100'000;
+
+} // namespace
+
+std::string findJobFault(const JobSpec &spec)
+{
+    if (spec.steps.empty())
+        return "The job has no steps. Give it one at least.";
+    std::size_t tasks = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const StepSpec &step = spec.steps[i];
+        if (step.tasks < 1)
+            return fmt::format("Step {} has no tasks. Give it one at least.", i);
+        tasks += static_cast<std::size_t>(step.tasks);
+        for (const StepIndex before : step.after) {
+            if (before.value() >= i)
+                return fmt::format("Step {} waits for a later step. Name earlier ones.", i);
+        }
+    }
+    const auto repetitions
+            = static_cast<std::size_t>(std::max<std::int64_t>(1, spec.schedule.runs));
+    if (tasks > maxTasks || repetitions > maxTasks || tasks * repetitions > maxTasks)
+        return fmt::format("The job has over {} tasks. Split it.", maxTasks);
+    return {};
+}
+
+EntryDesk::EntryDesk(CellContext &context, const ConfigurationKeeper &configuration,
+                     Handlers handlers)
+    : context_(context)
+    , configuration_(configuration)
+    , handlers_(std::move(handlers))
+{
+}
+
+void EntryDesk::handle(const CallerRequest &request)
+{
+    const CellConfiguration *configuration = configuration_.current();
+    if (!configuration) {
+        answer(request.id, CallerOutcome::NotReady);
+        return;
+    }
+    const Queue *queue = configuration->queueAt(request.host, request.path);
+    if (!queue) {
+        context_.log("event=unknown_queue host={} path={} config={}", request.host, request.path,
+                     configuration->version.value());
+        answer(request.id, CallerOutcome::UnknownQueue);
+        return;
+    }
+    if (const auto *submission = std::get_if<SubmitJob>(&request.body))
+        submit(request, *submission, *queue);
+    else if (const auto *reading = std::get_if<ReadJob>(&request.body))
+        read(request, reading->job);
+    else if (const auto *cancellation = std::get_if<CancelJob>(&request.body))
+        cancel(request, cancellation->job, *queue);
+    else
+        count(request, *queue);
+}
+
+const EntryDesk::Known *EntryDesk::known(const JobId &job) const
+{
+    const auto found = known_.find(job);
+    return found == known_.end() ? nullptr : &found->second;
+}
+
+void EntryDesk::answer(CallerRequestId caller, CallerOutcome outcome)
+{
+    CallerAnswer answer;
+    answer.id = caller;
+    answer.outcome = outcome;
+    if (outcome == CallerOutcome::Refused)
+        answer.retryAfter = refusedRetryAfter;
+    if (outcome == CallerOutcome::NotReady)
+        answer.retryAfter = notReadyRetryAfter;
+    context_.answer(answer);
+}
+
+void EntryDesk::answerState(CallerRequestId caller, JobState state)
+{
+    CallerAnswer answer;
+    answer.id = caller;
+    answer.outcome = CallerOutcome::State;
+    answer.state = state;
+    context_.answer(answer);
+}
+
+void EntryDesk::submit(const CallerRequest &request, const SubmitJob &submit, const Queue &queue)
+{
+    const JobId &id = submit.spec.id;
+    if (const std::string fault = findJobFault(submit.spec); !fault.empty()) {
+        context_.log("event=job_invalid job={} reason=\"{}\"", id.value(), fault);
+        answer(request.id, CallerOutcome::Invalid);
+        return;
+    }
+    if (known(id)) {
+        answer(request.id, CallerOutcome::Accepted);
+        return;
+    }
+    const auto [found, isNew] = submissions_.try_emplace(id);
+    Submission &submission = found->second;
+    submission.callers.push_back(request.id);
+    const Milliseconds timeout = request.timeout.value_or(defaultCallerTimeout);
+    submission.giveUpAt = std::max(submission.giveUpAt, context_.now() + timeout - answerMargin);
+    if (isNew) {
+        submission.job.spec = submit.spec;
+        submission.job.terms = queue;
+        submission.job.generation = handlers_.generation();
+        submission.job.acceptedAt = context_.wallTime();
+        submission.nextTry = context_.now();
+    }
+    flush();
+}
+
+void EntryDesk::flush()
+{
+    std::vector<JobId> batch;
+    for (auto &[id, submission] : submissions_) {
+        if (commitsUnderWay_ >= maxCommitsUnderWay)
+            return;
+        if (submission.underWay || context_.now() < submission.nextTry)
+            continue;
+        if (submission.alone) {
+            commit({id});
+            continue;
+        }
+        batch.push_back(id);
+        if (batch.size() == jobsPerCommit)
+            commit(std::exchange(batch, {}));
+    }
+    if (!batch.empty())
+        commit(batch);
+}
+
+void EntryDesk::commit(const std::vector<JobId> &jobs)
+{
+    StoreCommit commit;
+    for (const JobId &id : jobs) {
+        Submission &submission = submissions_.at(id);
+        submission.underWay = true;
+        commit.require({RecordArea::Jobs, id.value()}, Revision());
+        commit.require({RecordArea::Results, id.value()}, Revision());
+        commit.write({RecordArea::Jobs, id.value()}, submission.job);
+    }
+    ++commitsUnderWay_;
+    context_.callStore(
+            std::move(commit), [this, jobs](const StoreReply &reply) { onCommitted(jobs, reply); },
+            commitTimeout);
+}
+
+void EntryDesk::onCommitted(const std::vector<JobId> &jobs, const StoreReply &reply)
+{
+    --commitsUnderWay_;
+    for (const JobId &id : jobs)
+        submissions_.at(id).underWay = false;
+    switch (reply.outcome) {
+    case StoreOutcome::Done:
+        for (const JobId &id : jobs)
+            finishAccepted(id, true);
+        break;
+    case StoreOutcome::Conflict:
+        onConflict(jobs, reply);
+        break;
+    case StoreOutcome::Unanswered:
+        retryLater(jobs, true);
+        break;
+    default:
+        retryLater(jobs, false);
+    }
+    flush();
+}
+
+void EntryDesk::onConflict(const std::vector<JobId> &jobs, const StoreReply &reply)
+{
+    std::set<std::string> stored;
+    for (const StoreItem &item : reply.items) {
+        const bool isJob
+                = item.key.area == RecordArea::Jobs || item.key.area == RecordArea::Results;
+        if (isJob && item.revision != Revision())
+            stored.insert(item.key.name);
+    }
+    for (const JobId &id : jobs) {
+        Submission &submission = submissions_.at(id);
+        if (stored.contains(id.value()))
+            finishAccepted(id, submission.maybeStored);
+        else
+            submission.alone = true;
+    }
+}
+
+void EntryDesk::retryLater(const std::vector<JobId> &jobs, bool maybeStored)
+{
+    for (const JobId &id : jobs) {
+        Submission &submission = submissions_.at(id);
+        submission.maybeStored |= maybeStored;
+        submission.nextTry = context_.now() + (maybeStored ? Milliseconds() : retryPause);
+    }
+}
+
+void EntryDesk::finishAccepted(const JobId &id, bool isNew)
+{
+    const auto found = submissions_.find(id);
+    const Submission submission = std::move(found->second);
+    submissions_.erase(found);
+    if (!known(id))
+        known_[id] = {JobState::Pending, context_.now()};
+    context_.log("event=job_accepted job={} queue={} config={} generation={} new={}", id.value(),
+                 submission.job.terms.id.value(), configuration_.version().value(),
+                 submission.job.generation, isNew);
+    if (isNew)
+        handlers_.accepted(submission.job);
+    for (const CallerRequestId caller : submission.callers)
+        answer(caller, CallerOutcome::Accepted);
+}
+
+void EntryDesk::giveUp(const JobId &id)
+{
+    const auto found = submissions_.find(id);
+    const Submission &submission = found->second;
+    context_.log("event=job_not_stored job={} maybe={} config={}", id.value(),
+                 submission.maybeStored, configuration_.version().value());
+    const CallerOutcome outcome
+            = submission.maybeStored ? CallerOutcome::Unknown : CallerOutcome::Refused;
+    for (const CallerRequestId caller : submission.callers)
+        answer(caller, outcome);
+    submissions_.erase(found);
+}
+
+void EntryDesk::tick()
+{
+    const TimePoint now = context_.now();
+    std::vector<JobId> late;
+    for (const auto &[id, submission] : submissions_) {
+        const bool isRefused = !submission.maybeStored
+                && now >= submission.giveUpAt - defaultCallerTimeout + answerMargin + refuseAfter;
+        if (!submission.underWay && (now >= submission.giveUpAt || isRefused))
+            late.push_back(id);
+    }
+    for (const JobId &id : late)
+        giveUp(id);
+    flush();
+    std::deque<Cancellation> cancels = std::exchange(cancelRetries_, {});
+    for (const Cancellation &cancellation : cancels) {
+        --lookups_;
+        cancelStored(cancellation);
+    }
+    if (now < nextForget_)
+        return;
+    nextForget_ = now + forgetInterval;
+    const Milliseconds lifetime = context_.settings().resultLifetime;
+    std::erase_if(known_, [&](const auto &entry) {
+        return isFinal(entry.second.state) && now - entry.second.notedAt > lifetime;
+    });
+}
+
+void EntryDesk::noteState(const JobId &job, JobState state)
+{
+    Known &known = known_[job];
+    if (isFinal(known.state))
+        return;
+    known = {state, context_.now()};
+}
+
+void EntryDesk::noteLoads(const std::vector<QueueLoad> &loads)
+{
+    pending_.clear();
+    for (const QueueLoad &load : loads)
+        pending_[load.queue] = load.pendingJobs;
+}
+
+void EntryDesk::read(const CallerRequest &request, const JobId &job)
+{
+    const Known *state = known(job);
+    if (state && (isFinal(state->state) || handlers_.isHolderHeard())) {
+        answerState(request.id, state->state);
+        return;
+    }
+    readStored(request.id, job);
+}
+
+void EntryDesk::readStored(CallerRequestId caller, const JobId &job)
+{
+    ++lookups_;
+    context_.callStore(StoreGet {{RecordArea::Jobs, job.value()}},
+                       [this, caller, job](const StoreReply &reply) {
+                           --lookups_;
+                           const Known *state = known(job);
+                           if (reply.outcome == StoreOutcome::Done)
+                               answerState(caller, state ? state->state : JobState::Pending);
+                           else if (reply.outcome == StoreOutcome::NotFound)
+                               readResult(caller, job);
+                           else if (state)
+                               answerState(caller, state->state);
+                           else
+                               answer(caller, CallerOutcome::NotReady);
+                       });
+}
+
+/// The job has no record of its own, so it has ended or was never accepted.
+void EntryDesk::readResult(CallerRequestId caller, const JobId &job)
+{
+    ++lookups_;
+    context_.callStore(StoreGet {{RecordArea::Results, job.value()}},
+                       [this, caller, job](const StoreReply &reply) {
+                           --lookups_;
+                           const JobResult *result = nullptr;
+                           if (!reply.items.empty())
+                               result = std::get_if<JobResult>(&reply.items.front().value);
+                           if (reply.outcome == StoreOutcome::Done && result) {
+                               noteState(job, result->state);
+                               answerState(caller, result->state);
+                           } else if (reply.outcome == StoreOutcome::NotFound) {
+                               context_.log("event=unknown_job job={}", job.value());
+                               answer(caller, CallerOutcome::UnknownJob);
+                           } else {
+                               answer(caller, CallerOutcome::NotReady);
+                           }
+                       });
+}
+
+void EntryDesk::cancel(const CallerRequest &request, const JobId &job, const Queue &queue)
+{
+    const Known *state = known(job);
+    if (state && isFinal(state->state)) {
+        answer(request.id, CallerOutcome::Cancelled);
+        return;
+    }
+    const Milliseconds timeout = request.timeout.value_or(queue.timeout);
+    cancelStored({request.id, job, context_.now() + timeout - answerMargin, {}});
+}
+
+void EntryDesk::cancelStored(const Cancellation &cancellation)
+{
+    ++lookups_;
+    context_.callStore(StoreGet {{RecordArea::Jobs, cancellation.job.value()}},
+                       [this, cancellation](const StoreReply &reply) {
+                           --lookups_;
+                           if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                               Cancellation next = cancellation;
+                               next.revision = reply.items.front().revision;
+                               commitCancel(next);
+                           } else if (reply.outcome == StoreOutcome::NotFound) {
+                               answerEnded(cancellation);
+                           } else {
+                               retryCancel(cancellation);
+                           }
+                       });
+}
+
+void EntryDesk::commitCancel(const Cancellation &cancellation)
+{
+    ++lookups_;
+    StoreCommit commit;
+    commit.require({RecordArea::Jobs, cancellation.job.value()}, cancellation.revision);
+    commit.write({RecordArea::Cancels, cancellation.job.value()},
+                 CancelRecord {context_.wallTime()});
+    context_.callStore(
+            std::move(commit),
+            [this, cancellation](const StoreReply &reply) {
+                --lookups_;
+                if (reply.outcome == StoreOutcome::Done) {
+                    context_.log("event=job_cancelled job={}", cancellation.job.value());
+                    handlers_.cancelled(cancellation.job);
+                    answer(cancellation.caller, CallerOutcome::Cancelled);
+                } else {
+                    retryCancel(cancellation);
+                }
+            },
+            commitTimeout);
+}
+
+void EntryDesk::answerEnded(const Cancellation &cancellation)
+{
+    ++lookups_;
+    context_.callStore(StoreGet {{RecordArea::Results, cancellation.job.value()}},
+                       [this, cancellation](const StoreReply &reply) {
+                           --lookups_;
+                           if (reply.outcome == StoreOutcome::Done)
+                               answer(cancellation.caller, CallerOutcome::Cancelled);
+                           else if (reply.outcome == StoreOutcome::NotFound)
+                               answer(cancellation.caller, CallerOutcome::UnknownJob);
+                           else
+                               retryCancel(cancellation);
+                       });
+}
+
+void EntryDesk::retryCancel(const Cancellation &cancellation)
+{
+    if (context_.now() >= cancellation.giveUpAt) {
+        answer(cancellation.caller, CallerOutcome::Unknown);
+        return;
+    }
+    ++lookups_;
+    cancelRetries_.push_back(cancellation);
+}
+
+void EntryDesk::count(const CallerRequest &request, const Queue &queue)
+{
+    if (!handlers_.isHolderHeard()) {
+        answer(request.id, CallerOutcome::NotReady);
+        return;
+    }
+    CallerAnswer counted;
+    counted.id = request.id;
+    counted.outcome = CallerOutcome::Counted;
+    const auto found = pending_.find(queue.id);
+    counted.pendingJobs = found == pending_.end() ? 0 : found->second;
+    context_.answer(counted);
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/PeerMessages.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Cell/Records.h"
+
+namespace caraway::cell {
+
+/// To the holder, once a second and when a connection opens: who can be reached where.
+struct PeerHello
+{
+    Address peers;
+};
+
+/// To the holder: a job was accepted.
+struct PeerJobAccepted
+{
+    AcceptedJob job;
+};
+
+/// To the holder: a job was cancelled.
+struct PeerJobCancelled
+{
+    JobId job;
+};
+
+/// From the holder to one instance: ask the policy service.
+struct PeerApprovalRequest
+{
+    std::uint64_t number = 0;
+    ApprovalRequest request;
+    Milliseconds timeout;
+};
+
+struct PeerApprovalReply
+{
+    std::uint64_t number = 0;
+    ApprovalReply reply;
+};
+
+struct JobStateRow
+{
+    JobId job;
+    JobState state = JobState::Pending;
+};
+
+/// How a queue stands, for counts and for refusing what cannot be served.
+struct QueueLoad
+{
+    QueueId queue;
+    /// Accepted jobs of which no task has started.
+    std::int64_t pendingJobs = 0;
+    /// How long a job accepted now is likely to wait before its first task starts.
+    Milliseconds expectedWait;
+};
+
+/// From the holder to every instance, in short intervals.
+struct PeerStateUpdate
+{
+    ConfigurationVersion configuration;
+    std::vector<JobStateRow> changed;
+    std::vector<QueueLoad> queues;
+};
+
+using PeerMessage = std::variant<PeerHello, PeerJobAccepted, PeerJobCancelled, PeerApprovalRequest,
+                                 PeerApprovalReply, PeerStateUpdate>;
+
+struct PeerFrame
+{
+    ProcessId from;
+    Address fromAddress;
+    PeerMessage message;
+};
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/CellDuties/CellMetrics.cpp
@@ -0,0 +1,41 @@
+#include "CellDuties/CellMetrics.h"
+
+#include <array>
+
+namespace caraway::cell {
+
+namespace {
+
+constexpr std::array storeCallNames
+        = {"get", "list", "watch", "commit", "grant_lease", "renew_lease", "end_lease"};
+constexpr std::array workerCallNames = {"start", "stop", "hold"};
+constexpr std::array outcomeNames
+        = {"accepted",    "state",   "cancelled", "counted", "unknown_queue",
+           "unknown_job", "refused", "not_ready", "invalid", "unknown"};
+
+} // namespace
+
+void CellMetrics::count(const CellActions &actions)
+{
+    for (const StoreCall &call : actions.store)
+        metrics_.observe({Metric::StoreCalls, 1, storeCallNames.at(call.request.index())});
+    for (const WorkerCall &call : actions.workers) {
+        metrics_.observe({Metric::WorkerCalls, 1, workerCallNames.at(call.request.order.index())});
+        if (std::holds_alternative<WorkerStart>(call.request.order))
+            metrics_.observe({Metric::TaskStarts, 1, "task"});
+    }
+    for (const CallerAnswer &answer : actions.answers) {
+        metrics_.observe({Metric::CallerRequests, 1,
+                          outcomeNames.at(static_cast<std::size_t>(answer.outcome))});
+    }
+    if (!actions.peers.empty()) {
+        metrics_.observe({Metric::PeerFramesSent, static_cast<double>(actions.peers.size()), {}});
+    }
+}
+
+void CellMetrics::countEvents(std::size_t events)
+{
+    metrics_.observe({Metric::EventsHandled, static_cast<double>(events), {}});
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/CellDuties/CellPeersDuty.cpp
@@ -0,0 +1,150 @@
+#include "CellDuties/CellPeersDuty.h"
+
+#include "Messages/CellCodec.h"
+
+namespace caraway::cell {
+
+namespace {
+
+constexpr Milliseconds probeInterval {800};
+/// A connection whose probes were not answered for this long has fallen silent.
+constexpr Milliseconds silenceLimit {2000};
+/// An address that was not sent to for this long is closed.
+constexpr Milliseconds unusedLimit {5000};
+/// A connection that fails sooner was refused; an unreachable peer takes longer.
+constexpr Milliseconds refusalTime {500};
+constexpr std::size_t maxWaitingFrames = 256;
+
+} // namespace
+
+CellPeersDuty::CellPeersDuty(CellEventRing &events, const Clock &clock,
+                             const CellSettings &settings, ProcessId self)
+    : events_(events)
+    , clock_(clock)
+    , self_(std::move(self))
+    , selfAddress_(settings.peers)
+    , endpoint_(settings.peers.host, settings.peers.port, makeHandlers())
+    , network_([this] { endpoint_.run(); })
+{
+}
+
+CellPeersDuty::~CellPeersDuty()
+{
+    endpoint_.stop();
+    network_.join();
+}
+
+WebSocketEndpoint::Handlers CellPeersDuty::makeHandlers()
+{
+    WebSocketEndpoint::Handlers handlers;
+    handlers.received = [this](const std::string &frame) { receive(frame); };
+    handlers.opened = [this](std::uint64_t connection) { onOpened(connection); };
+    handlers.ended = [this](std::uint64_t connection) { onEnded(connection); };
+    handlers.pingAnswered = [this](std::uint64_t connection, const std::string &) {
+        const std::lock_guard lock(mutex_);
+        Address address;
+        if (Link *link = findLink(connection, address))
+            link->answeredAt = clock_.now();
+    };
+    handlers.tick = [this] { onTick(); };
+    return handlers;
+}
+
+CellPeersDuty::Link *CellPeersDuty::findLink(std::uint64_t connection, Address &address)
+{
+    for (auto &[peer, link] : links_) {
+        if (link.connection == connection) {
+            address = peer;
+            return &link;
+        }
+    }
+    return nullptr;
+}
+
+void CellPeersDuty::offer(const PeerSend &message)
+{
+    std::string frame = encodeCellFrame({self_, selfAddress_, message.message});
+    const std::lock_guard lock(mutex_);
+    const TimePoint now = clock_.now();
+    const auto [found, isNew] = links_.try_emplace(message.to);
+    Link &link = found->second;
+    link.usedAt = now;
+    if (isNew) {
+        link.connection = ++lastConnection_;
+        link.openedAt = now;
+        endpoint_.open(link.connection, message.to.host, message.to.port);
+    }
+    if (link.open)
+        endpoint_.send(link.connection, std::move(frame));
+    else if (link.waiting.size() < maxWaitingFrames)
+        link.waiting.push_back(std::move(frame));
+}
+
+void CellPeersDuty::onOpened(std::uint64_t connection)
+{
+    const std::lock_guard lock(mutex_);
+    Address address;
+    Link *link = findLink(connection, address);
+    if (!link)
+        return;
+    link->open = true;
+    link->answeredAt = link->probedAt = clock_.now();
+    for (std::string &frame : link->waiting)
+        endpoint_.send(connection, std::move(frame));
+    link->waiting.clear();
+}
+
+void CellPeersDuty::onEnded(std::uint64_t connection)
+{
+    PeerLost lost;
+    {
+        const std::lock_guard lock(mutex_);
+        const Link *link = findLink(connection, lost.peer);
+        if (!link)
+            return;
+        lost.refused = !link->open && clock_.now() - link->openedAt < refusalTime;
+        links_.erase(lost.peer);
+    }
+    events_.offer(CellEvent(std::move(lost)));
+}
+
+void CellPeersDuty::onTick()
+{
+    std::vector<PeerLost> lost;
+    {
+        const std::lock_guard lock(mutex_);
+        const TimePoint now = clock_.now();
+        for (auto entry = links_.begin(); entry != links_.end();) {
+            Link &link = entry->second;
+            const bool isSilent = link.open && now - link.answeredAt > silenceLimit;
+            if (isSilent || now - link.usedAt > unusedLimit) {
+                endpoint_.close(link.connection);
+                if (isSilent)
+                    lost.push_back({entry->first, false});
+                entry = links_.erase(entry);
+                continue;
+            }
+            if (link.open && now - link.probedAt >= probeInterval) {
+                link.probedAt = now;
+                endpoint_.ping(link.connection, "probe");
+            }
+            ++entry;
+        }
+    }
+    for (PeerLost &event : lost)
+        events_.offer(CellEvent(std::move(event)));
+}
+
+void CellPeersDuty::receive(const std::string &frame)
+{
+    const auto offer = [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(decoded, decodeCellFrame(frame));
+        events_.offer(CellEvent(std::move(decoded)));
+        return {};
+    };
+    recoverFrom(offer, [](const Error &error) {
+        fmt::print(stderr, "event=peer_frame_refused reason=\"{}\"\n", error.message);
+    });
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/CellDuties/TickDuty.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "CellDuties/CellEvents.h"
+#include "CellDuties/IoThread.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+
+namespace caraway::cell {
+
+/// Tells the decisions at a steady pace that time has passed.
+class TickDuty
+{
+public:
+    explicit TickDuty(CellEventRing &events)
+        : events_(events)
+        , timer_(thread_.context())
+    {
+        schedule();
+        thread_.start();
+    }
+    ~TickDuty() { thread_.stop(); }
+
+private:
+    /// Commits and broadcasts are batched over about two of these.
+    static constexpr std::chrono::milliseconds interval {25};
+
+    void schedule()
+    {
+        timer_.expires_after(interval);
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            events_.offer(CellEvent(Tick {}));
+            schedule();
+        });
+    }
+
+    CellEventRing &events_;
+    IoThread thread_;
+    boost::asio::steady_timer timer_;
+};
+
+} // namespace caraway::cell
--- a/Source/Command/Commands.cpp
+++ b/Source/Command/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Command/Commands.h"
 
+#include "Command/CellSettingsReader.h"
 #include "Command/ChartCommand.h"
 #include "Command/EntryClient.h"
 #include "Command/PresetCommand.h"
@@ -8,6 +9,7 @@
 #include "Command/SettingsReader.h"
 #include "Command/SettingsTable.h"
 #include "Messages/JobCodec.h"
+#include "platform/PlatformEntry.h"
 
 #include <fmt/format.h>
 
@@ -153,6 +155,12 @@
     return serveUntilStopped(settings);
 }
 
+Result<int> serveEntry(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(settings, readCellSettingsFile(textOf(arguments, "<settings>")));
+    return platform::serveOnPlatform(settings);
+}
+
 Result<int> chart(const Arguments &arguments)
 {
     return printChart(textOf(arguments, "<chart>"));
@@ -189,6 +197,7 @@
     // "check" comes before "preset": its option has the same word.
     static const Subcommand subcommands[] = {
             {"serve", serve},           {"submit", submitJob}, {"run", submitJob},
+            {"entry", serveEntry},
             {"status", showStatus},     {"cancel", cancelJob}, {"workers", listWorkers},
             {"check", checkFile},       {"preset", preset},    {"audit", audit},
             {"settings", listSettings}, {"chart", chart},      {"version", printVersion},
--- a/Source/Command/Usage.cpp
+++ b/Source/Command/Usage.cpp
@@ -8,6 +8,7 @@
 
 Usage:
   carawaymount serve <settings>
+  carawaymount entry <settings>
   carawaymount (submit | run) <job> [--entry=ADDR] [--wait=MS] [--first] [--json]
   carawaymount status <name> [--entry=ADDR] [--wait=MS] [--json]
   carawaymount cancel <name> [--entry=ADDR] [--json]
--- a/Source/Core/Ring.h
+++ b/Source/Core/Ring.h
@@ -35,6 +35,15 @@
         return std::nullopt;
     }
 
+    /// The oldest item, or nothing at once when there is none; for a taker that is woken by
+    /// other means.
+    std::optional<T> takeIfAny()
+    {
+        std::optional<T> item;
+        queue_.try_pop(item);
+        return item;
+    }
+
     /// Wakes every thread that sleeps in take(), now and later.
     void close()
     {
--- /dev/null
+++ b/Source/Messages/CellCodec.cpp
@@ -0,0 +1,473 @@
+#include "Messages/CellCodec.h"
+
+#include "Messages/CborCheck.h"
+
+#include <nlohmann/json.hpp>
+
+namespace caraway::cell {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Records are arrays with fields by position, as they are many and short. A field that comes
+// later stands at the end; a reader takes its default where it is missing.
+
+template<class Tag>
+Json encode(const NameId<Tag> &id)
+{
+    return id.value();
+}
+template<class Tag>
+Json encode(NumberId<Tag> id)
+{
+    return id.value();
+}
+template<class Unit>
+Json encode(Quantity<Unit> quantity)
+{
+    return quantity.count();
+}
+
+template<class Id>
+Id name(const Json &json)
+{
+    return Id(json.get<std::string>());
+}
+template<class Id>
+Id number(const Json &json)
+{
+    return Id(json.get<std::uint64_t>());
+}
+template<class Amount>
+Amount amount(const Json &json)
+{
+    return Amount(json.get<std::int64_t>());
+}
+
+Json encode(const Address &address)
+{
+    return Json::array({address.host, address.port});
+}
+
+Address decodeAddress(const Json &json)
+{
+    return {json.at(0).get<std::string>(), json.at(1).get<std::uint16_t>()};
+}
+
+Json encode(const ProcessId &process)
+{
+    return Json::array({process.instance.value(), process.life});
+}
+
+ProcessId decodeProcess(const Json &json)
+{
+    return {name<InstanceId>(json.at(0)), json.at(1).get<std::uint64_t>()};
+}
+
+enum StepFlag : unsigned {
+    Checkpoints = 1,
+    Gang = 2,
+    SameRack = 4,
+    Speculative = 8,
+    LongRunning = 16,
+    FillsIdleTime = 32,
+};
+
+unsigned flagsOf(const StepSpec &step)
+{
+    unsigned flags = 0;
+    flags |= step.checkpoints ? Checkpoints : 0U;
+    flags |= step.gang ? Gang : 0U;
+    flags |= step.sameRack ? SameRack : 0U;
+    flags |= step.speculative ? Speculative : 0U;
+    flags |= step.longRunning ? LongRunning : 0U;
+    flags |= step.fillsIdleTime ? FillsIdleTime : 0U;
+    return flags;
+}
+
+Json encode(const StepSpec &step)
+{
+    Json after = Json::array();
+    for (const StepIndex before : step.after)
+        after.push_back(before.value());
+    return Json::array({step.tasks, step.need.processors.count(), step.need.memory.count(),
+                        step.need.accelerators.count(), step.estimate.count(), std::move(after),
+                        flagsOf(step), step.requiredLabel.value(), step.preferredRack.value(),
+                        step.image, step.maxPerWorker, step.maxUnavailable,
+                        step.latencyTarget.count()});
+}
+
+StepSpec decodeStep(const Json &json)
+{
+    StepSpec step;
+    step.tasks = json.at(0).get<std::int64_t>();
+    step.need.processors = amount<Millicores>(json.at(1));
+    step.need.memory = amount<Bytes>(json.at(2));
+    step.need.accelerators = amount<Accelerators>(json.at(3));
+    step.estimate = amount<Milliseconds>(json.at(4));
+    for (const Json &before : json.at(5))
+        step.after.push_back(number<StepIndex>(before));
+    const auto flags = json.at(6).get<unsigned>();
+    step.checkpoints = (flags & Checkpoints) != 0;
+    step.gang = (flags & Gang) != 0;
+    step.sameRack = (flags & SameRack) != 0;
+    step.speculative = (flags & Speculative) != 0;
+    step.longRunning = (flags & LongRunning) != 0;
+    step.fillsIdleTime = (flags & FillsIdleTime) != 0;
+    step.requiredLabel = name<Label>(json.at(7));
+    step.preferredRack = name<Label>(json.at(8));
+    step.image = json.at(9).get<std::string>();
+    step.maxPerWorker = json.at(10).get<std::int64_t>();
+    step.maxUnavailable = json.at(11).get<std::int64_t>();
+    step.latencyTarget = amount<Milliseconds>(json.at(12));
+    return step;
+}
+
+Json encode(const Queue &queue)
+{
+    Json approval;
+    if (queue.approval) {
+        approval = Json::array({queue.approval->perDecision.count(),
+                                queue.approval->perWorkerMicroseconds,
+                                queue.approval->validity.count()});
+    }
+    return Json::array({queue.id.value(), queue.upstream.value(), queue.priority, queue.maxAttempts,
+                        queue.stretchPercent, queue.objective.count(), std::move(approval)});
+}
+
+Queue decodeQueue(const Json &json)
+{
+    Queue queue;
+    queue.id = name<QueueId>(json.at(0));
+    queue.upstream = name<UpstreamId>(json.at(1));
+    queue.priority = json.at(2).get<std::int64_t>();
+    queue.maxAttempts = json.at(3).get<std::int64_t>();
+    queue.stretchPercent = json.at(4).get<std::int64_t>();
+    queue.objective = amount<Milliseconds>(json.at(5));
+    const Json &approval = json.at(6);
+    if (approval.is_array()) {
+        queue.approval = ApprovalTerms {amount<Milliseconds>(approval.at(0)),
+                                        approval.at(1).get<std::int64_t>(),
+                                        amount<Milliseconds>(approval.at(2))};
+    }
+    return queue;
+}
+
+Json encode(const AcceptedJob &job)
+{
+    Json steps = Json::array();
+    for (const StepSpec &step : job.spec.steps)
+        steps.push_back(encode(step));
+    const Schedule &schedule = job.spec.schedule;
+    return Json::array({job.spec.id.value(), job.spec.payload, std::move(steps), schedule.runs,
+                        schedule.firstDue.count(), schedule.interval.count(), encode(job.terms),
+                        job.generation, job.acceptedAt.count()});
+}
+
+AcceptedJob decodeJob(const Json &json)
+{
+    AcceptedJob job;
+    job.spec.id = name<JobId>(json.at(0));
+    job.spec.payload = json.at(1).get<std::string>();
+    for (const Json &step : json.at(2))
+        job.spec.steps.push_back(decodeStep(step));
+    job.spec.schedule = {json.at(3).get<std::int64_t>(), amount<WallTime>(json.at(4)),
+                         amount<Milliseconds>(json.at(5))};
+    job.terms = decodeQueue(json.at(6));
+    job.generation = json.at(7).get<std::uint64_t>();
+    job.acceptedAt = amount<WallTime>(json.at(8));
+    return job;
+}
+
+template<class Value>
+Json encodeRows(const std::map<std::uint64_t, Value> &rows)
+{
+    Json json = Json::array();
+    for (const auto &[index, value] : rows)
+        json.push_back(Json::array({index, value}));
+    return json;
+}
+
+template<class Value>
+std::map<std::uint64_t, Value> decodeRows(const Json &json)
+{
+    std::map<std::uint64_t, Value> rows;
+    for (const Json &row : json)
+        rows[row.at(0).get<std::uint64_t>()] = row.at(1).get<Value>();
+    return rows;
+}
+
+Json encode(const JobProgress &progress)
+{
+    Json steps = Json::array();
+    for (const StepProgress &step : progress.steps) {
+        std::string done;
+        for (const bool isDone : step.done)
+            done.push_back(isDone ? '1' : '0');
+        steps.push_back(Json::array({std::move(done), encodeRows(step.failures),
+                                     encodeRows(step.countedRuns), encodeRows(step.checkpoints)}));
+    }
+    return steps;
+}
+
+JobProgress decodeProgress(const Json &json)
+{
+    JobProgress progress;
+    for (const Json &row : json) {
+        StepProgress &step = progress.steps.emplace_back();
+        for (const char mark : row.at(0).get<std::string>())
+            step.done.push_back(mark == '1');
+        step.failures = decodeRows<std::int64_t>(row.at(1));
+        step.countedRuns = decodeRows<std::uint64_t>(row.at(2));
+        step.checkpoints = decodeRows<std::string>(row.at(3));
+    }
+    return progress;
+}
+
+Json encode(const HolderRecord &record)
+{
+    return Json::array({encode(record.process), encode(record.peers), record.generation});
+}
+
+HolderRecord decodeHolder(const Json &json)
+{
+    return {decodeProcess(json.at(0)), decodeAddress(json.at(1)), json.at(2).get<std::uint64_t>()};
+}
+
+Json encode(const CommitSequenceRecord &record)
+{
+    return Json::array({encode(record.process), record.number});
+}
+
+Json encode(const RosterRecord &record)
+{
+    Json json = Json::array();
+    for (const WorkerId &worker : record.workers)
+        json.push_back(worker.value());
+    return json;
+}
+
+RosterRecord decodeRoster(const Json &json)
+{
+    RosterRecord record;
+    for (const Json &worker : json)
+        record.workers.push_back(name<WorkerId>(worker));
+    return record;
+}
+
+Json encode(const CancelRecord &record)
+{
+    return record.at.count();
+}
+
+JobState decodeState(const Json &json)
+{
+    const auto state = json.get<unsigned>();
+    if (state > static_cast<unsigned>(JobState::Cancelled))
+        throw std::out_of_range("job state");
+    return static_cast<JobState>(state);
+}
+
+Json encode(const JobResult &result)
+{
+    return Json::array({static_cast<unsigned>(result.state), result.endedAt.count()});
+}
+
+// What other writers keep in the store is encoded by its adapter.
+Json encode(const std::monostate & /*none*/)
+{
+    return nullptr;
+}
+Json encode(const Unreadable & /*none*/)
+{
+    return nullptr;
+}
+Json encode(const CellConfiguration & /*configuration*/)
+{
+    return nullptr;
+}
+Json encode(const WorkerEntry & /*entry*/)
+{
+    return nullptr;
+}
+
+Json encode(const ApprovalRequest &request)
+{
+    Json workers = Json::array();
+    for (const WorkerId &worker : request.workers)
+        workers.push_back(worker.value());
+    return Json::array({request.step.job.value(), request.step.occurrence.value(),
+                        request.step.step.value(), std::move(workers)});
+}
+
+ApprovalRequest decodeApprovalRequest(const Json &json)
+{
+    ApprovalRequest request;
+    request.step = {name<JobId>(json.at(0)), number<Occurrence>(json.at(1)),
+                    number<StepIndex>(json.at(2))};
+    for (const Json &worker : json.at(3))
+        request.workers.push_back(name<WorkerId>(worker));
+    return request;
+}
+
+Json encode(const PeerHello &hello)
+{
+    return encode(hello.peers);
+}
+Json encode(const PeerJobAccepted &message)
+{
+    return encode(message.job);
+}
+Json encode(const PeerJobCancelled &message)
+{
+    return message.job.value();
+}
+Json encode(const PeerApprovalRequest &message)
+{
+    return Json::array({message.number, encode(message.request), message.timeout.count()});
+}
+
+Json encode(const PeerApprovalReply &message)
+{
+    Json approved = Json::array();
+    for (const Approval &approval : message.reply.approved)
+        approved.push_back(Json::array({approval.worker.value(), approval.ticket}));
+    return Json::array({message.number, message.reply.answered, std::move(approved)});
+}
+
+Json encode(const PeerStateUpdate &message)
+{
+    Json changed = Json::array();
+    for (const JobStateRow &row : message.changed)
+        changed.push_back(Json::array({row.job.value(), static_cast<unsigned>(row.state)}));
+    Json queues = Json::array();
+    for (const QueueLoad &load : message.queues) {
+        queues.push_back(
+                Json::array({load.queue.value(), load.pendingJobs, load.expectedWait.count()}));
+    }
+    return Json::array({message.configuration.value(), std::move(changed), std::move(queues)});
+}
+
+PeerApprovalReply decodeApprovalReply(const Json &json)
+{
+    PeerApprovalReply message;
+    message.number = json.at(0).get<std::uint64_t>();
+    message.reply.answered = json.at(1).get<bool>();
+    for (const Json &row : json.at(2)) {
+        message.reply.approved.push_back({name<WorkerId>(row.at(0)), row.at(1).get<std::string>()});
+    }
+    return message;
+}
+
+PeerStateUpdate decodeStateUpdate(const Json &json)
+{
+    PeerStateUpdate message;
+    message.configuration = number<ConfigurationVersion>(json.at(0));
+    for (const Json &row : json.at(1))
+        message.changed.push_back({name<JobId>(row.at(0)), decodeState(row.at(1))});
+    for (const Json &row : json.at(2)) {
+        message.queues.push_back({name<QueueId>(row.at(0)), row.at(1).get<std::int64_t>(),
+                                  amount<Milliseconds>(row.at(2))});
+    }
+    return message;
+}
+
+PeerMessage decodeMessage(std::size_t kind, const Json &json)
+{
+    switch (kind) {
+    case 0:
+        return PeerHello {decodeAddress(json)};
+    case 1:
+        return PeerJobAccepted {decodeJob(json)};
+    case 2:
+        return PeerJobCancelled {name<JobId>(json)};
+    case 3:
+        return PeerApprovalRequest {json.at(0).get<std::uint64_t>(),
+                                    decodeApprovalRequest(json.at(1)),
+                                    amount<Milliseconds>(json.at(2))};
+    case 4:
+        return decodeApprovalReply(json);
+    case 5:
+        return decodeStateUpdate(json);
+    default:
+        throw std::out_of_range("message kind");
+    }
+}
+
+std::string toBytes(const Json &json)
+{
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+RecordValue decodeRecordJson(RecordArea area, const Json &json)
+{
+    switch (area) {
+    case RecordArea::Holder:
+    case RecordArea::HolderLease:
+        return decodeHolder(json);
+    case RecordArea::CommitSequence:
+        return CommitSequenceRecord {decodeProcess(json.at(0)), json.at(1).get<std::uint64_t>()};
+    case RecordArea::Roster:
+        return decodeRoster(json);
+    case RecordArea::Jobs:
+        return decodeJob(json);
+    case RecordArea::Cancels:
+        return CancelRecord {amount<WallTime>(json)};
+    case RecordArea::Progress:
+        return decodeProgress(json);
+    case RecordArea::Results:
+        return JobResult {decodeState(json.at(0)), amount<WallTime>(json.at(1))};
+    default:
+        return Unreadable {};
+    }
+}
+
+/// Changes with every change of the frames, so that two releases do not misread each other.
+constexpr unsigned frameVersion = 1;
+
+} // namespace
+
+std::string encodeRecord(const RecordValue &value)
+{
+    return toBytes(std::visit([](const auto &record) { return encode(record); }, value));
+}
+
+RecordValue decodeRecord(RecordArea area, std::string_view bytes)
+{
+    try {
+        return decodeRecordJson(area, Json::from_cbor(bytes.begin(), bytes.end()));
+    } catch (const std::exception &) {
+        return Unreadable {};
+    }
+}
+
+std::string encodeCellFrame(const PeerFrame &frame)
+{
+    const Json body
+            = std::visit([](const auto &message) { return encode(message); }, frame.message);
+    return toBytes(Json::array({frameVersion, encode(frame.from), encode(frame.fromAddress),
+                                frame.message.index(), body}));
+}
+
+Result<PeerFrame> decodeCellFrame(std::string_view bytes)
+{
+    BOOST_LEAF_CHECK(checkCbor(bytes));
+    try {
+        const Json json = Json::from_cbor(bytes.begin(), bytes.end());
+        if (json.at(0).get<unsigned>() != frameVersion) {
+            return fail(ErrorKind::InvalidMessage,
+                        "The frame has another version. Run one release on all instances.");
+        }
+        return PeerFrame {decodeProcess(json.at(1)), decodeAddress(json.at(2)),
+                          decodeMessage(json.at(3).get<std::size_t>(), json.at(4))};
+    } catch (const std::exception &error) {
+        return fail(ErrorKind::InvalidMessage,
+                    std::string("The frame cannot be read (") + error.what()
+                            + "). Run one release on all instances.");
+    }
+}
+
+} // namespace caraway::cell
