Announce only fresh jobs to the holder; keep ends until a result is stored

Change: a conflicting acceptance is not announced, the holder takes only announcements of its own generation, and every end of a live job is recorded before the worker forgets it.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -44,7 +44,7 @@
     EntryDesk::Handlers handlers;
     handlers.accepted = [this](const AcceptedJob &job) {
         if (scheduler_.isActive())
-            scheduler_.addJob(job, {});
+            scheduler_.addNewJob(job);
         else if (const std::optional<Address> holder = holderAddress())
             context_.send(*holder, PeerJobAccepted {job});
     };
@@ -138,7 +138,7 @@
 
 void CellNode::onMessage(const PeerFrame & /*frame*/, const PeerJobAccepted &message)
 {
-    scheduler_.addJob(message.job, {});
+    scheduler_.addNewJob(message.job);
 }
 
 void CellNode::onMessage(const PeerFrame & /*frame*/, const PeerJobCancelled &message)
--- a/Source/Cell/CellPlacing.cpp
+++ b/Source/Cell/CellPlacing.cpp
@@ -47,6 +47,9 @@
 {
     if (!step.readySince || step.isDone() || isFinal(job.state()))
         return false;
+    // A later holder may have started it.
+    if (job.accepted().generation > generation_)
+        return false;
     // An unread worker may run a task that an earlier holder started.
     if (!fleet_.isRecovered() && job.accepted().generation < generation_)
         return false;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -117,6 +117,13 @@
     return present ? *present : accepted;
 }
 
+void CellScheduler::addNewJob(const AcceptedJob &job)
+{
+    // Jobs of this generation that have ended are known; of others the store tells the truth.
+    if (job.generation == generation_)
+        addJob(job, {});
+}
+
 void CellScheduler::addJob(const AcceptedJob &job, const JobProgress &progress)
 {
     const JobId &id = job.spec.id;
@@ -246,16 +253,29 @@
 {
     CellJob *job = nullptr;
     CellStep *step = findStep(end.task, job);
-    if (!step || isFinal(job->state()))
+    if (!step)
         return false;
-    CellTask &task = step->tasks[end.task.index.value()];
+    const ProgressRecorder::CoveredEnd covered {worker.id(), worker.life.value_or(WorkerLife()),
+                                                end.number};
+    changed_ = true;
+    // Until the result is stored, a successor learns this end from the worker only.
+    recorder_.markChanged(job->id(), covered);
+    if (!isFinal(job->state()))
+        takeEnd(worker, end, *job, *step);
+    return true;
+}
+
+void CellScheduler::takeEnd(const CellWorker &worker, const EndedTask &end, CellJob &job,
+                            CellStep &step)
+{
+    CellTask &task = step.tasks[end.task.index.value()];
     const bool isPresent = findRun(end.task, end.run, worker.id()) != nullptr;
     const bool isWaiting = task.isIn(CellTask::State::Waiting);
-    keepCheckpoint(*step, task, end);
+    keepCheckpoint(step, task, end);
     if (end.reason == EndReason::Failed && !task.isOver())
-        countFailure(*job, *step, task, end);
-    if (end.reason == EndReason::Done && (isPresent || isWaiting) && !step->spec.longRunning)
-        succeed(*job, *step, task, end.run);
+        countFailure(job, step, task, end);
+    if (end.reason == EndReason::Done && (isPresent || isWaiting) && !step.spec.longRunning)
+        succeed(job, step, task, end.run);
     else if (isPresent)
         task.handle(CellTask::Event::Ended);
     if (end.reason != EndReason::Done || !isPresent) {
@@ -263,11 +283,6 @@
                      end.task.job.value(), end.task.step.value(), end.task.index.value(),
                      end.run.value(), worker.id().value(), static_cast<int>(end.reason), isPresent);
     }
-    changed_ = true;
-    recorder_.markChanged(job->id(),
-                          ProgressRecorder::CoveredEnd {
-                                  worker.id(), worker.life.value_or(WorkerLife()), end.number});
-    return true;
 }
 
 void CellScheduler::keepCheckpoint(CellStep &step, CellTask &task, const EndedTask &end)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -39,6 +39,8 @@
 
     /// A job of the store; one that is known or has ended is ignored.
     void addJob(const AcceptedJob &job, const JobProgress &progress);
+    /// A job that an instance has just stored, as that instance says.
+    void addNewJob(const AcceptedJob &job);
     void cancelJob(const JobId &job);
     void setWorker(const WorkerEntry &entry) { fleet_.setEntry(entry); }
     void removeWorker(const WorkerId &id) { fleet_.removeEntry(id); }
@@ -69,6 +71,7 @@
     std::optional<Resources> onFound(const CellWorker &worker, const RunningTask &running);
     void onProgressed(const CellWorker &worker, const RunningTask &running);
     bool onEnded(const CellWorker &worker, const EndedTask &end);
+    void takeEnd(const CellWorker &worker, const EndedTask &end, CellJob &job, CellStep &step);
     void onAbsent(const CellWorker &worker, const TaskKey &key, RunNumber run,
                   WorkerOutcome outcome);
     void onUnanswered(const TaskKey &key, RunNumber run);
--- a/Source/Cell/EntryDesk.cpp
+++ b/Source/Cell/EntryDesk.cpp
@@ -197,11 +197,11 @@
             stored.insert(item.key.name);
     }
     for (const JobId &id : jobs) {
-        Submission &submission = submissions_.at(id);
+        // The job may have ended since it was stored: the holder learns from the store.
         if (stored.contains(id.value()))
-            finishAccepted(id, submission.maybeStored);
+            finishAccepted(id, false);
         else
-            submission.alone = true;
+            submissions_.at(id).alone = true;
     }
 }
 
--- /dev/null
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -0,0 +1,313 @@
+#include "Cell/CellWorld.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace caraway::tests {
+
+using namespace cell;
+
+/// The whole path of a job through several instances, in simulated time.
+class CellNodeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CellNodeTest);
+    CPPUNIT_TEST(job_handedIn_isAcceptedAndCompletedAtEveryInstance);
+    CPPUNIT_TEST(job_handedInTwiceAtTwoInstances_startsOnce);
+    CPPUNIT_TEST(job_ofMoreTasksThanRoom_neverOverloadsAWorker);
+    CPPUNIT_TEST(step_afterAnother_startsWhenAllItsTasksSucceeded);
+    CPPUNIT_TEST(task_failingEachTime_failsTheJobAfterItsAttempts);
+    CPPUNIT_TEST(gang_withRoomForAll_startsUnderOneRun);
+    CPPUNIT_TEST(job_cancelledWhileRunning_isStoppedAndShownCancelled);
+    CPPUNIT_TEST(unknownJob_read_isUnknown);
+    CPPUNIT_TEST(holder_killed_othersTakeOverAndNothingRunsTwice);
+    CPPUNIT_TEST(holder_frozenPastItsLease_startsNothingTwiceWhenItWakes);
+    CPPUNIT_TEST(job_handedInAgainAfterItEndedUnderAnEarlierHolder_doesNotRunAgain);
+    CPPUNIT_TEST(end_ofAJobWhoseResultIsNotStored_isNotForgottenByTheWorker);
+    CPPUNIT_TEST(start_unanswered_isSettledBeforeTheTaskRunsElsewhere);
+    CPPUNIT_TEST(worker_restarted_itsTasksRunAgain);
+    CPPUNIT_TEST(worker_draining_getsNoStart);
+    CPPUNIT_TEST(store_refusingWrites_isToldAsNotRun);
+    CPPUNIT_TEST(store_losingTheAnswer_acceptsTheJobOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        world_ = std::make_unique<CellWorld>(3, 4);
+        CPPUNIT_ASSERT(
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait_));
+        world_->advance(Milliseconds(1000));
+    }
+
+    void job_handedIn_isAcceptedAndCompletedAtEveryInstance()
+    {
+        CPPUNIT_ASSERT(world_->submitAndWait(0, CellWorld::job("a", 3)) == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(completes("a"));
+        for (std::size_t i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT(world_->stateOf(i, JobId("a")) == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), world_->startsOf(JobId("a")));
+    }
+
+    void job_handedInTwiceAtTwoInstances_startsOnce()
+    {
+        const auto first = world_->submit(0, CellWorld::job("a"));
+        const auto second = world_->submit(1, CellWorld::job("a"));
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT(world_->answerTo(first)->outcome == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(world_->answerTo(second)->outcome == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world_->startsOf(JobId("a")));
+    }
+
+    void job_ofMoreTasksThanRoom_neverOverloadsAWorker()
+    {
+        world_->submitAndWait(0, CellWorld::job("a", 100));
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overloads());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(100), world_->startsOf(JobId("a")));
+    }
+
+    void step_afterAnother_startsWhenAllItsTasksSucceeded()
+    {
+        JobSpec job = CellWorld::job("a", 3);
+        job.steps.push_back(job.steps.front());
+        job.steps.back().after = {StepIndex(0)};
+        world_->submitAndWait(0, job);
+        CPPUNIT_ASSERT(completes("a"));
+        TimePoint lastEnd;
+        for (const CellWorld::StartRow &row : world_->starts()) {
+            if (row.task.step == StepIndex(0))
+                lastEnd = std::max(lastEnd, row.endedAt.value());
+        }
+        for (const CellWorld::StartRow &row : world_->starts()) {
+            if (row.task.step == StepIndex(1))
+                CPPUNIT_ASSERT(row.at >= lastEnd);
+        }
+    }
+
+    void task_failingEachTime_failsTheJobAfterItsAttempts()
+    {
+        world_->plan = [](const TaskKey &, RunNumber) {
+            return SimulatedWorker::StartPlan {Milliseconds(100), EndReason::Failed};
+        };
+        world_->submitAndWait(0, CellWorld::job("a"));
+        CPPUNIT_ASSERT(reaches("a", JobState::Failed));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), world_->startsOf(JobId("a")));
+    }
+
+    void gang_withRoomForAll_startsUnderOneRun()
+    {
+        JobSpec job = CellWorld::job("a", 20);
+        job.steps.front().gang = true;
+        world_->submitAndWait(0, job);
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), world_->starts().size());
+        for (const CellWorld::StartRow &row : world_->starts())
+            CPPUNIT_ASSERT(row.run == world_->starts().front().run);
+    }
+
+    void job_cancelledWhileRunning_isStoppedAndShownCancelled()
+    {
+        world_->plan = longRuns();
+        world_->submitAndWait(0, CellWorld::job("a", 2));
+        world_->advance(Milliseconds(300));
+        world_->cancel(1, JobId("a"));
+        CPPUNIT_ASSERT(reaches("a", JobState::Cancelled));
+        world_->advance(Milliseconds(500));
+        for (const CellWorld::StartRow &row : world_->starts())
+            CPPUNIT_ASSERT(row.endedAt && row.reason == EndReason::Stopped);
+    }
+
+    void unknownJob_read_isUnknown()
+    {
+        const auto request = world_->read(0, JobId("nobody"));
+        world_->advance(Milliseconds(200));
+        CPPUNIT_ASSERT(world_->answerTo(request)->outcome == CallerOutcome::UnknownJob);
+    }
+
+    void holder_killed_othersTakeOverAndNothingRunsTwice()
+    {
+        world_->plan = longRuns();
+        world_->submitAndWait(other(), CellWorld::job("a", 5));
+        world_->advance(Milliseconds(300));
+        const std::size_t asked = other();
+        world_->kill(*world_->holder());
+        CPPUNIT_ASSERT(
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait_));
+        CPPUNIT_ASSERT(world_->advanceUntil(
+                [&] { return world_->stateOf(asked, JobId("a")) == JobState::Completed; },
+                longWait_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), world_->startsOf(JobId("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
+    }
+
+    void holder_frozenPastItsLease_startsNothingTwiceWhenItWakes()
+    {
+        const std::size_t old = *world_->holder();
+        const std::size_t asked = other();
+        world_->plan = longRuns();
+        world_->submitAndWait(asked, CellWorld::job("a", 5));
+        world_->advance(Milliseconds(300));
+        world_->freeze(old);
+        world_->submitAndWait(asked, CellWorld::job("b", 5));
+        CPPUNIT_ASSERT(
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait_));
+        world_->advance(Milliseconds(1000));
+        world_->thaw(old);
+        world_->advance(Milliseconds(8000));
+        CPPUNIT_ASSERT(world_->stateOf(old, JobId("a")) == JobState::Completed);
+        CPPUNIT_ASSERT(world_->stateOf(old, JobId("b")) == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), world_->starts().size());
+    }
+
+    /// The bench's BUDGET on a day with a killed holder: the job had failed for good, came again
+    /// at an instance that did not know it, and was announced to the next holder.
+    void job_handedInAgainAfterItEndedUnderAnEarlierHolder_doesNotRunAgain()
+    {
+        world_->submitAndWait(0, CellWorld::job("a"));
+        CPPUNIT_ASSERT(completes("a"));
+        const std::size_t old = *world_->holder();
+        world_->kill(old);
+        CPPUNIT_ASSERT(
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait_));
+        world_->restart(old);
+        world_->advance(Milliseconds(1500));
+        int commits = 0;
+        world_->storeFate = [&](const InstanceId &id, const StoreRequest &request) {
+            const bool isFirst = id.value() == "entry-" + std::to_string(old)
+                    && std::holds_alternative<StoreCommit>(request) && ++commits == 1;
+            return isFirst ? CellWorld::Fate::AnswerLost : CellWorld::Fate::Delivered;
+        };
+        CPPUNIT_ASSERT(world_->submitAndWait(old, CellWorld::job("a")) == CallerOutcome::Accepted);
+        world_->advance(Milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world_->startsOf(JobId("a")));
+    }
+
+    /// A job that is over keeps its workers' ends until its result is in the store: a successor
+    /// would otherwise start tasks that have succeeded.
+    void end_ofAJobWhoseResultIsNotStored_isNotForgottenByTheWorker()
+    {
+        world_->plan = [](const TaskKey &task, RunNumber) {
+            const bool fails = task.index == TaskIndex(0);
+            return SimulatedWorker::StartPlan {Milliseconds(fails ? 100 : 1500),
+                                               fails ? EndReason::Failed : EndReason::Done};
+        };
+        JobSpec job = CellWorld::job("a", 2);
+        job.steps.front().need.processors = Millicores(8000);
+        world_->submitAndWait(0, job);
+        world_->advance(Milliseconds(150));
+        world_->storeFate = [](const InstanceId &, const StoreRequest &request) {
+            return std::holds_alternative<StoreCommit>(request) ? CellWorld::Fate::Refused
+                                                                : CellWorld::Fate::Delivered;
+        };
+        world_->workerFate = [](const InstanceId &, const WorkerRequest &request) {
+            return std::holds_alternative<WorkerStop>(request.order) ? CellWorld::Fate::Lost
+                                                                     : CellWorld::Fate::Delivered;
+        };
+        world_->advance(Milliseconds(4000));
+        std::set<WorkerId> unreachable;
+        for (const CellWorld::StartRow &row : world_->starts()) {
+            if (row.task.index == TaskIndex(0))
+                unreachable.insert(row.worker);
+        }
+        const std::size_t old = *world_->holder();
+        world_->kill(old);
+        world_->storeFate = nullptr;
+        world_->workerFate = [&](const InstanceId &, const WorkerRequest &request) {
+            return unreachable.contains(request.worker) ? CellWorld::Fate::Lost
+                                                        : CellWorld::Fate::Delivered;
+        };
+        world_->restart(old);
+        world_->advance(Milliseconds(20'000));
+        const auto startsOfOther = std::count_if(
+                world_->starts().begin(), world_->starts().end(),
+                [](const CellWorld::StartRow &row) { return row.task.index == TaskIndex(1); });
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), startsOfOther);
+    }
+
+    void start_unanswered_isSettledBeforeTheTaskRunsElsewhere()
+    {
+        int starts = 0;
+        world_->workerFate = [&](const InstanceId &, const WorkerRequest &request) {
+            const bool isFirst
+                    = std::holds_alternative<WorkerStart>(request.order) && ++starts == 1;
+            return isFirst ? CellWorld::Fate::AnswerLost : CellWorld::Fate::Delivered;
+        };
+        world_->plan = longRuns();
+        world_->submitAndWait(0, CellWorld::job("a"));
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
+    }
+
+    void worker_restarted_itsTasksRunAgain()
+    {
+        world_->plan = longRuns();
+        world_->submitAndWait(0, CellWorld::job("a", 4));
+        world_->advance(Milliseconds(300));
+        for (std::size_t i = 0; i < 4; ++i)
+            world_->worker(i).restart(world_->now());
+        world_->publishWorkers();
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), world_->startsOf(JobId("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
+    }
+
+    void worker_draining_getsNoStart()
+    {
+        world_->worker(0).entry.draining = true;
+        world_->publishWorkers();
+        world_->advance(Milliseconds(1500));
+        world_->submitAndWait(0, CellWorld::job("a", 40));
+        CPPUNIT_ASSERT(completes("a"));
+        for (const CellWorld::StartRow &row : world_->starts())
+            CPPUNIT_ASSERT(row.worker != world_->worker(0).entry.id);
+    }
+
+    void store_refusingWrites_isToldAsNotRun()
+    {
+        world_->storeFate = [](const InstanceId &, const StoreRequest &request) {
+            return std::holds_alternative<StoreCommit>(request) ? CellWorld::Fate::Refused
+                                                                : CellWorld::Fate::Delivered;
+        };
+        CPPUNIT_ASSERT(world_->submitAndWait(0, CellWorld::job("a")) == CallerOutcome::Refused);
+        world_->storeFate = nullptr;
+        world_->advance(Milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->startsOf(JobId("a")));
+    }
+
+    void store_losingTheAnswer_acceptsTheJobOnce()
+    {
+        int commits = 0;
+        world_->storeFate = [&](const InstanceId &, const StoreRequest &request) {
+            const auto *commit = std::get_if<StoreCommit>(&request);
+            const bool isJob = commit && commit->conditions.front().key.area == RecordArea::Jobs;
+            return isJob && ++commits == 1 ? CellWorld::Fate::AnswerLost
+                                           : CellWorld::Fate::Delivered;
+        };
+        CPPUNIT_ASSERT(world_->submitAndWait(0, CellWorld::job("a")) == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world_->startsOf(JobId("a")));
+    }
+
+private:
+    static std::function<SimulatedWorker::StartPlan(const TaskKey &, RunNumber)> longRuns()
+    {
+        return [](const TaskKey &, RunNumber) {
+            return SimulatedWorker::StartPlan {Milliseconds(4000), EndReason::Done};
+        };
+    }
+    /// An instance that is not the holder.
+    std::size_t other() const { return (*world_->holder() + 1) % 3; }
+    bool completes(const std::string &job) { return reaches(job, JobState::Completed); }
+    bool reaches(const std::string &job, JobState state)
+    {
+        return world_->advanceUntil([&] { return world_->stateOf(0, JobId(job)) == state; },
+                                    longWait_);
+    }
+
+    static constexpr Milliseconds longWait_ {20'000};
+    std::unique_ptr<CellWorld> world_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CellNodeTest);
+
+} // namespace caraway::tests
--- /dev/null
+++ b/Tests/Cell/SimulatedStore.cpp
@@ -0,0 +1,179 @@
+#include "Cell/SimulatedStore.h"
+
+#include <algorithm>
+
+namespace caraway::tests {
+
+using namespace cell;
+
+bool SimulatedStore::isIn(RecordArea area, const RecordKey &key)
+{
+    if (area == RecordArea::Intake)
+        return key.area == RecordArea::Jobs || key.area == RecordArea::Cancels;
+    if (area == RecordArea::Holder)
+        return key.area == RecordArea::Holder || key.area == RecordArea::HolderLease;
+    return key.area == area;
+}
+
+StoreItem SimulatedStore::itemOf(const RecordKey &key) const
+{
+    StoreItem item;
+    item.key = key;
+    const auto found = items_.find(key);
+    if (found != items_.end()) {
+        item.value = found->second.value;
+        item.revision = found->second.revision;
+    }
+    return item;
+}
+
+void SimulatedStore::put(const RecordKey &key, RecordValue value, LeaseId lease)
+{
+    revision_ = revision_.next();
+    items_[key] = {std::move(value), revision_, lease};
+    history_.push_back({key, revision_, false});
+}
+
+void SimulatedStore::remove(const RecordKey &key)
+{
+    if (items_.erase(key) == 0)
+        return;
+    revision_ = revision_.next();
+    history_.push_back({key, revision_, true});
+}
+
+const RecordValue *SimulatedStore::find(const RecordKey &key) const
+{
+    const auto found = items_.find(key);
+    return found == items_.end() ? nullptr : &found->second.value;
+}
+
+std::size_t SimulatedStore::count(RecordArea area) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(items_.begin(), items_.end(),
+                          [&](const auto &item) { return isIn(area, item.first); }));
+}
+
+StoreReply SimulatedStore::commit(const StoreCommit &commit)
+{
+    ++commits_;
+    StoreReply reply;
+    bool holds = true;
+    for (const StoreCondition &condition : commit.conditions) {
+        reply.items.push_back(itemOf(condition.key));
+        holds &= reply.items.back().revision == condition.revision;
+    }
+    if (!holds) {
+        reply.outcome = StoreOutcome::Conflict;
+        return reply;
+    }
+    for (const StoreWrite &write : commit.writes) {
+        if (write.lease != LeaseId() && !leases_.contains(write.lease))
+            return {StoreOutcome::NotFound, {}, false, {}, {}};
+    }
+    revision_ = revision_.next();
+    for (const StoreWrite &write : commit.writes) {
+        items_[write.key] = {write.value, revision_, write.lease};
+        history_.push_back({write.key, revision_, false});
+    }
+    for (const RecordKey &key : commit.deletes) {
+        if (items_.erase(key) > 0)
+            history_.push_back({key, revision_, true});
+    }
+    return {StoreOutcome::Done, {}, false, revision_, {}};
+}
+
+StoreReply SimulatedStore::carryOut(TimePoint now, const StoreRequest &request)
+{
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Done;
+    reply.at = revision_;
+    if (const auto *get = std::get_if<StoreGet>(&request)) {
+        if (!items_.contains(get->key))
+            return {StoreOutcome::NotFound, {}, false, {}, {}};
+        reply.items.push_back(itemOf(get->key));
+    } else if (const auto *list = std::get_if<StoreList>(&request)) {
+        for (const auto &[key, stored] : items_) {
+            if (isIn(list->area, key))
+                reply.items.push_back(itemOf(key));
+        }
+    } else if (const auto *change = std::get_if<StoreCommit>(&request)) {
+        return commit(*change);
+    } else if (const auto *grant = std::get_if<StoreGrantLease>(&request)) {
+        revision_ = revision_.next();
+        reply.lease = LeaseId(revision_.value());
+        leases_[reply.lease] = {now + grant->lifetime, grant->lifetime};
+    } else if (const auto *renew = std::get_if<StoreRenewLease>(&request)) {
+        const auto lease = leases_.find(renew->lease);
+        if (lease == leases_.end())
+            return {StoreOutcome::NotFound, {}, false, {}, {}};
+        lease->second.first = now + lease->second.second;
+    } else if (const auto *end = std::get_if<StoreEndLease>(&request)) {
+        const auto lease = leases_.find(end->lease);
+        if (lease != leases_.end())
+            lease->second.first = now;
+    }
+    return reply;
+}
+
+std::vector<StoreItem> SimulatedStore::changesAfter(RecordArea area, Revision after) const
+{
+    std::vector<StoreItem> changes;
+    for (const Change &change : history_) {
+        if (change.revision <= after || !isIn(area, change.key))
+            continue;
+        StoreItem item = itemOf(change.key);
+        // Only the newest state is kept; what was overwritten since is told once.
+        if (!change.deleted && item.revision != change.revision)
+            continue;
+        item.revision = change.revision;
+        item.deleted = change.deleted;
+        changes.push_back(std::move(item));
+    }
+    return changes;
+}
+
+void SimulatedStore::handle(TimePoint now, const StoreRequest &request, const Reply &reply)
+{
+    if (const auto *watch = std::get_if<StoreWatch>(&request))
+        watchers_.push_back({watch->area, watch->after, now + watch->wait, reply});
+    else
+        reply(carryOut(now, request));
+    wakeWatchers(now);
+}
+
+void SimulatedStore::wakeWatchers(TimePoint now)
+{
+    for (auto watcher = watchers_.begin(); watcher != watchers_.end();) {
+        std::vector<StoreItem> changes = changesAfter(watcher->area, watcher->after);
+        if (changes.empty() && now < watcher->until) {
+            ++watcher;
+            continue;
+        }
+        const Reply reply = std::move(watcher->reply);
+        watcher = watchers_.erase(watcher);
+        reply({StoreOutcome::Done, std::move(changes), false, revision_, {}});
+    }
+}
+
+void SimulatedStore::tick(TimePoint now)
+{
+    for (auto lease = leases_.begin(); lease != leases_.end();) {
+        if (now < lease->second.first) {
+            ++lease;
+            continue;
+        }
+        std::vector<RecordKey> gone;
+        for (const auto &[key, stored] : items_) {
+            if (stored.lease == lease->first)
+                gone.push_back(key);
+        }
+        for (const RecordKey &key : gone)
+            remove(key);
+        lease = leases_.erase(lease);
+    }
+    wakeWatchers(now);
+}
+
+} // namespace caraway::tests
--- /dev/null
+++ b/Tests/Cell/SimulatedStore.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Cell/StoreCalls.h"
+
+#include <functional>
+#include <list>
+#include <map>
+
+namespace caraway::tests {
+
+/// The store in simulated time: revisions, conditions, leases and watches, with typed values.
+class SimulatedStore
+{
+public:
+    using Reply = std::function<void(const cell::StoreReply &)>;
+
+    /// Carries a request out at \a now; a watch replies later.
+    void handle(TimePoint now, const cell::StoreRequest &request, const Reply &reply);
+    /// Ends what has run out.
+    void tick(TimePoint now);
+    /// Writes as the operator or a worker does.
+    void put(const cell::RecordKey &key, cell::RecordValue value, cell::LeaseId lease = {});
+    void remove(const cell::RecordKey &key);
+    const cell::RecordValue *find(const cell::RecordKey &key) const;
+    std::size_t count(cell::RecordArea area) const;
+    std::uint64_t commits() const { return commits_; }
+
+private:
+    struct Stored
+    {
+        cell::RecordValue value;
+        Revision revision;
+        cell::LeaseId lease;
+    };
+    struct Watcher
+    {
+        cell::RecordArea area;
+        Revision after;
+        TimePoint until;
+        Reply reply;
+    };
+    struct Change
+    {
+        cell::RecordKey key;
+        Revision revision;
+        bool deleted = false;
+    };
+
+    static bool isIn(cell::RecordArea area, const cell::RecordKey &key);
+    cell::StoreItem itemOf(const cell::RecordKey &key) const;
+    cell::StoreReply commit(const cell::StoreCommit &commit);
+    cell::StoreReply carryOut(TimePoint now, const cell::StoreRequest &request);
+    std::vector<cell::StoreItem> changesAfter(cell::RecordArea area, Revision after) const;
+    void wakeWatchers(TimePoint now);
+
+    Revision revision_ {1};
+    std::map<cell::RecordKey, Stored> items_;
+    std::vector<Change> history_;
+    std::map<cell::LeaseId, std::pair<TimePoint, Milliseconds>> leases_;
+    std::list<Watcher> watchers_;
+    std::uint64_t commits_ = 0;
+};
+
+} // namespace caraway::tests
