Answer at once, or through a peer, while the store turns an instance away

Followers learned of a new holder from the store only.

State updates carry the holder's generation.

--- a/Source/Cell/AreaFollower.cpp
+++ b/Source/Cell/AreaFollower.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-/// Pause after a failed reading or watch; several fit into the time a change may take.
-constexpr Milliseconds retryPause {150};
 /// How long a watch waits; a connection that fell silent is replaced after it.
 constexpr Milliseconds watchWait {4000};
 /// Beyond the wait, for the way and a slow store.
@@ -43,7 +41,8 @@
         return;
     if (!reading_ && (rereadDue_ || context_.now() >= nextRead_))
         read();
-    if (!watching_ && firstReadDone_ && context_.now() >= nextWatch_)
+    if (!watching_ && context_.storeHealth().isServing() && firstReadDone_
+        && context_.now() >= nextWatch_)
         watch();
 }
 
@@ -70,7 +69,7 @@
 {
     if (reply.outcome != StoreOutcome::Done) {
         reading_ = false;
-        nextRead_ = context_.now() + retryPause;
+        nextRead_ = context_.now() + context_.storeHealth().retryPause();
         return;
     }
     if (reading->at == Revision())
@@ -129,7 +128,7 @@
         return;
     }
     if (reply.outcome != StoreOutcome::Done) {
-        nextWatch_ = context_.now() + retryPause;
+        nextWatch_ = context_.now() + context_.storeHealth().retryPause();
         return;
     }
     watchedTo_ = std::max(watchedTo_, reply.at);
--- a/Source/Cell/CellContext.h
+++ b/Source/Cell/CellContext.h
@@ -4,6 +4,7 @@
 #include "Cell/CellSettings.h"
 #include "Cell/PeerMessages.h"
 #include "Cell/StoreCalls.h"
+#include "Cell/StoreHealth.h"
 #include "Cell/WorkerCalls.h"
 
 #include <fmt/format.h>
@@ -100,7 +101,13 @@
                    Milliseconds timeout = defaultStoreTimeout)
     {
         const CallId id = nextCall();
-        storeCalls_.add(id, std::move(next));
+        // A watch that waits tells little of the store.
+        const bool tells = !std::holds_alternative<StoreWatch>(request);
+        storeCalls_.add(id, [this, tells, next = std::move(next)](const StoreReply &reply) {
+            if (tells)
+                noteStore(reply.outcome);
+            next(reply);
+        });
         actions_.store.push_back({id, std::move(request), timeout});
     }
     void callWorker(WorkerRequest request, Milliseconds timeout,
@@ -136,12 +143,21 @@
         actions_.log.push_back(std::move(line));
     }
 
+    const StoreHealth &storeHealth() const { return storeHealth_; }
+
     CellActions takeActions() { return std::exchange(actions_, {}); }
 
     /// The store answers in milliseconds; sixty times that is still no failure.
     static constexpr Milliseconds defaultStoreTimeout {1000};
 
 private:
+    void noteStore(StoreOutcome outcome)
+    {
+        const bool wasServing = storeHealth_.isServing();
+        storeHealth_.note(outcome, now_);
+        if (wasServing != storeHealth_.isServing())
+            log("event=store_{}", wasServing ? "lost" : "regained");
+    }
     CallId nextCall() { return lastCall_ = lastCall_.next(); }
 
     CellSettings settings_;
@@ -150,6 +166,7 @@
     WallTime wallTime_;
     CallId lastCall_;
     CellActions actions_;
+    StoreHealth storeHealth_;
     CallTable<StoreReply> storeCalls_;
     CallTable<WorkerReply> workerCalls_;
     CallTable<ApprovalReply> approvalCalls_;
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -7,7 +7,7 @@
 /// Accepted jobs reach the holder over peer links; this is the sure way for those that do not.
 constexpr AreaFollower::Intervals intakeIntervals {Milliseconds(3000), Milliseconds(150)};
 /// A worker that drains has to be known within two seconds.
-constexpr AreaFollower::Intervals workerIntervals {Milliseconds(1000), Milliseconds(100)};
+constexpr AreaFollower::Intervals workerIntervals {Milliseconds(1000), Milliseconds(300)};
 /// States reach the other instances in batches of this length.
 constexpr Milliseconds broadcastInterval {60};
 /// Counts are sent this often also when nothing changed; it shows that the holder is there.
@@ -18,6 +18,8 @@
 /// An instance that the store has not answered for this long sends callers elsewhere.
 constexpr Milliseconds storeSilence {2500};
 constexpr Milliseconds peerSilence {5000};
+/// A relayed request is answered sooner, unless the other instance has lost the store as well.
+constexpr Milliseconds relayTimeout {1200};
 
 } // namespace
 
@@ -85,7 +87,7 @@
 
 bool CellNode::isReady() const
 {
-    return !stopping_ && configuration_.current()
+    return !stopping_ && configuration_.current() && context_.storeHealth().isServing()
             && context_.now() - configuration_.confirmedAt() < storeSilence;
 }
 
@@ -96,6 +98,7 @@
     intake_.tick();
     workers_.tick();
     desk_.tick();
+    giveUpRelays();
     if (loading_) {
         for (const std::function<void()> &retry : std::exchange(loading_->retries, {}))
             retry();
@@ -105,6 +108,68 @@
         sayHello();
 }
 
+/// An instance that serves this caller better: one that the store has not turned away.
+std::optional<Address> CellNode::relayFor(const CallerRequest &request) const
+{
+    if (context_.storeHealth().isServing() || std::holds_alternative<CountPending>(request.body))
+        return std::nullopt;
+    if (!election_.isHolder()) {
+        return isHolderHeard() ? holderAddress() : std::nullopt;
+    }
+    for (const auto &[address, heardAt] : peers_) {
+        if (context_.now() - heardAt < holderSilence)
+            return address;
+    }
+    return std::nullopt;
+}
+
+void CellNode::on(const CallerRequest &request)
+{
+    const std::optional<Address> relay = relayFor(request);
+    if (!relay) {
+        desk_.handle(request);
+        return;
+    }
+    context_.log("event=request_relayed request={} path={} to={}:{}", request.id.value(),
+                 request.path, relay->host, relay->port);
+    const bool changesJobs = !std::holds_alternative<ReadJob>(request.body);
+    relayed_[request.id] = {*relay, context_.now() + relayTimeout, changesJobs};
+    context_.send(*relay, PeerCallerRequest {request});
+}
+
+void CellNode::onMessage(const PeerFrame &frame, const PeerCallerRequest &message)
+{
+    desk_.handleRelayed(
+            message.request,
+            [this, to = frame.fromAddress, number = message.request.id](CallerAnswer answer) {
+                answer.id = number;
+                context_.send(to, PeerCallerAnswer {answer});
+            });
+}
+
+void CellNode::onMessage(const PeerFrame & /*frame*/, const PeerCallerAnswer &message)
+{
+    if (relayed_.erase(message.answer.id) > 0)
+        context_.answer(message.answer);
+}
+
+/// A relayed request that is not answered may have been carried out.
+void CellNode::giveUpRelays()
+{
+    for (auto relayed = relayed_.begin(); relayed != relayed_.end();) {
+        if (context_.now() < relayed->second.giveUpAt) {
+            ++relayed;
+            continue;
+        }
+        CallerAnswer answer;
+        answer.id = relayed->first;
+        answer.outcome
+                = relayed->second.changesJobs ? CallerOutcome::Unknown : CallerOutcome::NotReady;
+        context_.answer(answer);
+        relayed = relayed_.erase(relayed);
+    }
+}
+
 void CellNode::on(const StopRequested & /*stop*/)
 {
     if (stopping_)
@@ -123,6 +188,10 @@
 void CellNode::on(const PeerLost &lost)
 {
     peers_.erase(lost.peer);
+    for (auto &[id, relayed] : relayed_) {
+        if (relayed.to == lost.peer)
+            relayed.giveUpAt = context_.now();
+    }
     scheduler_.approvals().onPeerLost(lost.peer);
     if (lost.refused)
         election_.onPeerRefused(lost.peer);
@@ -163,6 +232,7 @@
 void CellNode::onMessage(const PeerFrame &frame, const PeerStateUpdate &message)
 {
     configuration_.onHeard(message.configuration);
+    election_.onHolderHeard({frame.from, frame.fromAddress, message.generation});
     for (const JobStateRow &row : message.changed)
         desk_.noteState(row.job, row.state);
     const std::optional<HolderRecord> &holder = election_.holder();
@@ -211,6 +281,7 @@
         return;
     nextBroadcast_ = context_.now() + broadcastInterval;
     PeerStateUpdate update;
+    update.generation = election_.generation();
     update.configuration = configuration_.version();
     update.changed = std::exchange(changedStates_, {});
     if (areLoadsDue) {
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -53,12 +53,12 @@
     bool isReady() const;
     bool isStopping() const { return stopping_; }
     /// Whether nothing is under way for a caller.
-    bool isIdle() const { return desk_.requestsUnderWay() == 0; }
+    bool isIdle() const { return desk_.requestsUnderWay() == 0 && relayed_.empty(); }
     bool isHolder() const { return election_.isHolder(); }
 
 private:
     void on(const Tick &tick);
-    void on(const CallerRequest &request) { desk_.handle(request); }
+    void on(const CallerRequest &request);
     void on(const StoreReplied &event) { context_.complete(event.id, event.reply); }
     void on(const WorkerReplied &event) { context_.complete(event.id, event.reply); }
     void on(const ApprovalReplied &event) { context_.complete(event.id, event.reply); }
@@ -73,7 +73,12 @@
     void onMessage(const PeerFrame &frame, const PeerApprovalReply &message);
     void onMessage(const PeerFrame &frame, const PeerStateUpdate &message);
 
+    void onMessage(const PeerFrame &frame, const PeerCallerRequest &message);
+    void onMessage(const PeerFrame &frame, const PeerCallerAnswer &message);
+
     EntryDesk::Handlers deskHandlers();
+    std::optional<Address> relayFor(const CallerRequest &request) const;
+    void giveUpRelays();
     void beginTerm();
     void endTerm();
     void loadProgress(std::uint64_t term, std::optional<RecordKey> after);
@@ -112,6 +117,14 @@
     };
     std::optional<Loading> loading_;
     std::uint64_t term_ = 0;
+    /// A caller's request that another instance was asked to answer.
+    struct Relayed
+    {
+        Address to;
+        TimePoint giveUpAt;
+        bool changesJobs = false;
+    };
+    std::map<CallerRequestId, Relayed> relayed_;
     std::map<Address, TimePoint> peers_;
     std::vector<JobStateRow> changedStates_;
     TimePoint nextBroadcast_;
--- a/Source/Cell/EntryDesk.cpp
+++ b/Source/Cell/EntryDesk.cpp
@@ -8,12 +8,11 @@
 constexpr std::size_t jobsPerCommit = 10;
 constexpr std::size_t maxCommitsUnderWay = 4;
 constexpr Milliseconds commitTimeout {900};
-constexpr Milliseconds retryPause {120};
 /// The answer has to reach the caller before its own limit.
 constexpr Milliseconds answerMargin {250};
 constexpr Milliseconds defaultCallerTimeout {3000};
-/// A store that refuses this long is not waited for: the caller is told to come back.
-constexpr Milliseconds refuseAfter {1000};
+/// Attempts after which the caller is told to come back: other instances may reach the store.
+constexpr int maxAttempts = 3;
 constexpr Milliseconds refusedRetryAfter {1000};
 constexpr Milliseconds notReadyRetryAfter {500};
 constexpr Milliseconds forgetInterval {5000};
@@ -75,6 +74,25 @@
         count(request, *queue);
 }
 
+void EntryDesk::handleRelayed(CallerRequest request, Relay relay)
+{
+    request.id = lastRelay_ = lastRelay_.next();
+    relays_.emplace(request.id, std::move(relay));
+    handle(request);
+}
+
+void EntryDesk::give(CallerAnswer answer)
+{
+    const auto relayed = relays_.find(answer.id);
+    if (relayed == relays_.end()) {
+        context_.answer(answer);
+        return;
+    }
+    const Relay relay = std::move(relayed->second);
+    relays_.erase(relayed);
+    relay(answer);
+}
+
 const EntryDesk::Known *EntryDesk::known(const JobId &job) const
 {
     const auto found = known_.find(job);
@@ -90,7 +108,7 @@
         answer.retryAfter = refusedRetryAfter;
     if (outcome == CallerOutcome::NotReady)
         answer.retryAfter = notReadyRetryAfter;
-    context_.answer(answer);
+    give(answer);
 }
 
 void EntryDesk::answerState(CallerRequestId caller, JobState state)
@@ -99,7 +117,7 @@
     answer.id = caller;
     answer.outcome = CallerOutcome::State;
     answer.state = state;
-    context_.answer(answer);
+    give(answer);
 }
 
 void EntryDesk::submit(const CallerRequest &request, const SubmitJob &submit, const Queue &queue)
@@ -114,6 +132,12 @@
         answer(request.id, CallerOutcome::Accepted);
         return;
     }
+    if (!context_.storeHealth().isServing() && !submissions_.contains(id)) {
+        context_.log("event=job_refused job={} reason=store_lost store_answered_ms_ago={}",
+                     id.value(), (context_.now() - context_.storeHealth().answeredAt()).count());
+        answer(request.id, CallerOutcome::Refused);
+        return;
+    }
     const auto [found, isNew] = submissions_.try_emplace(id);
     Submission &submission = found->second;
     submission.callers.push_back(request.id);
@@ -210,7 +234,8 @@
     for (const JobId &id : jobs) {
         Submission &submission = submissions_.at(id);
         submission.maybeStored |= maybeStored;
-        submission.nextTry = context_.now() + (maybeStored ? Milliseconds() : retryPause);
+        submission.nextTry = context_.now() + context_.storeHealth().retryPause();
+        ++submission.attempts;
     }
 }
 
@@ -248,9 +273,9 @@
     const TimePoint now = context_.now();
     std::vector<JobId> late;
     for (const auto &[id, submission] : submissions_) {
-        const bool isRefused = !submission.maybeStored
-                && now >= submission.giveUpAt - defaultCallerTimeout + answerMargin + refuseAfter;
-        if (!submission.underWay && (now >= submission.giveUpAt || isRefused))
+        const bool isHopeless = submission.attempts >= maxAttempts
+                || (submission.attempts > 0 && !context_.storeHealth().isServing());
+        if (!submission.underWay && (now >= submission.giveUpAt || isHopeless))
             late.push_back(id);
     }
     for (const JobId &id : late)
@@ -422,7 +447,7 @@
     counted.outcome = CallerOutcome::Counted;
     const auto found = pending_.find(queue.id);
     counted.pendingJobs = found == pending_.end() ? 0 : found->second;
-    context_.answer(counted);
+    give(counted);
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/EntryDesk.h
+++ b/Source/Cell/EntryDesk.h
@@ -24,6 +24,9 @@
     EntryDesk(CellContext &context, const ConfigurationKeeper &configuration, Handlers handlers);
 
     void handle(const CallerRequest &request);
+    using Relay = std::function<void(CallerAnswer)>;
+    /// Answers a caller of another instance.
+    void handleRelayed(CallerRequest request, Relay relay);
     /// A job's state, as the holder has told it.
     void noteState(const JobId &job, JobState state);
     void noteLoads(const std::vector<QueueLoad> &loads);
@@ -31,6 +34,9 @@
     std::size_t requestsUnderWay() const { return submissions_.size() + lookups_; }
 
 private:
+    /// Above every number that a listener gives.
+    static constexpr std::uint64_t firstRelay = std::uint64_t(1) << 62;
+
     struct Known
     {
         JobState state = JobState::Pending;
@@ -43,6 +49,7 @@
         TimePoint giveUpAt;
         /// An attempt was not answered, so the job may be in the store.
         bool maybeStored = false;
+        int attempts = 0;
         bool underWay = false;
         /// Committed alone, after a commit together with others failed.
         bool alone = false;
@@ -74,6 +81,7 @@
     void answerEnded(const Cancellation &cancellation);
     void retryCancel(const Cancellation &cancellation);
     void count(const CallerRequest &request, const Queue &queue);
+    void give(CallerAnswer answer);
     void answer(CallerRequestId caller, CallerOutcome outcome);
     void answerState(CallerRequestId caller, JobState state);
     const Known *known(const JobId &job) const;
@@ -87,6 +95,9 @@
     std::deque<Cancellation> cancelRetries_;
     std::size_t commitsUnderWay_ = 0;
     std::size_t lookups_ = 0;
+    /// Answers to callers of other instances, by numbers of their own.
+    std::map<CallerRequestId, Relay> relays_;
+    CallerRequestId lastRelay_ {firstRelay};
     TimePoint nextForget_;
 };
 
--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -9,11 +9,11 @@
 /// The holder record is read again this often, which confirms it for the holder.
 constexpr AreaFollower::Intervals intervals {Milliseconds(700), Milliseconds(20)};
 /// Covers two lost renewals; a failed holder is noticed after it.
-constexpr Milliseconds leaseLifetime {2000};
-constexpr Milliseconds renewalInterval {450};
+constexpr Milliseconds leaseLifetime {1500};
+constexpr Milliseconds renewalInterval {400};
 constexpr Milliseconds renewalTimeout {900};
 /// The holder whose lease lapsed with the store's outage takes it again before others do.
-constexpr Milliseconds claimDelay {250};
+constexpr Milliseconds claimDelay {200};
 /// Spreads the claims of the others.
 constexpr std::uint64_t claimSpreadMs = 200;
 constexpr Milliseconds claimPause {300};
@@ -87,8 +87,10 @@
     const auto *record = std::get_if<HolderRecord>(&item.value);
     if (!record)
         return;
-    holder_ = *record;
     holderRevision_ = item.revision;
+    if (holder_ && holder_->generation > record->generation)
+        return;
+    holder_ = *record;
     refusedPeer_.reset();
     context_.log("event=holder_seen instance={} generation={} revision={}",
                  record->process.instance.value(), record->generation, item.revision.value());
@@ -132,7 +134,8 @@
 bool HolderElection::isClaimDue() const
 {
     const TimePoint now = context_.now();
-    if (!follower_.isRead() || now < nextClaim_ || lifecycle_.isIn(State::Released))
+    if (!context_.storeHealth().isServing() || !follower_.isRead() || now < nextClaim_
+        || lifecycle_.isIn(State::Released))
         return false;
     if (isPredecessorDead())
         return true;
@@ -149,6 +152,19 @@
         refusedPeer_ = peer;
 }
 
+void HolderElection::onHolderHeard(const HolderRecord &holder)
+{
+    if (holder_ && holder.generation <= holder_->generation)
+        return;
+    holder_ = holder;
+    refusedPeer_.reset();
+    follower_.rereadSoon();
+    context_.log("event=holder_heard instance={} generation={}", holder.process.instance.value(),
+                 holder.generation);
+    if (isHolder())
+        handle(Event::Superseded);
+}
+
 void HolderElection::requestLease()
 {
     nextClaim_ = context_.now() + claimPause;
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -48,7 +48,8 @@
     void onSuperseded() { follower_.rereadSoon(); }
     /// The holder's address refuses connections, so its process has ended.
     void onPeerRefused(const Address &peer);
-    /// The holder was heard, so its lease need not be watched closely.
+    /// An instance says that it is the holder: believed when its term is later than the one known.
+    void onHolderHeard(const HolderRecord &holder);
     void stop() { handle(Event::StopRequested); }
 
     bool isHolder() const { return lifecycle_.isIn(State::Holder); }
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/CallerMessages.h"
 #include "Cell/Records.h"
 
 namespace caraway::cell {
@@ -55,13 +56,26 @@
 /// From the holder to every instance, in short intervals.
 struct PeerStateUpdate
 {
+    std::uint64_t generation = 0;
     ConfigurationVersion configuration;
     std::vector<JobStateRow> changed;
     std::vector<QueueLoad> queues;
 };
 
-using PeerMessage = std::variant<PeerHello, PeerJobAccepted, PeerJobCancelled, PeerApprovalRequest,
-                                 PeerApprovalReply, PeerStateUpdate>;
+/// To an instance that the store serves, from one that it turns away: answer this caller.
+struct PeerCallerRequest
+{
+    CallerRequest request;
+};
+
+struct PeerCallerAnswer
+{
+    CallerAnswer answer;
+};
+
+using PeerMessage
+        = std::variant<PeerHello, PeerJobAccepted, PeerJobCancelled, PeerApprovalRequest,
+                       PeerApprovalReply, PeerStateUpdate, PeerCallerRequest, PeerCallerAnswer>;
 
 struct PeerFrame
 {
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -9,8 +9,7 @@
 /// A result writes one record and deletes up to three.
 constexpr std::size_t entriesPerJob = 4;
 /// Ends of several tasks come close together; one commit serves them all.
-constexpr Milliseconds commitInterval {25};
-constexpr Milliseconds retryPause {100};
+constexpr Milliseconds commitInterval {40};
 
 } // namespace
 
@@ -131,7 +130,7 @@
         return;
     default:
         // The same commit again: its sequence condition lets it take effect once at most.
-        nextSend_ = context_.now() + retryPause;
+        nextSend_ = context_.now() + context_.storeHealth().retryPause();
         context_.log("event=commit_repeated number={} outcome={}", underWay_->number,
                      static_cast<int>(reply.outcome));
     }
@@ -161,7 +160,7 @@
         if (condition.key.area == RecordArea::CommitSequence)
             condition.revision = sequence;
     }
-    nextSend_ = context_.now() + retryPause;
+    nextSend_ = context_.now() + context_.storeHealth().retryPause();
 }
 
 void ProgressRecorder::onDone(Revision revision)
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -346,7 +346,70 @@
         queues.push_back(
                 Json::array({load.queue.value(), load.pendingJobs, load.expectedWait.count()}));
     }
-    return Json::array({message.configuration.value(), std::move(changed), std::move(queues)});
+    return Json::array({message.generation, message.configuration.value(), std::move(changed),
+                        std::move(queues)});
+}
+
+Json encode(const PeerCallerRequest &message)
+{
+    const CallerRequest &request = message.request;
+    Json body;
+    if (const auto *submit = std::get_if<SubmitJob>(&request.body))
+        body = encode(AcceptedJob {submit->spec, {}, 0, {}});
+    else if (const auto *read = std::get_if<ReadJob>(&request.body))
+        body = read->job.value();
+    else if (const auto *cancel = std::get_if<CancelJob>(&request.body))
+        body = cancel->job.value();
+    return Json::array({request.id.value(), request.host, request.path, request.body.index(),
+                        std::move(body), request.timeout.value_or(Milliseconds()).count()});
+}
+
+Json encode(const PeerCallerAnswer &message)
+{
+    const CallerAnswer &answer = message.answer;
+    return Json::array({answer.id.value(), static_cast<unsigned>(answer.outcome),
+                        static_cast<unsigned>(answer.state), answer.pendingJobs,
+                        answer.retryAfter.count()});
+}
+
+PeerCallerRequest decodeCallerRequest(const Json &json)
+{
+    CallerRequest request;
+    request.id = number<CallerRequestId>(json.at(0));
+    request.host = json.at(1).get<std::string>();
+    request.path = json.at(2).get<std::string>();
+    const Json &body = json.at(4);
+    switch (json.at(3).get<std::size_t>()) {
+    case 0:
+        request.body = SubmitJob {decodeJob(body).spec};
+        break;
+    case 1:
+        request.body = ReadJob {name<JobId>(body)};
+        break;
+    case 2:
+        request.body = CancelJob {name<JobId>(body)};
+        break;
+    default:
+        request.body = CountPending {};
+    }
+    const auto timeout = amount<Milliseconds>(json.at(5));
+    if (timeout > Milliseconds())
+        request.timeout = timeout;
+    return {std::move(request)};
+}
+
+PeerCallerAnswer decodeCallerAnswer(const Json &json)
+{
+    CallerAnswer answer;
+    answer.id = number<CallerRequestId>(json.at(0));
+    const auto outcome = json.at(1).get<unsigned>();
+    if (outcome > static_cast<unsigned>(CallerOutcome::Unknown))
+        throw std::out_of_range("caller outcome");
+    answer.outcome = static_cast<CallerOutcome>(outcome);
+    answer.state = decodeState(json.at(2));
+    answer.pendingJobs = json.at(3).get<std::int64_t>();
+    answer.retryAfter = amount<Milliseconds>(json.at(4));
+    return {answer};
 }
 
 PeerApprovalReply decodeApprovalReply(const Json &json)
@@ -363,10 +426,11 @@
 PeerStateUpdate decodeStateUpdate(const Json &json)
 {
     PeerStateUpdate message;
-    message.configuration = number<ConfigurationVersion>(json.at(0));
-    for (const Json &row : json.at(1))
+    message.generation = json.at(0).get<std::uint64_t>();
+    message.configuration = number<ConfigurationVersion>(json.at(1));
+    for (const Json &row : json.at(2))
         message.changed.push_back({name<JobId>(row.at(0)), decodeState(row.at(1))});
-    for (const Json &row : json.at(2)) {
+    for (const Json &row : json.at(3)) {
         message.queues.push_back({name<QueueId>(row.at(0)), row.at(1).get<std::int64_t>(),
                                   amount<Milliseconds>(row.at(2))});
     }
@@ -390,6 +454,10 @@
         return decodeApprovalReply(json);
     case 5:
         return decodeStateUpdate(json);
+    case 6:
+        return decodeCallerRequest(json);
+    case 7:
+        return decodeCallerAnswer(json);
     default:
         throw std::out_of_range("message kind");
     }
