Ask for approvals in order of priority, and keep room for urgent work

Change: questions wait with the holder and go out by priority, long ones never to all instances; a gang is asked about once, then only for the workers that seat it; candidates beyond the free room ask nothing. Room for urgent work is kept by its recent arrivals, and blocked candidates keep their workers.

--- a/Source/Cell/ApprovalDesk.cpp
+++ b/Source/Cell/ApprovalDesk.cpp
@@ -12,6 +12,14 @@
 constexpr Milliseconds answerSlack {600};
 /// An instance that did not answer is passed over for this long.
 constexpr Milliseconds failurePause {1500};
+/// A longer question would keep urgent ones waiting behind it.
+constexpr Milliseconds longCost {150};
+/// Long questions leave this part of the instances to short ones.
+constexpr std::size_t shortShareDivisor = 3;
+/// Short questions that one instance may have under way, to cover the way to it.
+constexpr std::size_t maxShortUnderWay = 2;
+/// Long questions that may wait for an instance.
+constexpr std::size_t maxLongWaiting = 2;
 
 } // namespace
 
@@ -55,58 +63,119 @@
         return;
     const Question question = std::move(found->second);
     questions_.erase(found);
-    const auto asker = askers_.find(question.asker);
-    if (!reply.answered && asker != askers_.end())
-        asker->second.busyUntil = context_.now() + failurePause;
+    const auto asker = question.asker ? askers_.find(*question.asker) : askers_.end();
+    if (asker != askers_.end()) {
+        asker->second.underWay -= std::min<std::size_t>(asker->second.underWay, 1);
+        if (question.cost > longCost)
+            asker->second.hasLong = false;
+        if (!reply.answered)
+            asker->second.avoidUntil = context_.now() + failurePause;
+    }
     question.next(reply);
+    dispatch();
 }
 
 void ApprovalDesk::tick()
 {
     std::vector<std::uint64_t> late;
     for (const auto &[number, question] : questions_) {
-        if (context_.now() >= question.giveUpAt)
+        if (question.asker && context_.now() >= question.giveUpAt)
             late.push_back(number);
     }
     for (const std::uint64_t number : late)
         finish(number, {});
+    dispatch();
+}
+
+bool ApprovalDesk::isPresent(const Address &address, const Asker &asker) const
+{
+    const bool isHeard = address == self() || context_.now() - asker.heardAt < peerSilence;
+    return isHeard && context_.now() >= asker.avoidUntil;
+}
+
+Milliseconds ApprovalDesk::waitingCost() const
+{
+    Milliseconds cost;
+    for (const auto &[number, question] : questions_) {
+        if (!question.asker)
+            cost += question.cost;
+    }
+    return cost;
+}
+
+bool ApprovalDesk::mayAsk(Milliseconds cost) const
+{
+    if (cost <= longCost)
+        return true;
+    const auto waiting = std::count_if(questions_.begin(), questions_.end(), [](const auto &entry) {
+        return !entry.second.asker && entry.second.cost > longCost;
+    });
+    return static_cast<std::size_t>(waiting) < maxLongWaiting;
 }
 
-Milliseconds ApprovalDesk::shortestQueue() const
+std::optional<Address> ApprovalDesk::freeAsker(bool isLong) const
 {
-    const TimePoint now = context_.now();
-    const auto own = askers_.find(self());
-    Milliseconds shortest;
-    if (own != askers_.end())
-        shortest = std::max(Milliseconds(), own->second.busyUntil - now);
+    std::size_t present = 0;
+    std::size_t withLong = 0;
+    const Asker *best = nullptr;
+    std::optional<Address> chosen;
     for (const auto &[address, asker] : askers_) {
-        if (address != self() && now - asker.heardAt < peerSilence)
-            shortest = std::min(shortest, std::max(Milliseconds(), asker.busyUntil - now));
+        if (!isPresent(address, asker))
+            continue;
+        ++present;
+        withLong += asker.hasLong ? 1 : 0;
+        const std::size_t most = isLong || asker.hasLong ? 1 : maxShortUnderWay;
+        if (asker.underWay >= most || (best && best->underWay <= asker.underWay))
+            continue;
+        best = &asker;
+        chosen = address;
     }
-    return shortest;
+    const std::size_t keptForShort = present > 1 ? std::max<std::size_t>(1, present / shortShareDivisor)
+                                                 : 0;
+    if (isLong && withLong + keptForShort >= present)
+        return std::nullopt;
+    return chosen;
 }
 
-void ApprovalDesk::ask(ApprovalRequest request, Milliseconds cost, Continuation next)
+void ApprovalDesk::dispatch()
 {
-    const TimePoint now = context_.now();
-    auto chosen = askers_.try_emplace(self()).first;
-    for (auto asker = askers_.begin(); asker != askers_.end(); ++asker) {
-        const bool isPresent = asker->first == self() || now - asker->second.heardAt < peerSilence;
-        if (isPresent && asker->second.busyUntil < chosen->second.busyUntil)
-            chosen = asker;
+    askers_.try_emplace(self());
+    std::vector<std::pair<std::int64_t, std::uint64_t>> waiting;
+    for (const auto &[number, question] : questions_) {
+        if (!question.asker)
+            waiting.emplace_back(question.priority, number);
     }
-    Asker &asker = chosen->second;
-    asker.busyUntil = std::max(asker.busyUntil, now) + cost;
-    const TimePoint giveUpAt = asker.busyUntil + answerSlack;
-    const std::uint64_t number = ++lastNumber_;
-    questions_[number] = {chosen->first, giveUpAt, std::move(next)};
-    if (chosen->first == self()) {
-        context_.callApprovals(
-                std::move(request), giveUpAt - now,
-                [this, number](const ApprovalReply &reply) { finish(number, reply); });
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto &[priority, number] : waiting) {
+        Question &question = questions_.at(number);
+        if (const std::optional<Address> asker = freeAsker(question.cost > longCost))
+            put(number, question, *asker);
+    }
+}
+
+void ApprovalDesk::put(std::uint64_t number, Question &question, const Address &address)
+{
+    Asker &asker = askers_.at(address);
+    ++asker.underWay;
+    asker.hasLong |= question.cost > longCost;
+    const Milliseconds timeout = question.cost * static_cast<std::int64_t>(asker.underWay)
+            + answerSlack;
+    question.asker = address;
+    question.giveUpAt = context_.now() + timeout;
+    if (address != self()) {
+        context_.send(address, PeerApprovalRequest {number, question.request, timeout});
         return;
     }
-    context_.send(chosen->first, PeerApprovalRequest {number, std::move(request), giveUpAt - now});
+    context_.callApprovals(question.request, timeout, [this, number](const ApprovalReply &reply) {
+        finish(number, reply);
+    });
+}
+
+void ApprovalDesk::ask(ApprovalRequest request, Milliseconds cost, std::int64_t priority,
+                       Continuation next)
+{
+    questions_[++lastNumber_] = {std::move(request), cost, priority, std::move(next), {}, {}};
+    dispatch();
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/ApprovalDesk.h
+++ b/Source/Cell/ApprovalDesk.h
@@ -22,26 +22,41 @@
     void tick();
     void clear();
 
-    /// How long a question asked now would wait for its turn.
-    Milliseconds shortestQueue() const;
-    /// Asks; \a cost is how long the service takes. The reply may be that nobody answered.
-    void ask(ApprovalRequest request, Milliseconds cost, Continuation next);
+    /// Whether another question of this cost is worth putting now; long ones wait their turn
+    /// with the scheduler, which knows best which of them still matters.
+    bool mayAsk(Milliseconds cost) const;
+    /// How long the questions that wait would take one instance.
+    Milliseconds waitingCost() const;
+    /// Asks; \a cost is how long the service takes, and a lower \a priority goes first. The
+    /// reply may be that nobody answered.
+    void ask(ApprovalRequest request, Milliseconds cost, std::int64_t priority, Continuation next);
 
 private:
     struct Asker
     {
-        TimePoint busyUntil;
         TimePoint heardAt;
+        /// Not asked until then, after it did not answer.
+        TimePoint avoidUntil;
+        std::size_t underWay = 0;
+        bool hasLong = false;
     };
     struct Question
     {
-        Address asker;
-        TimePoint giveUpAt;
+        ApprovalRequest request;
+        Milliseconds cost;
+        std::int64_t priority = 0;
         Continuation next;
+        std::optional<Address> asker;
+        TimePoint giveUpAt;
     };
 
     Address self() const { return context_.settings().peers; }
+    bool isPresent(const Address &address, const Asker &asker) const;
     void finish(std::uint64_t number, const ApprovalReply &reply);
+    /// Puts waiting questions to instances that are free.
+    void dispatch();
+    std::optional<Address> freeAsker(bool isLong) const;
+    void put(std::uint64_t number, Question &question, const Address &asker);
 
     CellContext &context_;
     std::map<Address, Asker> askers_;
--- a/Source/Cell/CellPlacing.cpp
+++ b/Source/Cell/CellPlacing.cpp
@@ -13,13 +13,13 @@
 /// Weight of the newest answer in the learned share.
 constexpr double approvalLearningRate = 0.1;
 /// Beyond what the learned share asks for, as answers vary.
-constexpr double askReserve = 1.3;
+constexpr double askReserve = 1.5;
 constexpr std::size_t askAtLeast = 3;
-/// A question is not put while every instance has this much to ask already.
-constexpr Milliseconds longestAskQueue {600};
 /// A ticket is used up to this long before it expires, for the way to the worker.
 constexpr Milliseconds ticketMargin {200};
 constexpr Milliseconds askPause {60};
+/// Weight of the newest run in the mean duration of a queue's tasks.
+constexpr double durationLearningRate = 0.05;
 /// Runs of a term begin above those of all earlier terms.
 constexpr unsigned runBits = 12;
 constexpr std::int64_t percent = 100;
@@ -81,8 +81,77 @@
     return found;
 }
 
+void CellScheduler::noteArrival(const CellJob &job)
+{
+    const Queue &queue = termsOf(job);
+    for (const StepSpec &step : job.accepted().spec.steps) {
+        if (step.longRunning || step.fillsIdleTime)
+            continue;
+        headroom_.noteArrival(queue.priority, step.need.processors * step.tasks,
+                              expectedDuration(queue.id, step), context_.now());
+    }
+}
+
+void CellScheduler::learnDuration(const CellJob &job, const CellTask &task)
+{
+    const auto taken = static_cast<double>((context_.now() - task.placedAt()).count());
+    const auto [found, isFirst] = durations_.try_emplace(termsOf(job).id, taken);
+    if (!isFirst)
+        found->second += (taken - found->second) * durationLearningRate;
+}
+
+Milliseconds CellScheduler::expectedDuration(const QueueId &queue, const StepSpec &step) const
+{
+    const auto found = durations_.find(queue);
+    return found == durations_.end() ? step.estimate : Milliseconds(std::llround(found->second));
+}
+
+/// Keeps the first workers, in the order of their names, for the most urgent work, so that the
+/// choice stays the same from pass to pass and patient work drains from them.
+void CellScheduler::holdHeadroom()
+{
+    pass_.heldFor.clear();
+    Millicores missing = headroom_.wanted(context_.now());
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (missing <= Millicores())
+            return;
+        if (!fleet_.isUsable(worker))
+            continue;
+        pass_.heldFor[id] = 0;
+        missing -= worker.entry->capacity.processors;
+    }
+}
+
+void CellScheduler::holdFor(const StartCandidate &candidate, std::int64_t tasks)
+{
+    const bool asks = needsApproval(*candidate.queue);
+    std::vector<std::pair<double, const CellWorker *>> suitable;
+    for (const auto &[id, worker] : fleet_.workers()) {
+        const bool isApproved = !asks || candidate.step->approvals.approved.contains(id);
+        if (!isApproved || !mayRun(worker, candidate))
+            continue;
+        const Resources &need = candidate.step->spec.need;
+        if (need.timesIn(worker.entry->capacity, 1) > 0)
+            suitable.emplace_back(need.dominantShareOf(worker.room()), &worker);
+    }
+    std::sort(suitable.begin(), suitable.end());
+    std::int64_t seats = 0;
+    for (const auto &[share, worker] : suitable) {
+        if (seats >= tasks)
+            return;
+        pass_.heldFor.try_emplace(worker->id(), candidate.queue->priority);
+        seats += std::max<std::int64_t>(1, roomFor(*worker, *candidate.step));
+    }
+}
+
 void CellScheduler::startWhatFits()
 {
+    holdHeadroom();
+    pass_.askable = {};
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (fleet_.isUsable(worker))
+            pass_.askable += worker.room().processors;
+    }
     for (const StartCandidate &candidate : candidates())
         startStep(candidate);
 }
@@ -105,6 +174,9 @@
     const StepSpec &spec = candidate.step->spec;
     if (!fleet_.isUsable(worker) || worker.entry->upstream != candidate.queue->upstream)
         return false;
+    const auto held = pass_.heldFor.find(worker.id());
+    if (held != pass_.heldFor.end() && candidate.queue->priority > held->second)
+        return false;
     const std::vector<Label> &labels = worker.entry->labels;
     return spec.requiredLabel.isEmpty()
             || std::find(labels.begin(), labels.end(), spec.requiredLabel) != labels.end();
@@ -184,6 +256,7 @@
     }
     if (seats.size() < step.tasks.size()) {
         askApproval(candidate, step.spec.tasks);
+        holdFor(candidate, step.spec.tasks);
         return;
     }
     RunNumber run;
@@ -217,11 +290,17 @@
     fleet_.start(worker.id(), std::move(order));
 }
 
+double &CellScheduler::approvalShareOf(const QueueId &queue)
+{
+    return approvalShare_.try_emplace(queue, defaultApprovalShare).first->second;
+}
+
+/// Workers known to be approved whose tickets have run out, when they have room for all tasks;
+/// else as many unknown ones, those with most room first, as are likely to give that room.
 std::vector<WorkerId> CellScheduler::workersToAsk(const StartCandidate &candidate,
                                                   std::int64_t tasks)
 {
     const CellStep &step = *candidate.step;
-    const auto share = approvalShare_.try_emplace(candidate.queue->id, defaultApprovalShare);
     std::vector<std::pair<std::int64_t, WorkerId>> unknown;
     std::vector<WorkerId> asked;
     std::int64_t seats = 0;
@@ -229,65 +308,73 @@
         if (step.approvals.denied.contains(id) || !mayRun(worker, candidate))
             continue;
         const std::int64_t room = roomFor(worker, step);
-        if (room < 1)
-            continue;
         if (!step.approvals.approved.contains(id)) {
-            unknown.emplace_back(room, id);
-        } else if (!step.approvals.validTicket(id, context_.now())) {
-            asked.push_back(id);
-            seats += room;
-        } else {
+            if (room > 0)
+                unknown.emplace_back(room, id);
+        } else if (room > 0 && seats < tasks) {
             seats += room;
+            if (!step.approvals.validTicket(id, context_.now()))
+                asked.push_back(id);
         }
     }
+    if (seats >= tasks || (unknown.empty() && !step.spec.gang))
+        return asked;
     std::sort(unknown.begin(), unknown.end(), std::greater<>());
-    double expected = static_cast<double>(seats);
+    const double share = approvalShareOf(candidate.queue->id);
     const double wanted = static_cast<double>(tasks) * askReserve;
+    auto expected = static_cast<double>(seats);
+    std::vector<WorkerId> named;
     for (const auto &[room, id] : unknown) {
-        const bool isEnough = expected >= wanted && asked.size() >= askAtLeast;
-        if (isEnough || asked.size() >= maxAskedWorkers)
+        const bool isEnough = expected >= wanted && named.size() >= askAtLeast;
+        if (isEnough || named.size() >= maxAskedWorkers)
             break;
-        asked.push_back(id);
-        expected += static_cast<double>(room) * share.first->second;
+        named.push_back(id);
+        expected += static_cast<double>(room) * share;
     }
-    return asked;
+    // A gang that cannot be seated yet has no use for tickets.
+    if (step.spec.gang || named.size() + asked.size() > maxAskedWorkers)
+        return named;
+    named.insert(named.end(), asked.begin(), asked.end());
+    return named;
 }
 
 void CellScheduler::askApproval(const StartCandidate &candidate, std::int64_t tasks)
 {
     StepApprovals &approvals = candidate.step->approvals;
-    if (!needsApproval(*candidate.queue) || approvals.asking || context_.now() < approvals.nextAsk)
+    if (!needsApproval(*candidate.queue))
+        return;
+    const bool isCovered = pass_.askable > Millicores();
+    pass_.askable -= candidate.step->spec.need.processors * tasks;
+    if (approvals.asking || context_.now() < approvals.nextAsk || !isCovered)
         return;
-    if (approvals_.shortestQueue() > longestAskQueue)
+    const ApprovalTerms &terms = *candidate.queue->approval;
+    if (!approvals_.mayAsk(terms.perDecision))
         return;
     std::vector<WorkerId> asked = workersToAsk(candidate, tasks);
     if (asked.empty())
         return;
-    const ApprovalTerms &terms = *candidate.queue->approval;
-    const std::int64_t micros
-            = terms.perWorkerMicroseconds * static_cast<std::int64_t>(asked.size());
-    const Milliseconds cost = terms.perDecision + Milliseconds(micros / microsecondsPerMillisecond);
+    const auto named = static_cast<std::int64_t>(asked.size());
+    const Milliseconds cost = terms.perDecision
+            + Milliseconds(terms.perWorkerMicroseconds * named / microsecondsPerMillisecond);
     approvals.asking = true;
-    approvals.nextAsk = context_.now() + askPause;
     ApprovalRequest request {candidate.step->key, asked};
-    approvals_.ask(std::move(request), cost,
+    approvals_.ask(std::move(request), cost, candidate.queue->priority,
                    [this, term = term_, key = candidate.step->key, asked = std::move(asked),
-                    askedAt = context_.now(),
                     validity = terms.validity](const ApprovalReply &reply) {
                        if (term == term_ && active_)
-                           onApproval(key, asked, askedAt, validity, reply);
+                           onApproval(key, asked, validity, reply);
                    });
 }
 
 void CellScheduler::onApproval(const StepKey &key, const std::vector<WorkerId> &asked,
-                               TimePoint /*askedAt*/, Milliseconds validity,
-                               const ApprovalReply &reply)
+                               Milliseconds validity, const ApprovalReply &reply)
 {
     CellJob *job = findJob(key.job);
     CellStep *step = job ? job->step(key.occurrence, key.step) : nullptr;
     if (!step)
         return;
     step->approvals.asking = false;
+    step->approvals.nextAsk = context_.now() + askPause;
     changed_ = true;
     if (!reply.answered)
         return;
@@ -299,7 +386,7 @@
     }
     const double share = static_cast<double>(reply.approved.size())
             / static_cast<double>(std::max<std::size_t>(asked.size(), 1));
-    double &learned = approvalShare_[termsOf(*job).id];
+    double &learned = approvalShareOf(termsOf(*job).id);
     learned += (share - learned) * approvalLearningRate;
 }
 
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -6,6 +6,7 @@
 
 /// Between two looks for gangs that lost a member.
 constexpr Milliseconds repairInterval {100};
+constexpr Milliseconds loadLogInterval {1000};
 
 } // namespace
 
@@ -136,6 +137,7 @@
     context_.log("event=job_taken_on job={} queue={} steps={} accepted_generation={}", id.value(),
                  job.terms.id.value(), job.spec.steps.size(), job.generation);
     changed_ = true;
+    noteArrival(known);
     if (known.isDone())
         finish(known, JobState::Completed);
     else if (cancels_.contains(id))
@@ -309,6 +311,7 @@
 void CellScheduler::succeed(CellJob &job, CellStep &step, CellTask &task, RunNumber run)
 {
     noteBegun(job);
+    learnDuration(job, task);
     for (CellTask &member : step.tasks) {
         const bool endsToo = &member == &task || (step.spec.gang && !member.isOver());
         if (endsToo && member.handle(CellTask::Event::Succeeded))
@@ -408,6 +411,10 @@
         forgetOldResults();
         for (auto &[id, job] : jobs_)
             job->updateReadiness(context_.now(), context_.wallTime());
+        if (context_.now() >= nextLoadLog_) {
+            nextLoadLog_ = context_.now() + loadLogInterval;
+            logLoad();
+        }
         if (fleet_.isRecovered())
             repairGangs();
         changed_ = true;
@@ -427,6 +434,52 @@
     recorder_.tick();
 }
 
+/// One line a second: what waits and what runs of each queue, and the room that is left.
+void CellScheduler::logLoad()
+{
+    struct Row
+    {
+        std::size_t jobs = 0;
+        std::size_t waitingTasks = 0;
+        Millicores waiting;
+        Millicores running;
+        std::size_t asking = 0;
+    };
+    std::map<std::int64_t, Row> rows;
+    for (const auto &[id, job] : jobs_) {
+        Row &row = rows[termsOf(*job).priority];
+        ++row.jobs;
+        for (const CellStep &step : job->steps()) {
+            const std::size_t onWorkers = step.count(CellTask::State::OnWorker);
+            row.running += step.spec.need.processors * static_cast<std::int64_t>(onWorkers);
+            if (!isStartable(*job, step))
+                continue;
+            const std::size_t waiting = step.count(CellTask::State::Waiting);
+            row.waitingTasks += waiting;
+            row.waiting += step.spec.need.processors * static_cast<std::int64_t>(waiting);
+            row.asking += step.approvals.asking ? 1 : 0;
+        }
+    }
+    Millicores room;
+    std::size_t usable = 0;
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (!fleet_.isUsable(worker))
+            continue;
+        room += worker.room().processors;
+        ++usable;
+    }
+    context_.log("event=load workers={} usable={} room={} headroom={} ask_queue_ms={} unrecorded={}",
+                 fleet_.workers().size(), usable, room.count(),
+                 headroom_.wanted(context_.now()).count(), approvals_.waitingCost().count(),
+                 recorder_.waiting());
+    for (const auto &[priority, row] : rows) {
+        context_.log("event=queue_load priority={} jobs={} waiting_tasks={} waiting={} running={} "
+                     "asking={}",
+                     priority, row.jobs, row.waitingTasks, row.waiting.count(),
+                     row.running.count(), row.asking);
+    }
+}
+
 std::vector<QueueLoad> CellScheduler::loads() const
 {
     std::map<QueueId, QueueLoad> loads;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -4,6 +4,7 @@
 #include "Cell/CellJob.h"
 #include "Cell/ConfigurationKeeper.h"
 #include "Cell/HolderElection.h"
+#include "Cell/Policy/HeadroomReserve.h"
 #include "Cell/Policy/StartOrder.h"
 #include "Cell/Policy/WorkerChoice.h"
 #include "Cell/ProgressRecorder.h"
@@ -57,6 +58,16 @@
 private:
     using Choice = TightFitChoice;
     using Order = ObjectiveOrder;
+    using Headroom = ArrivalHeadroom;
+
+    /// Room that one pass of placing keeps from less urgent candidates.
+    struct PassState
+    {
+        /// The lowest priority that may use a worker; workers without an entry serve all.
+        std::unordered_map<WorkerId, std::int64_t> heldFor;
+        /// Processors that candidates without a place yet may still ask for.
+        Millicores askable;
+    };
 
     WorkerFleet::Handlers fleetHandlers();
     ProgressRecorder::Handlers recorderHandlers();
@@ -87,6 +98,7 @@
     void noteBegun(CellJob &job);
     void updateRoster();
     void forgetOldResults();
+    void logLoad();
 
     void startWhatFits();
     std::vector<StartCandidate> candidates();
@@ -100,11 +112,18 @@
     RunNumber nextRun(const CellTask &task) const;
     const CellWorker *bestWorker(const StartCandidate &candidate);
     std::int64_t roomFor(const CellWorker &worker, const CellStep &step) const;
+    void holdHeadroom();
+    /// Keeps the workers that will soonest have room for a candidate that found none.
+    void holdFor(const StartCandidate &candidate, std::int64_t tasks);
+    void learnDuration(const CellJob &job, const CellTask &task);
+    Milliseconds expectedDuration(const QueueId &queue, const StepSpec &step) const;
+    void noteArrival(const CellJob &job);
     bool mayRun(const CellWorker &worker, const StartCandidate &candidate) const;
     bool needsApproval(const Queue &queue) const;
     void askApproval(const StartCandidate &candidate, std::int64_t tasks);
     std::vector<WorkerId> workersToAsk(const StartCandidate &candidate, std::int64_t tasks);
-    void onApproval(const StepKey &key, const std::vector<WorkerId> &asked, TimePoint askedAt,
+    double &approvalShareOf(const QueueId &queue);
+    void onApproval(const StepKey &key, const std::vector<WorkerId> &asked,
                     Milliseconds validity, const ApprovalReply &reply);
 
     CellContext &context_;
@@ -122,7 +141,12 @@
     bool changed_ = false;
     /// Share of the asked workers that were approved lately, by queue.
     std::unordered_map<QueueId, double> approvalShare_;
+    /// Mean duration of succeeded tasks, in milliseconds, by queue.
+    std::unordered_map<QueueId, double> durations_;
+    Headroom headroom_;
+    PassState pass_;
     TimePoint nextRepair_;
+    TimePoint nextLoadLog_;
     WorkerFleet fleet_;
     ProgressRecorder recorder_;
     ApprovalDesk approvals_;
