End silent workers' leases, and count failed runs by their numbers

Change: readings extend a lease only while the worker answers; failed runs are kept as a set. Both tests failed first. Workers that are gone are forgotten.

--- a/Source/Cell/CellJob.cpp
+++ b/Source/Cell/CellJob.cpp
@@ -49,18 +49,12 @@
             ++step.doneTasks;
             begin();
         }
-        for (const auto &[index, count] : saved.failures) {
+        for (const auto &[index, runs] : saved.failedRuns) {
             begin();
             if (step.spec.gang)
-                step.gangFailures = count;
+                step.failedGangRuns = runs;
             else if (index < step.tasks.size())
-                step.tasks[index].failures = count;
-        }
-        for (const auto &[index, run] : saved.countedRuns) {
-            if (step.spec.gang)
-                step.countedGangRun = RunNumber(run);
-            else if (index < step.tasks.size())
-                step.tasks[index].countedRun = RunNumber(run);
+                step.tasks[index].failedRuns = runs;
         }
         for (const auto &[index, text] : saved.checkpoints) {
             if (step.spec.gang)
@@ -132,19 +126,15 @@
     JobProgress progress;
     for (const CellStep &step : steps_) {
         StepProgress &row = progress.steps.emplace_back();
-        if (step.gangFailures > 0) {
-            row.failures[0] = step.gangFailures;
-            row.countedRuns[0] = step.countedGangRun.value();
-        }
+        if (!step.failedGangRuns.empty())
+            row.failedRuns[0] = step.failedGangRuns;
         if (!step.gangCheckpoint.empty())
             row.checkpoints[0] = step.gangCheckpoint;
         for (std::size_t i = 0; i < step.tasks.size(); ++i) {
             const CellTask &task = step.tasks[i];
             row.done.push_back(task.isIn(CellTask::State::Done));
-            if (task.failures > 0) {
-                row.failures[i] = task.failures;
-                row.countedRuns[i] = task.countedRun.value();
-            }
+            if (!task.failedRuns.empty())
+                row.failedRuns[i] = task.failedRuns;
             if (!task.checkpoint.empty() && !task.isIn(CellTask::State::Done))
                 row.checkpoints[i] = task.checkpoint;
         }
--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -36,8 +36,7 @@
     std::optional<TimePoint> readySince;
     std::size_t doneTasks = 0;
     /// Failed runs of the whole gang.
-    std::int64_t gangFailures = 0;
-    RunNumber countedGangRun;
+    std::set<RunNumber> failedGangRuns;
     std::string gangCheckpoint;
 
     bool isDone() const { return doneTasks == tasks.size(); }
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -298,13 +298,11 @@
 
 void CellScheduler::countFailure(CellJob &job, CellStep &step, CellTask &task, const EndedTask &end)
 {
-    RunNumber &counted = step.spec.gang ? step.countedGangRun : task.countedRun;
-    if (end.run <= counted || step.spec.longRunning)
+    if (step.spec.longRunning)
         return;
-    counted = end.run;
-    std::int64_t &failures = step.spec.gang ? step.gangFailures : task.failures;
-    ++failures;
-    if (failures >= termsOf(job).maxAttempts)
+    std::set<RunNumber> &failed = step.spec.gang ? step.failedGangRuns : task.failedRuns;
+    failed.insert(end.run);
+    if (static_cast<std::int64_t>(failed.size()) >= termsOf(job).maxAttempts)
         finish(job, JobState::Failed);
 }
 
@@ -468,15 +466,15 @@
         room += worker.room().processors;
         ++usable;
     }
-    context_.log("event=load workers={} usable={} room={} headroom={} ask_queue_ms={} unrecorded={}",
-                 fleet_.workers().size(), usable, room.count(),
-                 headroom_.wanted(context_.now()).count(), approvals_.waitingCost().count(),
-                 recorder_.waiting());
+    context_.log(
+            "event=load workers={} usable={} room={} headroom={} ask_queue_ms={} unrecorded={}",
+            fleet_.workers().size(), usable, room.count(), headroom_.wanted(context_.now()).count(),
+            approvals_.waitingCost().count(), recorder_.waiting());
     for (const auto &[priority, row] : rows) {
         context_.log("event=queue_load priority={} jobs={} waiting_tasks={} waiting={} running={} "
                      "asking={}",
-                     priority, row.jobs, row.waitingTasks, row.waiting.count(),
-                     row.running.count(), row.asking);
+                     priority, row.jobs, row.waitingTasks, row.waiting.count(), row.running.count(),
+                     row.asking);
     }
 }
 
--- a/Source/Cell/CellTask.h
+++ b/Source/Cell/CellTask.h
@@ -3,6 +3,8 @@
 #include "Cell/CellTypes.h"
 #include "Core/Lifecycle.h"
 
+#include <set>
+
 namespace caraway::cell {
 
 /// One task of an accepted job: its lifecycle and its present run.
@@ -40,9 +42,7 @@
 
     std::string checkpoint;
     Percent progress;
-    std::int64_t failures = 0;
-    /// Highest failed run that is counted in failures.
-    RunNumber countedRun;
+    std::set<RunNumber> failedRuns;
 
 private:
     bool isWithdrawn() const { return withdrawn_; }
--- a/Source/Cell/JobSpec.h
+++ b/Source/Cell/JobSpec.h
@@ -120,11 +120,9 @@
 struct StepProgress
 {
     std::vector<bool> done;
-    /// Failed runs by task; those of a gang are counted under task 0.
-    std::map<std::uint64_t, std::int64_t> failures;
-    /// Highest failed run that is counted by task, so that an end which is listed again counts
-    /// once.
-    std::map<std::uint64_t, std::uint64_t> countedRuns;
+    /// Failed runs by task; those of a gang stand under task 0. Ends are listed until they are
+    /// recorded and may come in any order, so each run is named.
+    std::map<std::uint64_t, std::set<RunNumber>> failedRuns;
     /// Last checkpoint by task; that of a gang under task 0.
     std::map<std::uint64_t, std::string> checkpoints;
 };
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -229,6 +229,10 @@
         if (!worker.placements.empty() && worker.isLeaseOver(context_.now()))
             endLease(worker);
     }
+    std::erase_if(workers_, [&](const auto &row) {
+        const CellWorker &worker = row.second;
+        return recovered_ && !worker.isListed && worker.placements.empty() && !worker.holding;
+    });
     checkRecovery();
 }
 
@@ -251,12 +255,13 @@
     worker.holding = true;
     WorkerHold order;
     order.acknowledged = worker.acknowledgeable();
-    if (mayExtend && worker.hasClock()) {
+    // A worker that does not answer would otherwise keep its runs, as far as is known, for good.
+    if (mayExtend && worker.hasClock() && worker.unanswered == 0) {
         order.deadline = worker.estimatedClock(context_.now())
                 + WorkerTime(context_.settings().workerLease.count());
         worker.noteDeadline(order.deadline);
     }
-    if (worker.isRead && mayExtend)
+    if (worker.isRead && mayExtend && worker.unanswered == 0)
         order.wait = holdWait;
     context_.callWorker({worker.id(), worker.entry->address, token_, order}, order.wait + holdSlack,
                         [this, term = term_, id = worker.id()](const WorkerReply &reply) {
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -198,6 +198,29 @@
     return rows;
 }
 
+Json encodeRuns(const std::map<std::uint64_t, std::set<RunNumber>> &rows)
+{
+    Json json = Json::array();
+    for (const auto &[index, runs] : rows) {
+        Json numbers = Json::array();
+        for (const RunNumber run : runs)
+            numbers.push_back(run.value());
+        json.push_back(Json::array({index, std::move(numbers)}));
+    }
+    return json;
+}
+
+std::map<std::uint64_t, std::set<RunNumber>> decodeRuns(const Json &json)
+{
+    std::map<std::uint64_t, std::set<RunNumber>> rows;
+    for (const Json &row : json) {
+        std::set<RunNumber> &runs = rows[row.at(0).get<std::uint64_t>()];
+        for (const Json &run : row.at(1))
+            runs.insert(number<RunNumber>(run));
+    }
+    return rows;
+}
+
 Json encode(const JobProgress &progress)
 {
     Json steps = Json::array();
@@ -205,8 +228,8 @@
         std::string done;
         for (const bool isDone : step.done)
             done.push_back(isDone ? '1' : '0');
-        steps.push_back(Json::array({std::move(done), encodeRows(step.failures),
-                                     encodeRows(step.countedRuns), encodeRows(step.checkpoints)}));
+        steps.push_back(Json::array(
+                {std::move(done), encodeRuns(step.failedRuns), encodeRows(step.checkpoints)}));
     }
     return steps;
 }
@@ -218,9 +241,8 @@
         StepProgress &step = progress.steps.emplace_back();
         for (const char mark : row.at(0).get<std::string>())
             step.done.push_back(mark == '1');
-        step.failures = decodeRows<std::int64_t>(row.at(1));
-        step.countedRuns = decodeRows<std::uint64_t>(row.at(2));
-        step.checkpoints = decodeRows<std::string>(row.at(3));
+        step.failedRuns = decodeRuns(row.at(1));
+        step.checkpoints = decodeRows<std::string>(row.at(2));
     }
     return progress;
 }
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(job_ofMoreTasksThanRoom_neverOverloadsAWorker);
     CPPUNIT_TEST(step_afterAnother_startsWhenAllItsTasksSucceeded);
     CPPUNIT_TEST(task_failingEachTime_failsTheJobAfterItsAttempts);
+    CPPUNIT_TEST(failedRuns_unrecordedOnTwoWorkers_allCountForTheNextHolder);
     CPPUNIT_TEST(gang_withRoomForAll_startsUnderOneRun);
     CPPUNIT_TEST(job_cancelledWhileRunning_isStoppedAndShownCancelled);
     CPPUNIT_TEST(unknownJob_read_isUnknown);
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(end_ofAJobWhoseResultIsNotStored_isNotForgottenByTheWorker);
     CPPUNIT_TEST(start_unanswered_isSettledBeforeTheTaskRunsElsewhere);
     CPPUNIT_TEST(worker_restarted_itsTasksRunAgain);
+    CPPUNIT_TEST(worker_silentForGood_itsTasksRunElsewhereAfterItsLease);
     CPPUNIT_TEST(worker_draining_getsNoStart);
     CPPUNIT_TEST(store_refusingWrites_isToldAsNotRun);
     CPPUNIT_TEST(store_losingTheAnswer_acceptsTheJobOnce);
@@ -93,6 +95,39 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), world_->startsOf(JobId("a")));
     }
 
+    /// The bench's BUDGET after a store outage and a loss of power: the ends of one task were read
+    /// from two workers, the later run first, and the earlier one was taken for counted.
+    void failedRuns_unrecordedOnTwoWorkers_allCountForTheNextHolder()
+    {
+        world_->plan = [](const TaskKey &, RunNumber) {
+            return SimulatedWorker::StartPlan {Milliseconds(300), EndReason::Failed};
+        };
+        world_->submitAndWait(0, CellWorld::job("a"));
+        world_->storeFate = [](const InstanceId &, const StoreRequest &request) {
+            return std::holds_alternative<StoreCommit>(request) ? CellWorld::Fate::Refused
+                                                                : CellWorld::Fate::Delivered;
+        };
+        // The worker of the first run, the first by name, is read last by the next holder.
+        CPPUNIT_ASSERT(world_->advanceUntil([&] { return !world_->starts().empty(); }, longWait_));
+        const WorkerId first = world_->starts().front().worker;
+        world_->worker(0).entry.draining = true;
+        world_->publishWorkers();
+        world_->advance(Milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), world_->startsOf(JobId("a")));
+        CPPUNIT_ASSERT(first != world_->starts().back().worker);
+        const std::size_t old = *world_->holder();
+        world_->kill(old);
+        int held = 0;
+        world_->workerFate = [&, first](const InstanceId &, const WorkerRequest &request) {
+            const bool isLate = request.worker == first && ++held < 3;
+            return isLate ? CellWorld::Fate::Lost : CellWorld::Fate::Delivered;
+        };
+        world_->storeFate = nullptr;
+        world_->restart(old);
+        world_->advance(Milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), world_->startsOf(JobId("a")));
+    }
+
     void gang_withRoomForAll_startsUnderOneRun()
     {
         JobSpec job = CellWorld::job("a", 20);
@@ -251,6 +286,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
     }
 
+    /// The bench's LOST after a crash without notice: each reading that was not answered extended
+    /// the lease that the holder waited for.
+    void worker_silentForGood_itsTasksRunElsewhereAfterItsLease()
+    {
+        world_->plan = longRuns();
+        world_->submitAndWait(0, CellWorld::job("a", 4));
+        world_->advance(Milliseconds(300));
+        const WorkerId silent = world_->starts().front().worker;
+        world_->workerFate = [silent](const InstanceId &, const WorkerRequest &request) {
+            return request.worker == silent ? CellWorld::Fate::Lost : CellWorld::Fate::Delivered;
+        };
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
+    }
+
     void worker_draining_getsNoStart()
     {
         world_->worker(0).entry.draining = true;
