Ask for a gang once, and collect room for one gang at a time

Change: a gang asks about workers by capacity, for four times its seats, and then only renews tickets for seats that are there; room is reserved by amount, for gangs whose tickets are on their way and for one that collects.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -298,7 +298,7 @@
 void CellNode::beginTerm()
 {
     ++term_;
-    loading_.emplace();
+    loading_ = Loading {};
     intake_.start();
     workers_.start();
     loadProgress(term_, std::nullopt);
@@ -320,7 +320,7 @@
     loading_->retries.push_back(std::move(part));
 }
 
-void CellNode::loadProgress(std::uint64_t term, std::optional<RecordKey> after)
+void CellNode::loadProgress(std::uint64_t term, const std::optional<RecordKey> &after)
 {
     context_.callStore(StoreList {RecordArea::Progress, after},
                        [this, term, after](const StoreReply &reply) {
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -81,7 +81,7 @@
     void giveUpRelays();
     void beginTerm();
     void endTerm();
-    void loadProgress(std::uint64_t term, std::optional<RecordKey> after);
+    void loadProgress(std::uint64_t term, const std::optional<RecordKey> &after);
     void loadSequence(std::uint64_t term);
     void loadRoster(std::uint64_t term);
     /// Runs \a part again shortly, because the store did not answer.
--- a/Source/Cell/CellPlacing.cpp
+++ b/Source/Cell/CellPlacing.cpp
@@ -1,6 +1,7 @@
 #include "Cell/CellScheduler.h"
 
 #include <cmath>
+#include <tuple>
 
 namespace caraway::cell {
 
@@ -14,6 +15,7 @@
 constexpr double approvalLearningRate = 0.1;
 /// Beyond what the learned share asks for, as answers vary.
 constexpr double askReserve = 1.5;
+constexpr double gangAskReserve = 4;
 constexpr std::size_t askAtLeast = 3;
 /// A ticket is used up to this long before it expires, for the way to the worker.
 constexpr Milliseconds ticketMargin {200};
@@ -23,6 +25,9 @@
 /// Runs of a term begin above those of all earlier terms.
 constexpr unsigned runBits = 12;
 constexpr std::int64_t percent = 100;
+constexpr std::int64_t mostUrgent = 0;
+/// More would keep room empty that smaller work can use meanwhile.
+constexpr std::size_t maxCollectingGangs = 1;
 constexpr std::int64_t microsecondsPerMillisecond = 1000;
 
 Milliseconds longestChain(const JobSpec &spec)
@@ -63,6 +68,24 @@
     return job.arrivedAt() + chain * queue.stretchPercent / percent + queue.objective;
 }
 
+Milliseconds CellScheduler::remainingOf(const CellJob &job, const Queue &queue) const
+{
+    std::vector<Milliseconds> ends;
+    Milliseconds longest;
+    for (const CellStep &step : job.steps()) {
+        Milliseconds end;
+        for (const StepIndex before : step.spec.after) {
+            if (before.value() < ends.size())
+                end = std::max(end, ends[before.value()]);
+        }
+        if (!step.isDone())
+            end = end + (step.spec.estimate + expectedDuration(queue.id, step.spec)) / 2;
+        ends.push_back(end);
+        longest = std::max(longest, end);
+    }
+    return longest;
+}
+
 std::vector<StartCandidate> CellScheduler::candidates()
 {
     std::vector<StartCandidate> found;
@@ -71,7 +94,8 @@
             if (!isStartable(*job, step))
                 continue;
             const Queue &queue = termsOf(*job);
-            found.push_back({job.get(), &step, &queue, objectiveOf(*job, queue)});
+            found.push_back(
+                    {job.get(), &step, &queue, objectiveOf(*job, queue), remainingOf(*job, queue)});
         }
     }
     std::sort(found.begin(), found.end(),
@@ -110,7 +134,7 @@
 /// choice stays the same from pass to pass and patient work drains from them.
 void CellScheduler::holdHeadroom()
 {
-    pass_.heldFor.clear();
+    pass_ = {};
     Millicores missing = headroom_.wanted(context_.now());
     for (const auto &[id, worker] : fleet_.workers()) {
         if (missing <= Millicores())
@@ -122,32 +146,40 @@
     }
 }
 
-void CellScheduler::holdFor(const StartCandidate &candidate, std::int64_t tasks)
+Resources CellScheduler::openRoom(const CellWorker &worker) const
+{
+    const auto reserved = pass_.reserved.find(worker.id());
+    return reserved == pass_.reserved.end() ? worker.room() : worker.room() - reserved->second;
+}
+
+void CellScheduler::reserveFor(const StartCandidate &candidate, std::int64_t tasks)
 {
     const bool asks = needsApproval(*candidate.queue);
+    const Resources &need = candidate.step->spec.need;
     std::vector<std::pair<double, const CellWorker *>> suitable;
     for (const auto &[id, worker] : fleet_.workers()) {
         const bool isApproved = !asks || candidate.step->approvals.approved.contains(id);
         if (!isApproved || !mayRun(worker, candidate))
             continue;
-        const Resources &need = candidate.step->spec.need;
         if (need.timesIn(worker.entry->capacity, 1) > 0)
-            suitable.emplace_back(need.dominantShareOf(worker.room()), &worker);
+            suitable.emplace_back(need.dominantShareOf(openRoom(worker)), &worker);
     }
     std::sort(suitable.begin(), suitable.end());
-    std::int64_t seats = 0;
+    std::int64_t missing = tasks;
     for (const auto &[share, worker] : suitable) {
-        if (seats >= tasks)
+        if (missing <= 0)
             return;
-        pass_.heldFor.try_emplace(worker->id(), candidate.queue->priority);
-        seats += std::max<std::int64_t>(1, roomFor(*worker, *candidate.step));
+        const std::int64_t seats = need.timesIn(worker->entry->capacity, missing);
+        Resources &reserved = pass_.reserved[worker->id()];
+        for (std::int64_t i = 0; i < seats; ++i)
+            reserved += need;
+        missing -= seats;
     }
 }
 
 void CellScheduler::startWhatFits()
 {
     holdHeadroom();
-    pass_.askable = {};
     for (const auto &[id, worker] : fleet_.workers()) {
         if (fleet_.isUsable(worker))
             pass_.askable += worker.room().processors;
@@ -197,7 +229,7 @@
     }
     if (step.spec.fillsIdleTime)
         need.processors = {};
-    return most > 0 ? need.timesIn(worker.room(), most) : 0;
+    return most > 0 ? need.timesIn(openRoom(worker), most) : 0;
 }
 
 const CellWorker *CellScheduler::bestWorker(const StartCandidate &candidate)
@@ -210,7 +242,7 @@
             continue;
         if (!mayRun(worker, candidate) || roomFor(worker, *candidate.step) < 1)
             continue;
-        const double value = Choice::suitability(worker, worker.room(), candidate.step->spec);
+        const double value = Choice::suitability(worker, openRoom(worker), candidate.step->spec);
         if (!best || value > bestValue) {
             best = &worker;
             bestValue = value;
@@ -245,18 +277,24 @@
     CellStep &step = *candidate.step;
     const bool asks = needsApproval(*candidate.queue);
     std::vector<const CellWorker *> seats;
+    std::size_t approvedSeats = 0;
     for (const auto &[id, worker] : fleet_.workers()) {
-        if (asks && !step.approvals.validTicket(id, context_.now()))
-            continue;
-        if (!mayRun(worker, candidate))
+        const bool isApproved = !asks || step.approvals.approved.contains(id);
+        if (!isApproved || !mayRun(worker, candidate))
             continue;
         const auto room = static_cast<std::size_t>(roomFor(worker, step));
-        const std::size_t missing = step.tasks.size() - seats.size();
-        seats.insert(seats.end(), std::min(room, missing), &worker);
+        approvedSeats += room;
+        if (asks && !step.approvals.validTicket(id, context_.now()))
+            continue;
+        seats.insert(seats.end(), std::min(room, step.tasks.size() - seats.size()), &worker);
     }
     if (seats.size() < step.tasks.size()) {
         askApproval(candidate, step.spec.tasks);
-        holdFor(candidate, step.spec.tasks);
+        const bool isSeated = approvedSeats >= step.tasks.size();
+        // Its tickets are on their way, or room is collected for it.
+        if (isSeated || pass_.collectingGangs < maxCollectingGangs)
+            reserveFor(candidate, step.spec.tasks);
+        pass_.collectingGangs += isSeated ? 0 : 1;
         return;
     }
     RunNumber run;
@@ -296,45 +334,52 @@
 }
 
 /// Workers known to be approved whose tickets have run out, when they have room for all tasks;
-/// else as many unknown ones, those with most room first, as are likely to give that room.
+/// else as many unknown ones, those with most room first, as are likely to give that room. A
+/// gang asks once for several times its seats, as its questions are long, and then waits for
+/// room on the workers that are approved.
 std::vector<WorkerId> CellScheduler::workersToAsk(const StartCandidate &candidate,
                                                   std::int64_t tasks)
 {
     const CellStep &step = *candidate.step;
-    std::vector<std::pair<std::int64_t, WorkerId>> unknown;
-    std::vector<WorkerId> asked;
+    const bool isGang = step.spec.gang;
+    std::vector<std::tuple<double, std::int64_t, WorkerId>> unknown;
+    std::vector<WorkerId> expired;
     std::int64_t seats = 0;
+    std::int64_t approvedSeats = 0;
     for (const auto &[id, worker] : fleet_.workers()) {
         if (step.approvals.denied.contains(id) || !mayRun(worker, candidate))
             continue;
         const std::int64_t room = roomFor(worker, step);
+        const std::int64_t most = step.spec.need.timesIn(worker.entry->capacity, tasks);
         if (!step.approvals.approved.contains(id)) {
-            if (room > 0)
-                unknown.emplace_back(room, id);
-        } else if (room > 0 && seats < tasks) {
-            seats += room;
-            if (!step.approvals.validTicket(id, context_.now()))
-                asked.push_back(id);
+            if (isGang ? most > 0 : room > 0)
+                unknown.emplace_back(step.spec.need.dominantShareOf(openRoom(worker)),
+                                     isGang ? most : room, id);
+            continue;
         }
+        approvedSeats += most;
+        if (room > 0 && seats < tasks && !step.approvals.validTicket(id, context_.now()))
+            expired.push_back(id);
+        seats += room;
     }
-    if (seats >= tasks || (unknown.empty() && !step.spec.gang))
-        return asked;
-    std::sort(unknown.begin(), unknown.end(), std::greater<>());
+    const double wanted = static_cast<double>(tasks) * (isGang ? gangAskReserve : askReserve);
+    auto expected = static_cast<double>(isGang ? approvedSeats : seats);
+    if (seats >= tasks || (isGang && expected >= wanted))
+        return seats >= tasks ? expired : std::vector<WorkerId>();
+    std::sort(unknown.begin(), unknown.end());
     const double share = approvalShareOf(candidate.queue->id);
-    const double wanted = static_cast<double>(tasks) * askReserve;
-    auto expected = static_cast<double>(seats);
     std::vector<WorkerId> named;
-    for (const auto &[room, id] : unknown) {
+    for (const auto &[taken, count, id] : unknown) {
         const bool isEnough = expected >= wanted && named.size() >= askAtLeast;
         if (isEnough || named.size() >= maxAskedWorkers)
             break;
         named.push_back(id);
-        expected += static_cast<double>(room) * share;
+        expected += static_cast<double>(count) * share;
     }
     // A gang that cannot be seated yet has no use for tickets.
-    if (step.spec.gang || named.size() + asked.size() > maxAskedWorkers)
+    if (isGang || named.size() + expired.size() > maxAskedWorkers)
         return named;
-    named.insert(named.end(), asked.begin(), asked.end());
+    named.insert(named.end(), expired.begin(), expired.end());
     return named;
 }
 
@@ -374,6 +419,11 @@
     if (!step)
         return;
     step->approvals.asking = false;
+    context_.log("event=approval job={} step={} priority={} answered={} asked={} approved={} "
+                 "ready_for_ms={}",
+                 key.job.value(), key.step.value(), termsOf(*job).priority, reply.answered,
+                 asked.size(), reply.approved.size(),
+                 step->readySince ? (context_.now() - *step->readySince).count() : -1);
     step->approvals.nextAsk = context_.now() + askPause;
     changed_ = true;
     if (!reply.answered)
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -492,6 +492,7 @@
         load.pendingJobs += !job->hasBegun() && !isFinal(job->state()) ? 1 : 0;
     }
     std::vector<QueueLoad> rows;
+    rows.reserve(loads.size());
     for (auto &[id, load] : loads)
         rows.push_back(load);
     return rows;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -65,6 +65,10 @@
     {
         /// The lowest priority that may use a worker; workers without an entry serve all.
         std::unordered_map<WorkerId, std::int64_t> heldFor;
+        /// Room that candidates earlier in the order wait for.
+        std::unordered_map<WorkerId, Resources> reserved;
+        /// Gangs for which room is collected; the next ones wait behind them.
+        std::size_t collectingGangs = 0;
         /// Processors that candidates without a place yet may still ask for.
         Millicores askable;
     };
@@ -103,6 +107,8 @@
     void startWhatFits();
     std::vector<StartCandidate> candidates();
     TimePoint objectiveOf(const CellJob &job, const Queue &queue) const;
+    /// How long the rest of the job takes at least, when everything starts at once.
+    Milliseconds remainingOf(const CellJob &job, const Queue &queue) const;
     bool isStartable(const CellJob &job, const CellStep &step) const;
     void startStep(const StartCandidate &candidate);
     void startSingles(const StartCandidate &candidate);
@@ -113,8 +119,11 @@
     const CellWorker *bestWorker(const StartCandidate &candidate);
     std::int64_t roomFor(const CellWorker &worker, const CellStep &step) const;
     void holdHeadroom();
-    /// Keeps the workers that will soonest have room for a candidate that found none.
-    void holdFor(const StartCandidate &candidate, std::int64_t tasks);
+    /// Keeps the room on approved workers for a candidate that found too little, those with most
+    /// room first.
+    void reserveFor(const StartCandidate &candidate, std::int64_t tasks);
+    /// Room that is neither taken nor reserved in this pass.
+    Resources openRoom(const CellWorker &worker) const;
     void learnDuration(const CellJob &job, const CellTask &task);
     Milliseconds expectedDuration(const QueueId &queue, const StepSpec &step) const;
     void noteArrival(const CellJob &job);
@@ -123,8 +132,8 @@
     void askApproval(const StartCandidate &candidate, std::int64_t tasks);
     std::vector<WorkerId> workersToAsk(const StartCandidate &candidate, std::int64_t tasks);
     double &approvalShareOf(const QueueId &queue);
-    void onApproval(const StepKey &key, const std::vector<WorkerId> &asked,
-                    Milliseconds validity, const ApprovalReply &reply);
+    void onApproval(const StepKey &key, const std::vector<WorkerId> &asked, Milliseconds validity,
+                    const ApprovalReply &reply);
 
     CellContext &context_;
     const ConfigurationKeeper &configuration_;
--- a/Source/Cell/Policy/StartOrder.h
+++ b/Source/Cell/Policy/StartOrder.h
@@ -14,6 +14,8 @@
     const Queue *queue = nullptr;
     /// When the job should be done to meet its objective.
     TimePoint objective;
+    /// How long the rest of the job takes at least.
+    Milliseconds remaining;
 };
 
 /// Which of two candidates starts first.
@@ -36,8 +38,7 @@
 };
 
 /// By the queue's priority, then by the time left to the objective. What can earn nothing any
-/// more, because three times its objective has passed, comes last. Answers floods of one kind:
-/// its late jobs do not push back those that can still be in time.
+/// more, because it will take three times its objective, comes last. Answers floods of one kind.
 struct ObjectiveOrder
 {
     static bool startsBefore(const StartCandidate &a, const StartCandidate &b, TimePoint now)
@@ -54,14 +55,14 @@
     }
 
 private:
-    /// A job up to three times its objective late is worth a part of its value.
+    /// A job that takes up to this many times its objective is worth a part of its value.
     static constexpr std::int64_t lateFactor = 3;
 
     static int rank(const StartCandidate &candidate, TimePoint now)
     {
         const Milliseconds objective = candidate.objective - candidate.job->arrivedAt();
         const TimePoint worthless = candidate.job->arrivedAt() + objective * lateFactor;
-        return now > worthless ? 1 : 0;
+        return now + candidate.remaining > worthless ? 1 : 0;
     }
 };
 
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -62,7 +62,7 @@
     if (!underWay_) {
         if (order_.empty() && !roster_)
             return;
-        underWay_.emplace();
+        underWay_ = Batch {};
         fill(*underWay_);
     }
     send();
--- a/Source/CellDuties/CallersDuty.h
+++ b/Source/CellDuties/CallersDuty.h
@@ -26,15 +26,15 @@
                        if (!events_.offer(MetricsAsked {number}))
                            metrics_.answer(number, {httpUnavailable, {}, 1});
                    })
-        , answers_(thread_, answerRingCapacity, [this](Outward &&outward) {
-            std::visit([this](auto &&body) { carryOut(std::move(body)); }, std::move(outward));
+        , answers_(thread_, answerRingCapacity, [this](const Outward &outward) {
+            std::visit([this](const auto &body) { this->carryOut(body); }, outward);
         })
     {
         thread_.start();
     }
     ~CallersDuty() { thread_.stop(); }
 
-    void offer(CallerAnswer answer) { answers_.offer(std::move(answer)); }
+    void offer(const CallerAnswer &answer) { answers_.offer(answer); }
     void offerMetrics(std::uint64_t number, std::string text)
     {
         answers_.offer(MetricsText {number, std::move(text)});
@@ -73,19 +73,19 @@
         CallerAnswer refused;
         refused.id = CallerRequestId(number);
         refused.retryAfter = Milliseconds(1000);
-        carryOut(std::move(refused));
+        carryOut(refused);
     }
 
-    void carryOut(CallerAnswer &&answer)
+    void carryOut(const CallerAnswer &answer)
     {
         --underWay_;
         callers_.answer(answer.id.value(), protocol_.encodeAnswer(answer));
     }
-    void carryOut(MetricsText &&metrics)
+    void carryOut(const MetricsText &metrics)
     {
-        metrics_.answer(metrics.number, {httpOk, std::move(metrics.text), 0});
+        metrics_.answer(metrics.number, {httpOk, metrics.text, 0});
     }
-    void carryOut(BeginStop && /*stop*/) { callers_.closeAfterAnswers(); }
+    void carryOut(const BeginStop & /*stop*/) { callers_.closeAfterAnswers(); }
 
     CellEventRing &events_;
     Protocol protocol_;
--- a/Source/CellDuties/HttpListener.cpp
+++ b/Source/CellDuties/HttpListener.cpp
@@ -116,8 +116,7 @@
 };
 
 HttpListener::HttpListener(IoThread &thread, const Address &address, Handler handler)
-    : thread_(thread)
-    , handler_(std::move(handler))
+    : handler_(std::move(handler))
     , acceptor_(thread.context())
     , pause_(thread.context())
 {
--- a/Source/CellDuties/HttpListener.h
+++ b/Source/CellDuties/HttpListener.h
@@ -32,7 +32,6 @@
 
     void accept();
 
-    IoThread &thread_;
     Handler handler_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer pause_;
--- a/Source/CellDuties/OutwardDuties.h
+++ b/Source/CellDuties/OutwardDuties.h
@@ -63,7 +63,10 @@
         , approvals_(settings.approvals)
         , caller_(thread_, clock)
         , calls_(thread_, outwardRingCapacity, [this](Call &&call) {
-            std::visit([this](auto &&body) { carryOut(std::move(body)); }, std::move(call));
+            if (auto *order = std::get_if<WorkerCall>(&call))
+                carryOut(std::move(*order));
+            else
+                carryOut(std::get<ApprovalCall>(call));
         })
     {
         thread_.start();
@@ -108,7 +111,7 @@
                 });
     }
 
-    void carryOut(ApprovalCall &&call)
+    void carryOut(const ApprovalCall &call)
     {
         caller_.call(approvals_, protocol_.encodeApproval(call.request), call.timeout,
                      [this, id = call.id](HttpResponse &&response) {
