Place in cheaper passes, and learn durations from own runs only

Two faults: an end of a run that the new holder had not started counted as a task since the start of the clock, so the room kept for urgent work grew beyond the fleet; and each batch of events walked all candidates over all workers by name, which took the holder's quarter core.

Change: durations are learned from runs of the own term; a pass takes the workers' room down once and runs every 15 ms at most; steps that wait for tickets are passed over. Results are removed from the store when their lifetime is over, also those of earlier terms.

--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -20,6 +20,8 @@
     /// Workers named in the call under way.
     bool asking = false;
     TimePoint nextAsk;
+    /// When the last ticket runs out.
+    TimePoint lastValidity;
 
     const std::string *validTicket(const WorkerId &worker, TimePoint at) const;
 };
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -401,6 +401,23 @@
     }
     nextLoads_ = context_.now();
     election_.onLoaded();
+    loadResults(term_, std::nullopt);
+}
+
+void CellNode::loadResults(std::uint64_t term, const std::optional<RecordKey> &after)
+{
+    context_.callStore(StoreList {RecordArea::Results, after},
+                       [this, term](const StoreReply &reply) {
+                           // What cannot be read now is removed under the next holder.
+                           if (term != term_ || reply.outcome != StoreOutcome::Done)
+                               return;
+                           for (const StoreItem &item : reply.items) {
+                               if (const auto *result = std::get_if<JobResult>(&item.value))
+                                   scheduler_.noteResult(JobId(item.key.name), *result);
+                           }
+                           if (reply.hasMore && !reply.items.empty())
+                               loadResults(term, reply.items.back().key);
+                       });
 }
 
 void CellNode::onIntake(const StoreItem &item)
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -84,6 +84,8 @@
     void loadProgress(std::uint64_t term, const std::optional<RecordKey> &after);
     void loadSequence(std::uint64_t term);
     void loadRoster(std::uint64_t term);
+    /// Reads what ended under earlier holders, so that it is removed when its time is over.
+    void loadResults(std::uint64_t term, const std::optional<RecordKey> &after);
     /// Runs \a part again shortly, because the store did not answer.
     void retryLoad(std::function<void()> part);
     void checkLoaded();
--- a/Source/Cell/CellPlacing.cpp
+++ b/Source/Cell/CellPlacing.cpp
@@ -26,6 +26,8 @@
 constexpr unsigned runBits = 12;
 constexpr std::int64_t percent = 100;
 constexpr std::int64_t mostUrgent = 0;
+/// Events of this time are placed together.
+constexpr Milliseconds passInterval {15};
 /// More would keep room empty that smaller work can use meanwhile.
 constexpr std::size_t maxCollectingGangs = 1;
 constexpr std::int64_t microsecondsPerMillisecond = 1000;
@@ -118,6 +120,10 @@
 
 void CellScheduler::learnDuration(const CellJob &job, const CellTask &task)
 {
+    // Of runs that an earlier holder started, the start is not known.
+    const std::uint64_t firstOwnRun = generation_ << runBits;
+    if (!task.isIn(CellTask::State::OnWorker) || task.run().value() <= firstOwnRun)
+        return;
     const auto taken = static_cast<double>((context_.now() - task.placedAt()).count());
     const auto [found, isFirst] = durations_.try_emplace(termsOf(job).id, taken);
     if (!isFirst)
@@ -130,60 +136,65 @@
     return found == durations_.end() ? step.estimate : Milliseconds(std::llround(found->second));
 }
 
-/// Keeps the first workers, in the order of their names, for the most urgent work, so that the
-/// choice stays the same from pass to pass and patient work drains from them.
-void CellScheduler::holdHeadroom()
+/// Takes down the room of all usable workers. The first workers, in the order of their names,
+/// are kept for the most urgent work, so that the choice stays the same from pass to pass and
+/// patient work drains from them.
+void CellScheduler::beginPass()
 {
     pass_ = {};
     Millicores missing = headroom_.wanted(context_.now());
     for (const auto &[id, worker] : fleet_.workers()) {
-        if (missing <= Millicores())
-            return;
         if (!fleet_.isUsable(worker))
             continue;
-        pass_.heldFor[id] = 0;
-        missing -= worker.entry->capacity.processors;
+        WorkerSlot &slot = pass_.slots.emplace_back();
+        slot.worker = &worker;
+        slot.room = worker.room();
+        pass_.askable += slot.room.processors;
+        if (missing > Millicores()) {
+            slot.heldFor = mostUrgent;
+            missing -= worker.entry->capacity.processors;
+        }
     }
 }
 
-Resources CellScheduler::openRoom(const CellWorker &worker) const
+bool CellScheduler::isApproved(const WorkerSlot &slot, const StartCandidate &candidate) const
 {
-    const auto reserved = pass_.reserved.find(worker.id());
-    return reserved == pass_.reserved.end() ? worker.room() : worker.room() - reserved->second;
+    return !needsApproval(*candidate.queue)
+            || candidate.step->approvals.approved.contains(slot.worker->id());
+}
+
+bool CellScheduler::hasTicket(const WorkerSlot &slot, const StartCandidate &candidate) const
+{
+    return !needsApproval(*candidate.queue)
+            || candidate.step->approvals.validTicket(slot.worker->id(), context_.now());
 }
 
 void CellScheduler::reserveFor(const StartCandidate &candidate, std::int64_t tasks)
 {
-    const bool asks = needsApproval(*candidate.queue);
     const Resources &need = candidate.step->spec.need;
-    std::vector<std::pair<double, const CellWorker *>> suitable;
-    for (const auto &[id, worker] : fleet_.workers()) {
-        const bool isApproved = !asks || candidate.step->approvals.approved.contains(id);
-        if (!isApproved || !mayRun(worker, candidate))
+    std::vector<std::pair<double, WorkerSlot *>> suitable;
+    for (WorkerSlot &slot : pass_.slots) {
+        if (!mayRun(slot, candidate) || !isApproved(slot, candidate))
             continue;
-        if (need.timesIn(worker.entry->capacity, 1) > 0)
-            suitable.emplace_back(need.dominantShareOf(openRoom(worker)), &worker);
+        if (need.fitsIn(slot.worker->entry->capacity))
+            suitable.emplace_back(need.dominantShareOf(slot.room), &slot);
     }
     std::sort(suitable.begin(), suitable.end());
     std::int64_t missing = tasks;
-    for (const auto &[share, worker] : suitable) {
+    for (const auto &[share, slot] : suitable) {
         if (missing <= 0)
             return;
-        const std::int64_t seats = need.timesIn(worker->entry->capacity, missing);
-        Resources &reserved = pass_.reserved[worker->id()];
+        const std::int64_t seats = need.timesIn(slot->worker->entry->capacity, missing);
         for (std::int64_t i = 0; i < seats; ++i)
-            reserved += need;
+            slot->room -= need;
         missing -= seats;
     }
 }
 
 void CellScheduler::startWhatFits()
 {
-    holdHeadroom();
-    for (const auto &[id, worker] : fleet_.workers()) {
-        if (fleet_.isUsable(worker))
-            pass_.askable += worker.room().processors;
-    }
+    nextPass_ = context_.now() + passInterval;
+    beginPass();
     for (const StartCandidate &candidate : candidates())
         startStep(candidate);
 }
@@ -201,26 +212,24 @@
     return queue.approval.has_value() && context_.settings().approvals.port != 0;
 }
 
-bool CellScheduler::mayRun(const CellWorker &worker, const StartCandidate &candidate) const
+bool CellScheduler::mayRun(const WorkerSlot &slot, const StartCandidate &candidate)
 {
-    const StepSpec &spec = candidate.step->spec;
-    if (!fleet_.isUsable(worker) || worker.entry->upstream != candidate.queue->upstream)
+    const Label &required = candidate.step->spec.requiredLabel;
+    if (slot.worker->entry->upstream != candidate.queue->upstream)
         return false;
-    const auto held = pass_.heldFor.find(worker.id());
-    if (held != pass_.heldFor.end() && candidate.queue->priority > held->second)
+    if (slot.heldFor && candidate.queue->priority > *slot.heldFor)
         return false;
-    const std::vector<Label> &labels = worker.entry->labels;
-    return spec.requiredLabel.isEmpty()
-            || std::find(labels.begin(), labels.end(), spec.requiredLabel) != labels.end();
+    const std::vector<Label> &labels = slot.worker->entry->labels;
+    return required.isEmpty() || std::find(labels.begin(), labels.end(), required) != labels.end();
 }
 
-std::int64_t CellScheduler::roomFor(const CellWorker &worker, const CellStep &step) const
+std::int64_t CellScheduler::roomFor(const WorkerSlot &slot, const CellStep &step)
 {
     Resources need = step.spec.need;
     std::int64_t most = step.spec.tasks;
     if (step.spec.maxPerWorker > 0) {
         most = step.spec.maxPerWorker;
-        for (const Placement &placement : worker.placements) {
+        for (const Placement &placement : slot.worker->placements) {
             const TaskKey &task = placement.task;
             const bool isSameStep = task.job == step.key.job && task.step == step.key.step
                     && task.occurrence == step.key.occurrence;
@@ -229,22 +238,24 @@
     }
     if (step.spec.fillsIdleTime)
         need.processors = {};
-    return most > 0 ? need.timesIn(openRoom(worker), most) : 0;
+    return most > 0 ? need.timesIn(slot.room, most) : 0;
 }
 
-const CellWorker *CellScheduler::bestWorker(const StartCandidate &candidate)
+CellScheduler::WorkerSlot *CellScheduler::bestSlot(const StartCandidate &candidate)
 {
-    const bool asks = needsApproval(*candidate.queue);
-    const CellWorker *best = nullptr;
+    WorkerSlot *best = nullptr;
     double bestValue = 0;
-    for (const auto &[id, worker] : fleet_.workers()) {
-        if (asks && !candidate.step->approvals.validTicket(id, context_.now()))
+    for (WorkerSlot &slot : pass_.slots) {
+        const StepSpec &spec = candidate.step->spec;
+        if (!spec.need.fitsIn(slot.room) && !spec.fillsIdleTime)
             continue;
-        if (!mayRun(worker, candidate) || roomFor(worker, *candidate.step) < 1)
+        if (!mayRun(slot, candidate) || !hasTicket(slot, candidate)
+            || roomFor(slot, *candidate.step) < 1) {
             continue;
-        const double value = Choice::suitability(worker, openRoom(worker), candidate.step->spec);
+        }
+        const double value = Choice::suitability(*slot.worker, slot.room, spec);
         if (!best || value > bestValue) {
-            best = &worker;
+            best = &slot;
             bestValue = value;
         }
     }
@@ -260,33 +271,32 @@
 void CellScheduler::startSingles(const StartCandidate &candidate)
 {
     CellStep &step = *candidate.step;
+    const bool isWaitingForTickets
+            = needsApproval(*candidate.queue) && context_.now() >= step.approvals.lastValidity;
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         if (!step.tasks[i].isIn(CellTask::State::Waiting))
             continue;
-        const CellWorker *worker = bestWorker(candidate);
-        if (!worker) {
+        WorkerSlot *slot = isWaitingForTickets ? nullptr : bestSlot(candidate);
+        if (!slot) {
             askApproval(candidate, static_cast<std::int64_t>(step.count(CellTask::State::Waiting)));
             return;
         }
-        startTask(candidate, i, nextRun(step.tasks[i]), *worker);
+        startTask(candidate, i, nextRun(step.tasks[i]), *slot);
     }
 }
 
 void CellScheduler::startGang(const StartCandidate &candidate)
 {
     CellStep &step = *candidate.step;
-    const bool asks = needsApproval(*candidate.queue);
-    std::vector<const CellWorker *> seats;
+    std::vector<WorkerSlot *> seats;
     std::size_t approvedSeats = 0;
-    for (const auto &[id, worker] : fleet_.workers()) {
-        const bool isApproved = !asks || step.approvals.approved.contains(id);
-        if (!isApproved || !mayRun(worker, candidate))
+    for (WorkerSlot &slot : pass_.slots) {
+        if (!mayRun(slot, candidate) || !isApproved(slot, candidate))
             continue;
-        const auto room = static_cast<std::size_t>(roomFor(worker, step));
+        const auto room = static_cast<std::size_t>(roomFor(slot, step));
         approvedSeats += room;
-        if (asks && !step.approvals.validTicket(id, context_.now()))
-            continue;
-        seats.insert(seats.end(), std::min(room, step.tasks.size() - seats.size()), &worker);
+        if (hasTicket(slot, candidate))
+            seats.insert(seats.end(), std::min(room, step.tasks.size() - seats.size()), &slot);
     }
     if (seats.size() < step.tasks.size()) {
         askApproval(candidate, step.spec.tasks);
@@ -305,8 +315,9 @@
 }
 
 void CellScheduler::startTask(const StartCandidate &candidate, std::size_t index, RunNumber run,
-                              const CellWorker &worker)
+                              WorkerSlot &slot)
 {
+    const CellWorker &worker = *slot.worker;
     CellStep &step = *candidate.step;
     CellTask &task = step.tasks[index];
     WorkerFleet::StartOrder order;
@@ -319,6 +330,7 @@
         order.need.processors = {};
     if (const std::string *ticket = step.approvals.validTicket(worker.id(), context_.now()))
         order.ticket = *ticket;
+    slot.room -= order.need;
     task.assign(worker.id(), run, context_.now());
     task.handle(CellTask::Event::Placed);
     context_.log("event=task_start job={} step={} task={} run={} worker={} config={} waited_ms={}",
@@ -346,19 +358,20 @@
     std::vector<WorkerId> expired;
     std::int64_t seats = 0;
     std::int64_t approvedSeats = 0;
-    for (const auto &[id, worker] : fleet_.workers()) {
-        if (step.approvals.denied.contains(id) || !mayRun(worker, candidate))
+    for (const WorkerSlot &slot : pass_.slots) {
+        const WorkerId &id = slot.worker->id();
+        if (!mayRun(slot, candidate) || step.approvals.denied.contains(id))
             continue;
-        const std::int64_t room = roomFor(worker, step);
-        const std::int64_t most = step.spec.need.timesIn(worker.entry->capacity, tasks);
+        const std::int64_t room = roomFor(slot, step);
+        const std::int64_t most = step.spec.need.timesIn(slot.worker->entry->capacity, tasks);
         if (!step.approvals.approved.contains(id)) {
             if (isGang ? most > 0 : room > 0)
-                unknown.emplace_back(step.spec.need.dominantShareOf(openRoom(worker)),
+                unknown.emplace_back(step.spec.need.dominantShareOf(slot.room),
                                      isGang ? most : room, id);
             continue;
         }
         approvedSeats += most;
-        if (room > 0 && seats < tasks && !step.approvals.validTicket(id, context_.now()))
+        if (room > 0 && seats < tasks && !hasTicket(slot, candidate))
             expired.push_back(id);
         seats += room;
     }
@@ -431,8 +444,9 @@
     step->approvals.denied.insert(asked.begin(), asked.end());
     for (const Approval &approval : reply.approved) {
         step->approvals.denied.erase(approval.worker);
-        step->approvals.approved[approval.worker]
-                = {approval.ticket, context_.now() + validity - ticketMargin};
+        const TimePoint until = context_.now() + validity - ticketMargin;
+        step->approvals.approved[approval.worker] = {approval.ticket, until};
+        step->approvals.lastValidity = until;
     }
     const double share = static_cast<double>(reply.approved.size())
             / static_cast<double>(std::max<std::size_t>(asked.size(), 1));
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -144,6 +144,17 @@
         finish(known, JobState::Cancelled);
 }
 
+void CellScheduler::noteResult(const JobId &id, const JobResult &result)
+{
+    const Milliseconds age((context_.wallTime() - result.endedAt).count());
+    const Milliseconds lifetime = context_.settings().resultLifetime;
+    // The time of day may have jumped, so half of the lifetime is left to any result.
+    const Milliseconds left
+            = age < Milliseconds() ? lifetime : std::max(lifetime - age, lifetime / 2);
+    if (active_)
+        ended_.try_emplace(id, context_.now() + left);
+}
+
 void CellScheduler::cancelJob(const JobId &id)
 {
     if (!active_ || ended_.contains(id))
@@ -394,7 +405,12 @@
 
 void CellScheduler::forgetOldResults()
 {
-    std::erase_if(ended_, [&](const auto &entry) { return entry.second < context_.now(); });
+    std::erase_if(ended_, [&](const auto &entry) {
+        const bool isExpired = entry.second < context_.now();
+        if (isExpired)
+            recorder_.markExpired(entry.first);
+        return isExpired;
+    });
 }
 
 void CellScheduler::tick(bool maySchedule)
@@ -424,7 +440,7 @@
 {
     if (!active_)
         return;
-    if (changed_ && maySchedule && configuration_.current()) {
+    if (changed_ && maySchedule && configuration_.current() && context_.now() >= nextPass_) {
         changed_ = false;
         startWhatFits();
     }
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -43,6 +43,8 @@
     /// A job that an instance has just stored, as that instance says.
     void addNewJob(const AcceptedJob &job);
     void cancelJob(const JobId &job);
+    /// A job of an earlier term has ended; its result is in the store.
+    void noteResult(const JobId &id, const JobResult &result);
     void setWorker(const WorkerEntry &entry) { fleet_.setEntry(entry); }
     void removeWorker(const WorkerId &id) { fleet_.removeEntry(id); }
 
@@ -60,13 +62,19 @@
     using Order = ObjectiveOrder;
     using Headroom = ArrivalHeadroom;
 
-    /// Room that one pass of placing keeps from less urgent candidates.
+    /// A usable worker in one pass of placing.
+    struct WorkerSlot
+    {
+        const CellWorker *worker = nullptr;
+        /// Neither taken nor reserved for candidates earlier in the order.
+        Resources room;
+        /// The lowest priority that may use the worker; nothing when it serves all.
+        std::optional<std::int64_t> heldFor;
+    };
+    /// What one pass of placing knows and keeps from less urgent candidates.
     struct PassState
     {
-        /// The lowest priority that may use a worker; workers without an entry serve all.
-        std::unordered_map<WorkerId, std::int64_t> heldFor;
-        /// Room that candidates earlier in the order wait for.
-        std::unordered_map<WorkerId, Resources> reserved;
+        std::vector<WorkerSlot> slots;
         /// Gangs for which room is collected; the next ones wait behind them.
         std::size_t collectingGangs = 0;
         /// Processors that candidates without a place yet may still ask for.
@@ -114,20 +122,20 @@
     void startSingles(const StartCandidate &candidate);
     void startGang(const StartCandidate &candidate);
     void startTask(const StartCandidate &candidate, std::size_t index, RunNumber run,
-                   const CellWorker &worker);
+                   WorkerSlot &slot);
     RunNumber nextRun(const CellTask &task) const;
-    const CellWorker *bestWorker(const StartCandidate &candidate);
-    std::int64_t roomFor(const CellWorker &worker, const CellStep &step) const;
-    void holdHeadroom();
+    WorkerSlot *bestSlot(const StartCandidate &candidate);
+    static std::int64_t roomFor(const WorkerSlot &slot, const CellStep &step);
+    void beginPass();
+    bool isApproved(const WorkerSlot &slot, const StartCandidate &candidate) const;
+    bool hasTicket(const WorkerSlot &slot, const StartCandidate &candidate) const;
     /// Keeps the room on approved workers for a candidate that found too little, those with most
     /// room first.
     void reserveFor(const StartCandidate &candidate, std::int64_t tasks);
-    /// Room that is neither taken nor reserved in this pass.
-    Resources openRoom(const CellWorker &worker) const;
     void learnDuration(const CellJob &job, const CellTask &task);
     Milliseconds expectedDuration(const QueueId &queue, const StepSpec &step) const;
     void noteArrival(const CellJob &job);
-    bool mayRun(const CellWorker &worker, const StartCandidate &candidate) const;
+    static bool mayRun(const WorkerSlot &slot, const StartCandidate &candidate);
     bool needsApproval(const Queue &queue) const;
     void askApproval(const StartCandidate &candidate, std::int64_t tasks);
     std::vector<WorkerId> workersToAsk(const StartCandidate &candidate, std::int64_t tasks);
@@ -154,6 +162,7 @@
     std::unordered_map<QueueId, double> durations_;
     Headroom headroom_;
     PassState pass_;
+    TimePoint nextPass_;
     TimePoint nextRepair_;
     TimePoint nextLoadLog_;
     WorkerFleet fleet_;
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -8,6 +8,8 @@
 constexpr std::size_t maxEntries = 32;
 /// A result writes one record and deletes up to three.
 constexpr std::size_t entriesPerJob = 4;
+/// Expired results go with other commits, or together when that many have gathered.
+constexpr std::size_t leastExpired = 20;
 /// Ends of several tasks come close together; one commit serves them all.
 constexpr Milliseconds commitInterval {40};
 
@@ -33,6 +35,7 @@
     active_ = false;
     order_.clear();
     changed_.clear();
+    expired_.clear();
     roster_.reset();
     underWay_.reset();
     sent_ = false;
@@ -49,6 +52,12 @@
         found->second.push_back(std::move(*end));
 }
 
+void ProgressRecorder::markExpired(const JobId &job)
+{
+    if (active_)
+        expired_.push_back(job);
+}
+
 void ProgressRecorder::markRoster(std::vector<WorkerId> roster)
 {
     if (active_)
@@ -60,7 +69,7 @@
     if (!active_ || sent_ || context_.now() < nextSend_)
         return;
     if (!underWay_) {
-        if (order_.empty() && !roster_)
+        if (!isUrgent() && expired_.size() < leastExpired)
             return;
         underWay_ = Batch {};
         fill(*underWay_);
@@ -89,6 +98,10 @@
         for (CoveredEnd &end : changed.mapped())
             batch.ends.push_back(std::move(end));
     }
+    while (!expired_.empty() && commit.entries() < maxEntries) {
+        commit.deletes.push_back({RecordArea::Results, expired_.front().value()});
+        expired_.pop_front();
+    }
 }
 
 void ProgressRecorder::add(Batch &batch, const JobId &job, const Snapshot &snapshot) const
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -43,6 +43,8 @@
     void end();
     /// The job changed, by an end on a worker or for another reason.
     void markChanged(const JobId &job, std::optional<CoveredEnd> end = std::nullopt);
+    /// The result of \a job need not be kept any longer.
+    void markExpired(const JobId &job);
     void markRoster(std::vector<WorkerId> roster);
     /// Makes the next commit when one is due.
     void tick();
@@ -50,6 +52,9 @@
     std::size_t waiting() const { return order_.size(); }
 
 private:
+    /// Whether a commit is due for something other than expired results.
+    bool isUrgent() const { return !order_.empty() || roster_.has_value(); }
+
     struct Batch
     {
         StoreCommit commit;
@@ -75,6 +80,7 @@
     std::uint64_t lastNumber_ = 0;
     std::deque<JobId> order_;
     std::map<JobId, std::vector<CoveredEnd>> changed_;
+    std::deque<JobId> expired_;
     std::optional<std::vector<WorkerId>> roster_;
     std::optional<Batch> underWay_;
     bool sent_ = false;
--- a/Source/CellDuties/OutwardDuties.h
+++ b/Source/CellDuties/OutwardDuties.h
@@ -62,12 +62,7 @@
         , clock_(clock)
         , approvals_(settings.approvals)
         , caller_(thread_, clock)
-        , calls_(thread_, outwardRingCapacity, [this](Call &&call) {
-            if (auto *order = std::get_if<WorkerCall>(&call))
-                carryOut(std::move(*order));
-            else
-                carryOut(std::get<ApprovalCall>(call));
-        })
+        , calls_(thread_, outwardRingCapacity, [this](Call &&call) { carryOut(std::move(call)); })
     {
         thread_.start();
     }
@@ -94,6 +89,14 @@
         events_.offer(CellEvent(WorkerReplied {id, std::move(reply)}));
     }
 
+    void carryOut(Call &&call)
+    {
+        if (auto *order = std::get_if<WorkerCall>(&call))
+            carryOut(std::move(*order));
+        else
+            carryOut(std::get<ApprovalCall>(call));
+    }
+
     void carryOut(WorkerCall &&call)
     {
         // A process that was paused after the decision must not send an old start.
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -18,8 +18,10 @@
     CPPUNIT_TEST(failedRuns_unrecordedOnTwoWorkers_allCountForTheNextHolder);
     CPPUNIT_TEST(gang_withRoomForAll_startsUnderOneRun);
     CPPUNIT_TEST(job_cancelledWhileRunning_isStoppedAndShownCancelled);
+    CPPUNIT_TEST(result_olderThanItsLifetime_isRemovedFromTheStore);
     CPPUNIT_TEST(unknownJob_read_isUnknown);
     CPPUNIT_TEST(holder_killed_othersTakeOverAndNothingRunsTwice);
+    CPPUNIT_TEST(holder_findingEndsOfAnEarlierOne_goesOnStartingAllKindsOfWork);
     CPPUNIT_TEST(holder_frozenPastItsLease_startsNothingTwiceWhenItWakes);
     CPPUNIT_TEST(job_handedInAgainAfterItEndedUnderAnEarlierHolder_doesNotRunAgain);
     CPPUNIT_TEST(end_ofAJobWhoseResultIsNotStored_isNotForgottenByTheWorker);
@@ -36,7 +38,7 @@
     {
         world_ = std::make_unique<CellWorld>(3, 4);
         CPPUNIT_ASSERT(
-                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait_));
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait));
         world_->advance(Milliseconds(1000));
     }
 
@@ -108,7 +110,7 @@
                                                                 : CellWorld::Fate::Delivered;
         };
         // The worker of the first run, the first by name, is read last by the next holder.
-        CPPUNIT_ASSERT(world_->advanceUntil([&] { return !world_->starts().empty(); }, longWait_));
+        CPPUNIT_ASSERT(world_->advanceUntil([&] { return !world_->starts().empty(); }, longWait));
         const WorkerId first = world_->starts().front().worker;
         world_->worker(0).entry.draining = true;
         world_->publishWorkers();
@@ -151,6 +153,20 @@
             CPPUNIT_ASSERT(row.endedAt && row.reason == EndReason::Stopped);
     }
 
+    void result_olderThanItsLifetime_isRemovedFromTheStore()
+    {
+        for (int i = 0; i < 25; ++i)
+            world_->submit(0, CellWorld::job("job-" + std::to_string(i)));
+        CPPUNIT_ASSERT(completes("job-24"));
+        world_->advance(Milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(25), world_->store().count(RecordArea::Results));
+        world_->kill(*world_->holder());
+        world_->advance(Milliseconds(110'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(25), world_->store().count(RecordArea::Results));
+        world_->advance(Milliseconds(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->store().count(RecordArea::Results));
+    }
+
     void unknownJob_read_isUnknown()
     {
         const auto request = world_->read(0, JobId("nobody"));
@@ -166,14 +182,40 @@
         const std::size_t asked = other();
         world_->kill(*world_->holder());
         CPPUNIT_ASSERT(
-                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait_));
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait));
         CPPUNIT_ASSERT(world_->advanceUntil(
                 [&] { return world_->stateOf(asked, JobId("a")) == JobState::Completed; },
-                longWait_));
+                longWait));
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), world_->startsOf(JobId("a")));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
     }
 
+    /// The bench's RECOVER after a loss of power: an end of a run that the new holder had not
+    /// started was taken for a task of many hours, and all workers were kept for urgent work.
+    void holder_findingEndsOfAnEarlierOne_goesOnStartingAllKindsOfWork()
+    {
+        world_->submitAndWait(0, CellWorld::job("a", 5));
+        world_->advance(Milliseconds(200));
+        for (std::size_t i = 0; i < 3; ++i)
+            world_->kill(i);
+        world_->advance(Milliseconds(1000));
+        world_->configuration.version = ConfigurationVersion(2);
+        Queue patient = world_->configuration.queues.front();
+        patient.id = QueueId("patient");
+        patient.host = "patient";
+        patient.priority = 2;
+        world_->configuration.queues.push_back(patient);
+        world_->publishConfiguration();
+        for (std::size_t i = 0; i < 3; ++i)
+            world_->restart(i);
+        CPPUNIT_ASSERT(completes("a"));
+        world_->submitAndWait(0, CellWorld::job("urgent"));
+        CPPUNIT_ASSERT(world_->submitAndWait(0, CellWorld::job("b"), "patient")
+                       == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(world_->advanceUntil([&] { return world_->startsOf(JobId("b")) > 0; },
+                                            Milliseconds(2000)));
+    }
+
     void holder_frozenPastItsLease_startsNothingTwiceWhenItWakes()
     {
         const std::size_t old = *world_->holder();
@@ -184,7 +226,7 @@
         world_->freeze(old);
         world_->submitAndWait(asked, CellWorld::job("b", 5));
         CPPUNIT_ASSERT(
-                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait_));
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait));
         world_->advance(Milliseconds(1000));
         world_->thaw(old);
         world_->advance(Milliseconds(8000));
@@ -203,7 +245,7 @@
         const std::size_t old = *world_->holder();
         world_->kill(old);
         CPPUNIT_ASSERT(
-                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait_));
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait));
         world_->restart(old);
         world_->advance(Milliseconds(1500));
         int commits = 0;
@@ -351,10 +393,10 @@
     bool reaches(const std::string &job, JobState state)
     {
         return world_->advanceUntil([&] { return world_->stateOf(0, JobId(job)) == state; },
-                                    longWait_);
+                                    longWait);
     }
 
-    static constexpr Milliseconds longWait_ {20'000};
+    static constexpr Milliseconds longWait {20'000};
     std::unique_ptr<CellWorld> world_;
 };
 
--- a/Tests/Cell/CellWorld.cpp
+++ b/Tests/Cell/CellWorld.cpp
@@ -120,7 +120,7 @@
     carryOut(index, instance.node->takeActions());
 }
 
-void CellWorld::carryOut(std::size_t index, CellActions actions)
+void CellWorld::carryOut(std::size_t index, const CellActions &actions)
 {
     for (const std::string &line : actions.log)
         log += instances_[index].id.value() + " " + line + "\n";
@@ -261,18 +261,19 @@
 CallerRequestId CellWorld::ask(std::size_t instance, CallerRequest request)
 {
     request.id = CallerRequestId(++lastRequest_);
-    request.host = "host";
+    if (request.host.empty())
+        request.host = "host";
     const CallerRequestId id = request.id;
     const std::uint64_t life = instances_.at(instance).life;
     at(networkDelay, [=, this] { deliver(instance, life, request); });
     return id;
 }
 
-CallerRequestId CellWorld::submit(std::size_t instance, const JobSpec &job)
+CallerRequestId CellWorld::submit(std::size_t instance, const JobSpec &job, const std::string &host)
 {
     for (std::size_t i = 0; i < job.steps.size(); ++i)
         needs_[job.id.value() + "." + std::to_string(i)] = job.steps[i].need;
-    return ask(instance, {{}, {}, "/q/" + job.id.value(), SubmitJob {job}, {}});
+    return ask(instance, {{}, host, "/q/" + job.id.value(), SubmitJob {job}, {}});
 }
 
 CallerRequestId CellWorld::read(std::size_t instance, const JobId &job)
@@ -296,9 +297,10 @@
     return found == answers_.end() ? std::nullopt : std::optional(found->second);
 }
 
-CallerOutcome CellWorld::submitAndWait(std::size_t instance, const JobSpec &job)
+CallerOutcome CellWorld::submitAndWait(std::size_t instance, const JobSpec &job,
+                                       const std::string &host)
 {
-    const CallerRequestId request = submit(instance, job);
+    const CallerRequestId request = submit(instance, job, host);
     advanceUntil([&] { return answerTo(request).has_value(); }, Milliseconds(5000));
     const std::optional<CallerAnswer> answer = answerTo(request);
     return answer ? answer->outcome : CallerOutcome::Unknown;
--- a/Tests/Cell/CellWorld.h
+++ b/Tests/Cell/CellWorld.h
@@ -54,13 +54,15 @@
     SimulatedWorker &worker(std::size_t index) { return *workers_.at(index); }
 
     /// Sends a request to an instance; the answer is found by the number returned.
-    cell::CallerRequestId submit(std::size_t instance, const cell::JobSpec &job);
+    cell::CallerRequestId submit(std::size_t instance, const cell::JobSpec &job,
+                                 const std::string &host = "host");
     cell::CallerRequestId read(std::size_t instance, const cell::JobId &job);
     cell::CallerRequestId cancel(std::size_t instance, const cell::JobId &job);
     cell::CallerRequestId count(std::size_t instance);
     std::optional<cell::CallerAnswer> answerTo(cell::CallerRequestId request) const;
     /// Submits and waits for the answer.
-    cell::CallerOutcome submitAndWait(std::size_t instance, const cell::JobSpec &job);
+    cell::CallerOutcome submitAndWait(std::size_t instance, const cell::JobSpec &job,
+                                      const std::string &host = "host");
     std::optional<cell::JobState> stateOf(std::size_t instance, const cell::JobId &job);
 
     void kill(std::size_t instance);
@@ -104,7 +106,7 @@
     cell::CellSettings settingsOf(std::size_t index) const;
     void at(Milliseconds delay, std::function<void()> run);
     void deliver(std::size_t instance, std::uint64_t life, const cell::CellEvent &event);
-    void carryOut(std::size_t instance, cell::CellActions actions);
+    void carryOut(std::size_t instance, const cell::CellActions &actions);
     void call(std::size_t instance, const cell::StoreCall &call);
     void call(std::size_t instance, const cell::WorkerCall &call);
     void call(std::size_t instance, const cell::ApprovalCall &call);
