Keep the leases a new holder finds, and take left workers off the roster

Change: the first reading assumes the longest lease that a worker grants; the roster is written whenever it differs. Both tests failed first.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -388,16 +388,15 @@
     if (rosterAsked_)
         return;
     std::vector<WorkerId> roster;
-    bool isComplete = true;
     for (const auto &[id, worker] : fleet_.workers()) {
         const bool mayRun = worker.isListed || !worker.placements.empty()
                 || (!worker.isRead && !fleet_.isRecovered());
         if (!mayRun)
             continue;
         roster.push_back(id);
-        isComplete &= worker.isRostered;
     }
-    if (isComplete)
+    // Both are in the order of the names.
+    if (std::equal(roster.begin(), roster.end(), roster_.begin(), roster_.end()))
         return;
     rosterAsked_ = true;
     recorder_.markRoster(std::move(roster));
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -304,8 +304,12 @@
     worker.unanswered = 0;
     if (reply.life)
         updateLife(worker, reply.life);
-    if (reply.clock)
-        worker.noteClock(*reply.clock, context_.now());
+    if (!reply.clock)
+        return;
+    // An earlier holder may just have extended the lease by all that a worker grants.
+    if (!worker.hasClock())
+        worker.noteDeadline(*reply.clock + WorkerTime(context_.settings().workerLease.count()));
+    worker.noteClock(*reply.clock, context_.now());
 }
 
 void WorkerFleet::updateLife(CellWorker &worker, std::optional<WorkerLife> life)
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(result_olderThanItsLifetime_isRemovedFromTheStore);
     CPPUNIT_TEST(unknownJob_read_isUnknown);
     CPPUNIT_TEST(holder_killed_othersTakeOverAndNothingRunsTwice);
+    CPPUNIT_TEST(holder_readingAWorkerFirst_keepsTheRunsItFinds);
+    CPPUNIT_TEST(holder_afterAWorkerLeft_doesNotWaitForIt);
     CPPUNIT_TEST(holder_findingEndsOfAnEarlierOne_goesOnStartingAllKindsOfWork);
     CPPUNIT_TEST(holder_frozenPastItsLease_startsNothingTwiceWhenItWakes);
     CPPUNIT_TEST(job_handedInAgainAfterItEndedUnderAnEarlierHolder_doesNotRunAgain);
@@ -190,6 +192,38 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
     }
 
+    /// Found in the logs of an incident: the lease that an earlier holder had given was taken for
+    /// over, as the new holder had extended none yet.
+    void holder_readingAWorkerFirst_keepsTheRunsItFinds()
+    {
+        // The first task ends between two holders, so its worker is read again later than others.
+        world_->plan = [](const TaskKey &task, RunNumber) {
+            const bool isShort = task.index == TaskIndex(0);
+            return SimulatedWorker::StartPlan {Milliseconds(isShort ? 380 : 4000), EndReason::Done};
+        };
+        world_->submitAndWait(other(), CellWorld::job("a", 5));
+        world_->advance(Milliseconds(300));
+        takeOver();
+        world_->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::string::npos, world_->log.find("event=worker_lease_over"));
+    }
+
+    /// Found in the logs of an incident: workers that had left stayed in the roster, and the next
+    /// holder waited 13 s for them.
+    void holder_afterAWorkerLeft_doesNotWaitForIt()
+    {
+        const WorkerId left = world_->worker(0).entry.id;
+        world_->workerFate = [left](const InstanceId &, const WorkerRequest &request) {
+            return request.worker == left ? CellWorld::Fate::Lost : CellWorld::Fate::Delivered;
+        };
+        world_->store().remove({RecordArea::Workers, left.value()});
+        world_->advance(Milliseconds(5000));
+        takeOver();
+        world_->log.clear();
+        world_->advance(Milliseconds(1500));
+        CPPUNIT_ASSERT(world_->log.find("event=workers_recovered") != std::string::npos);
+    }
+
     /// The bench's RECOVER after a loss of power: an end of a run that the new holder had not
     /// started was taken for a task of many hours, and all workers were kept for urgent work.
     void holder_findingEndsOfAnEarlierOne_goesOnStartingAllKindsOfWork()
@@ -387,6 +421,13 @@
             return SimulatedWorker::StartPlan {Milliseconds(4000), EndReason::Done};
         };
     }
+    /// Kills the holder and waits for the next one.
+    void takeOver()
+    {
+        world_->kill(*world_->holder());
+        CPPUNIT_ASSERT(
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait));
+    }
     /// An instance that is not the holder.
     std::size_t other() const { return (*world_->holder() + 1) % 3; }
     bool completes(const std::string &job) { return reaches(job, JobState::Completed); }
