--- a/Source/Cell/CallerMessages.h
+++ b/Source/Cell/CallerMessages.h
@@ -55,7 +55,7 @@
     CallerRequestId id;
     CallerOutcome outcome = CallerOutcome::NotReady;
     JobState state = JobState::Pending;
-    std::int64_t pendingJobs = 0;
+    std::int64_t waitingJobs = 0;
     /// When to come back, for Refused and NotReady.
     Milliseconds retryAfter;
 };
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -504,7 +504,7 @@
         const QueueId &queue = job->accepted().terms.id;
         QueueLoad &load = loads[queue];
         load.queue = queue;
-        load.pendingJobs += !job->hasBegun() && !isFinal(job->state()) ? 1 : 0;
+        load.waitingJobs += !job->hasBegun() && !isFinal(job->state()) ? 1 : 0;
     }
     std::vector<QueueLoad> rows;
     rows.reserve(loads.size());
--- a/Source/Cell/EntryDesk.cpp
+++ b/Source/Cell/EntryDesk.cpp
@@ -307,7 +307,7 @@
 {
     pending_.clear();
     for (const QueueLoad &load : loads)
-        pending_[load.queue] = load.pendingJobs;
+        pending_[load.queue] = load.waitingJobs;
 }
 
 void EntryDesk::read(const CallerRequest &request, const JobId &job)
@@ -446,7 +446,7 @@
     counted.id = request.id;
     counted.outcome = CallerOutcome::Counted;
     const auto found = pending_.find(queue.id);
-    counted.pendingJobs = found == pending_.end() ? 0 : found->second;
+    counted.waitingJobs = found == pending_.end() ? 0 : found->second;
     give(counted);
 }
 
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -48,7 +48,7 @@
 {
     QueueId queue;
     /// Accepted jobs of which no task has started.
-    std::int64_t pendingJobs = 0;
+    std::int64_t waitingJobs = 0;
     /// How long a job accepted now is likely to wait before its first task starts.
     Milliseconds expectedWait;
 };
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -122,14 +122,20 @@
             });
 }
 
+Placement *WorkerFleet::takeReply(CellWorker *worker, const TaskKey &task, RunNumber run,
+                                  const WorkerReply &reply)
+{
+    if (!worker)
+        return nullptr;
+    noteReply(*worker, reply);
+    return worker->find(task, run);
+}
+
 void WorkerFleet::onStart(const WorkerId &id, const TaskKey &task, RunNumber run,
                           const WorkerReply &reply)
 {
     CellWorker *worker = findWorker(id);
-    if (!worker)
-        return;
-    noteReply(*worker, reply);
-    Placement *placement = worker->find(task, run);
+    Placement *placement = takeReply(worker, task, run, reply);
     if (!placement)
         return;
     placement->startAnswered = true;
@@ -187,11 +193,7 @@
 void WorkerFleet::onStop(const WorkerId &id, const TaskKey &task, RunNumber run,
                          const WorkerReply &reply)
 {
-    CellWorker *worker = findWorker(id);
-    if (!worker)
-        return;
-    noteReply(*worker, reply);
-    Placement *placement = worker->find(task, run);
+    Placement *placement = takeReply(findWorker(id), task, run, reply);
     if (!placement)
         return;
     placement->stopping = false;
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -68,6 +68,10 @@
     void takeRunning(CellWorker &worker, const WorkerReply &reply);
     void dropAbsent(CellWorker &worker, const WorkerReply &reply);
     bool isAbsent(const Placement &placement, WorkerTime clock) const;
+    /// Notes what a reply tells of its worker; the placement that it is about, or null when that
+    /// is gone.
+    Placement *takeReply(CellWorker *worker, const TaskKey &task, RunNumber run,
+                         const WorkerReply &reply);
     void onStart(const WorkerId &id, const TaskKey &task, RunNumber run, const WorkerReply &reply);
     void onStop(const WorkerId &id, const TaskKey &task, RunNumber run, const WorkerReply &reply);
     void sendStop(CellWorker &worker, const TaskKey &task, RunNumber run);
--- a/Source/Command/CellSettingsReader.cpp
+++ b/Source/Command/CellSettingsReader.cpp
@@ -35,11 +35,8 @@
 
 constexpr DurationKey durationKeys[] = {
         {"worker_lease_ms", &CellSettings::workerLease},
-        {"stop_ms", &CellSettings::stopTime},
-        {"gang_timeout_ms", &CellSettings::gangTimeout},
         {"result_lifetime_ms", &CellSettings::resultLifetime},
         {"stop_grace_ms", &CellSettings::stopGrace},
-        {"least_store_lease_ms", &CellSettings::leastStoreLease},
 };
 
 /// Fails with the file, the key and what to do.
@@ -94,9 +91,6 @@
             return refuse(file, fmt::format("bounds.{}", key.name), "is no positive number of ms");
         settings.*key.member = Milliseconds(static_cast<std::int64_t>(*value));
     }
-    const auto factor = table["bounds"]["remote_factor"];
-    if (factor)
-        settings.remoteFactor = factor.value_or(settings.remoteFactor);
     return {};
 }
 
