Count a reading that could not be sent as unanswered

Change: not sent and another worker at the address count like no answer. The test failed first. Format of three older files.

--- a/Source/Cell/ApprovalDesk.cpp
+++ b/Source/Cell/ApprovalDesk.cpp
@@ -130,8 +130,8 @@
         best = &asker;
         chosen = address;
     }
-    const std::size_t keptForShort = present > 1 ? std::max<std::size_t>(1, present / shortShareDivisor)
-                                                 : 0;
+    const std::size_t keptForShort
+            = present > 1 ? std::max<std::size_t>(1, present / shortShareDivisor) : 0;
     if (isLong && withLong + keptForShort >= present)
         return std::nullopt;
     return chosen;
@@ -158,17 +158,16 @@
     Asker &asker = askers_.at(address);
     ++asker.underWay;
     asker.hasLong |= question.cost > longCost;
-    const Milliseconds timeout = question.cost * static_cast<std::int64_t>(asker.underWay)
-            + answerSlack;
+    const Milliseconds timeout
+            = question.cost * static_cast<std::int64_t>(asker.underWay) + answerSlack;
     question.asker = address;
     question.giveUpAt = context_.now() + timeout;
     if (address != self()) {
         context_.send(address, PeerApprovalRequest {number, question.request, timeout});
         return;
     }
-    context_.callApprovals(question.request, timeout, [this, number](const ApprovalReply &reply) {
-        finish(number, reply);
-    });
+    context_.callApprovals(question.request, timeout,
+                           [this, number](const ApprovalReply &reply) { finish(number, reply); });
 }
 
 void ApprovalDesk::ask(ApprovalRequest request, Milliseconds cost, std::int64_t priority,
--- a/Source/Cell/Policy/HeadroomReserve.h
+++ b/Source/Cell/Policy/HeadroomReserve.h
@@ -10,9 +10,9 @@
 
 /// Which workers are kept free of less urgent work.
 template<class Headroom>
-concept HeadroomPolicy = requires(Headroom headroom, const Headroom &constHeadroom,
-                                  std::int64_t priority, Millicores need, Milliseconds duration,
-                                  TimePoint now)
+concept HeadroomPolicy
+        = requires(Headroom headroom, const Headroom &constHeadroom, std::int64_t priority,
+                   Millicores need, Milliseconds duration, TimePoint now)
 {
     headroom.noteArrival(priority, need, duration, now);
     {
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -296,13 +296,14 @@
         handlers_.fenced();
         return;
     }
-    if (reply.outcome == WorkerOutcome::Unanswered) {
+    const bool isSilent = reply.outcome == WorkerOutcome::Unanswered
+            || reply.outcome == WorkerOutcome::NotSent
+            || reply.outcome == WorkerOutcome::OtherWorker;
+    if (isSilent) {
         ++worker.unanswered;
         worker.avoidUntil = context_.now() + avoidUnanswered;
         return;
     }
-    if (reply.outcome == WorkerOutcome::OtherWorker || reply.outcome == WorkerOutcome::NotSent)
-        return;
     worker.unanswered = 0;
     if (reply.life)
         updateLife(worker, reply.life);
--- a/Source/Command/Commands.cpp
+++ b/Source/Command/Commands.cpp
@@ -196,11 +196,11 @@
 {
     // "check" comes before "preset": its option has the same word.
     static const Subcommand subcommands[] = {
-            {"serve", serve},           {"submit", submitJob}, {"run", submitJob},
-            {"entry", serveEntry},
-            {"status", showStatus},     {"cancel", cancelJob}, {"workers", listWorkers},
-            {"check", checkFile},       {"preset", preset},    {"audit", audit},
-            {"settings", listSettings}, {"chart", chart},      {"version", printVersion},
+            {"serve", serve},          {"submit", submitJob},      {"run", submitJob},
+            {"entry", serveEntry},     {"status", showStatus},     {"cancel", cancelJob},
+            {"workers", listWorkers},  {"check", checkFile},       {"preset", preset},
+            {"audit", audit},          {"settings", listSettings}, {"chart", chart},
+            {"version", printVersion},
     };
     for (const Subcommand &subcommand : subcommands) {
         if (arguments.at(subcommand.name).asBool())
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(start_unanswered_isSettledBeforeTheTaskRunsElsewhere);
     CPPUNIT_TEST(worker_restarted_itsTasksRunAgain);
     CPPUNIT_TEST(worker_silentForGood_itsTasksRunElsewhereAfterItsLease);
+    CPPUNIT_TEST(worker_refusingConnectionsForGood_itsTasksRunElsewhereAfterItsLease);
     CPPUNIT_TEST(worker_draining_getsNoStart);
     CPPUNIT_TEST(store_refusingWrites_isToldAsNotRun);
     CPPUNIT_TEST(store_losingTheAnswer_acceptsTheJobOnce);
@@ -377,6 +378,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
     }
 
+    /// The bench's LOST after a worker left: a reading that could not be sent counted as one that
+    /// had extended the lease.
+    void worker_refusingConnectionsForGood_itsTasksRunElsewhereAfterItsLease()
+    {
+        world_->plan = longRuns();
+        world_->submitAndWait(0, CellWorld::job("a", 4));
+        world_->advance(Milliseconds(300));
+        const WorkerId gone = world_->starts().front().worker;
+        world_->workerFate = [gone](const InstanceId &, const WorkerRequest &request) {
+            return request.worker == gone ? CellWorld::Fate::NotSent : CellWorld::Fate::Delivered;
+        };
+        world_->store().remove({RecordArea::Workers, gone.value()});
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world_->overlaps());
+    }
+
     void worker_draining_getsNoStart()
     {
         world_->worker(0).entry.draining = true;
--- a/Tests/Cell/CellWorld.cpp
+++ b/Tests/Cell/CellWorld.cpp
@@ -172,11 +172,14 @@
               };
     if (fate != Fate::Delivered) {
         WorkerReply failed;
-        failed.outcome
-                = fate == Fate::Refused ? WorkerOutcome::Unhealthy : WorkerOutcome::Unanswered;
-        at(fate == Fate::Refused ? networkDelay : call.timeout, [=] { reply(failed); });
+        if (fate == Fate::Refused)
+            failed.outcome = WorkerOutcome::Unhealthy;
+        if (fate == Fate::NotSent)
+            failed.outcome = WorkerOutcome::NotSent;
+        const bool isPrompt = fate == Fate::Refused || fate == Fate::NotSent;
+        at(isPrompt ? networkDelay : call.timeout, [=] { reply(failed); });
     }
-    if (fate == Fate::Lost || fate == Fate::Refused)
+    if (fate != Fate::Delivered && fate != Fate::AnswerLost)
         return;
     at(networkDelay, [this, fate, reply, request = call.request] {
         for (const auto &worker : workers_) {
--- a/Tests/Cell/CellWorld.h
+++ b/Tests/Cell/CellWorld.h
@@ -22,6 +22,8 @@
         Lost,
         /// Refused at once, not carried out.
         Refused,
+        /// Nothing listens there, so that nothing is sent.
+        NotSent,
     };
     struct StartRow
     {
