Look starts up in the audit without adding them

No worker's record names these jobs: FleetAudit::checkStarts wrote starts[name] for the first answer of a job, which added an empty row, and the second answer of the same name (the job was handed in twice) was then taken for one of a job that had started.

--- a/Tests/Support/FleetAudit.cpp
+++ b/Tests/Support/FleetAudit.cpp
@@ -154,9 +154,10 @@
         if (told.state == "done"
             && succeeded[name].size() != static_cast<std::size_t>(told.job.tasks))
             found.push_back("told done, but not all succeeded: " + describe(told));
-        if (told.job.idempotent || !seen.insert(name).second)
+        const auto started = starts.find(name);
+        if (told.job.idempotent || started == starts.end() || !seen.insert(name).second)
             continue;
-        for (const auto &[task, count] : starts[name]) {
+        for (const auto &[task, count] : started->second) {
             if (count > 1)
                 found.push_back(fmt::format("non-idempotent, started {} times: {}", count, name));
         }
