Choose the strongest instance as holder, and place in cheap passes

Two parts: who becomes the holder, and what a pass costs with a backlog. Change: an instance that is weaker than the last holder waits 600 ms longer, one with twice the holder's processors takes over from it.

--- a/Source/Cell/ApprovalDesk.cpp
+++ b/Source/Cell/ApprovalDesk.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t maxShortUnderWay = 2;
 /// Long questions that may wait for an instance.
 constexpr std::size_t maxLongWaiting = 2;
+/// Short ones wait this long at most; those further back are better chosen when their turn comes.
+constexpr Milliseconds shortWait {200};
 
 } // namespace
 
@@ -31,6 +33,7 @@
 void ApprovalDesk::clear()
 {
     questions_.clear();
+    waiting_.clear();
     askers_.clear();
 }
 
@@ -96,21 +99,28 @@
 Milliseconds ApprovalDesk::waitingCost() const
 {
     Milliseconds cost;
-    for (const auto &[number, question] : questions_) {
-        if (!question.asker)
-            cost += question.cost;
-    }
+    for (const auto &[priority, number] : waiting_)
+        cost += questions_.at(number).cost;
     return cost;
 }
 
-bool ApprovalDesk::mayAsk(Milliseconds cost) const
+bool ApprovalDesk::mayAsk(Milliseconds cost, std::int64_t priority) const
 {
-    if (cost <= longCost)
-        return true;
-    const auto waiting = std::count_if(questions_.begin(), questions_.end(), [](const auto &entry) {
-        return !entry.second.asker && entry.second.cost > longCost;
-    });
-    return static_cast<std::size_t>(waiting) < maxLongWaiting;
+    const bool isLong = cost > longCost;
+    std::size_t longAhead = 0;
+    Milliseconds shortAhead;
+    for (const auto &[otherPriority, number] : waiting_) {
+        if (otherPriority > priority)
+            break;
+        const Milliseconds other = questions_.at(number).cost;
+        if (other > longCost)
+            ++longAhead;
+        else
+            shortAhead += other;
+    }
+    if (isLong)
+        return longAhead < maxLongWaiting;
+    return shortAhead < shortWait * static_cast<std::int64_t>(askers_.size());
 }
 
 std::optional<Address> ApprovalDesk::freeAsker(bool isLong) const
@@ -140,16 +150,24 @@
 void ApprovalDesk::dispatch()
 {
     askers_.try_emplace(self());
-    std::vector<std::pair<std::int64_t, std::uint64_t>> waiting;
-    for (const auto &[number, question] : questions_) {
-        if (!question.asker)
-            waiting.emplace_back(question.priority, number);
-    }
-    std::sort(waiting.begin(), waiting.end());
-    for (const auto &[priority, number] : waiting) {
-        Question &question = questions_.at(number);
-        if (const std::optional<Address> asker = freeAsker(question.cost > longCost))
-            put(number, question, *asker);
+    bool isFull = false;
+    bool isFullForLong = false;
+    for (auto waiting = waiting_.begin(); waiting != waiting_.end() && !isFull;) {
+        Question &question = questions_.at(waiting->second);
+        const bool isLong = question.cost > longCost;
+        if (isLong && isFullForLong) {
+            ++waiting;
+            continue;
+        }
+        const std::optional<Address> asker = freeAsker(isLong);
+        if (!asker) {
+            (isLong ? isFullForLong : isFull) = true;
+            ++waiting;
+            continue;
+        }
+        const std::uint64_t number = waiting->second;
+        waiting = waiting_.erase(waiting);
+        put(number, question, *asker);
     }
 }
 
@@ -174,6 +192,7 @@
                        Continuation next)
 {
     questions_[++lastNumber_] = {std::move(request), cost, priority, std::move(next), {}, {}};
+    waiting_.emplace(priority, lastNumber_);
     dispatch();
 }
 
--- a/Source/Cell/ApprovalDesk.h
+++ b/Source/Cell/ApprovalDesk.h
@@ -3,6 +3,7 @@
 #include "Cell/CellContext.h"
 
 #include <map>
+#include <set>
 
 namespace caraway::cell {
 
@@ -22,9 +23,9 @@
     void tick();
     void clear();
 
-    /// Whether another question of this cost is worth putting now; long ones wait their turn
-    /// with the scheduler, which knows best which of them still matters.
-    bool mayAsk(Milliseconds cost) const;
+    /// Whether another question of this cost is worth putting now. Few wait here: the scheduler
+    /// knows best which of the others still matters when their turn comes.
+    bool mayAsk(Milliseconds cost, std::int64_t priority) const;
     /// How long the questions that wait would take one instance.
     Milliseconds waitingCost() const;
     /// Asks; \a cost is how long the service takes, and a lower \a priority goes first. The
@@ -62,6 +63,8 @@
     std::map<Address, Asker> askers_;
     std::uint64_t lastNumber_ = 0;
     std::map<std::uint64_t, Question> questions_;
+    /// Questions without an asker, by priority and number.
+    std::set<std::pair<std::int64_t, std::uint64_t>> waiting_;
 };
 
 } // namespace caraway::cell
--- a/Source/Cell/CellConfiguration.cpp
+++ b/Source/Cell/CellConfiguration.cpp
@@ -14,13 +14,4 @@
     return best;
 }
 
-const Queue *CellConfiguration::queue(const QueueId &id) const
-{
-    for (const Queue &candidate : queues) {
-        if (candidate.id == id)
-            return &candidate;
-    }
-    return nullptr;
-}
-
 } // namespace caraway::cell
--- a/Source/Cell/CellJob.cpp
+++ b/Source/Cell/CellJob.cpp
@@ -4,12 +4,26 @@
 
 namespace caraway::cell {
 
-const std::string *StepApprovals::validTicket(const WorkerId &worker, TimePoint at) const
+namespace {
+
+Milliseconds findLongestChain(const JobSpec &spec)
 {
-    const auto found = approved.find(worker);
-    return found != approved.end() && at < found->second.validUntil ? &found->second.text : nullptr;
+    std::vector<Milliseconds> ends;
+    Milliseconds longest;
+    for (const StepSpec &step : spec.steps) {
+        Milliseconds begin;
+        for (const StepIndex before : step.after) {
+            if (before.value() < ends.size())
+                begin = std::max(begin, ends[before.value()]);
+        }
+        ends.push_back(begin + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
 }
 
+} // namespace
+
 std::size_t CellStep::count(CellTask::State state) const
 {
     return static_cast<std::size_t>(std::count_if(
@@ -19,6 +33,7 @@
 CellJob::CellJob(AcceptedJob accepted, const JobProgress &progress, TimePoint now)
     : accepted_(std::move(accepted))
     , arrivedAt_(now)
+    , longestChain_(findLongestChain(accepted_.spec))
 {
     const JobSpec &spec = accepted_.spec;
     const std::int64_t repetitions = std::max<std::int64_t>(spec.schedule.runs, 1);
@@ -65,6 +80,12 @@
     }
 }
 
+std::span<const CellStep> CellJob::stepsOf(Occurrence occurrence) const
+{
+    const std::size_t width = accepted_.spec.steps.size();
+    return std::span(steps_).subspan(occurrence.value() * width, width);
+}
+
 CellStep *CellJob::step(Occurrence occurrence, StepIndex index)
 {
     const std::size_t width = accepted_.spec.steps.size();
--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -2,30 +2,12 @@
 
 #include "Cell/CellTask.h"
 #include "Cell/JobSpec.h"
+#include "Cell/StepApprovals.h"
 
-#include <unordered_map>
+#include <span>
 
 namespace caraway::cell {
 
-/// What the policy service has said about the workers for one step.
-struct StepApprovals
-{
-    struct Ticket
-    {
-        std::string text;
-        TimePoint validUntil;
-    };
-    std::unordered_map<WorkerId, Ticket> approved;
-    std::set<WorkerId> denied;
-    /// Workers named in the call under way.
-    bool asking = false;
-    TimePoint nextAsk;
-    /// When the last ticket runs out.
-    TimePoint lastValidity;
-
-    const std::string *validTicket(const WorkerId &worker, TimePoint at) const;
-};
-
 /// One step of one repetition of a job, while the job lives.
 struct CellStep
 {
@@ -61,6 +43,10 @@
     const std::vector<CellStep> &steps() const { return steps_; }
     CellStep *step(Occurrence occurrence, StepIndex index);
     TimePoint arrivedAt() const { return arrivedAt_; }
+    /// How long one repetition takes at least, by the caller's estimates.
+    Milliseconds longestChain() const { return longestChain_; }
+    /// The steps of one repetition, in their order.
+    std::span<const CellStep> stepsOf(Occurrence occurrence) const;
 
     JobState state() const { return state_; }
     bool hasBegun() const { return begun_; }
@@ -81,6 +67,7 @@
     AcceptedJob accepted_;
     std::vector<CellStep> steps_;
     TimePoint arrivedAt_;
+    Milliseconds longestChain_;
     JobState state_ = JobState::Pending;
     bool begun_ = false;
 };
--- a/Source/Cell/CellPlacing.cpp
+++ b/Source/Cell/CellPlacing.cpp
@@ -28,26 +28,12 @@
 constexpr std::int64_t mostUrgent = 0;
 /// Events of this time are placed together.
 constexpr Milliseconds passInterval {15};
+/// A backlog lengthens the interval, so that passes take a small part of the processor.
+constexpr std::int64_t candidatesPerAddedMillisecond = 100;
 /// More would keep room empty that smaller work can use meanwhile.
 constexpr std::size_t maxCollectingGangs = 1;
 constexpr std::int64_t microsecondsPerMillisecond = 1000;
 
-Milliseconds longestChain(const JobSpec &spec)
-{
-    std::vector<Milliseconds> ends;
-    Milliseconds longest;
-    for (const StepSpec &step : spec.steps) {
-        Milliseconds begin;
-        for (const StepIndex before : step.after) {
-            if (before.value() < ends.size())
-                begin = std::max(begin, ends[before.value()]);
-        }
-        ends.push_back(begin + step.estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
 } // namespace
 
 bool CellScheduler::isStartable(const CellJob &job, const CellStep &step) const
@@ -66,15 +52,15 @@
 
 TimePoint CellScheduler::objectiveOf(const CellJob &job, const Queue &queue) const
 {
-    const Milliseconds chain = longestChain(job.accepted().spec);
-    return job.arrivedAt() + chain * queue.stretchPercent / percent + queue.objective;
+    return job.arrivedAt() + job.longestChain() * queue.stretchPercent / percent + queue.objective;
 }
 
-Milliseconds CellScheduler::remainingOf(const CellJob &job, const Queue &queue) const
+Milliseconds CellScheduler::remainingOf(const CellJob &job, Occurrence occurrence,
+                                        const Queue &queue) const
 {
     std::vector<Milliseconds> ends;
     Milliseconds longest;
-    for (const CellStep &step : job.steps()) {
+    for (const CellStep &step : job.stepsOf(occurrence)) {
         Milliseconds end;
         for (const StepIndex before : step.spec.after) {
             if (before.value() < ends.size())
@@ -96,8 +82,8 @@
             if (!isStartable(*job, step))
                 continue;
             const Queue &queue = termsOf(*job);
-            found.push_back(
-                    {job.get(), &step, &queue, objectiveOf(*job, queue), remainingOf(*job, queue)});
+            found.push_back({job.get(), &step, &queue, objectiveOf(*job, queue),
+                             remainingOf(*job, step.key.occurrence, queue)});
         }
     }
     std::sort(found.begin(), found.end(),
@@ -150,6 +136,7 @@
         slot.worker = &worker;
         slot.room = worker.room();
         pass_.askable += slot.room.processors;
+        pass_.mostRoom = std::max(pass_.mostRoom, slot.room.processors);
         if (missing > Millicores()) {
             slot.heldFor = mostUrgent;
             missing -= worker.entry->capacity.processors;
@@ -160,13 +147,13 @@
 bool CellScheduler::isApproved(const WorkerSlot &slot, const StartCandidate &candidate) const
 {
     return !needsApproval(*candidate.queue)
-            || candidate.step->approvals.approved.contains(slot.worker->id());
+            || candidate.step->approvals.isApproved(slot.worker->number());
 }
 
 bool CellScheduler::hasTicket(const WorkerSlot &slot, const StartCandidate &candidate) const
 {
     return !needsApproval(*candidate.queue)
-            || candidate.step->approvals.validTicket(slot.worker->id(), context_.now());
+            || candidate.step->approvals.validTicket(slot.worker->number(), context_.now());
 }
 
 void CellScheduler::reserveFor(const StartCandidate &candidate, std::int64_t tasks)
@@ -193,10 +180,12 @@
 
 void CellScheduler::startWhatFits()
 {
-    nextPass_ = context_.now() + passInterval;
     beginPass();
-    for (const StartCandidate &candidate : candidates())
+    const std::vector<StartCandidate> waiting = candidates();
+    for (const StartCandidate &candidate : waiting)
         startStep(candidate);
+    const auto added = static_cast<std::int64_t>(waiting.size()) / candidatesPerAddedMillisecond;
+    nextPass_ = context_.now() + passInterval + Milliseconds(added);
 }
 
 void CellScheduler::startStep(const StartCandidate &candidate)
@@ -243,10 +232,14 @@
 
 CellScheduler::WorkerSlot *CellScheduler::bestSlot(const StartCandidate &candidate)
 {
+    const StepSpec &spec = candidate.step->spec;
+    if (spec.need.processors > pass_.mostRoom && !spec.fillsIdleTime)
+        return nullptr;
     WorkerSlot *best = nullptr;
     double bestValue = 0;
+    Millicores mostRoom;
     for (WorkerSlot &slot : pass_.slots) {
-        const StepSpec &spec = candidate.step->spec;
+        mostRoom = std::max(mostRoom, slot.room.processors);
         if (!spec.need.fitsIn(slot.room) && !spec.fillsIdleTime)
             continue;
         if (!mayRun(slot, candidate) || !hasTicket(slot, candidate)
@@ -259,6 +252,7 @@
             bestValue = value;
         }
     }
+    pass_.mostRoom = mostRoom;
     return best;
 }
 
@@ -272,7 +266,7 @@
 {
     CellStep &step = *candidate.step;
     const bool isWaitingForTickets
-            = needsApproval(*candidate.queue) && context_.now() >= step.approvals.lastValidity;
+            = needsApproval(*candidate.queue) && !step.approvals.hasValidTickets(context_.now());
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         if (!step.tasks[i].isIn(CellTask::State::Waiting))
             continue;
@@ -328,7 +322,7 @@
     order.need = step.spec.need;
     if (step.spec.fillsIdleTime)
         order.need.processors = {};
-    if (const std::string *ticket = step.approvals.validTicket(worker.id(), context_.now()))
+    if (const std::string *ticket = step.approvals.validTicket(worker.number(), context_.now()))
         order.ticket = *ticket;
     slot.room -= order.need;
     task.assign(worker.id(), run, context_.now());
@@ -354,20 +348,28 @@
 {
     const CellStep &step = *candidate.step;
     const bool isGang = step.spec.gang;
-    std::vector<std::tuple<double, std::int64_t, WorkerId>> unknown;
+    struct Unknown
+    {
+        double shareTaken = 0;
+        std::int64_t seats = 0;
+        const WorkerSlot *slot = nullptr;
+        bool operator<(const Unknown &other) const { return shareTaken > other.shareTaken; }
+    };
+    std::vector<Unknown> unknown;
     std::vector<WorkerId> expired;
     std::int64_t seats = 0;
     std::int64_t approvedSeats = 0;
     for (const WorkerSlot &slot : pass_.slots) {
         const WorkerId &id = slot.worker->id();
-        if (!mayRun(slot, candidate) || step.approvals.denied.contains(id))
+        const WorkerNumber number = slot.worker->number();
+        if (!mayRun(slot, candidate) || step.approvals.isDenied(number))
             continue;
         const std::int64_t room = roomFor(slot, step);
         const std::int64_t most = step.spec.need.timesIn(slot.worker->entry->capacity, tasks);
-        if (!step.approvals.approved.contains(id)) {
+        if (!step.approvals.isApproved(number)) {
             if (isGang ? most > 0 : room > 0)
-                unknown.emplace_back(step.spec.need.dominantShareOf(slot.room),
-                                     isGang ? most : room, id);
+                unknown.push_back(
+                        {step.spec.need.dominantShareOf(slot.room), isGang ? most : room, &slot});
             continue;
         }
         approvedSeats += most;
@@ -379,15 +381,17 @@
     auto expected = static_cast<double>(isGang ? approvedSeats : seats);
     if (seats >= tasks || (isGang && expected >= wanted))
         return seats >= tasks ? expired : std::vector<WorkerId>();
-    std::sort(unknown.begin(), unknown.end());
+    std::make_heap(unknown.begin(), unknown.end());
     const double share = approvalShareOf(candidate.queue->id);
     std::vector<WorkerId> named;
-    for (const auto &[taken, count, id] : unknown) {
+    while (!unknown.empty()) {
         const bool isEnough = expected >= wanted && named.size() >= askAtLeast;
         if (isEnough || named.size() >= maxAskedWorkers)
             break;
-        named.push_back(id);
-        expected += static_cast<double>(count) * share;
+        std::pop_heap(unknown.begin(), unknown.end());
+        named.push_back(unknown.back().slot->worker->id());
+        expected += static_cast<double>(unknown.back().seats) * share;
+        unknown.pop_back();
     }
     // A gang that cannot be seated yet has no use for tickets.
     if (isGang || named.size() + expired.size() > maxAskedWorkers)
@@ -406,11 +410,13 @@
     if (approvals.asking || context_.now() < approvals.nextAsk || !isCovered)
         return;
     const ApprovalTerms &terms = *candidate.queue->approval;
-    if (!approvals_.mayAsk(terms.perDecision))
+    if (!approvals_.mayAsk(terms.perDecision, candidate.queue->priority))
         return;
     std::vector<WorkerId> asked = workersToAsk(candidate, tasks);
-    if (asked.empty())
+    if (asked.empty()) {
+        approvals.nextAsk = context_.now() + askPause;
         return;
+    }
     const auto named = static_cast<std::int64_t>(asked.size());
     const Milliseconds cost = terms.perDecision
             + Milliseconds(terms.perWorkerMicroseconds * named / microsecondsPerMillisecond);
@@ -441,12 +447,14 @@
     changed_ = true;
     if (!reply.answered)
         return;
-    step->approvals.denied.insert(asked.begin(), asked.end());
+    for (const WorkerId &id : asked) {
+        if (const CellWorker *worker = fleet_.worker(id))
+            step->approvals.deny(worker->number());
+    }
+    const TimePoint validUntil = context_.now() + validity - ticketMargin;
     for (const Approval &approval : reply.approved) {
-        step->approvals.denied.erase(approval.worker);
-        const TimePoint until = context_.now() + validity - ticketMargin;
-        step->approvals.approved[approval.worker] = {approval.ticket, until};
-        step->approvals.lastValidity = until;
+        if (const CellWorker *worker = fleet_.worker(approval.worker))
+            step->approvals.approve(worker->number(), {approval.ticket, validUntil});
     }
     const double share = static_cast<double>(reply.approved.size())
             / static_cast<double>(std::max<std::size_t>(asked.size(), 1));
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -113,8 +113,7 @@
 const Queue &CellScheduler::termsOf(const CellJob &job) const
 {
     const Queue &accepted = job.accepted().terms;
-    const CellConfiguration *configuration = configuration_.current();
-    const Queue *present = configuration ? configuration->queue(accepted.id) : nullptr;
+    const Queue *present = configuration_.queue(accepted.id);
     return present ? *present : accepted;
 }
 
@@ -348,7 +347,7 @@
                  key.job.value(), key.step.value(), key.index.value(), run.value(),
                  worker.id().value(), static_cast<int>(outcome));
     if (outcome == WorkerOutcome::TicketInvalid)
-        step->approvals.approved.erase(worker.id());
+        step->approvals.forget(worker.number());
     task->handle(CellTask::Event::Ended);
     if (step->spec.gang)
         stopGang(*step, run);
@@ -443,7 +442,7 @@
         changed_ = false;
         startWhatFits();
     }
-    fleet_.tick(maySchedule);
+    fleet_.readOn(maySchedule);
     recorder_.tick();
 }
 
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -79,6 +79,8 @@
         std::size_t collectingGangs = 0;
         /// Processors that candidates without a place yet may still ask for.
         Millicores askable;
+        /// No worker has more processors left.
+        Millicores mostRoom;
     };
 
     WorkerFleet::Handlers fleetHandlers();
@@ -115,8 +117,8 @@
     void startWhatFits();
     std::vector<StartCandidate> candidates();
     TimePoint objectiveOf(const CellJob &job, const Queue &queue) const;
-    /// How long the rest of the job takes at least, when everything starts at once.
-    Milliseconds remainingOf(const CellJob &job, const Queue &queue) const;
+    /// How long the rest of the repetition takes at least, when everything starts at once.
+    Milliseconds remainingOf(const CellJob &job, Occurrence occurrence, const Queue &queue) const;
     bool isStartable(const CellJob &job, const CellStep &step) const;
     void startStep(const StartCandidate &candidate);
     void startSingles(const StartCandidate &candidate);
--- a/Source/Cell/CellSettings.h
+++ b/Source/Cell/CellSettings.h
@@ -18,6 +18,8 @@
     /// The policy service; port 0 where the fleet has none.
     Address approvals;
 
+    /// Processor time that the instance may use.
+    Millicores processors {1000};
     /// Longest lease that a worker grants to what runs on it.
     Milliseconds workerLease {6000};
     /// How long the final state of a job can be asked for.
--- a/Source/Cell/CellTypes.h
+++ b/Source/Cell/CellTypes.h
@@ -31,6 +31,8 @@
 using FencingToken = NumberId<struct FencingTokenTag>;
 /// Numbers what ended on one worker since its start, from 1.
 using EndNumber = NumberId<struct EndNumberTag>;
+/// Numbers the workers that a holder knows, from 0, in the order in which it learned of them.
+using WorkerNumber = NumberId<struct WorkerNumberTag>;
 /// A lease that the store keeps.
 using LeaseId = NumberId<struct LeaseIdTag>;
 /// Version of the operator's configuration; versions only grow.
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -29,12 +29,14 @@
 class CellWorker
 {
 public:
-    explicit CellWorker(WorkerId id)
+    CellWorker(WorkerId id, WorkerNumber number)
         : id_(std::move(id))
+        , number_(number)
     {
     }
 
     const WorkerId &id() const { return id_; }
+    WorkerNumber number() const { return number_; }
     /// As last listed; kept when the entry goes, for what runs may run on.
     std::optional<WorkerEntry> entry;
     bool isListed = false;
@@ -74,6 +76,7 @@
 
 private:
     WorkerId id_;
+    WorkerNumber number_;
     WorkerTime clock_;
     std::optional<TimePoint> clockAt_;
     WorkerTime leaseUntil_;
--- a/Source/Cell/ConfigurationKeeper.cpp
+++ b/Source/Cell/ConfigurationKeeper.cpp
@@ -22,6 +22,12 @@
     return current_ ? current_->version : ConfigurationVersion();
 }
 
+const Queue *ConfigurationKeeper::queue(const QueueId &id) const
+{
+    const auto found = queues_.find(id);
+    return found == queues_.end() ? nullptr : &current_->queues[found->second];
+}
+
 void ConfigurationKeeper::onHeard(ConfigurationVersion version)
 {
     if (version > this->version())
@@ -42,6 +48,9 @@
                  configuration->version.value(), version().value(), item.revision.value(),
                  configuration->queues.size());
     current_ = *configuration;
+    queues_.clear();
+    for (std::size_t i = 0; i < current_->queues.size(); ++i)
+        queues_.emplace(current_->queues[i].id, i);
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/ConfigurationKeeper.h
+++ b/Source/Cell/ConfigurationKeeper.h
@@ -17,6 +17,8 @@
 
     /// Null until the first one was read.
     const CellConfiguration *current() const { return current_ ? &*current_ : nullptr; }
+    /// A queue of the newest configuration; null when that has none of the name.
+    const Queue *queue(const QueueId &id) const;
     ConfigurationVersion version() const;
     /// The time at which the store was last asked with success.
     TimePoint confirmedAt() const { return confirmedAt_; }
@@ -26,6 +28,8 @@
 
     CellContext &context_;
     std::optional<CellConfiguration> current_;
+    /// Positions in the newest configuration.
+    std::unordered_map<QueueId, std::size_t> queues_;
     TimePoint confirmedAt_;
     AreaFollower follower_;
 };
--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -17,6 +17,17 @@
 /// Spreads the claims of the others.
 constexpr std::uint64_t claimSpreadMs = 200;
 constexpr Milliseconds claimPause {300};
+/// Instances with fewer processors than the last holder let the others claim first: one on which
+/// a small instance decides for a large fleet falls behind it.
+constexpr Milliseconds weakerDelay {600};
+/// Before there was any holder, an instance waits this long for each processor that it lacks.
+/// Instances start within a few hundred milliseconds of each other.
+constexpr std::int64_t firstDelayMsPerProcessor = 1000;
+constexpr std::int64_t millicoresPerProcessor = 1000;
+/// A holder with less than this part of an instance's processors is replaced by that instance,
+/// once it has held for a while.
+constexpr std::int64_t outclassedFactor = 2;
+constexpr Milliseconds outclassedDelay {3000};
 /// A longer gap between two ticks means that the process was paused.
 constexpr Milliseconds pauseLimit {1000};
 
@@ -90,6 +101,8 @@
     holderRevision_ = item.revision;
     if (holder_ && holder_->generation > record->generation)
         return;
+    if (!holder_ || holder_->generation != record->generation)
+        holderSeenAt_ = context_.now();
     holder_ = *record;
     refusedPeer_.reset();
     context_.log("event=holder_seen instance={} generation={} revision={}",
@@ -137,19 +150,40 @@
     if (!context_.storeHealth().isServing() || !follower_.isRead() || now < nextClaim_
         || lifecycle_.isIn(State::Released))
         return false;
-    if (isPredecessorDead())
+    const Milliseconds forStronger = isWeakerThanHolder() ? weakerDelay : Milliseconds();
+    if (isPredecessorDead() && now - refusedAt_ >= forStronger)
         return true;
-    if (leaseRevision_ != Revision())
-        return false;
     const std::uint64_t spread = stableHash(context_.self().instance.value()) % claimSpreadMs;
     const Milliseconds delay = claimDelay + Milliseconds(static_cast<std::int64_t>(spread));
-    return now - leaseGoneAt_ >= (holder_ ? delay : Milliseconds());
+    if (leaseRevision_ != Revision())
+        return isHolderOutclassed() && now - holderSeenAt_ >= outclassedDelay + delay;
+    return now - leaseGoneAt_ >= (holder_ ? delay + forStronger : firstDelay());
+}
+
+Milliseconds HolderElection::firstDelay() const
+{
+    const std::int64_t missing = millicoresPerProcessor - context_.settings().processors.count();
+    return Milliseconds(std::max<std::int64_t>(0, missing) * firstDelayMsPerProcessor
+                        / millicoresPerProcessor);
+}
+
+bool HolderElection::isWeakerThanHolder() const
+{
+    return holder_ && context_.settings().processors < holder_->processors;
+}
+
+bool HolderElection::isHolderOutclassed() const
+{
+    return holder_ && holder_->processors > Millicores()
+            && holder_->processors * outclassedFactor <= context_.settings().processors;
 }
 
 void HolderElection::onPeerRefused(const Address &peer)
 {
-    if (holder_ && holder_->peers == peer && !isHolder())
-        refusedPeer_ = peer;
+    if (!holder_ || holder_->peers != peer || isHolder() || refusedPeer_ == peer)
+        return;
+    refusedPeer_ = peer;
+    refusedAt_ = context_.now();
 }
 
 void HolderElection::onHolderHeard(const HolderRecord &holder)
@@ -157,6 +191,7 @@
     if (holder_ && holder.generation <= holder_->generation)
         return;
     holder_ = holder;
+    holderSeenAt_ = context_.now();
     refusedPeer_.reset();
     follower_.rereadSoon();
     context_.log("event=holder_heard instance={} generation={}", holder.process.instance.value(),
@@ -180,7 +215,7 @@
 
 HolderRecord HolderElection::ownRecord(std::uint64_t generation) const
 {
-    return {context_.self(), context_.settings().peers, generation};
+    return {context_.self(), context_.settings().peers, generation, context_.settings().processors};
 }
 
 void HolderElection::commitClaim()
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -82,6 +82,10 @@
     void onClaimSettled(const StoreReply &reply);
     bool isClaimDue() const;
     bool isPredecessorDead() const;
+    bool isWeakerThanHolder() const;
+    bool isHolderOutclassed() const;
+    /// How long an instance waits before the very first claim.
+    Milliseconds firstDelay() const;
     void confirm(TimePoint sentAt);
     void renew();
     void onRenewed(const StoreReply &reply);
@@ -98,6 +102,8 @@
     Revision leaseRevision_;
     TimePoint leaseGoneAt_;
     std::optional<Address> refusedPeer_;
+    TimePoint refusedAt_;
+    TimePoint holderSeenAt_;
     LeaseId lease_;
     Revision termRevision_;
     std::uint64_t generation_ = 0;
--- a/Source/Cell/JobSpec.h
+++ b/Source/Cell/JobSpec.h
@@ -94,7 +94,6 @@
 
     /// The queue at \a host with the longest prefix that \a path begins with; null for none.
     const Queue *queueAt(std::string_view host, std::string_view path) const;
-    const Queue *queue(const QueueId &id) const;
 };
 
 /// An accepted job, as it stands in the store until it ends.
--- a/Source/Cell/Records.h
+++ b/Source/Cell/Records.h
@@ -54,6 +54,8 @@
     Address peers;
     /// How many holders there were before.
     std::uint64_t generation = 0;
+    /// What the instance may use; stronger instances are preferred as holders.
+    Millicores processors;
 };
 
 struct CommitSequenceRecord
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -42,7 +42,7 @@
     active_ = true;
     beganAt_ = context_.now();
     for (const WorkerId &id : roster)
-        workers_.emplace(id, CellWorker(id)).first->second.isRostered = true;
+        findOrAdd(id).isRostered = true;
     checkRecovery();
 }
 
@@ -52,6 +52,24 @@
     active_ = false;
     recovered_ = false;
     workers_.clear();
+    dueForReading_.clear();
+    nextNumber_ = {};
+}
+
+CellWorker &WorkerFleet::findOrAdd(const WorkerId &id)
+{
+    const auto found = workers_.find(id);
+    if (found != workers_.end())
+        return found->second;
+    const WorkerNumber number = nextNumber_;
+    nextNumber_ = nextNumber_.next();
+    return workers_.emplace(id, CellWorker(id, number)).first->second;
+}
+
+const CellWorker *WorkerFleet::worker(const WorkerId &id) const
+{
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? nullptr : &found->second;
 }
 
 CellWorker *WorkerFleet::findWorker(const WorkerId &id)
@@ -62,7 +80,7 @@
 
 void WorkerFleet::setEntry(const WorkerEntry &entry)
 {
-    CellWorker &worker = workers_.emplace(entry.id, CellWorker(entry.id)).first->second;
+    CellWorker &worker = findOrAdd(entry.id);
     const bool becameDraining = entry.draining && !(worker.entry && worker.entry->draining);
     if (!worker.isListed || becameDraining) {
         context_.log("event=worker_{} worker={} upstream={} life={} remaining_ms={}",
@@ -217,7 +235,22 @@
         return;
     worker->unrecorded.erase(end);
     if (worker->unrecorded.empty())
-        worker->nextHold = context_.now();
+        readSoon(*worker);
+}
+
+void WorkerFleet::readSoon(CellWorker &worker)
+{
+    worker.nextHold = context_.now();
+    dueForReading_.push_back(worker.id());
+}
+
+void WorkerFleet::readOn(bool mayExtend)
+{
+    for (const WorkerId &id : std::exchange(dueForReading_, {})) {
+        CellWorker *worker = findWorker(id);
+        if (worker && worker->entry && !worker->holding && context_.now() >= worker->nextHold)
+            hold(*worker, mayExtend);
+    }
 }
 
 void WorkerFleet::tick(bool mayExtend)
@@ -278,7 +311,6 @@
     if (!worker)
         return;
     worker->holding = false;
-    worker->nextHold = context_.now();
     if (reply.outcome != WorkerOutcome::Done) {
         worker->nextHold = context_.now() + holdRetry;
         noteReply(*worker, reply);
@@ -286,7 +318,9 @@
     }
     noteReply(*worker, reply);
     takeLists(*worker, reply);
-    if (!worker->unrecorded.empty())
+    if (worker->unrecorded.empty())
+        readSoon(*worker);
+    else
         worker->nextHold = context_.now() + holdUnrecorded;
 }
 
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -53,8 +53,11 @@
     void recorded(const WorkerId &worker, WorkerLife life, EndNumber end);
     /// Calls what is due. Leases are extended only while \a mayExtend.
     void tick(bool mayExtend);
+    /// Reads on at workers that have answered, or whose ends were recorded, since the last call.
+    void readOn(bool mayExtend);
 
     const Workers &workers() const { return workers_; }
+    const CellWorker *worker(const WorkerId &id) const;
     bool isUsable(const CellWorker &worker) const;
     /// Whether no unread worker can have a run of an earlier holder.
     bool isRecovered() const { return recovered_; }
@@ -62,6 +65,7 @@
 
 private:
     void hold(CellWorker &worker, bool mayExtend);
+    void readSoon(CellWorker &worker);
     void onHold(const WorkerId &id, const WorkerReply &reply);
     void takeLists(CellWorker &worker, const WorkerReply &reply);
     void takeEnds(CellWorker &worker, const WorkerReply &reply);
@@ -84,16 +88,20 @@
     void endLease(CellWorker &worker);
     void checkRecovery();
     CellWorker *findWorker(const WorkerId &id);
+    CellWorker &findOrAdd(const WorkerId &id);
 
     CellContext &context_;
     Handlers handlers_;
     FencingToken token_;
     Workers workers_;
+    WorkerNumber nextNumber_;
     /// Counts terms, so that replies to an earlier one are ignored.
     std::uint64_t term_ = 0;
     bool active_ = false;
     TimePoint beganAt_;
     bool recovered_ = false;
+    /// Workers whose next reading became due between two ticks.
+    std::vector<WorkerId> dueForReading_;
 };
 
 } // namespace caraway::cell
--- a/Source/Command/CellSettingsReader.cpp
+++ b/Source/Command/CellSettingsReader.cpp
@@ -4,6 +4,7 @@
 #include <toml++/toml.h>
 
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 
@@ -80,6 +81,20 @@
     return {};
 }
 
+Result<void> readProcessors(const toml::table &table, const std::string &file,
+                            CellSettings &settings)
+{
+    constexpr double millicoresPerProcessor = 1000;
+    const auto node = table["instance"]["processor_share"];
+    if (!node)
+        return {};
+    const std::optional<double> value = node.value<double>();
+    if (!value || !(*value > 0))
+        return refuse(file, "instance.processor_share", "is no positive number of processors");
+    settings.processors = Millicores(std::llround(*value * millicoresPerProcessor));
+    return {};
+}
+
 Result<void> readBounds(const toml::table &table, const std::string &file, CellSettings &settings)
 {
     for (const DurationKey &key : durationKeys) {
@@ -108,6 +123,7 @@
     }
     CellSettings settings;
     BOOST_LEAF_CHECK(readInstance(table, fileName, settings));
+    BOOST_LEAF_CHECK(readProcessors(table, fileName, settings));
     BOOST_LEAF_CHECK(readBounds(table, fileName, settings));
     return settings;
 }
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -249,12 +249,14 @@
 
 Json encode(const HolderRecord &record)
 {
-    return Json::array({encode(record.process), encode(record.peers), record.generation});
+    return Json::array({encode(record.process), encode(record.peers), record.generation,
+                        encode(record.processors)});
 }
 
 HolderRecord decodeHolder(const Json &json)
 {
-    return {decodeProcess(json.at(0)), decodeAddress(json.at(1)), json.at(2).get<std::uint64_t>()};
+    return {decodeProcess(json.at(0)), decodeAddress(json.at(1)), json.at(2).get<std::uint64_t>(),
+            json.size() > 3 ? amount<Millicores>(json.at(3)) : Millicores()};
 }
 
 Json encode(const CommitSequenceRecord &record)
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(job_handedInAgainAfterItEndedUnderAnEarlierHolder_doesNotRunAgain);
     CPPUNIT_TEST(end_ofAJobWhoseResultIsNotStored_isNotForgottenByTheWorker);
     CPPUNIT_TEST(start_unanswered_isSettledBeforeTheTaskRunsElsewhere);
+    CPPUNIT_TEST(holder_weakerThanOthers_isReplacedByAStrongerInstance);
+    CPPUNIT_TEST(holder_killed_isFollowedByTheStrongestInstance);
     CPPUNIT_TEST(worker_restarted_itsTasksRunAgain);
     CPPUNIT_TEST(worker_silentForGood_itsTasksRunElsewhereAfterItsLease);
     CPPUNIT_TEST(worker_refusingConnectionsForGood_itsTasksRunElsewhereAfterItsLease);
@@ -45,6 +47,43 @@
         world_->advance(Milliseconds(1000));
     }
 
+    /// The bench's large fleets: an instance of an eighth of a processor became the holder after a
+    /// cut, fell seconds behind, and no start was made for the rest of the day.
+    void holder_weakerThanOthers_isReplacedByAStrongerInstance()
+    {
+        const std::size_t weak = world_->holder().value();
+        world_->processors[weak] = Millicores(120);
+        world_->kill(weak);
+        world_->processors[(weak + 1) % 3] = world_->processors[(weak + 2) % 3] = Millicores(500);
+        for (const std::size_t other : {(weak + 1) % 3, (weak + 2) % 3})
+            world_->kill(other);
+        world_->restart(weak);
+        CPPUNIT_ASSERT(world_->advanceUntil([&] { return world_->holder() == weak; }, longWait));
+        world_->restart((weak + 1) % 3);
+        CPPUNIT_ASSERT(world_->advanceUntil([&] { return world_->node((weak + 1) % 3).isHolder(); },
+                                            longWait));
+        CPPUNIT_ASSERT(world_->submitAndWait(weak, CellWorld::job("a")) == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(completes("a"));
+    }
+
+    void holder_killed_isFollowedByTheStrongestInstance()
+    {
+        const std::size_t first = world_->holder().value();
+        for (std::size_t i = 0; i < 3; ++i) {
+            world_->kill(i);
+            world_->processors[i] = Millicores(i == (first + 1) % 3 ? 120 : 500);
+        }
+        for (std::size_t i = 0; i < 3; ++i)
+            world_->restart(i);
+        CPPUNIT_ASSERT(world_->advanceUntil([&] { return world_->holder() == first; }, longWait));
+        world_->advance(Milliseconds(1000));
+        world_->kill(first);
+        CPPUNIT_ASSERT(world_->advanceUntil(
+                [&] { return world_->holder().has_value() && world_->holder() != first; },
+                longWait));
+        CPPUNIT_ASSERT_EQUAL((first + 2) % 3, world_->holder().value());
+    }
+
     void job_handedIn_isAcceptedAndCompletedAtEveryInstance()
     {
         CPPUNIT_ASSERT(world_->submitAndWait(0, CellWorld::job("a", 3)) == CallerOutcome::Accepted);
--- a/Tests/Cell/CellWorld.cpp
+++ b/Tests/Cell/CellWorld.cpp
@@ -1,5 +1,7 @@
 #include "Cell/CellWorld.h"
 
+#include "Core/Stopwatch.h"
+
 namespace caraway::tests {
 
 using namespace cell;
@@ -53,7 +55,7 @@
     }
     publishWorkers();
     for (std::size_t i = 0; i < instances; ++i) {
-        instances_.push_back({InstanceId("entry-" + std::to_string(i)), nullptr, false, 0, {}});
+        instances_.emplace_back().id = InstanceId("entry-" + std::to_string(i));
         restart(i);
     }
 }
@@ -65,6 +67,9 @@
     CellSettings settings;
     settings.self = InstanceId("entry-" + std::to_string(index));
     settings.peers = peerAddress(index);
+    settings.approvals = {"10.2.0.1", 9000};
+    if (const auto found = processors.find(index); found != processors.end())
+        settings.processors = found->second;
     return settings;
 }
 
@@ -114,9 +119,11 @@
     }
     std::vector<CellEvent> events = std::exchange(instance.backlog, {});
     events.push_back(event);
+    const Stopwatch stopwatch;
     for (const CellEvent &next : events)
         instance.node->handle(now_, WallTime(now_.sinceStart().count()), next);
     instance.node->settle();
+    instance.seconds += stopwatch.seconds();
     carryOut(index, instance.node->takeActions());
 }
 
@@ -197,10 +204,15 @@
 {
     ApprovalReply approved;
     approved.answered = true;
-    for (const WorkerId &worker : call.request.workers)
-        approved.approved.push_back({worker, "ticket"});
-    const std::uint64_t life = instances_[index].life;
-    at(Milliseconds(20), [=, this, id = call.id] {
+    for (const WorkerId &worker : call.request.workers) {
+        if (!approves || approves(call.request.step, worker))
+            approved.approved.push_back({worker, "ticket"});
+    }
+    Instance &instance = instances_[index];
+    const std::uint64_t life = instance.life;
+    const Milliseconds taken = approvalTime ? approvalTime(call.request) : Milliseconds(20);
+    instance.approvalsUntil = std::max(instance.approvalsUntil, now_) + taken;
+    at(instance.approvalsUntil - now_, [=, this, id = call.id] {
         deliver(index, life, ApprovalReplied {id, approved});
     });
 }
--- a/Tests/Cell/CellWorld.h
+++ b/Tests/Cell/CellWorld.h
@@ -43,6 +43,10 @@
     std::function<Fate(const InstanceId &, const cell::WorkerRequest &)> workerFate;
     std::function<Fate(const InstanceId &, const cell::PeerMessage &)> peerFate;
     std::function<SimulatedWorker::StartPlan(const cell::TaskKey &, cell::RunNumber)> plan;
+    /// Whether the policy service lets the step run on the worker; by default it always does.
+    std::function<bool(const cell::StepKey &, const WorkerId &)> approves;
+    /// How long the policy service takes for a question; it serves one at a time an instance.
+    std::function<Milliseconds(const cell::ApprovalRequest &)> approvalTime;
 
     TimePoint now() const { return now_; }
     void advance(Milliseconds duration);
@@ -51,6 +55,8 @@
 
     cell::CellConfiguration configuration;
     void publishConfiguration();
+    /// Processors of an instance from its next start on.
+    std::map<std::size_t, Millicores> processors;
     void publishWorkers();
     SimulatedStore &store() { return store_; }
     SimulatedWorker &worker(std::size_t index) { return *workers_.at(index); }
@@ -73,6 +79,8 @@
     void thaw(std::size_t instance) { instances_.at(instance).frozen = false; }
     std::optional<std::size_t> holder() const;
     cell::CellNode &node(std::size_t instance) { return *instances_.at(instance).node; }
+    /// Processor time that the decisions of an instance have taken.
+    double secondsOf(std::size_t instance) const { return instances_.at(instance).seconds; }
 
     const std::vector<StartRow> &starts() const { return starts_; }
     std::size_t startsOf(const cell::JobId &job) const;
@@ -92,6 +100,8 @@
         bool frozen = false;
         std::uint64_t life = 0;
         std::vector<cell::CellEvent> backlog;
+        double seconds = 0;
+        TimePoint approvalsUntil;
     };
     struct Event
     {
--- /dev/null
+++ b/Tests/CellLoad/main.cpp
@@ -0,0 +1,204 @@
+#include "Cell/CellWorld.h"
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <cmath>
+#include <map>
+#include <random>
+
+namespace {
+
+using namespace caraway;
+using namespace caraway::cell;
+using caraway::tests::CellWorld;
+using caraway::tests::SimulatedWorker;
+
+constexpr auto usage = R"(Plays a load of unlike jobs on instances and workers in simulated time.
+
+Usage:
+  benchCellLoad [--workers=N] [--instances=N] [--load=X] [--seconds=N] [--seed=N]
+
+Options:
+  --workers=N    [default: 350]
+  --instances=N  [default: 32]
+  --load=X       Work offered, as a share of the workers' processors [default: 0.9].
+  --seconds=N    [default: 15]
+  --seed=N       [default: 1]
+
+Prints how long jobs of each queue took against their objective, and what the decisions cost.
+)";
+
+constexpr std::int64_t workerMillicores = 64'000;
+constexpr std::int64_t workerMemory = std::int64_t(256) << 30;
+
+/// The jobs of one queue.
+struct LoadOfQueue
+{
+    const char *name = "";
+    std::int64_t priority = 0;
+    double width = 1;
+    double taskMs = 1000;
+    double millicores = 1000;
+    bool gang = false;
+    /// Part of the offered work.
+    double share = 0;
+    double approvalMs = 0;
+    double approvalMsPerWorker = 0;
+    double approved = 1;
+    double stretch = 1;
+    std::int64_t objectiveMs = 1000;
+};
+
+constexpr LoadOfQueue loads[] = {
+        {"urgent", 0, 3, 1000, 9900, false, 0.33, 5, 0.08, 0.7, 1.5, 250},
+        {"patient-gang", 1, 16, 6200, 18'000, true, 0.34, 380, 5.4, 0.35, 2.2, 1000},
+        {"patient", 2, 25, 2200, 6900, false, 0.33, 49, 0.7, 0.45, 4.0, 3000},
+};
+
+struct Options
+{
+    std::size_t workers = 0;
+    std::size_t instances = 0;
+    double load = 0;
+    long seconds = 0;
+    std::uint64_t seed = 0;
+};
+
+class LoadRun
+{
+public:
+    explicit LoadRun(const Options &options)
+        : options_(options)
+        , random_(options.seed)
+        , world_(options.instances, options.workers)
+    {
+        configure();
+    }
+
+    void play()
+    {
+        constexpr Milliseconds warmUp {2000};
+        world_.advance(warmUp);
+        const std::size_t startsBefore = world_.starts().size();
+        for (long ms = 0; ms < options_.seconds * millisecondsPerSecond; ++ms) {
+            for (const LoadOfQueue &load : loads)
+                arrive(load);
+            world_.advance(Milliseconds(1));
+        }
+        report(world_.starts().size() - startsBefore);
+    }
+
+private:
+    static constexpr long millisecondsPerSecond = 1000;
+
+    void configure()
+    {
+        CellConfiguration &configuration = world_.configuration;
+        const Queue base = configuration.queues.front();
+        configuration.queues.clear();
+        for (const LoadOfQueue &load : loads) {
+            Queue queue = base;
+            queue.id = QueueId(load.name);
+            queue.host = load.name;
+            queue.priority = load.priority;
+            queue.stretchPercent = std::llround(load.stretch * 100);
+            queue.objective = Milliseconds(load.objectiveMs);
+            queue.approval = ApprovalTerms {Milliseconds(std::llround(load.approvalMs)),
+                                            std::llround(load.approvalMsPerWorker * 1000),
+                                            Milliseconds(2000)};
+            configuration.queues.push_back(std::move(queue));
+        }
+        configuration.version = ConfigurationVersion(2);
+        world_.publishConfiguration();
+        for (std::size_t i = 0; i < options_.workers; ++i) {
+            world_.worker(i).entry.capacity.processors = Millicores(workerMillicores);
+            world_.worker(i).entry.capacity.memory = Bytes(workerMemory);
+        }
+        world_.publishWorkers();
+        world_.plan = [this](const TaskKey &task, RunNumber) {
+            return SimulatedWorker::StartPlan {durations_.at(task.job), EndReason::Done};
+        };
+        world_.approvalTime = [this](const ApprovalRequest &request) {
+            const LoadOfQueue &load = loads[queueOf_.at(request.step.job)];
+            const auto named = static_cast<double>(request.workers.size());
+            return Milliseconds(std::llround(load.approvalMs + load.approvalMsPerWorker * named));
+        };
+        world_.approves = [this](const StepKey &step, const WorkerId &worker) {
+            const std::size_t hash = std::hash<std::string>()(step.job.value() + worker.value());
+            constexpr std::size_t grains = 1000;
+            const double share = static_cast<double>(hash % grains) / grains;
+            return share < loads[queueOf_.at(step.job)].approved;
+        };
+    }
+
+    void arrive(const LoadOfQueue &load)
+    {
+        const double capacity = static_cast<double>(options_.workers) * workerMillicores;
+        const double workOfJob = load.width * load.millicores * load.taskMs;
+        const double jobsPerMs = options_.load * load.share * capacity / workOfJob;
+        std::poisson_distribution<int> arrivals(jobsPerMs);
+        for (int n = arrivals(random_); n > 0; --n)
+            submit(load);
+    }
+
+    void submit(const LoadOfQueue &load)
+    {
+        std::exponential_distribution<double> width(1 / load.width);
+        std::lognormal_distribution<double> spread(0, 0.4);
+        const std::string id = fmt::format("{:08x}{:08x}", random_() & 0xffffffffU, jobs_++);
+        const auto tasks = std::clamp<std::int64_t>(std::llround(width(random_)), 1,
+                                                    std::llround(load.width * 4));
+        JobSpec job = CellWorld::job(id, tasks);
+        StepSpec &step = job.steps.front();
+        step.need.processors = Millicores(std::llround(load.millicores * spread(random_)));
+        step.estimate = Milliseconds(std::llround(load.taskMs));
+        step.gang = load.gang;
+        durations_[job.id] = Milliseconds(std::llround(load.taskMs * spread(random_)));
+        queueOf_[job.id] = static_cast<std::size_t>(&load - loads);
+        world_.submit(random_() % options_.instances, job, load.name);
+    }
+
+    void report(std::size_t starts)
+    {
+        std::map<std::size_t, std::size_t> started;
+        std::set<JobId> begun;
+        for (const CellWorld::StartRow &row : world_.starts()) {
+            if (begun.insert(row.task.job).second)
+                ++started[queueOf_.at(row.task.job)];
+        }
+        std::map<std::size_t, std::size_t> submitted;
+        for (const auto &[job, queue] : queueOf_)
+            ++submitted[queue];
+        for (std::size_t queue = 0; queue < std::size(loads); ++queue) {
+            fmt::print("{:<14} jobs {:>6} begun {:>6}\n", loads[queue].name, submitted[queue],
+                       started[queue]);
+        }
+        constexpr double microsecondsPerSecond = 1e6;
+        const std::size_t holder = world_.holder().value_or(0);
+        fmt::print("holder {:.3f} s, {:.1f} us a start\n", world_.secondsOf(holder),
+                   world_.secondsOf(holder) * microsecondsPerSecond / static_cast<double>(starts));
+        fmt::print("starts {} overloads {}\n", starts, world_.overloads());
+    }
+
+    Options options_;
+    std::mt19937_64 random_;
+    CellWorld world_;
+    std::map<JobId, Milliseconds> durations_;
+    std::map<JobId, std::size_t> queueOf_;
+    std::uint64_t jobs_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    auto arguments = docopt::docopt(usage, std::vector<std::string>(argv + 1, argv + argc));
+    Options options;
+    options.workers = static_cast<std::size_t>(arguments["--workers"].asLong());
+    options.instances = static_cast<std::size_t>(arguments["--instances"].asLong());
+    options.load = std::stod(arguments["--load"].asString());
+    options.seconds = arguments["--seconds"].asLong();
+    options.seed = static_cast<std::uint64_t>(arguments["--seed"].asLong());
+    LoadRun(options).play();
+}
