Ask for other workers when a gang is almost seated

Change: a gang that is not seated always names unknown workers as well: as many as would seat it when empty, or else those that can seat the missing members now.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Most workers that one question to the policy service may name.
-constexpr std::size_t maxAskedWorkers = 100;
 /// Until something is learned, half of the workers are taken to be approved.
 constexpr double defaultApprovalShare = 0.5;
 /// Weight of the newest answer in the learned share.
@@ -107,28 +105,50 @@
     ask(candidate, std::move(named));
 }
 
-void CellScheduler::askForGang(const StartCandidate &candidate)
+/// Names workers that are not known, beside those of \a known that need a ticket: as many as are
+/// likely to seat the gang several times over when they are empty, or else those that can seat the
+/// \a missing members now.
+void CellScheduler::askForGang(const StartCandidate &candidate, std::int64_t missing,
+                               std::vector<WorkerId> known)
 {
     if (!needsApproval(*candidate.queue) || !isAskDue(candidate))
         return;
     const CellStep &step = *candidate.step;
-    std::vector<UnknownWorker> unknown;
+    std::vector<UnknownWorker> whenEmpty;
+    std::vector<UnknownWorker> now;
     std::int64_t approvedSeats = 0;
+    std::int64_t freeSeats = 0;
     for (const WorkerSlot &slot : pass_.slots) {
         const WorkerNumber number = slot.worker->number();
         if (!mayRun(slot, candidate) || step.approvals.isDenied(number))
             continue;
         const std::int64_t seats
                 = step.spec.need.timesIn(slot.worker->entry->capacity, step.spec.tasks);
-        if (step.approvals.isApproved(number))
+        if (step.approvals.isApproved(number)) {
             approvedSeats += seats;
-        else if (seats > 0)
-            unknown.push_back({step.spec.need.dominantShareOf(slot.room), seats, slot.worker});
+            continue;
+        }
+        const double shareTaken = step.spec.need.dominantShareOf(slot.room);
+        const std::int64_t free = roomFor(slot, step);
+        freeSeats += free;
+        if (seats > 0)
+            whenEmpty.push_back({shareTaken, seats, slot.worker});
+        if (free > 0)
+            now.push_back({shareTaken, free, slot.worker});
     }
     const double wanted = static_cast<double>(step.spec.tasks) * gangAskReserve
             - static_cast<double>(approvedSeats);
+    const double likely = static_cast<double>(freeSeats) * approvalShareOf(candidate.queue->id);
+    std::vector<WorkerId> named;
     if (wanted > 0)
-        ask(candidate, nameWorkers(candidate, std::move(unknown), wanted));
+        named = nameWorkers(candidate, std::move(whenEmpty), wanted);
+    else if (likely >= static_cast<double>(missing))
+        named = nameWorkers(candidate, std::move(now), static_cast<double>(missing) * askReserve);
+    for (WorkerId &id : known) {
+        if (named.size() < maxAskedWorkers)
+            named.push_back(std::move(id));
+    }
+    ask(candidate, std::move(named));
 }
 
 bool CellScheduler::isAskDue(const StartCandidate &candidate) const
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -12,8 +12,6 @@
 /// Tickets are asked for when this part of the seats is free: the rest follows while they come.
 constexpr std::int64_t askForTicketsPercent = 80;
 constexpr std::int64_t percent = 100;
-/// Most workers that one question to the policy service may name.
-constexpr std::size_t maxAskedWorkers = 100;
 
 } // namespace
 
@@ -72,19 +70,16 @@
     }
 }
 
-/// Asks for the tickets of all approved workers that have a seat or will soon have one: while the
-/// answer is under way, some seats go to more urgent work and others become free.
-void CellScheduler::askForTickets(const StartCandidate &candidate,
-                                  const std::vector<GangSeats> &seats)
+/// Approved workers that have to be asked for a ticket: not only those with free seats, as while
+/// the answer is under way some seats go to more urgent work and others become free.
+std::vector<WorkerId> CellScheduler::withoutTicket(const std::vector<GangSeats> &seats)
 {
-    if (!needsApproval(*candidate.queue) || !isAskDue(candidate))
-        return;
     std::vector<WorkerId> workers;
     for (const GangSeats &row : seats) {
         if (!row.hasTicket && workers.size() < maxAskedWorkers)
             workers.push_back(row.slot->worker->id());
     }
-    ask(candidate, std::move(workers));
+    return workers;
 }
 
 /// Starts the members when approved workers have free seats and valid tickets for all of them.
@@ -104,11 +99,13 @@
         seatGang(candidate, seats);
         return;
     }
-    if (free * percent >= tasks * askForTicketsPercent)
-        askForTickets(candidate, seats);
-    else
-        askForGang(candidate);
     const bool isSeated = free >= tasks;
+    const bool isNearlySeated = free * percent >= tasks * askForTicketsPercent;
+    std::vector<WorkerId> known = isNearlySeated ? withoutTicket(seats) : std::vector<WorkerId>();
+    if (!isSeated)
+        askForGang(candidate, tasks - free, std::move(known));
+    else if (needsApproval(*candidate.queue) && isAskDue(candidate))
+        ask(candidate, std::move(known));
     if (isSeated || pass_.collected * collectingDivisor <= pass_.capacity)
         keepSeats(candidate, seats);
     if (!isSeated)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -60,6 +60,9 @@
     std::size_t liveJobs() const { return jobs_.size(); }
 
 private:
+    /// Most workers that one question to the policy service may name.
+    static constexpr std::size_t maxAskedWorkers = 100;
+
     using Choice = TightFitChoice;
     using Order = ObjectiveOrder;
     using Headroom = ArrivalHeadroom;
@@ -148,7 +151,7 @@
     void startGang(const StartCandidate &candidate);
     std::vector<GangSeats> gangSeats(const StartCandidate &candidate);
     void keepSeats(const StartCandidate &candidate, const std::vector<GangSeats> &seats);
-    void askForTickets(const StartCandidate &candidate, const std::vector<GangSeats> &seats);
+    static std::vector<WorkerId> withoutTicket(const std::vector<GangSeats> &seats);
     void seatGang(const StartCandidate &candidate, const std::vector<GangSeats> &seats);
     void startTask(const StartCandidate &candidate, std::size_t index, RunNumber run,
                    WorkerSlot &slot);
@@ -170,7 +173,8 @@
     static bool mayRun(const WorkerSlot &slot, const StartCandidate &candidate);
     bool needsApproval(const Queue &queue) const;
     void askForTasks(const StartCandidate &candidate, std::int64_t tasks);
-    void askForGang(const StartCandidate &candidate);
+    void askForGang(const StartCandidate &candidate, std::int64_t missing,
+                    std::vector<WorkerId> known);
     bool isAskDue(const StartCandidate &candidate) const;
     void ask(const StartCandidate &candidate, std::vector<WorkerId> workers);
     std::vector<WorkerId> nameWorkers(const StartCandidate &candidate,
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(holder_weakerThanOthers_isReplacedByAStrongerInstance);
     CPPUNIT_TEST(holder_killed_isFollowedByTheStrongestInstance);
     CPPUNIT_TEST(singleTasks_besideAGangWithoutApproval_useTheFreeRoom);
+    CPPUNIT_TEST(gang_withApprovedRoomForAlmostAll_asksForOtherWorkers);
     CPPUNIT_TEST(singleTasks_besideUrgentWorkThatRuns_useTheFreeRoom);
     CPPUNIT_TEST(ends_ofManyJobsAtOnce_areShownWithoutAPauseBetweenCommits);
     CPPUNIT_TEST(worker_restarted_itsTasksRunAgain);
@@ -102,6 +103,30 @@
         CPPUNIT_ASSERT(completes("a"));
     }
 
+    /// LOST on the bench: a gang of 37 had 31 free seats on its approved workers and asked for
+    /// nothing but new tickets for them, beside workers without any work.
+    void gang_withApprovedRoomForAlmostAll_asksForOtherWorkers()
+    {
+        world_ = std::make_unique<CellWorld>(3, 16);
+        CPPUNIT_ASSERT(
+                world_->advanceUntil([&] { return world_->holder().has_value(); }, longWait));
+        world_->advance(Milliseconds(1000));
+        useApprovals();
+        std::set<WorkerId> answered;
+        // Of the first ten workers that are asked for only one may run the gang.
+        WorkerId only;
+        world_->approves = [&](const StepKey &, const WorkerId &worker) {
+            if (only.isEmpty())
+                only = worker;
+            answered.insert(worker);
+            return worker == only || answered.size() > 10;
+        };
+        JobSpec gang = CellWorld::job("gang", 10);
+        gang.steps.front().gang = true;
+        CPPUNIT_ASSERT(world_->submitAndWait(0, gang) == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(completes("gang"));
+    }
+
     /// Room was kept for all urgent work that arrives, besides what that work already used.
     void singleTasks_besideUrgentWorkThatRuns_useTheFreeRoom()
     {
