Log since when a worker does not answer and what its runs hold

Failed calls were counted into one number, which was printed only when the worker's lease was over.

Change: worker_unreachable names the outcome of the first failed call, the runs and when the lease will certainly have expired; worker_reachable ends it. run_stop_requested is written once per stop, worker_removed says whether the worker was draining, and load sums the processors held by runs on unreachable workers. The metric worker_replies_total counts the calls by outcome.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -352,7 +352,7 @@
     CellStep *step = findStep(key, job);
     context_.log("event=run_not_on_worker job={} step={} task={} run={} worker={} outcome={}",
                  key.job.value(), key.step.value(), key.index.value(), run.value(),
-                 worker.id().value(), static_cast<int>(outcome));
+                 worker.id().value(), nameOf(outcome));
     if (outcome == WorkerOutcome::TicketInvalid)
         step->approvals.clearDecision(worker.number());
     task->handle(CellTask::Event::Ended);
@@ -453,7 +453,8 @@
     recorder_.tick();
 }
 
-/// Logs the free capacity, and the waiting and running work of each priority.
+/// Logs the free capacity, the capacity that runs on unreachable workers hold, and the waiting and
+/// running work of each priority.
 void CellScheduler::logLoad()
 {
     struct Row
@@ -480,16 +481,21 @@
         }
     }
     Millicores free;
+    Millicores unreachable;
     std::size_t usable = 0;
     for (const auto &[id, worker] : fleet_.workers()) {
+        if (worker.unansweredCalls > 0) {
+            for (const Placement &placement : worker.placements)
+                unreachable += placement.need.processors;
+        }
         if (!fleet_.isUsable(worker))
             continue;
         free += worker.freeResources().processors;
         ++usable;
     }
-    context_.log("event=load workers={} usable={} free_millicores={} headroom_millicores={} "
-                 "approval_queue_ms={} unrecorded_jobs={}",
-                 fleet_.workers().size(), usable, free.count(),
+    context_.log("event=load workers={} usable={} free_millicores={} unreachable_millicores={} "
+                 "headroom_millicores={} approval_queue_ms={} unrecorded_jobs={}",
+                 fleet_.workers().size(), usable, free.count(), unreachable.count(),
                  headroom_.reservedProcessors(context_.now()).count(),
                  approvalDispatcher_.queuedServiceTime().count(), recorder_.unrecordedJobs());
     for (const auto &[priority, row] : rows) {
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -24,15 +24,21 @@
     return clockAt_ ? clock_ + WorkerTime((now - *clockAt_).count()) : WorkerTime();
 }
 
-bool CellWorker::isLeaseExpired(TimePoint now) const
+std::optional<Milliseconds> CellWorker::timeToLeaseExpiry(TimePoint now) const
 {
     if (!clockAt_)
-        return false;
+        return std::nullopt;
     const std::int64_t remaining = (leaseBound_ - clock_).count();
     if (remaining <= 0)
-        return true;
+        return Milliseconds(remaining);
     const Milliseconds longestRemaining(remaining + remaining / clockDriftDivisor);
-    return now - *clockAt_ > longestRemaining + leaseMargin;
+    return longestRemaining + leaseMargin - (now - *clockAt_);
+}
+
+bool CellWorker::isLeaseExpired(TimePoint now) const
+{
+    const std::optional<Milliseconds> remaining = timeToLeaseExpiry(now);
+    return remaining && (*remaining < Milliseconds() || leaseBound_ <= clock_);
 }
 
 Placement *CellWorker::find(const TaskKey &task, RunNumber run)
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -73,6 +73,9 @@
     /// Whether the lease has expired even if the worker's clock is slow, so that nothing runs
     /// there.
     bool isLeaseExpired(TimePoint now) const;
+    /// Time until isLeaseExpired(), negative afterwards; nothing while the worker's clock is
+    /// unknown.
+    std::optional<Milliseconds> timeToLeaseExpiry(TimePoint now) const;
 
     Placement *find(const TaskKey &task, RunNumber run);
     Resources freeResources() const;
--- a/Source/Cell/WorkerCalls.h
+++ b/Source/Cell/WorkerCalls.h
@@ -2,6 +2,7 @@
 
 #include "Cell/CellTypes.h"
 
+#include <string_view>
 #include <variant>
 
 namespace caraway::cell {
@@ -68,6 +69,36 @@
     Unanswered,
 };
 
+/// The outcome's name in logs and metrics.
+constexpr std::string_view nameOf(WorkerOutcome outcome)
+{
+    switch (outcome) {
+    case WorkerOutcome::Done:
+        return "done";
+    case WorkerOutcome::Fenced:
+        return "fenced";
+    case WorkerOutcome::Superseded:
+        return "superseded";
+    case WorkerOutcome::DeadlinePassed:
+        return "deadline_passed";
+    case WorkerOutcome::InsufficientCapacity:
+        return "insufficient_capacity";
+    case WorkerOutcome::TicketInvalid:
+        return "ticket_invalid";
+    case WorkerOutcome::Misdirected:
+        return "misdirected";
+    case WorkerOutcome::Invalid:
+        return "invalid";
+    case WorkerOutcome::Unhealthy:
+        return "unhealthy";
+    case WorkerOutcome::NotSent:
+        return "not_sent";
+    case WorkerOutcome::Unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
 enum class CompletionReason {
     Succeeded,
     Failed,
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -102,7 +102,9 @@
     CellWorker *worker = findWorker(id);
     if (!worker)
         return;
-    context_.log("event=worker_removed worker={} runs={}", id.value(), worker->placements.size());
+    context_.log("event=worker_removed worker={} runs={} draining={} unanswered_calls={}",
+                 id.value(), worker->placements.size(), worker->entry && worker->entry->draining,
+                 worker->unansweredCalls);
     worker->isListed = false;
 }
 
@@ -194,6 +196,8 @@
     if (!placement || placement->stopRequested)
         return;
     placement->stopRequested = true;
+    context_.log("event=run_stop_requested job={} step={} task={} run={} worker={}",
+                 task.job.value(), task.step.value(), task.index.value(), run.value(), id.value());
     sendStop(*worker, task, run);
 }
 
@@ -347,10 +351,15 @@
             || reply.outcome == WorkerOutcome::NotSent
             || reply.outcome == WorkerOutcome::Misdirected;
     if (isUnreachable) {
-        ++worker.unansweredCalls;
+        if (++worker.unansweredCalls == 1 && !worker.placements.empty())
+            logUnreachable(worker, reply.outcome);
         worker.avoidUntil = context_.now() + unansweredBackoff;
         return;
     }
+    if (worker.unansweredCalls > 0 && !worker.placements.empty()) {
+        context_.log("event=worker_reachable worker={} unanswered_calls={} runs={}",
+                     worker.id().value(), worker.unansweredCalls, worker.placements.size());
+    }
     worker.unansweredCalls = 0;
     if (reply.incarnation)
         updateIncarnation(worker, reply.incarnation);
@@ -362,6 +371,17 @@
     worker.updateClock(*reply.clock, context_.now());
 }
 
+/// The runs on an unreachable worker are not started elsewhere before its lease has expired.
+void WorkerFleet::logUnreachable(const CellWorker &worker, WorkerOutcome outcome)
+{
+    const std::optional<Milliseconds> lease = worker.timeToLeaseExpiry(context_.now());
+    context_.log("event=worker_unreachable worker={} outcome={} listed={} draining={} runs={} "
+                 "lease_expires_in_ms={}",
+                 worker.id().value(), nameOf(outcome), worker.isListed,
+                 worker.entry && worker.entry->draining, worker.placements.size(),
+                 lease ? lease->count() : -1);
+}
+
 void WorkerFleet::updateIncarnation(CellWorker &worker,
                                     std::optional<WorkerIncarnation> incarnation)
 {
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -93,6 +93,7 @@
     void resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
     void updateIncarnation(CellWorker &worker, std::optional<WorkerIncarnation> incarnation);
     void updateFromReply(CellWorker &worker, const WorkerReply &reply);
+    void logUnreachable(const CellWorker &worker, WorkerOutcome outcome);
     void expireLease(CellWorker &worker);
     void checkRecovery();
     CellWorker *findWorker(const WorkerId &id);
--- a/Source/CellDuties/CellMetrics.cpp
+++ b/Source/CellDuties/CellMetrics.cpp
@@ -34,6 +34,11 @@
     }
 }
 
+void CellMetrics::countReply(const WorkerReply &reply)
+{
+    metrics_.observe({Metric::WorkerReplies, 1, std::string(nameOf(reply.outcome))});
+}
+
 void CellMetrics::countEvents(std::size_t events)
 {
     metrics_.observe({Metric::EventsHandled, static_cast<double>(events), {}});
--- a/Source/CellDuties/CellMetrics.h
+++ b/Source/CellDuties/CellMetrics.h
@@ -17,6 +17,7 @@
         metrics_.observe({Metric::DecisionSeconds, seconds, {}});
     }
     void countEvents(std::size_t events);
+    void countReply(const WorkerReply &reply);
     std::string render() const { return metrics_.render(); }
 
 private:
--- a/Source/CellDuties/EntryProcess.h
+++ b/Source/CellDuties/EntryProcess.h
@@ -91,6 +91,8 @@
             stopRequestedAt_ = clock_.now();
             callers_.beginStop();
         }
+        if (const auto *replied = std::get_if<WorkerReplied>(&body))
+            metrics_.countReply(replied->reply);
         instance_.handle(clock_.now(), wallTime(), body);
     }
 
--- a/Source/Core/Metric.h
+++ b/Source/Core/Metric.h
@@ -24,6 +24,7 @@
     WorkerCallSeconds,
     WorkerFailures,
     CallerRequests,
+    WorkerReplies,
 };
 
 /// One observation: an increment of a counter, or a value of a summary.
--- a/Source/Duties/Metrics.cpp
+++ b/Source/Duties/Metrics.cpp
@@ -43,6 +43,7 @@
         {"worker_call_seconds", "call", MetricType::Summary, "Time that a worker call took."},
         {"worker_failures_total", "call", MetricType::Counter, "Worker calls without an answer."},
         {"caller_requests_total", "status", MetricType::Counter, "Requests by HTTP status."},
+        {"worker_replies_total", "outcome", MetricType::Counter, "Worker calls by their outcome."},
 });
 
 const MetricRow &rowOf(Metric metric)
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(worker_unreachable_itsTasksRunElsewhereAfterLeaseExpiry);
     CPPUNIT_TEST(worker_refusingConnections_itsTasksRunElsewhereAfterLeaseExpiry);
     CPPUNIT_TEST(worker_draining_receivesNoStart);
+    CPPUNIT_TEST(worker_thatStopsAnswering_isLoggedWithItsRunsAndLease);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -562,6 +563,27 @@
             CPPUNIT_ASSERT(row.worker != simulation_->worker(0).entry.id);
     }
 
+    void worker_thatStopsAnswering_isLoggedWithItsRunsAndLease()
+    {
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a"));
+        simulation_->advance(Milliseconds(300));
+        const WorkerId silent = simulation_->starts().front().worker;
+        simulation_->workerDelivery = [silent](const InstanceId &, const WorkerRequest &request) {
+            return request.worker == silent ? CellSimulation::Delivery::Lost
+                                            : CellSimulation::Delivery::Delivered;
+        };
+        simulation_->advance(Milliseconds(5200));
+        const std::string line = "event=worker_unreachable worker=" + silent.value()
+                + " outcome=unanswered listed=true draining=false runs=1 lease_expires_in_ms=";
+        CPPUNIT_ASSERT(simulation_->log.find(line) != std::string::npos);
+        CPPUNIT_ASSERT(simulation_->log.find("unreachable_millicores=1000") != std::string::npos);
+        simulation_->workerDelivery = nullptr;
+        simulation_->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT(simulation_->log.find("event=worker_reachable worker=" + silent.value())
+                       != std::string::npos);
+    }
+
     void store_refusingWrites_jobIsReportedAsNotRun()
     {
         simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
@@ -601,12 +623,17 @@
         simulation_->advance(Milliseconds(200));
     }
 
-    static std::function<SimulatedWorker::RunPlan(const TaskKey &, RunNumber)> longRuns()
+    static std::function<SimulatedWorker::RunPlan(const TaskKey &, RunNumber)>
+    runsOf(Milliseconds duration)
     {
-        return [](const TaskKey &, RunNumber) {
-            return SimulatedWorker::RunPlan {Milliseconds(4000), CompletionReason::Succeeded};
+        return [duration](const TaskKey &, RunNumber) {
+            return SimulatedWorker::RunPlan {duration, CompletionReason::Succeeded};
         };
     }
+    static std::function<SimulatedWorker::RunPlan(const TaskKey &, RunNumber)> longRuns()
+    {
+        return runsOf(Milliseconds(4000));
+    }
     /// Kills the holder and waits until another instance is the holder.
     void replaceHolder()
     {
