Test that a gang does not wait for the lease of a worker that left

After it had left, the gang waited for that worker's lease.

Change: the simulation has workers that announce their leave, end for good with their runs, and break their gangs elsewhere.

--- a/Source/Cell/CellTypes.h
+++ b/Source/Cell/CellTypes.h
@@ -76,6 +76,11 @@
     friend auto operator<=>(const StepKey &, const StepKey &) = default;
 };
 
+inline StepKey stepOf(const TaskKey &task)
+{
+    return {task.job, task.occurrence, task.step};
+}
+
 } // namespace caraway::cell
 
 template<>
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(worker_refusingConnections_itsTasksRunElsewhereAfterLeaseExpiry);
     CPPUNIT_TEST(worker_draining_receivesNoStart);
     CPPUNIT_TEST(worker_thatStopsAnswering_isLoggedWithItsRunsAndLease);
+    CPPUNIT_TEST(gang_onAWorkerThatLeaves_startsAgainWithoutWaitingForTheLease);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -584,6 +585,24 @@
                        != std::string::npos);
     }
 
+    void gang_onAWorkerThatLeaves_startsAgainWithoutWaitingForTheLease()
+    {
+        constexpr std::int64_t members = 20;
+        simulation_->plan = runsOf(Milliseconds(30'000));
+        JobSpec gang = CellSimulation::job("gang", members);
+        gang.steps.front().gang = true;
+        CPPUNIT_ASSERT(simulation_->submitAndWait(0, gang) == CallerOutcome::Accepted);
+        simulation_->advance(Milliseconds(300));
+        const std::size_t leaving = simulation_->indexOf(simulation_->starts().front().worker);
+        simulation_->announceLeaving(leaving, Milliseconds(4000));
+        simulation_->advance(Milliseconds(4000));
+        simulation_->removeWorker(leaving);
+        const auto hasStartedAgain
+                = [&] { return simulation_->startsOf(JobId("gang")) == std::size_t(2 * members); };
+        CPPUNIT_ASSERT(simulation_->advanceUntil(hasStartedAgain, longestIdleTime));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
     void store_refusingWrites_jobIsReportedAsNotRun()
     {
         simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
@@ -651,6 +670,8 @@
     }
 
     static constexpr Milliseconds longWait {20'000};
+    /// A job for which there is capacity has something running again within this time.
+    static constexpr Milliseconds longestIdleTime {3000};
     std::unique_ptr<CellSimulation> simulation_;
 };
 
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -85,6 +85,28 @@
         store_.put({RecordType::Workers, worker->entry.id.value()}, worker->entry);
 }
 
+void CellSimulation::announceLeaving(std::size_t index, Milliseconds remaining)
+{
+    WorkerEntry &entry = workers_.at(index)->entry;
+    entry.draining = true;
+    entry.remaining = remaining;
+    store_.put({RecordType::Workers, entry.id.value()}, entry);
+}
+
+void CellSimulation::removeWorker(std::size_t index)
+{
+    SimulatedWorker &worker = *workers_.at(index);
+    worker.leave();
+    store_.remove({RecordType::Workers, worker.entry.id.value()});
+}
+
+std::size_t CellSimulation::indexOf(const WorkerId &id) const
+{
+    const auto found = std::find_if(workers_.begin(), workers_.end(),
+                                    [&](const auto &worker) { return worker->entry.id == id; });
+    return static_cast<std::size_t>(found - workers_.begin());
+}
+
 void CellSimulation::schedule(Milliseconds delay, std::function<void()> action)
 {
     events_.push({now_ + delay, ++lastEventNumber_, std::move(action)});
@@ -176,8 +198,11 @@
 void CellSimulation::call(std::size_t index, const WorkerCall &call)
 {
     const Instance &instance = instances_[index];
-    const Delivery delivery
+    Delivery delivery
             = workerDelivery ? workerDelivery(instance.id, call.request) : Delivery::Delivered;
+    if (const std::size_t worker = indexOf(call.request.worker);
+        worker < workers_.size() && workers_[worker]->hasLeft())
+        delivery = Delivery::Lost;
     const std::uint64_t incarnation = instance.incarnation;
     const SimulatedWorker::Reply reply
             = [this, index, incarnation, id = call.id](const WorkerReply &answer) {
@@ -296,8 +321,11 @@
 CallerRequestId CellSimulation::submit(std::size_t instance, const JobSpec &job,
                                        const std::string &host)
 {
-    for (std::size_t i = 0; i < job.steps.size(); ++i)
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        if (job.steps[i].gang)
+            gangs_.insert({job.id, Occurrence(), StepIndex(i)});
         needs_[job.id.value() + "." + std::to_string(i)] = job.steps[i].need;
+    }
     return sendRequest(instance, {{}, host, "/q/" + job.id.value(), SubmitJob {job}, {}});
 }
 
@@ -373,6 +401,17 @@
             row.reason = reason;
         }
     }
+    if (reason != CompletionReason::Succeeded && reason != CompletionReason::GangMemberStopped
+        && gangs_.contains(stepOf(run.task)))
+        breakGangElsewhere(run);
+}
+
+void CellSimulation::breakGangElsewhere(const SimulatedWorker::Run &run)
+{
+    schedule(networkDelay, [this, step = stepOf(run.task), number = run.run] {
+        for (const auto &worker : workers_)
+            worker->breakGang(now_, step, number);
+    });
 }
 
 std::size_t CellSimulation::startsOf(const JobId &job) const
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <queue>
+#include <set>
 
 namespace caraway::tests {
 
@@ -60,6 +61,11 @@
     /// Processors of an instance by its index; takes effect at its next start.
     std::map<std::size_t, Millicores> processors;
     void publishWorkers();
+    /// The worker announces in its entry that it leaves after \a remaining at the earliest.
+    void announceLeaving(std::size_t worker, Milliseconds remaining);
+    /// The worker's process ends with its runs, and its entry is removed.
+    void removeWorker(std::size_t worker);
+    std::size_t indexOf(const WorkerId &worker) const;
     SimulatedStore &store() { return store_; }
     SimulatedWorker &worker(std::size_t index) { return *workers_.at(index); }
 
@@ -135,6 +141,7 @@
     void recordStart(const SimulatedWorker &worker, const SimulatedWorker::Run &run);
     void recordCompletion(const SimulatedWorker &worker, const SimulatedWorker::Run &run,
                           cell::CompletionReason reason);
+    void breakGangElsewhere(const SimulatedWorker::Run &run);
 
     TimePoint now_ {Milliseconds(1'000'000)};
     std::uint64_t lastEventNumber_ = 0;
@@ -146,6 +153,7 @@
     std::uint64_t lastRequest_ = 0;
     std::vector<ObservedRun> starts_;
     std::map<std::string, Resources> needs_;
+    std::set<cell::StepKey> gangs_;
     std::size_t overloads_ = 0;
 };
 
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -110,6 +110,8 @@
 
 void SimulatedWorker::tick(TimePoint now)
 {
+    if (hasLeft_)
+        return;
     for (std::size_t i = running_.size(); i > 0; --i) {
         if (clock(now) > leaseDeadline_)
             complete(now, i - 1, CompletionReason::LeaseExpired);
@@ -119,6 +121,24 @@
     answerHeartbeats(now);
 }
 
+void SimulatedWorker::breakGang(TimePoint now, const StepKey &step, RunNumber run)
+{
+    for (std::size_t i = running_.size(); i > 0; --i) {
+        const Run &member = running_[i - 1];
+        if (member.run == run && stepOf(member.task) == step)
+            complete(now, i - 1, CompletionReason::GangMemberStopped);
+    }
+    answerHeartbeats(now);
+}
+
+void SimulatedWorker::leave()
+{
+    hasLeft_ = true;
+    for (const Run &run : std::exchange(running_, {}))
+        onCompleted(*this, run, CompletionReason::LeaseExpired);
+    pendingHeartbeats_.clear();
+}
+
 void SimulatedWorker::restart(TimePoint now)
 {
     for (const Run &run : running_)
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -39,6 +39,11 @@
     void tick(TimePoint now);
     /// Restarts the process: a new incarnation with the same id and without runs.
     void restart(TimePoint now);
+    /// Ends the process and all its runs for good; nothing answers at its address.
+    void leave();
+    bool hasLeft() const { return hasLeft_; }
+    /// Ends the members of a gang that run here, as a member has ended elsewhere.
+    void breakGang(TimePoint now, const cell::StepKey &step, cell::RunNumber run);
     const std::vector<Run> &running() const { return running_; }
 
 private:
@@ -66,6 +71,7 @@
     std::vector<std::pair<cell::TaskKey, cell::RunNumber>> closedRuns_;
     std::uint64_t lastCompletion_ = 0;
     std::list<PendingHeartbeat> pendingHeartbeats_;
+    bool hasLeft_ = false;
 };
 
 } // namespace caraway::tests
