Move runs off a worker before it leaves

Cause: a worker says in its entry how long it stays at least. The holder only stopped placing work there. The runs stayed until the worker was gone, and a run on a worker that does not answer counts as running until the worker's lease has certainly expired: the longest lease, as the holder renewed it to the last moment. One lost member keeps its whole gang from being started again.

The entry carries the worker's clock, so that a new holder, which reads an old entry, knows the time too. A worker that announces no time keeps its runs, as before.

Why it works: the stop is answered while the worker still lists its completions, so the task is free at once, with a checkpoint, and no lease has to be waited for.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -436,6 +436,8 @@
         }
         if (fleet_.isRecovered())
             repairGangs();
+        if (maySchedule)
+            evacuateLeavingWorkers();
         passNeeded_ = true;
     }
     recorder_.tick();
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -145,6 +145,8 @@
     void updateCheckpoint(CellStep &step, CellTask &task, const CompletedRun &completion);
     void stopGang(CellStep &step, RunNumber run);
     void repairGangs();
+    void evacuateLeavingWorkers();
+    void evacuate(const CellWorker &worker, const Placement &placement, WorkerTime remaining);
 
     void finish(CellJob &job, JobState state);
     std::optional<ProgressRecorder::Snapshot> snapshot(const JobId &id);
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -24,6 +24,13 @@
     return clockAt_ ? clock_ + WorkerTime((now - *clockAt_).count()) : WorkerTime();
 }
 
+std::optional<WorkerTime> CellWorker::timeToLeaving(TimePoint now) const
+{
+    if (!entry || !entry->draining || !entry->remaining || !entry->reportedAt || !clockAt_)
+        return std::nullopt;
+    return *entry->reportedAt + WorkerTime(entry->remaining->count()) - estimatedClock(now);
+}
+
 std::optional<Milliseconds> CellWorker::timeToLeaseExpiry(TimePoint now) const
 {
     if (!clockAt_)
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -68,6 +68,9 @@
     bool hasClock() const { return clockAt_.has_value(); }
     /// The worker's clock at \a now, estimated from its last reply.
     WorkerTime estimatedClock(TimePoint now) const;
+    /// The minimum time until the worker leaves, on its own clock; negative when it may have left.
+    /// Nothing when it has not announced that it leaves, or its clock is unknown.
+    std::optional<WorkerTime> timeToLeaving(TimePoint now) const;
     /// Raises the latest time at which the worker's lease may expire to \a deadline.
     void extendLeaseBound(WorkerTime deadline) { leaseBound_ = std::max(leaseBound_, deadline); }
     /// Whether the lease has expired even if the worker's clock is slow, so that nothing runs
--- a/Source/Cell/WorkerCalls.h
+++ b/Source/Cell/WorkerCalls.h
@@ -145,8 +145,11 @@
     Address address;
     ZoneId zone;
     bool draining = false;
-    /// The minimum time until the worker stops; set while it is draining.
-    Milliseconds remaining;
+    /// The minimum time until the worker leaves, counted from reportedAt; nothing when it has not
+    /// announced one.
+    std::optional<Milliseconds> remaining;
+    /// The worker's clock when it wrote the entry; nothing when the entry does not contain it.
+    std::optional<WorkerTime> reportedAt;
     Resources capacity;
     std::vector<Label> labels;
 };
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -88,9 +88,12 @@
     if (!worker.isListed || becameDraining) {
         context_.log("event=worker_{} worker={} upstream={} incarnation={} remaining_ms={}",
                      entry.draining ? "draining" : "added", entry.id.value(),
-                     entry.upstream.value(), entry.incarnation.value(), entry.remaining.count());
+                     entry.upstream.value(), entry.incarnation.value(),
+                     entry.remaining.value_or(Milliseconds()).count());
     }
     worker.entry = entry;
+    if (!entry.reportedAt && worker.hasClock())
+        worker.entry->reportedAt = worker.estimatedClock(context_.now());
     worker.isListed = true;
     if (entry.incarnation != WorkerIncarnation()
         && (!worker.incarnation || entry.incarnation > *worker.incarnation))
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -40,6 +40,8 @@
     CPPUNIT_TEST(worker_draining_receivesNoStart);
     CPPUNIT_TEST(worker_thatStopsAnswering_isLoggedWithItsRunsAndLease);
     CPPUNIT_TEST(gang_onAWorkerThatLeaves_startsAgainWithoutWaitingForTheLease);
+    CPPUNIT_TEST(task_completingBeforeItsWorkerLeaves_isNotStopped);
+    CPPUNIT_TEST(task_onAWorkerThatLeavesAfterAChangeOfHolder_startsElsewhereBefore);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -592,9 +594,7 @@
         JobSpec gang = CellSimulation::job("gang", members);
         gang.steps.front().gang = true;
         CPPUNIT_ASSERT(simulation_->submitAndWait(0, gang) == CallerOutcome::Accepted);
-        simulation_->advance(Milliseconds(300));
-        const std::size_t leaving = simulation_->indexOf(simulation_->starts().front().worker);
-        simulation_->announceLeaving(leaving, Milliseconds(4000));
+        const std::size_t leaving = announceLeavingOfFirst(Milliseconds(4000));
         simulation_->advance(Milliseconds(4000));
         simulation_->removeWorker(leaving);
         const auto hasStartedAgain
@@ -603,6 +603,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
+    void task_completingBeforeItsWorkerLeaves_isNotStopped()
+    {
+        simulation_->plan = runsOf(Milliseconds(2000));
+        JobSpec job = CellSimulation::job("a");
+        job.steps.front().estimate = Milliseconds(2000);
+        CPPUNIT_ASSERT(simulation_->submitAndWait(0, job) == CallerOutcome::Accepted);
+        const std::size_t leaving = announceLeavingOfFirst(Milliseconds(2500));
+        simulation_->advance(Milliseconds(2500));
+        simulation_->removeWorker(leaving);
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+    }
+
+    /// The entry of the leaving worker was written seconds before the new holder reads it.
+    void task_onAWorkerThatLeavesAfterAChangeOfHolder_startsElsewhereBefore()
+    {
+        simulation_->plan = runsOf(Milliseconds(30'000));
+        simulation_->submitAndWait(0, CellSimulation::job("a"));
+        announceLeavingOfFirst(Milliseconds(5000));
+        const TimePoint leavesAt = simulation_->now() + Milliseconds(5000);
+        simulation_->advance(Milliseconds(2000));
+        replaceHolder();
+        CPPUNIT_ASSERT(
+                simulation_->advanceUntil([&] { return simulation_->startsOf(JobId("a")) == 2; },
+                                          leavesAt - simulation_->now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
     void store_refusingWrites_jobIsReportedAsNotRun()
     {
         simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
@@ -653,6 +681,14 @@
     {
         return runsOf(Milliseconds(4000));
     }
+    /// The worker of the first start announces that it leaves.
+    std::size_t announceLeavingOfFirst(Milliseconds remaining)
+    {
+        simulation_->advance(Milliseconds(300));
+        const std::size_t leaving = simulation_->indexOf(simulation_->starts().front().worker);
+        simulation_->announceLeaving(leaving, remaining);
+        return leaving;
+    }
     /// Kills the holder and waits until another instance is the holder.
     void replaceHolder()
     {
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -90,6 +90,7 @@
     WorkerEntry &entry = workers_.at(index)->entry;
     entry.draining = true;
     entry.remaining = remaining;
+    entry.reportedAt = workers_[index]->clock(now_);
     store_.put({RecordType::Workers, entry.id.value()}, entry);
 }
 
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -45,6 +45,7 @@
     /// Ends the members of a gang that run here, as a member has ended elsewhere.
     void breakGang(TimePoint now, const cell::StepKey &step, cell::RunNumber run);
     const std::vector<Run> &running() const { return running_; }
+    cell::WorkerTime clock(TimePoint now) const;
 
 private:
     struct PendingHeartbeat
@@ -53,7 +54,6 @@
         Reply reply;
     };
 
-    cell::WorkerTime clock(TimePoint now) const;
     cell::WorkerReply listRuns(TimePoint now) const;
     void extendLease(cell::WorkerTime deadline)
     {
--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(conflict_decoded_containsTheCurrentRevisions);
     CPPUNIT_TEST(watch_withDeletion_isDecoded);
     CPPUNIT_TEST(workerEntry_withInvalidValue_isMalformed);
+    CPPUNIT_TEST(workerEntry_ofALeavingWorker_containsWhenItLeaves);
     CPPUNIT_TEST(configuration_decoded_containsQueueSettings);
     CPPUNIT_TEST(approval_decoded_containsTheTickets);
     CPPUNIT_TEST(frames_ofEveryKind_areDecodedUnchanged);
@@ -205,6 +206,19 @@
         }
     }
 
+    void workerEntry_ofALeavingWorker_containsWhenItLeaves()
+    {
+        Json json = Json::parse(R"({"service":"s","address":"10.0.0.9:8080","state":"draining",)"
+                                R"("capacity":{"cpu":1000},"remainingMs":7000,"clockMs":482113})");
+        const WorkerEntry announced = platform::decodeWorkerEntry("w-1", json);
+        CPPUNIT_ASSERT(announced.remaining == Milliseconds(7000));
+        CPPUNIT_ASSERT(announced.reportedAt == WorkerTime(482113));
+        json.erase("remainingMs");
+        json.erase("clockMs");
+        const WorkerEntry unannounced = platform::decodeWorkerEntry("w-1", json);
+        CPPUNIT_ASSERT(!unannounced.remaining && !unannounced.reportedAt);
+    }
+
     void configuration_decoded_containsQueueSettings()
     {
         const CellConfiguration configuration = platform::decodeConfiguration(Json::parse(
