Bound the lease of a worker that has announced when it leaves

Callers saw: tasks on a leaving worker that stopped answering waited up to the longest lease after it had gone.

Cause: each heartbeat renewed the full lease, also when the worker was to leave before its end.

Change: a heartbeat renews the lease of such a worker at most to 2.5 s after the announced time; while the worker stays longer, in steps of 2.5 s, which is more than a heartbeat waits and takes.

Why it works: a lease never shortens, so what was renewed before the announcement still counts; what is renewed later ends soon after the worker may have gone.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -11,6 +11,9 @@
 /// Added to the wait for network delay and a busy worker.
 constexpr Milliseconds heartbeatMargin {800};
 constexpr Milliseconds heartbeatRetryInterval {250};
+/// How long a lease lasts beyond the time at which the worker may leave; more than a heartbeat
+/// waits and takes, so that the lease does not expire while the worker stays.
+constexpr WorkerTime leavingLeaseMargin {2500};
 /// Interval of heartbeats while completions are unrecorded: the lease needs renewal, and a worker
 /// with unacknowledged completions replies without waiting.
 constexpr Milliseconds unrecordedHeartbeatInterval {400};
@@ -311,8 +314,7 @@
     // at which the worker's lease may end. If renewals to an unreachable worker continued, the
     // holder could never conclude that its runs have ended.
     if (mayRenew && worker.hasClock() && worker.unansweredCalls == 0) {
-        heartbeat.deadline = worker.estimatedClock(context_.now())
-                + WorkerTime(context_.settings().workerLease.count());
+        heartbeat.deadline = renewedLeaseEnd(worker);
         worker.extendLeaseBound(heartbeat.deadline);
     }
     if (worker.isStateRead && mayRenew && worker.unansweredCalls == 0)
@@ -325,6 +327,18 @@
                         });
 }
 
+/// The lease of a worker that has announced when it leaves lasts little longer, as its runs count
+/// as running until the lease has expired if the worker is lost.
+WorkerTime WorkerFleet::renewedLeaseEnd(const CellWorker &worker) const
+{
+    const WorkerTime now = worker.estimatedClock(context_.now());
+    const WorkerTime full = now + WorkerTime(context_.settings().workerLease.count());
+    const std::optional<WorkerTime> remaining = worker.timeToLeaving(context_.now());
+    if (!remaining)
+        return full;
+    return std::min(full, now + std::max(*remaining, WorkerTime()) + leavingLeaseMargin);
+}
+
 void WorkerFleet::onHeartbeatReply(const WorkerId &id, const WorkerReply &reply)
 {
     CellWorker *worker = findWorker(id);
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -72,6 +72,7 @@
 private:
     void sendHeartbeat(CellWorker &worker, bool mayRenew);
     void scheduleHeartbeat(CellWorker &worker);
+    WorkerTime renewedLeaseEnd(const CellWorker &worker) const;
     void onHeartbeatReply(const WorkerId &id, const WorkerReply &reply);
     void handleLists(CellWorker &worker, const WorkerReply &reply);
     void handleCompletions(CellWorker &worker, const WorkerReply &reply);
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(gang_onAWorkerThatLeaves_startsAgainWithoutWaitingForTheLease);
     CPPUNIT_TEST(task_completingBeforeItsWorkerLeaves_isNotStopped);
     CPPUNIT_TEST(task_onAWorkerThatLeavesAfterAChangeOfHolder_startsElsewhereBefore);
+    CPPUNIT_TEST(task_onALeavingWorkerThatDoesNotAnswer_startsElsewhereSoonAfterItsLeaving);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -631,6 +632,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
+    void task_onALeavingWorkerThatDoesNotAnswer_startsElsewhereSoonAfterItsLeaving()
+    {
+        simulation_->plan = runsOf(Milliseconds(30'000));
+        simulation_->submitAndWait(0, CellSimulation::job("a"));
+        const std::size_t leaving = announceLeavingOfFirst(Milliseconds(8000));
+        simulation_->advance(Milliseconds(6000));
+        simulation_->workerDelivery = [id = simulation_->worker(leaving).entry.id](
+                                              const InstanceId &, const WorkerRequest &request) {
+            return request.worker == id ? CellSimulation::Delivery::Lost
+                                        : CellSimulation::Delivery::Delivered;
+        };
+        simulation_->advance(Milliseconds(2000));
+        simulation_->removeWorker(leaving);
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 2; }, longestIdleTime));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
     void store_refusingWrites_jobIsReportedAsNotRun()
     {
         simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
