Leave workers without runs out of the roster when they may not answer

Cause: a new holder starts no older job until every worker of the stored roster was read, or 7 s and the longest lease have passed. The roster held every listed worker, also those that were never read (an entry without a process), no longer answer, or drain and are about to leave.

Change: a worker is added to the roster when it was read, and left out when it has neither runs nor unrecorded completions and drains, is not listed, or left a call unanswered. The holder excludes it from starts before the shorter roster is written, and until a roster that contains it again is stored. While an earlier holder may still act, and in an outage of the store, workers that do not answer stay.

Why it is safe: the holder has read the worker under its token, so it knows each run and completion there, or no holder could start anything there. A commit of an earlier holder fails after the claim, so it cannot start anything on a worker that the new holder's roster lacks.

The tests of the dangerous cases fail when the exclusion before the write, the condition on runs, or the condition on unrecorded completions is taken out.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -393,19 +393,23 @@
 {
     if (rosterWritePending_)
         return;
-    std::vector<WorkerId> roster;
+    std::set<WorkerId> roster;
+    bool areAllInRoster = true;
     for (const auto &[id, worker] : fleet_.workers()) {
-        const bool mayHaveRuns = worker.isListed || !worker.placements.empty()
-                || (!worker.isStateRead && !fleet_.isRecovered());
-        if (!mayHaveRuns)
+        if (!fleet_.belongsInRoster(worker))
             continue;
-        roster.push_back(id);
+        roster.insert(roster.end(), id);
+        areAllInRoster &= worker.isInRoster;
     }
-    // Both are sorted by name.
-    if (std::equal(roster.begin(), roster.end(), roster_.begin(), roster_.end()))
+    if (roster == roster_) {
+        // A worker that was removed and added again is in the stored roster already.
+        if (!areAllInRoster)
+            fleet_.setRoster(roster_);
         return;
+    }
     rosterWritePending_ = true;
-    recorder_.markRoster(std::move(roster));
+    fleet_.restrictRoster(roster);
+    recorder_.markRoster({roster.begin(), roster.end()});
 }
 
 void CellScheduler::expireResults()
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -112,6 +112,30 @@
         worker.isInRoster = roster.contains(id);
 }
 
+void WorkerFleet::restrictRoster(const std::set<WorkerId> &roster)
+{
+    for (auto &[id, worker] : workers_)
+        worker.isInRoster = worker.isInRoster && roster.contains(id);
+}
+
+/// The next holder has to read each worker of the roster before it starts older jobs, so workers
+/// that may not answer it are left out once they are known to have no runs.
+bool WorkerFleet::belongsInRoster(const CellWorker &worker) const
+{
+    if (!worker.placements.empty() || !worker.unrecordedCompletions.empty())
+        return true;
+    // An earlier holder may still act, even on a worker that was read and has restarted since.
+    if (worker.isInRoster && !recovered_)
+        return true;
+    if (!worker.isListed || worker.entry->draining)
+        return false;
+    if (worker.unansweredCalls > 0) {
+        // In an outage of the store it could not be added again when it answers.
+        return worker.isInRoster && !context_.storeHealth().isServing();
+    }
+    return worker.isInRoster || worker.isStateRead;
+}
+
 bool WorkerFleet::isUsable(const CellWorker &worker) const
 {
     return worker.isListed && worker.isStateRead && worker.isInRoster && !worker.entry->draining
@@ -275,7 +299,7 @@
     std::erase_if(workers_, [&](const auto &row) {
         const CellWorker &worker = row.second;
         return recovered_ && !worker.isListed && worker.placements.empty()
-                && !worker.heartbeatInFlight;
+                && worker.unrecordedCompletions.empty() && !worker.heartbeatInFlight;
     });
     checkRecovery();
 }
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -48,6 +48,11 @@
     void setEntry(const WorkerEntry &entry);
     void removeEntry(const WorkerId &id);
     void setRoster(const std::set<WorkerId> &roster);
+    /// Excludes workers that are not in \a roster from starts, before it is written.
+    void restrictRoster(const std::set<WorkerId> &roster);
+    /// Whether runs or unrecorded completions may be on the worker, or runs may be started there
+    /// before the next roster is written.
+    bool belongsInRoster(const CellWorker &worker) const;
 
     void start(const WorkerId &worker, StartRequest request);
     void stop(const WorkerId &worker, const TaskKey &task, RunNumber run);
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -23,6 +23,14 @@
     CPPUNIT_TEST(holder_killed_othersTakeOverAndNothingRunsTwice);
     CPPUNIT_TEST(holder_readingAWorkerForTheFirstTime_keepsDiscoveredRuns);
     CPPUNIT_TEST(holder_afterTheRemovalOfAWorker_recoversWithoutIt);
+    CPPUNIT_TEST(holder_findingAnEntryWithoutProcess_startsOlderJobsWithoutWaitingForIt);
+    CPPUNIT_TEST(holder_afterTheCrashOfAnIdleWorker_startsOlderJobsWithoutWaitingForIt);
+    CPPUNIT_TEST(holder_afterADrainedWorkerLeft_startsOlderJobsWithoutWaitingForIt);
+    CPPUNIT_TEST(holder_notConfirmingThatAWorkerLeftTheRoster_startsNothingThere);
+    CPPUNIT_TEST(holder_cutOffFromTheStore_itsRunsAreNotStartedAgainWhileItRenewsTheirLease);
+    CPPUNIT_TEST(holder_restartedWhileAWorkerIsUnreachable_startsNothingTwice);
+    CPPUNIT_TEST(holder_killedAfterAWorkerWithRunsBecameUnreachable_itsRunsAreNotStartedTwice);
+    CPPUNIT_TEST(completions_unrecordedFromADrainedWorker_areReadBeforeOlderJobsStart);
     CPPUNIT_TEST(holder_readingCompletionsOfAnEarlierTerm_startsWorkOfAllPriorities);
     CPPUNIT_TEST(holder_pausedPastItsLease_startsNothingTwiceAfterResuming);
     CPPUNIT_TEST(job_resubmittedAfterItFinishedUnderAnEarlierHolder_doesNotRunAgain);
@@ -370,6 +378,154 @@
         CPPUNIT_ASSERT(simulation_->log.find("event=workers_recovered") != std::string::npos);
     }
 
+    /// No earlier holder read the worker, so nothing was started there.
+    void holder_findingAnEntryWithoutProcess_startsOlderJobsWithoutWaitingForIt()
+    {
+        simulation_ = std::make_unique<CellSimulation>(3, 4);
+        losesCallsTo(simulation_->worker(0).entry.id, CellSimulation::Delivery::NotSent);
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return simulation_->holder().has_value(); },
+                                                 longWait));
+        simulation_->advance(Milliseconds(1000));
+        killHolderAndSubmit("a");
+        CPPUNIT_ASSERT(startsInTime("a"));
+    }
+
+    void holder_afterTheCrashOfAnIdleWorker_startsOlderJobsWithoutWaitingForIt()
+    {
+        losesCallsTo(simulation_->worker(0).entry.id, CellSimulation::Delivery::Lost);
+        // The holder notices it when its waiting heartbeat ends, after 2.3 s at the latest.
+        simulation_->advance(Milliseconds(3000));
+        killHolderAndSubmit("a");
+        CPPUNIT_ASSERT(startsInTime("a"));
+    }
+
+    void holder_afterADrainedWorkerLeft_startsOlderJobsWithoutWaitingForIt()
+    {
+        simulation_->worker(0).entry.draining = true;
+        simulation_->publishWorkers();
+        simulation_->advance(Milliseconds(1500));
+        killHolderAndSubmit("a");
+        losesCallsTo(simulation_->worker(0).entry.id, CellSimulation::Delivery::NotSent);
+        simulation_->store().remove({RecordType::Workers, "worker-0"});
+        CPPUNIT_ASSERT(startsInTime("a"));
+    }
+
+    /// The commit without the worker is applied, but its reply is lost, and the worker answers the
+    /// old holder again. The next holder reads a roster without it.
+    void holder_notConfirmingThatAWorkerLeftTheRoster_startsNothingThere()
+    {
+        const std::size_t old = *simulation_->holder();
+        const std::size_t receiver = other();
+        const WorkerId dropped = simulation_->worker(0).entry.id;
+        simulation_->plan = longRuns();
+        losesCallsTo(dropped, CellSimulation::Delivery::Lost);
+        bool isDropped = false;
+        simulation_->storeDelivery = [&](const InstanceId &id, const StoreRequest &request) {
+            const auto *commit = std::get_if<StoreCommit>(&request);
+            if (!commit || id != instanceId(old))
+                return CellSimulation::Delivery::Delivered;
+            const bool isFirst = !isDropped && writesRoster(*commit);
+            isDropped |= isFirst;
+            return isFirst ? CellSimulation::Delivery::AnswerLost : CellSimulation::Delivery::Lost;
+        };
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return isDropped; }, Milliseconds(3000)));
+        simulation_->workerDelivery = [old, dropped](const InstanceId &id,
+                                                     const WorkerRequest &request) {
+            const bool isReached = (id == instanceId(old)) == (request.worker == dropped);
+            return isReached ? CellSimulation::Delivery::Delivered : CellSimulation::Delivery::Lost;
+        };
+        simulation_->advance(Milliseconds(3000));
+        CPPUNIT_ASSERT(simulation_->submitAndWait(receiver, CellSimulation::job("a"))
+                       == CallerOutcome::Accepted);
+        simulation_->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->startsOf(JobId("a")));
+        cutOffFromStore(old);
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) > 0; }, Milliseconds(4000)));
+        simulation_->advance(Milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+    }
+
+    void holder_cutOffFromTheStore_itsRunsAreNotStartedAgainWhileItRenewsTheirLease()
+    {
+        const std::size_t old = *simulation_->holder();
+        simulation_->plan = [](const TaskKey &, RunNumber) {
+            return SimulatedWorker::RunPlan {Milliseconds(14'000), CompletionReason::Succeeded};
+        };
+        simulation_->submitAndWait(other(), CellSimulation::job("a", 4));
+        simulation_->advance(Milliseconds(300));
+        cutOffFromStore(old);
+        reachableByOnly(simulation_->starts().front().worker, old);
+        simulation_->advance(Milliseconds(40'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+        const std::size_t receiver = (old + 1) % 3;
+        CPPUNIT_ASSERT(simulation_->stateOf(receiver, JobId("a")) == JobState::Completed);
+    }
+
+    void holder_restartedWhileAWorkerIsUnreachable_startsNothingTwice()
+    {
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a", 4));
+        simulation_->advance(Milliseconds(300));
+        const std::size_t old = *simulation_->holder();
+        losesCallsTo(simulation_->starts().front().worker, CellSimulation::Delivery::Lost);
+        simulation_->kill(old);
+        simulation_->restart(old);
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void holder_killedAfterAWorkerWithRunsBecameUnreachable_itsRunsAreNotStartedTwice()
+    {
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(other(), CellSimulation::job("a", 4));
+        simulation_->advance(Milliseconds(300));
+        losesCallsTo(simulation_->starts().front().worker, CellSimulation::Delivery::NotSent);
+        simulation_->advance(Milliseconds(1000));
+        const std::size_t receiver = other();
+        replaceHolder();
+        simulation_->advance(longWait);
+        CPPUNIT_ASSERT(simulation_->stateOf(receiver, JobId("a")) == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    /// The holder is killed after some of the commits with completions of the worker.
+    void completions_unrecordedFromADrainedWorker_areReadBeforeOlderJobsStart()
+    {
+        constexpr int jobs = 80;
+        const std::size_t old = *simulation_->holder();
+        simulation_->plan = [](const TaskKey &, RunNumber) {
+            return SimulatedWorker::RunPlan {Milliseconds(4000), CompletionReason::Succeeded};
+        };
+        drainAllBut({WorkerId("worker-0")});
+        for (int i = 0; i < jobs; ++i) {
+            JobSpec job = CellSimulation::job("job-" + std::to_string(i));
+            job.steps.front().need.processors = Millicores(100);
+            simulation_->submit(other(), job);
+        }
+        simulation_->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(jobs), simulation_->starts().size());
+        drainAllBut({WorkerId("worker-1"), WorkerId("worker-2"), WorkerId("worker-3")});
+        bool isRosterWritten = false;
+        int commits = 0;
+        simulation_->storeDelivery = [&](const InstanceId &, const StoreRequest &request) {
+            const auto *commit = std::get_if<StoreCommit>(&request);
+            const bool isLost = commit && (isRosterWritten || ++commits > 9);
+            isRosterWritten |= commit && writesRoster(*commit);
+            return isLost ? CellSimulation::Delivery::Lost : CellSimulation::Delivery::Delivered;
+        };
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return commits > 0; }, longWait));
+        simulation_->advance(Milliseconds(200));
+        simulation_->kill(old);
+        simulation_->storeDelivery = nullptr;
+        losesCallsTo(WorkerId("worker-0"), CellSimulation::Delivery::Lost);
+        simulation_->advance(Milliseconds(3000));
+        simulation_->workerDelivery = nullptr;
+        simulation_->advance(Milliseconds(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(jobs), simulation_->starts().size());
+    }
+
     /// After a power loss, the completion of a run that the new holder had not started was counted
     /// with a duration of many hours, and all workers were reserved for urgent work.
     void holder_readingCompletionsOfAnEarlierTerm_startsWorkOfAllPriorities()
@@ -614,6 +770,66 @@
         CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return simulation_->holder().has_value(); },
                                                  longWait));
     }
+    /// Kills the holder and submits a job to another instance, which accepts it in the generation
+    /// of the killed holder.
+    void killHolderAndSubmit(const std::string &job)
+    {
+        const std::size_t receiver = other();
+        simulation_->kill(*simulation_->holder());
+        CPPUNIT_ASSERT(simulation_->submitAndWait(receiver, CellSimulation::job(job))
+                       == CallerOutcome::Accepted);
+        const RecordValue *record = simulation_->store().find({RecordType::Jobs, job});
+        CPPUNIT_ASSERT(record);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), std::get<AcceptedJob>(*record).generation);
+    }
+    /// Whether the job starts within the time that users let accepted work wait with free capacity.
+    bool startsInTime(const std::string &job)
+    {
+        return simulation_->advanceUntil([&] { return simulation_->startsOf(JobId(job)) > 0; },
+                                         Milliseconds(3000));
+    }
+    void losesCallsTo(const WorkerId &worker, CellSimulation::Delivery delivery)
+    {
+        simulation_->workerDelivery = [worker, delivery](const InstanceId &,
+                                                         const WorkerRequest &request) {
+            return request.worker == worker ? delivery : CellSimulation::Delivery::Delivered;
+        };
+    }
+    void drainAllBut(const std::set<WorkerId> &workers)
+    {
+        for (std::size_t i = 0; i < 4; ++i) {
+            WorkerEntry &entry = simulation_->worker(i).entry;
+            entry.draining = !workers.contains(entry.id);
+        }
+        simulation_->publishWorkers();
+        simulation_->advance(Milliseconds(1500));
+    }
+    void reachableByOnly(const WorkerId &worker, std::size_t instance)
+    {
+        simulation_->workerDelivery
+                = [worker, instance](const InstanceId &id, const WorkerRequest &request) {
+                      return request.worker == worker && id != instanceId(instance)
+                              ? CellSimulation::Delivery::Lost
+                              : CellSimulation::Delivery::Delivered;
+                  };
+    }
+    void cutOffFromStore(std::size_t instance)
+    {
+        simulation_->storeDelivery = [instance](const InstanceId &id, const StoreRequest &) {
+            return id == instanceId(instance) ? CellSimulation::Delivery::Lost
+                                              : CellSimulation::Delivery::Delivered;
+        };
+    }
+    static InstanceId instanceId(std::size_t index)
+    {
+        return InstanceId("entry-" + std::to_string(index));
+    }
+    static bool writesRoster(const StoreCommit &commit)
+    {
+        return std::any_of(commit.writes.begin(), commit.writes.end(), [](const StoreWrite &write) {
+            return write.key.type == RecordType::Roster;
+        });
+    }
     /// An instance that is not the holder.
     std::size_t other() const { return (*simulation_->holder() + 1) % 3; }
     bool completes(const std::string &job) { return reaches(job, JobState::Completed); }
