Read every number of a platform message with its permitted range

Seen: a worker entry with a negative number, one beyond 64 bits or 1e300 was taken as valid. `memMb` overflowed when it became bytes, `born` became an incarnation near 2^64, and a fraction beyond 64 bits went through llround(), whose result differs between x86-64 and arm64. A job whose task counts overflowed in their sum passed the check of its size.

Cause: integerOr() and get<>() converted without a range.

The tests failed before: {"born":-1} was decoded, heartbeat replies with "clockMs":-1 counted as done, and the job with counts 2^63-1, 2^63-1 and 3 was accepted. Entries that are nested deeply, truncated or not JSON were refused before as well; those tests are kept.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -449,8 +449,9 @@
 {
     const auto *entry = std::get_if<WorkerEntry>(&item.value);
     if (!entry) {
-        context_.log("event=worker_entry_malformed name={} revision={}", item.key.name,
-                     item.revision.value());
+        const auto *malformed = std::get_if<Malformed>(&item.value);
+        context_.log("event=worker_entry_malformed name={} revision={} reason={}", item.key.name,
+                     item.revision.value(), malformed ? malformed->reason : std::string());
         scheduler_.removeWorker(WorkerId(item.key.name));
         return;
     }
--- a/Source/Cell/Records.h
+++ b/Source/Cell/Records.h
@@ -85,6 +85,8 @@
 /// A value that cannot be decoded as a record of its type.
 struct Malformed
 {
+    /// Why, for the log.
+    std::string reason;
 };
 
 using RecordValue = std::variant<std::monostate, Malformed, HolderRecord, CommitSequenceRecord,
--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -4,6 +4,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <openssl/evp.h>
+
+#include <map>
+
 namespace caraway::tests {
 
 using namespace cell;
@@ -28,6 +32,16 @@
     CPPUNIT_TEST(conflict_decoded_containsTheCurrentRevisions);
     CPPUNIT_TEST(watch_withDeletion_isDecoded);
     CPPUNIT_TEST(workerEntry_withInvalidValue_isMalformed);
+    CPPUNIT_TEST(workerEntry_wellFormed_isDecoded);
+    CPPUNIT_TEST(workerEntry_withANumberOutOfRange_isMalformed);
+    CPPUNIT_TEST(workerEntry_withANumberThatIsNotJson_isMalformed);
+    CPPUNIT_TEST(workerEntry_withALargeCapacity_isDecodedExactly);
+    CPPUNIT_TEST(workerEntry_nestedTooDeeply_isMalformed);
+    CPPUNIT_TEST(workerEntry_truncated_isMalformed);
+    CPPUNIT_TEST(workerEntry_withARepeatedField_hasItsLastValue);
+    CPPUNIT_TEST(heartbeatReply_withANumberOutOfRange_isUnanswered);
+    CPPUNIT_TEST(submission_withANumberOutOfRange_isAnsweredAsInvalid);
+    CPPUNIT_TEST(deadline_beyondAnyTimeout_isShortened);
     CPPUNIT_TEST(configuration_decoded_containsQueueSettings);
     CPPUNIT_TEST(approval_decoded_containsTheTickets);
     CPPUNIT_TEST(frames_ofEveryKind_areDecodedUnchanged);
@@ -205,6 +219,142 @@
         }
     }
 
+    void workerEntry_wellFormed_isDecoded()
+    {
+        const auto value = workerValue(entryWith({}));
+        const auto &entry = std::get<WorkerEntry>(value);
+        CPPUNIT_ASSERT_EQUAL(std::string("w-1"), entry.id.value());
+        CPPUNIT_ASSERT(entry.incarnation == WorkerIncarnation(1'764'903'600'000));
+        CPPUNIT_ASSERT(entry.address == (Address {"10.1.0.7", 8000}));
+        CPPUNIT_ASSERT(entry.capacity.processors == Millicores(8000));
+        CPPUNIT_ASSERT(entry.capacity.memory == Bytes(std::int64_t(16'384) << 20));
+        CPPUNIT_ASSERT(entry.draining && entry.remaining == Milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.labels.size());
+    }
+
+    void workerEntry_withANumberOutOfRange_isMalformed()
+    {
+        const std::vector<std::string> outOfRange = {"-1",
+                                                     "-0.6",
+                                                     "-9223372036854775808",
+                                                     "9223372036854775807",
+                                                     "9223372036854775808",
+                                                     "18446744073709551615",
+                                                     "18446744073709551616",
+                                                     "1e18",
+                                                     "1e300",
+                                                     "-1e300",
+                                                     R"("5")",
+                                                     "true",
+                                                     "[5]",
+                                                     "{}"};
+        for (const std::string &number : outOfRange) {
+            assertMalformed({{"born", number}}, "born");
+            assertMalformed({{"remainingMs", number}}, "remainingMs");
+            for (const std::string field : {"cpu", "memMb", "gpus"})
+                assertMalformed({{"capacity", R"({")" + field + "\":" + number + "}"}}, field);
+        }
+    }
+
+    void workerEntry_withANumberThatIsNotJson_isMalformed()
+    {
+        for (const std::string number : {"1e999", "NaN", "Infinity", "0x10", "1.", "--1"})
+            assertMalformed({{"born", number}}, "JSON");
+    }
+
+    void workerEntry_withALargeCapacity_isDecodedExactly()
+    {
+        const auto value
+                = workerValue(entryWith({{"capacity", R"({"cpu":1e6,"memMb":1048576,"gpus":8})"}}));
+        const auto &entry = std::get<WorkerEntry>(value);
+        CPPUNIT_ASSERT(entry.capacity.processors == Millicores(1'000'000));
+        CPPUNIT_ASSERT(entry.capacity.memory == Bytes(std::int64_t(1) << 40));
+    }
+
+    void workerEntry_nestedTooDeeply_isMalformed()
+    {
+        for (const std::size_t depth : {40, 100'000, 2'000'000}) {
+            for (const std::string field : {"service", "capacity", "labels", "other"}) {
+                assertMalformed({{field, std::string(depth, '[') + std::string(depth, ']')}}, "");
+                assertMalformed({{field, std::string(depth, '[')}}, "");
+            }
+            std::string objects;
+            for (std::size_t i = 0; i < depth; ++i)
+                objects += R"({"a":)";
+            assertMalformed({{"capacity", objects}}, "");
+        }
+    }
+
+    void workerEntry_truncated_isMalformed()
+    {
+        const std::string entry = entryWith({});
+        for (std::size_t size = 0; size < entry.size(); ++size)
+            CPPUNIT_ASSERT(std::holds_alternative<Malformed>(workerValue(entry.substr(0, size))));
+    }
+
+    void workerEntry_withARepeatedField_hasItsLastValue()
+    {
+        const RecordValue value = workerValue(entryWith({{"service", R"("t","service":"u")"}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("u"), std::get<WorkerEntry>(value).upstream.value());
+        assertMalformed({{"born", R"(5,"born":-1)"}}, "born");
+    }
+
+    void heartbeatReply_withANumberOutOfRange_isUnanswered()
+    {
+        for (const std::string number : {"-1", "9223372036854775807", "18446744073709551615",
+                                         "1e18", "1e300", "\"5\"", "true"}) {
+            const std::vector<std::string> bodies = {
+                    R"({"clockMs":)" + number + R"(,"running":[],"finished":[]})",
+                    R"({"clockMs":5,"born":)" + number + R"(,"running":[],"finished":[]})",
+                    R"({"clockMs":5,"running":[[")" + id_ + R"(.0.1.17",)" + number
+                            + R"(,"",41]],"finished":[]})",
+                    R"({"clockMs":5,"running":[],"finished":[[)" + number + ",\"" + id_
+                            + R"(.0.1.17",2,"done",""]]})",
+                    R"({"clockMs":5,"running":[],"finished":[[1,")" + id_ + R"(.0.1.17",)" + number
+                            + R"(,"done",""]]})",
+            };
+            for (const std::string &body : bodies) {
+                // Run and completion numbers use the whole range of 63 bits.
+                if (number == "9223372036854775807" && body.find("[[") != std::string::npos)
+                    continue;
+                const WorkerReply reply = protocol_.decodeWorker(heartbeat(), answered(200, body));
+                CPPUNIT_ASSERT_MESSAGE(body, reply.outcome == WorkerOutcome::Unanswered);
+            }
+        }
+    }
+
+    void submission_withANumberOutOfRange_isAnsweredAsInvalid()
+    {
+        const std::vector<std::string> bodies = {
+                R"({"steps":[{"count":9223372036854775807},{"count":9223372036854775807},{"count":3}]})",
+                R"({"steps":[{"count":1e300}]})",
+                R"({"steps":[{"count":18446744073709551615}]})",
+                R"({"steps":[{"cpu":-1}]})",
+                R"({"steps":[{"cpu":1e300}]})",
+                R"({"steps":[{"memMb":9223372036854775807}]})",
+                R"({"steps":[{"estimateMs":9223372036854775807},{"estimateMs":5,"after":[0]}]})",
+                R"({"steps":[{"estimateMs":-5}]})",
+                R"({"steps":[{},{"after":[-1]}]})",
+                R"({"steps":[{},{"after":[1e300]}]})",
+                R"({"steps":[{}],"runCount":9223372036854775807})",
+                R"({"steps":[{}],"runCount":2,"intervalMs":9223372036854775807})",
+                R"({"steps":[{}],"runCount":2,"startTimeMs":9223372036854775807})"};
+        for (const std::string &body : bodies) {
+            const auto decoded = decode("POST", "/q/" + id_, body);
+            CPPUNIT_ASSERT_MESSAGE(body, std::holds_alternative<HttpReply>(decoded));
+            CPPUNIT_ASSERT_EQUAL(400, std::get<HttpReply>(decoded).status);
+        }
+    }
+
+    void deadline_beyondAnyTimeout_isShortened()
+    {
+        HttpRequest request {
+                "GET", "/q/" + id_, "host", {{"deadline-ms", "9223372036854775807"}}, {}};
+        const auto decoded = protocol_.decodeCaller(CallerRequestId(1), std::move(request));
+        const Milliseconds timeout = std::get<CallerRequest>(decoded).timeout.value();
+        CPPUNIT_ASSERT(timeout > Milliseconds() && timeout.count() < std::int64_t(1) << 40);
+    }
+
     void configuration_decoded_containsQueueSettings()
     {
         const CellConfiguration configuration = platform::decodeConfiguration(Json::parse(
@@ -275,6 +425,92 @@
     }
 
 private:
+    using Fields = std::map<std::string, std::string>;
+
+    /// The JSON text of a well-formed worker entry with fields replaced, or removed when their new
+    /// text is empty.
+    static std::string entryWith(const Fields &replaced)
+    {
+        Fields fields = {{"service", R"("s")"},
+                         {"address", R"("10.1.0.7:8000")"},
+                         {"zone", R"("z")"},
+                         {"state", R"("draining")"},
+                         {"remainingMs", "5000"},
+                         {"born", "1764903600000"},
+                         {"capacity", R"({"cpu":8000,"memMb":16384,"gpus":0})"},
+                         {"labels", R"(["kind","rack"])"}};
+        for (const auto &[field, text] : replaced)
+            fields[field] = text;
+        std::string entry;
+        for (const auto &[field, text] : fields) {
+            if (!text.empty())
+                entry += (entry.empty() ? "\"" : ",\"") + field + "\":" + text;
+        }
+        return "{" + entry + "}";
+    }
+
+    static std::string toBase64(const std::string &bytes)
+    {
+        std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+        const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                         reinterpret_cast<const unsigned char *>(bytes.data()),
+                                         static_cast<int>(bytes.size()));
+        text.resize(static_cast<std::size_t>(size));
+        return text;
+    }
+
+    RecordValue workerValue(const std::string &entry) const
+    {
+        const Json item = {{"key", "servers/w-1"}, {"value", toBase64(entry)}, {"revision", 3}};
+        return protocol_
+                .decodeStore(StoreGet {{RecordType::Workers, "w-1"}}, answered(200, item.dump()))
+                .items.at(0)
+                .value;
+    }
+
+    /// Asserts that the entry is malformed, for a reason that names \a field.
+    void assertMalformed(const Fields &replaced, const std::string &field) const
+    {
+        const std::string entry = entryWith(replaced);
+        const RecordValue value = workerValue(entry);
+        CPPUNIT_ASSERT_MESSAGE(entry.substr(0, 300), std::holds_alternative<Malformed>(value));
+        const std::string &reason = std::get<Malformed>(value).reason;
+        CPPUNIT_ASSERT_MESSAGE(reason, !reason.empty() && reason.size() < 200);
+        CPPUNIT_ASSERT_MESSAGE(reason, reason.find(field) != std::string::npos);
+    }
+
+    static Json row(const std::string &id)
+    {
+        return {{"key", "servers/" + id}, {"value", toBase64(entryWith({}))}, {"revision", 3}};
+    }
+
+    static std::vector<Json> oddRows()
+    {
+        std::vector<Json> rows = {{{"key", "other/x"}, {"value", ""}, {"revision", 3}}};
+        for (const Json &value : {Json(nullptr), Json(5), Json("!"), Json("bm90"), Json("===="),
+                                  Json::array(), Json::object()})
+            rows.push_back({{"key", "servers/odd"}, {"value", value}, {"revision", 3}});
+        rows.push_back({{"key", "servers/odd"}, {"revision", 3}});
+        for (const Json &revision : {Json("x"), Json(-1), Json(1e300), Json::array()})
+            rows.push_back({{"key", "servers/odd"}, {"value", "bm90"}, {"revision", revision}});
+        rows.push_back({{"key", "servers/odd"}, {"revision", 3}, {"deleted", "yes"}});
+        return rows;
+    }
+
+    static void assertKeepsBoth(const StoreReply &reply, const std::string &odd)
+    {
+        CPPUNIT_ASSERT_MESSAGE(odd, reply.outcome == StoreOutcome::Done);
+        CPPUNIT_ASSERT_MESSAGE(odd, reply.items.size() >= 2);
+        CPPUNIT_ASSERT(std::holds_alternative<WorkerEntry>(reply.items.front().value));
+        CPPUNIT_ASSERT_EQUAL(std::string("w-2"), reply.items.back().key.name);
+        CPPUNIT_ASSERT(std::holds_alternative<WorkerEntry>(reply.items.back().value));
+    }
+
+    static WorkerRequest heartbeat()
+    {
+        return {WorkerId("w-1"), {"10.0.0.9", 80}, FencingToken(7), WorkerHeartbeat {}};
+    }
+
     std::variant<CallerRequest, HttpReply>
     decode(const std::string &method, const std::string &target, const std::string &body) const
     {
