--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(workerEntry_withANumberOutOfRange_isMalformed);
     CPPUNIT_TEST(workerEntry_withANumberThatIsNotJson_isMalformed);
     CPPUNIT_TEST(workerEntry_withALargeCapacity_isDecodedExactly);
+    CPPUNIT_TEST(workerEntry_withAnInvalidPort_isMalformed);
     CPPUNIT_TEST(workerEntry_nestedTooDeeply_isMalformed);
     CPPUNIT_TEST(workerEntry_truncated_isMalformed);
     CPPUNIT_TEST(workerEntry_withARepeatedField_hasItsLastValue);
@@ -271,6 +272,14 @@
         CPPUNIT_ASSERT(entry.capacity.memory == Bytes(std::int64_t(1) << 40));
     }
 
+    void workerEntry_withAnInvalidPort_isMalformed()
+    {
+        for (const std::string port :
+             {":0", ":-1", ":65536", ":1000000000", ":http", ":", "", ":+80", ": 80", ":80 ",
+              ":80.5", ":8e1", ":99999999999999999999"})
+            assertMalformed({{"address", R"("10.1.0.7)" + port + "\""}}, "address");
+    }
+
     void workerEntry_nestedTooDeeply_isMalformed()
     {
         for (const std::size_t depth : {40, 100'000, 2'000'000}) {
