--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -37,9 +37,12 @@
     CPPUNIT_TEST(workerEntry_withANumberThatIsNotJson_isMalformed);
     CPPUNIT_TEST(workerEntry_withALargeCapacity_isDecodedExactly);
     CPPUNIT_TEST(workerEntry_withAnInvalidPort_isMalformed);
+    CPPUNIT_TEST(workerEntry_withAnInvalidField_isMalformed);
+    CPPUNIT_TEST(workerEntry_withAnInvalidName_isMalformed);
     CPPUNIT_TEST(workerEntry_nestedTooDeeply_isMalformed);
     CPPUNIT_TEST(workerEntry_truncated_isMalformed);
     CPPUNIT_TEST(workerEntry_withARepeatedField_hasItsLastValue);
+    CPPUNIT_TEST(workerEntry_withOverlongTextOrList_isMalformed);
     CPPUNIT_TEST(heartbeatReply_withANumberOutOfRange_isUnanswered);
     CPPUNIT_TEST(submission_withANumberOutOfRange_isAnsweredAsInvalid);
     CPPUNIT_TEST(deadline_beyondAnyTimeout_isShortened);
@@ -280,6 +283,44 @@
             assertMalformed({{"address", R"("10.1.0.7)" + port + "\""}}, "address");
     }
 
+    void workerEntry_withAnInvalidField_isMalformed()
+    {
+        for (const std::string field : {"service", "address", "state", "capacity"}) {
+            for (const std::string value :
+                 {"", "null", "5", "-1.5", "true", "[]", "[1]", R"({"a":{}})"}) {
+                if (field != "capacity" || value[0] != '{')
+                    assertMalformed({{field, value}}, field);
+            }
+        }
+        assertMalformed({{"state", R"("ended")"}}, "state");
+        assertMalformed({{"state", R"("")"}}, "state");
+        assertMalformed({{"zone", "5"}}, "zone");
+        for (const std::string labels :
+             {R"("kind")", "5", "true", R"({"a":"b"})", "[5]", "[null]", R"(["kind",["rack"]])"})
+            assertMalformed({{"labels", labels}}, "labels");
+    }
+
+    void workerEntry_withAnInvalidName_isMalformed()
+    {
+        for (const std::string text :
+             {"", R"(a\nevent=x)", R"(\r\n\r\n)", R"(a\u0000b)", R"(\u007f)"}) {
+            assertMalformed({{"service", '"' + text + '"'}}, "service");
+            assertMalformed({{"address", '"' + text + ":80\""}}, "address");
+            assertMalformed({{"labels", R"([")" + text + "\"]"}}, "labels");
+        }
+        assertMalformed({{"zone", R"("a\nb")"}}, "zone");
+        assertMalformed({{"service", "\"\xC3\x28\""}}, "");
+        for (const std::string name : {"", "a\r\nHost: b", "\x01"}) {
+            const Json item = {{"key", "servers/" + name},
+                               {"value", toBase64(entryWith({}))},
+                               {"revision", 3}};
+            const StoreReply reply = protocol_.decodeStore(
+                    StoreList {RecordType::Workers, {}},
+                    answered(200, Json({{"items", Json::array({item})}, {"at", 5}}).dump()));
+            CPPUNIT_ASSERT(std::holds_alternative<Malformed>(reply.items.at(0).value));
+        }
+    }
+
     void workerEntry_nestedTooDeeply_isMalformed()
     {
         for (const std::size_t depth : {40, 100'000, 2'000'000}) {
@@ -308,6 +349,19 @@
         assertMalformed({{"born", R"(5,"born":-1)"}}, "born");
     }
 
+    void workerEntry_withOverlongTextOrList_isMalformed()
+    {
+        const std::string text(1 << 20, 'x');
+        assertMalformed({{"service", '"' + text + '"'}}, "service");
+        assertMalformed({{"zone", '"' + text + '"'}}, "zone");
+        assertMalformed({{"address", '"' + text + ":80\""}}, "address");
+        assertMalformed({{"labels", R"([")" + text + "\"]"}}, "labels");
+        std::string labels = R"(["a")";
+        for (int i = 0; i < 100'000; ++i)
+            labels += R"(,"a")";
+        assertMalformed({{"labels", labels + "]"}}, "labels");
+    }
+
     void heartbeatReply_withANumberOutOfRange_isUnanswered()
     {
         for (const std::string number : {"-1", "9223372036854775807", "18446744073709551615",
