--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -43,6 +43,10 @@
     CPPUNIT_TEST(workerEntry_truncated_isMalformed);
     CPPUNIT_TEST(workerEntry_withARepeatedField_hasItsLastValue);
     CPPUNIT_TEST(workerEntry_withOverlongTextOrList_isMalformed);
+    CPPUNIT_TEST(list_withOneOddRow_keepsTheOthers);
+    CPPUNIT_TEST(watch_withOneOddRow_keepsTheOthers);
+    CPPUNIT_TEST(storeReply_nestedDeeply_isUnanswered);
+    CPPUNIT_TEST(get_withoutAnItem_isUnanswered);
     CPPUNIT_TEST(heartbeatReply_withANumberOutOfRange_isUnanswered);
     CPPUNIT_TEST(submission_withANumberOutOfRange_isAnsweredAsInvalid);
     CPPUNIT_TEST(deadline_beyondAnyTimeout_isShortened);
@@ -362,6 +366,47 @@
         assertMalformed({{"labels", labels + "]"}}, "labels");
     }
 
+    void list_withOneOddRow_keepsTheOthers()
+    {
+        for (const Json &odd : oddRows()) {
+            const Json body = {{"items", Json::array({row("w-1"), odd, row("w-2")})}, {"at", 9}};
+            const StoreReply reply = protocol_.decodeStore(StoreList {RecordType::Workers, {}},
+                                                           answered(200, body.dump()));
+            assertKeepsBoth(reply, odd.dump());
+        }
+    }
+
+    void watch_withOneOddRow_keepsTheOthers()
+    {
+        for (const Json &odd : oddRows()) {
+            const Json body = {{"events", Json::array({row("w-1"), odd, row("w-2")})}, {"at", 9}};
+            const StoreReply reply = protocol_.decodeStore(
+                    StoreWatch {RecordType::Workers, Revision(4), Milliseconds(1)},
+                    answered(200, body.dump()));
+            assertKeepsBoth(reply, odd.dump());
+        }
+    }
+
+    void storeReply_nestedDeeply_isUnanswered()
+    {
+        for (const std::string &body :
+             {std::string(2'000'000, '['),
+              R"({"at":5,"items":[],"x":)" + std::string(100, '[') + std::string(100, ']') + "}"}) {
+            const StoreReply reply = protocol_.decodeStore(StoreList {RecordType::Workers, {}},
+                                                           answered(200, body));
+            CPPUNIT_ASSERT(reply.outcome == StoreOutcome::Unanswered);
+        }
+    }
+
+    void get_withoutAnItem_isUnanswered()
+    {
+        for (const std::string body : {"[]", "5", "null", R"({"key":"other/x","revision":5})"}) {
+            const StoreReply reply = protocol_.decodeStore(
+                    StoreGet {{RecordType::CommitSequence, {}}}, answered(200, body));
+            CPPUNIT_ASSERT(reply.outcome == StoreOutcome::Unanswered);
+        }
+    }
+
     void heartbeatReply_withANumberOutOfRange_isUnanswered()
     {
         for (const std::string number : {"-1", "9223372036854775807", "18446744073709551615",
