Check the nesting of stored records before they are decoded

Seen: a record of two million nested CBOR arrays ended the process with a segmentation fault, and would end each later holder that reads it.

Cause: from_cbor() is recursive, and only peer frames were checked first.

Change: decodeRecord() calls checkCbor() as decodeCellFrame() does.

The test failed before with the segmentation fault.

--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -533,10 +533,17 @@
 
 RecordValue decodeRecord(RecordType type, std::string_view bytes)
 {
-    try {
+    const auto decode = [&]() -> Result<RecordValue> {
+        // from_cbor() is recursive, so the nesting depth is checked first.
+        BOOST_LEAF_CHECK(checkCbor(bytes));
         return decodeRecordBody(type, Json::from_cbor(bytes.begin(), bytes.end()));
-    } catch (const std::exception &) {
-        return Malformed {};
+    };
+    try {
+        return recoverFrom(decode, [](const Error &error) -> RecordValue {
+            return Malformed {error.message};
+        });
+    } catch (const std::exception &error) {
+        return Malformed {error.what()};
     }
 }
 
--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(watch_withOneOddRow_keepsTheOthers);
     CPPUNIT_TEST(storeReply_nestedDeeply_isUnanswered);
     CPPUNIT_TEST(get_withoutAnItem_isUnanswered);
+    CPPUNIT_TEST(record_nestedTooDeeply_isMalformed);
     CPPUNIT_TEST(heartbeatReply_withANumberOutOfRange_isUnanswered);
     CPPUNIT_TEST(submission_withANumberOutOfRange_isAnsweredAsInvalid);
     CPPUNIT_TEST(deadline_beyondAnyTimeout_isShortened);
@@ -407,6 +408,13 @@
         }
     }
 
+    void record_nestedTooDeeply_isMalformed()
+    {
+        const std::string arrays(2'000'000, '\x81');
+        const RecordValue value = decodeRecord(RecordType::Roster, arrays);
+        CPPUNIT_ASSERT(std::holds_alternative<Malformed>(value));
+    }
+
     void heartbeatReply_withANumberOutOfRange_isUnanswered()
     {
         for (const std::string number : {"-1", "9223372036854775807", "18446744073709551615",
