--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -48,7 +48,9 @@
     CPPUNIT_TEST(storeReply_nestedDeeply_isUnanswered);
     CPPUNIT_TEST(get_withoutAnItem_isUnanswered);
     CPPUNIT_TEST(record_nestedTooDeeply_isMalformed);
+    CPPUNIT_TEST(heartbeatReply_ofAnotherServer_isUnanswered);
     CPPUNIT_TEST(heartbeatReply_withANumberOutOfRange_isUnanswered);
+    CPPUNIT_TEST(heartbeatReply_withAnOddPercentage_keepsTheRun);
     CPPUNIT_TEST(submission_withANumberOutOfRange_isAnsweredAsInvalid);
     CPPUNIT_TEST(deadline_beyondAnyTimeout_isShortened);
     CPPUNIT_TEST(configuration_decoded_containsQueueSettings);
@@ -415,6 +417,23 @@
         CPPUNIT_ASSERT(std::holds_alternative<Malformed>(value));
     }
 
+    /// Another server at the address of a worker entry counted as a worker that runs nothing, and
+    /// received tasks.
+    void heartbeatReply_ofAnotherServer_isUnanswered()
+    {
+        for (const std::string body :
+             {"", "{}", "[]", "null", "5", "\"text\"", R"({"clockMs":null})",
+              R"({"clockMs":5,"running":5,"finished":[]})",
+              R"({"clockMs":5,"running":{},"finished":[]})", R"({"running":[],"finished":[]})",
+              R"({"clockMs":5,"running":[5],"finished":[]})"}) {
+            const WorkerReply reply = protocol_.decodeWorker(heartbeat(), answered(200, body));
+            CPPUNIT_ASSERT_MESSAGE(body, reply.outcome == WorkerOutcome::Unanswered);
+        }
+        const WorkerReply reply = protocol_.decodeWorker(
+                heartbeat(), answered(200, R"({"clockMs":5,"running":[],"finished":[]})"));
+        CPPUNIT_ASSERT(reply.outcome == WorkerOutcome::Done && reply.clock == WorkerTime(5));
+    }
+
     void heartbeatReply_withANumberOutOfRange_isUnanswered()
     {
         for (const std::string number : {"-1", "9223372036854775807", "18446744073709551615",
@@ -439,6 +458,23 @@
         }
     }
 
+    void heartbeatReply_withAnOddPercentage_keepsTheRun()
+    {
+        const std::vector<std::pair<std::string, std::int64_t>> percentages
+                = {{"1e300", 100}, {"-1e300", 0}, {"18446744073709551615", 100},
+                   {"-1", 0},      {"41.7", 41},  {"null", 0},
+                   {"\"41\"", 0}};
+        for (const auto &[text, expected] : percentages) {
+            const WorkerReply reply = protocol_.decodeWorker(
+                    heartbeat(),
+                    answered(200,
+                             R"({"clockMs":5,"running":[[")" + id_ + R"(.0.1.17",2,"save",)" + text
+                                     + R"(]],"finished":[]})"));
+            CPPUNIT_ASSERT_MESSAGE(text, reply.outcome == WorkerOutcome::Done);
+            CPPUNIT_ASSERT_EQUAL(expected, reply.running.at(0).progress.count());
+        }
+    }
+
     void submission_withANumberOutOfRange_isAnsweredAsInvalid()
     {
         const std::vector<std::string> bodies = {
