Test that every holder still follows a list with odd worker entries

An odd entry at the start of a term, one added later, one that replaces a good entry, and one with an address where nobody answers: workers that are added, drained, removed or return are seen by all three instances as holder in turn, runs go on, and the log names the entry once for each change.

--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -38,6 +38,10 @@
     CPPUNIT_TEST(worker_unreachable_itsTasksRunElsewhereAfterLeaseExpiry);
     CPPUNIT_TEST(worker_refusingConnections_itsTasksRunElsewhereAfterLeaseExpiry);
     CPPUNIT_TEST(worker_draining_receivesNoStart);
+    CPPUNIT_TEST(workerList_withAnOddEntry_isStillFollowedByEveryHolder);
+    CPPUNIT_TEST(workerEntry_replacedByAnOddOne_isUsedAgainAfterItsReturn);
+    CPPUNIT_TEST(workerEntry_malformed_isLoggedOncePerChange);
+    CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayStarts);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -562,6 +566,82 @@
             CPPUNIT_ASSERT(row.worker != simulation_->worker(0).entry.id);
     }
 
+    /// The machines that read a list with one odd entry stopped following it.
+    void workerList_withAnOddEntry_isStillFollowedByEveryHolder()
+    {
+        putMalformed("odd");
+        for (std::size_t next = 0; next < 3; ++next) {
+            makeHolder(next);
+            const std::string suffix = std::to_string(next);
+            // Another odd entry, a draining worker and a removed worker, all after the start.
+            putMalformed("odd-" + suffix);
+            simulation_->worker(1).entry.draining = true;
+            publish(1);
+            simulation_->store().remove({RecordType::Workers, idOf(0).value()});
+            simulation_->advance(Milliseconds(2000));
+            const std::size_t before = simulation_->starts().size();
+            CPPUNIT_ASSERT(simulation_->submitAndWait(next, CellSimulation::job("few" + suffix, 16))
+                           == CallerOutcome::Accepted);
+            CPPUNIT_ASSERT(completes("few" + suffix));
+            for (std::size_t i = before; i < simulation_->starts().size(); ++i) {
+                CPPUNIT_ASSERT(simulation_->starts()[i].worker != idOf(0));
+                CPPUNIT_ASSERT(simulation_->starts()[i].worker != idOf(1));
+            }
+            simulation_->worker(1).entry.draining = false;
+            publish(0);
+            publish(1);
+            simulation_->advance(Milliseconds(2000));
+            std::set<WorkerId> used;
+            const std::size_t all = simulation_->starts().size();
+            CPPUNIT_ASSERT(simulation_->submitAndWait(next, CellSimulation::job("all" + suffix, 32))
+                           == CallerOutcome::Accepted);
+            CPPUNIT_ASSERT(completes("all" + suffix));
+            for (std::size_t i = all; i < simulation_->starts().size(); ++i)
+                used.insert(simulation_->starts()[i].worker);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(4), used.size());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void workerEntry_replacedByAnOddOne_isUsedAgainAfterItsReturn()
+    {
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a", 32));
+        simulation_->advance(Milliseconds(300));
+        putMalformed(idOf(2).value());
+        // Runs on the worker go on.
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(32), simulation_->startsOf(JobId("a")));
+        simulation_->submitAndWait(0, CellSimulation::job("b", 24));
+        CPPUNIT_ASSERT(completes("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(idOf(2), "b"));
+        publish(2);
+        simulation_->advance(Milliseconds(1000));
+        simulation_->submitAndWait(0, CellSimulation::job("c", 32));
+        CPPUNIT_ASSERT(completes("c"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), startsOn(idOf(2), "c"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void workerEntry_malformed_isLoggedOncePerChange()
+    {
+        putMalformed("odd");
+        simulation_->advance(Milliseconds(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=worker_entry_malformed"));
+        putMalformed("odd");
+        simulation_->advance(Milliseconds(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), logged("event=worker_entry_malformed"));
+    }
+
+    void workerEntry_whereNobodyAnswers_doesNotDelayStarts()
+    {
+        putUnreachable("odd");
+        simulation_->advance(Milliseconds(1000));
+        simulation_->submitAndWait(0, CellSimulation::job("a", 32));
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 32; }, Milliseconds(300)));
+    }
+
     void store_refusingWrites_jobIsReportedAsNotRun()
     {
         simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
@@ -614,6 +694,102 @@
         CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return simulation_->holder().has_value(); },
                                                  longWait));
     }
+    /// Makes one instance the holder, then restarts the others.
+    void makeHolder(std::size_t next)
+    {
+        for (std::size_t i = 0; i < 3; ++i) {
+            if (i != next)
+                simulation_->kill(i);
+        }
+        CPPUNIT_ASSERT(
+                simulation_->advanceUntil([&] { return simulation_->holder() == next; }, longWait));
+        for (std::size_t i = 0; i < 3; ++i) {
+            if (i != next)
+                simulation_->restart(i);
+        }
+        simulation_->advance(Milliseconds(1500));
+    }
+
+    void putMalformed(const std::string &name)
+    {
+        simulation_->store().put({RecordType::Workers, name}, Malformed {});
+    }
+    void publish(std::size_t worker)
+    {
+        simulation_->store().put({RecordType::Workers, idOf(worker).value()},
+                                 simulation_->worker(worker).entry);
+    }
+    void publishWithImpossibleIncarnation(std::size_t worker)
+    {
+        WorkerEntry entry = simulation_->worker(worker).entry;
+        entry.incarnation = WorkerIncarnation(std::uint64_t(1) << 62);
+        simulation_->store().put({RecordType::Workers, entry.id.value()}, entry);
+    }
+    /// Writes an entry with an address where nobody answers.
+    void putUnreachable(const std::string &name)
+    {
+        WorkerEntry entry = simulation_->worker(0).entry;
+        entry.id = WorkerId(name);
+        entry.address = nobody;
+        simulation_->store().put({RecordType::Workers, name}, entry);
+        simulation_->workerDelivery = [](const InstanceId &, const WorkerRequest &request) {
+            return request.address == nobody ? CellSimulation::Delivery::Lost
+                                             : CellSimulation::Delivery::Delivered;
+        };
+    }
+    const WorkerId &idOf(std::size_t worker) { return simulation_->worker(worker).entry.id; }
+    std::size_t startsOn(const WorkerId &worker, const std::string &job) const
+    {
+        const auto &starts = simulation_->starts();
+        return static_cast<std::size_t>(std::count_if(
+                starts.begin(), starts.end(), [&](const CellSimulation::ObservedRun &row) {
+                    return row.worker == worker && row.task.job == JobId(job);
+                }));
+    }
+    std::size_t logged(const std::string &text) const
+    {
+        std::size_t count = 0;
+        for (std::size_t at = simulation_->log.find(text); at != std::string::npos;
+             at = simulation_->log.find(text, at + 1))
+            ++count;
+        return count;
+    }
+    void assertPromptTakeover()
+    {
+        const std::size_t old = *simulation_->holder();
+        replaceHolder();
+        simulation_->log.clear();
+        simulation_->advance(Milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=workers_recovered"));
+        simulation_->restart(old);
+        simulation_->advance(Milliseconds(1500));
+    }
+    /// Replaces the holder by one whose reads of job progress are refused, so that it keeps
+    /// loading.
+    void beginSlowTakeover()
+    {
+        simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
+            const auto *list = std::get_if<StoreList>(&request);
+            return list && list->type == RecordType::Progress ? CellSimulation::Delivery::Lost
+                                                              : CellSimulation::Delivery::Delivered;
+        };
+        replaceHolder();
+        simulation_->advance(Milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=holder_state_loaded"));
+    }
+    void finishSlowTakeover()
+    {
+        simulation_->advance(Milliseconds(1200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=holder_state_loaded"));
+        simulation_->storeDelivery = nullptr;
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return logged("event=holder_state_loaded") == 2; }, longWait));
+        simulation_->advance(Milliseconds(3000));
+        simulation_->submitAndWait(*simulation_->holder(), CellSimulation::job("a", 32));
+        simulation_->advance(Milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(32), simulation_->startsOf(JobId("a")));
+    }
+
     /// An instance that is not the holder.
     std::size_t other() const { return (*simulation_->holder() + 1) % 3; }
     bool completes(const std::string &job) { return reaches(job, JobState::Completed); }
@@ -624,6 +800,7 @@
     }
 
     static constexpr Milliseconds longWait {20'000};
+    static inline const Address nobody {"10.9.9.9", 9};
     std::unique_ptr<CellSimulation> simulation_;
 };
 
