Keep control characters of names out of the log

Seen: an entry whose key contains a line break added a line of its own to the log, which could pass for an event.

Cause: names of other processes were logged as they are.

Change: CellContext::log() replaces control characters by '?'.

--- a/Source/Cell/CellContext.h
+++ b/Source/Cell/CellContext.h
@@ -9,6 +9,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cctype>
 #include <functional>
 #include <iterator>
 #include <memory>
@@ -142,6 +144,10 @@
     {
         std::string line = fmt::format("t={} ", now_.sinceStart().count());
         fmt::format_to(std::back_inserter(line), format, std::forward<Arguments>(arguments)...);
+        // Names come from other processes and may contain line breaks or terminal controls.
+        std::replace_if(
+                line.begin(), line.end(), [](unsigned char c) { return std::iscntrl(c) != 0; },
+                '?');
         actions_.log.push_back(std::move(line));
     }
 
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(workerList_withAnOddEntry_isStillFollowedByEveryHolder);
     CPPUNIT_TEST(workerEntry_replacedByAnOddOne_isUsedAgainAfterItsReturn);
     CPPUNIT_TEST(workerEntry_malformed_isLoggedOncePerChange);
+    CPPUNIT_TEST(workerName_withALineBreak_isLoggedInOneLine);
     CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayStarts);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
@@ -633,6 +634,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), logged("event=worker_entry_malformed"));
     }
 
+    void workerName_withALineBreak_isLoggedInOneLine()
+    {
+        putMalformed("odd\nevent=forged\r\x1b[2J");
+        simulation_->advance(Milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=worker_entry_malformed"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), logged("\nevent=forged"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), logged("\x1b"));
+    }
+
     void workerEntry_whereNobodyAnswers_doesNotDelayStarts()
     {
         putUnreachable("odd");
