Apply removals of worker entries while a holder loads

Seen: a worker whose entry was removed, or replaced by an odd one, while a new holder was still loading received starts for the whole term.

Cause: entries read in this phase were queued for the scheduler, and only the scheduler, which was not active yet, was told of removals.

Change: the queue is a map by worker, from which removals erase.

Both tests failed before: expected 0 starts on the worker, found 8 of 32.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -38,7 +38,7 @@
                               [](const RecordKey &) {}, [this](TimePoint) { checkLoaded(); }})
     , workerWatcher_(context_, RecordType::Workers, workerIntervals,
                      {[this](const StoreItem &item) { onWorkerItem(item); },
-                      [this](const RecordKey &key) { scheduler_.removeWorker(WorkerId(key.name)); },
+                      [this](const RecordKey &key) { removeWorker(WorkerId(key.name)); },
                       [this](TimePoint) { checkLoaded(); }})
     , callerRequests_(context_, configuration_, callerRequestHandlers())
 {
@@ -394,7 +394,7 @@
                  loaded.workers.size(), loaded.roster->size());
     scheduler_.startTerm({election_.token(), election_.generation(), election_.holderPrecondition(),
                           *loaded.sequence, *loaded.roster});
-    for (const WorkerEntry &entry : loaded.workers)
+    for (const auto &[id, entry] : loaded.workers)
         scheduler_.setWorker(entry);
     for (const JobId &job : loaded.cancels)
         scheduler_.cancelJob(job);
@@ -452,13 +452,21 @@
         const auto *malformed = std::get_if<Malformed>(&item.value);
         context_.log("event=worker_entry_malformed name={} revision={} reason={}", item.key.name,
                      item.revision.value(), malformed ? malformed->reason : std::string());
-        scheduler_.removeWorker(WorkerId(item.key.name));
+        removeWorker(WorkerId(item.key.name));
         return;
     }
     if (loading_)
-        loading_->workers.push_back(*entry);
+        loading_->workers.insert_or_assign(entry->id, *entry);
     else
         scheduler_.setWorker(*entry);
 }
 
+void CellInstance::removeWorker(const WorkerId &id)
+{
+    if (loading_)
+        loading_->workers.erase(id);
+    else
+        scheduler_.removeWorker(id);
+}
+
 } // namespace caraway::cell
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -95,6 +95,7 @@
     void checkLoaded();
     void onJobOrCancel(const StoreItem &item);
     void onWorkerItem(const StoreItem &item);
+    void removeWorker(const WorkerId &id);
     void onStateChanged(const JobId &job, JobState state);
     void broadcast();
     void sendHello();
@@ -116,7 +117,8 @@
         std::map<std::string, JobProgress> progress;
         std::vector<AcceptedJob> jobs;
         std::vector<JobId> cancels;
-        std::vector<WorkerEntry> workers;
+        /// By id, as entries change and are removed while the rest is loaded.
+        std::map<WorkerId, WorkerEntry> workers;
         std::optional<Revision> sequence;
         std::optional<std::vector<WorkerId>> roster;
         bool progressRead = false;
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -42,6 +42,8 @@
     CPPUNIT_TEST(workerEntry_replacedByAnOddOne_isUsedAgainAfterItsReturn);
     CPPUNIT_TEST(workerEntry_malformed_isLoggedOncePerChange);
     CPPUNIT_TEST(workerName_withALineBreak_isLoggedInOneLine);
+    CPPUNIT_TEST(worker_removedWhileAHolderLoads_receivesNoStart);
+    CPPUNIT_TEST(workerEntry_replacedByAnOddOneWhileAHolderLoads_receivesNoStart);
     CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayStarts);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
@@ -643,6 +645,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), logged("\x1b"));
     }
 
+    /// A worker whose entry was removed while a new holder was still loading stayed in its list.
+    void worker_removedWhileAHolderLoads_receivesNoStart()
+    {
+        beginSlowTakeover();
+        simulation_->store().remove({RecordType::Workers, idOf(0).value()});
+        finishSlowTakeover();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(idOf(0), "a"));
+    }
+
+    void workerEntry_replacedByAnOddOneWhileAHolderLoads_receivesNoStart()
+    {
+        beginSlowTakeover();
+        putMalformed(idOf(0).value());
+        finishSlowTakeover();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(idOf(0), "a"));
+    }
+
     void workerEntry_whereNobodyAnswers_doesNotDelayStarts()
     {
         putUnreachable("odd");
