Let only a worker's replies show that it has restarted

Seen: an entry with a start time in the future, left by another writer, counted as a restart. The worker's tasks were started again elsewhere while they ran. Its real restart later was not recognized, since its start time was lower, and its completions, numbered anew, counted as known ones.

Cause: setEntry() took the incarnation of the entry as proof.

Change: an entry with a higher incarnation makes the holder read the worker at once, and no start is sent to it until the reply. The reply's incarnation decides. A worker that restarted and cannot be reached keeps its runs until its lease expires.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -92,9 +92,12 @@
     }
     worker.entry = entry;
     worker.isListed = true;
-    if (entry.incarnation != WorkerIncarnation()
-        && (!worker.incarnation || entry.incarnation > *worker.incarnation))
-        updateIncarnation(worker, entry.incarnation);
+    // Only the worker's own replies show that it has restarted, as other writers may change its
+    // entry. Until the next reply, it receives no new work.
+    if (worker.incarnation && entry.incarnation > *worker.incarnation) {
+        worker.isStateRead = false;
+        scheduleHeartbeat(worker);
+    }
 }
 
 void WorkerFleet::removeEntry(const WorkerId &id)
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(workerName_withALineBreak_isLoggedInOneLine);
     CPPUNIT_TEST(worker_removedWhileAHolderLoads_receivesNoStart);
     CPPUNIT_TEST(workerEntry_replacedByAnOddOneWhileAHolderLoads_receivesNoStart);
+    CPPUNIT_TEST(workerEntry_withAnImpossibleIncarnation_startsNothingTwice);
+    CPPUNIT_TEST(workerEntry_withAnImpossibleIncarnation_laterRestartIsRecognized);
     CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayStarts);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
@@ -662,6 +664,45 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(idOf(0), "a"));
     }
 
+    /// An entry with a start time in the future counted as a restart of the worker: its tasks were
+    /// started elsewhere while they ran.
+    void workerEntry_withAnImpossibleIncarnation_startsNothingTwice()
+    {
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a", 8));
+        simulation_->advance(Milliseconds(300));
+        for (std::size_t i = 0; i < 4; ++i) {
+            if (startsOn(idOf(i), "a") > 0)
+                publishWithImpossibleIncarnation(i);
+        }
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), simulation_->startsOf(JobId("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    /// After an entry with a start time in the future, the worker's real restart was not seen, and
+    /// its completions, numbered anew, were taken for known ones.
+    void workerEntry_withAnImpossibleIncarnation_laterRestartIsRecognized()
+    {
+        for (int i = 0; i < 2; ++i) {
+            const std::string job = "before" + std::to_string(i);
+            simulation_->submitAndWait(0, CellSimulation::job(job, 32));
+            CPPUNIT_ASSERT(completes(job));
+        }
+        for (std::size_t i = 0; i < 4; ++i)
+            publishWithImpossibleIncarnation(i);
+        simulation_->advance(Milliseconds(1000));
+        simulation_->submitAndWait(0, CellSimulation::job("between", 32));
+        CPPUNIT_ASSERT(completes("between"));
+        for (std::size_t i = 0; i < 4; ++i)
+            simulation_->worker(i).restart(simulation_->now());
+        simulation_->publishWorkers();
+        simulation_->advance(Milliseconds(3000));
+        simulation_->submitAndWait(0, CellSimulation::job("after", 4));
+        CPPUNIT_ASSERT(completes("after"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), simulation_->startsOf(JobId("after")));
+    }
+
     void workerEntry_whereNobodyAnswers_doesNotDelayStarts()
     {
         putUnreachable("odd");
