Keep workers that never answered out of the roster

Seen: an entry with an address where nobody answers held back every new holder for the time of an earlier holder's confirmation and a worker lease (13 s), in which it started none of the jobs that it found.

Cause: the roster contained every listed worker, and a holder waits for the workers of the roster.

Change: the roster contains workers with runs, workers that were read and answer, and, until the holder has recovered, those of the stored roster that were not read. A worker that is taken out is not used before a write has put it in again, so that runs exist only on workers of the roster.

The tests failed before: no event=workers_recovered within 1.5 s of the takeover, for an entry that was never reachable and for a worker whose entry was moved to such an address.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -1,5 +1,8 @@
 #include "Cell/CellScheduler.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace caraway::cell {
 
 namespace {
@@ -395,16 +398,18 @@
         return;
     std::vector<WorkerId> roster;
     for (const auto &[id, worker] : fleet_.workers()) {
-        const bool mayHaveRuns = worker.isListed || !worker.placements.empty()
-                || (!worker.isStateRead && !fleet_.isRecovered());
-        if (!mayHaveRuns)
-            continue;
-        roster.push_back(id);
+        if (fleet_.mayHaveRuns(worker))
+            roster.push_back(id);
     }
     // Both are sorted by name.
     if (std::equal(roster.begin(), roster.end(), roster_.begin(), roster_.end()))
         return;
     rosterWritePending_ = true;
+    // Nothing is started on the removed workers, even if they answer before the write is done.
+    std::set<WorkerId> kept;
+    std::set_intersection(roster.begin(), roster.end(), roster_.begin(), roster_.end(),
+                          std::inserter(kept, kept.end()));
+    fleet_.setRoster(kept);
     recorder_.markRoster(std::move(roster));
 }
 
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds stopRetryInterval {600};
 constexpr Milliseconds unansweredBackoff {1500};
 constexpr Milliseconds unhealthyBackoff {1000};
+/// A worker without runs that did not answer this many calls leaves the roster.
+constexpr int maxUnansweredCalls = 3;
 /// A worker lists at most this many completions in one reply, so a full list may be incomplete.
 constexpr std::size_t maxCompletionsPerReply = 500;
 /// Worker clocks may be slow by two percent (1/50).
@@ -121,6 +123,16 @@
             && worker.orphanedRuns == 0 && context_.now() >= worker.avoidUntil;
 }
 
+bool WorkerFleet::mayHaveRuns(const CellWorker &worker) const
+{
+    if (!worker.placements.empty())
+        return true;
+    // Only workers of the stored roster may have runs of earlier holders.
+    if (!worker.isStateRead)
+        return worker.isInRoster && !recovered_;
+    return worker.isListed && worker.unansweredCalls < maxUnansweredCalls;
+}
+
 void WorkerFleet::start(const WorkerId &id, StartRequest request)
 {
     CellWorker *worker = findWorker(id);
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -68,6 +68,9 @@
     /// lease has expired.
     bool isRecovered() const { return recovered_; }
     std::vector<WorkerId> unreadWorkers() const;
+    /// Whether the worker has runs or may receive some soon, so that the next holder has to read
+    /// it first.
+    bool mayHaveRuns(const CellWorker &worker) const;
 
 private:
     void sendHeartbeat(CellWorker &worker, bool mayRenew);
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -46,6 +46,8 @@
     CPPUNIT_TEST(workerEntry_replacedByAnOddOneWhileAHolderLoads_receivesNoStart);
     CPPUNIT_TEST(workerEntry_withAnImpossibleIncarnation_startsNothingTwice);
     CPPUNIT_TEST(workerEntry_withAnImpossibleIncarnation_laterRestartIsRecognized);
+    CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayTheNextHolder);
+    CPPUNIT_TEST(workerEntry_movedToWhereNobodyAnswers_doesNotDelayTheNextHolder);
     CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayStarts);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
@@ -703,6 +705,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), simulation_->startsOf(JobId("after")));
     }
 
+    /// The next holder waited for the lease of a worker that no holder had ever reached.
+    void workerEntry_whereNobodyAnswers_doesNotDelayTheNextHolder()
+    {
+        putUnreachable("odd");
+        simulation_->advance(Milliseconds(3000));
+        for (int i = 0; i < 3; ++i)
+            assertPromptTakeover();
+    }
+
+    void workerEntry_movedToWhereNobodyAnswers_doesNotDelayTheNextHolder()
+    {
+        simulation_->submitAndWait(0, CellSimulation::job("a", 32));
+        CPPUNIT_ASSERT(completes("a"));
+        putUnreachable(idOf(0).value());
+        simulation_->advance(Milliseconds(15'000));
+        assertPromptTakeover();
+        publish(0);
+        simulation_->advance(Milliseconds(3000));
+        simulation_->submitAndWait(other(), CellSimulation::job("b", 32));
+        CPPUNIT_ASSERT(completes("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), startsOn(idOf(0), "b"));
+    }
+
     void workerEntry_whereNobodyAnswers_doesNotDelayStarts()
     {
         putUnreachable("odd");
