Avoid a worker for 300 ms after it refused a start for lack of capacity

Seen: with an entry that overstates its capacity, a gang of 16 was placed on this worker, refused and placed there again in every pass, although other workers were idle.

Cause: the worker with the most free capacity comes first for gangs, and a refusal for lack of capacity changed nothing for the next pass.

Change: such a refusal makes the worker unusable for 300 ms, in which the tasks are placed elsewhere.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds stopRetryInterval {600};
 constexpr Milliseconds unansweredBackoff {1500};
 constexpr Milliseconds unhealthyBackoff {1000};
+/// After a refusal for lack of capacity, which the worker's entry overstates.
+constexpr Milliseconds overloadBackoff {300};
 /// A worker without runs that did not answer this many calls leaves the roster.
 constexpr int maxUnansweredCalls = 3;
 /// A worker lists at most this many completions in one reply, so a full list may be incomplete.
@@ -194,6 +196,9 @@
     case WorkerOutcome::Misdirected:
         worker->avoidUntil = context_.now() + unansweredBackoff;
         break;
+    case WorkerOutcome::InsufficientCapacity:
+        worker->avoidUntil = std::max(worker->avoidUntil, context_.now() + overloadBackoff);
+        break;
     default:
         break;
     }
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayTheNextHolder);
     CPPUNIT_TEST(workerEntry_movedToWhereNobodyAnswers_doesNotDelayTheNextHolder);
     CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayStarts);
+    CPPUNIT_TEST(workerEntry_withExcessiveCapacity_doesNotHoldTasksBack);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -737,6 +738,25 @@
                 [&] { return simulation_->startsOf(JobId("a")) == 32; }, Milliseconds(300)));
     }
 
+    /// A worker that refused what did not fit was chosen again at once, pass after pass.
+    void workerEntry_withExcessiveCapacity_doesNotHoldTasksBack()
+    {
+        simulation_->worker(0).refusesOverload = true;
+        WorkerEntry excessive = simulation_->worker(0).entry;
+        excessive.capacity.processors = Millicores(100'000'000);
+        excessive.capacity.memory = Bytes(std::int64_t(1) << 50);
+        simulation_->store().put({RecordType::Workers, excessive.id.value()}, excessive);
+        simulation_->advance(Milliseconds(1500));
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a", 8 * 4));
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 8 * 4; }, Milliseconds(3000)));
+        JobSpec gang = CellSimulation::job("gang", 16);
+        gang.steps.front().gang = true;
+        simulation_->submitAndWait(0, gang);
+        CPPUNIT_ASSERT(completes("gang"));
+    }
+
     void store_refusingWrites_jobIsReportedAsNotRun()
     {
         simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -6,6 +6,13 @@
 
 using namespace cell;
 
+namespace {
+
+/// The processors that CellSimulation::job() requires for each task.
+constexpr Millicores runProcessors {1000};
+
+} // namespace
+
 WorkerTime SimulatedWorker::clock(TimePoint now) const
 {
     return WorkerTime((now - startedAt_).count() + 1);
@@ -23,6 +30,12 @@
     return reply;
 }
 
+bool SimulatedWorker::fits() const
+{
+    const auto runs = static_cast<std::int64_t>(running_.size()) + 1;
+    return runProcessors * runs <= entry.capacity.processors;
+}
+
 WorkerReply SimulatedWorker::start(TimePoint now, const WorkerStart &command)
 {
     WorkerReply reply;
@@ -43,6 +56,10 @@
     reply.outcome = isClosed && !isRunning ? WorkerOutcome::Superseded : WorkerOutcome::Done;
     if (isRunning || isClosed)
         return reply;
+    if (refusesOverload && !fits()) {
+        reply.outcome = WorkerOutcome::InsufficientCapacity;
+        return reply;
+    }
     const RunPlan planned = plan(command.task, command.run);
     running_.push_back({command.task, command.run, now, now + planned.duration, planned.reason});
     onStarted(*this, running_.back());
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -29,6 +29,8 @@
     };
 
     cell::WorkerEntry entry;
+    /// Whether it refuses a start that exceeds its capacity, which is that of its own entry.
+    bool refusesOverload = false;
     /// Returns how long a run lasts and why it completes.
     std::function<RunPlan(const cell::TaskKey &, cell::RunNumber)> plan;
     /// Called for every start and every completion of a run.
@@ -54,6 +56,7 @@
     {
         leaseDeadline_ = std::max(leaseDeadline_, deadline);
     }
+    bool fits() const;
     cell::WorkerReply start(TimePoint now, const cell::WorkerStart &command);
     void complete(TimePoint now, std::size_t index, cell::CompletionReason reason);
     void answerHeartbeats(TimePoint now);
