Keep the rest of the instance list when one of its entries is malformed

Seen: one odd entry, for example a port of 65536 or a memory size beyond 64 bits, made the whole instance list malformed at every read. `serve` kept the list of before and did not follow later changes, and an instance that started then had no list at all.

Cause: the first error of an entry ended the decoding of the list.

Change: malformed entries are left out, and stderr names them with the reason once for each change. A list that is not JSON, is nested too deeply or lacks its arrays is refused as before.

The tests failed before: the list with an additional `null` was refused. Numbers out of range, nesting and truncation were detected before as well.

--- a/Source/Duties/InstanceListDuty.cpp
+++ b/Source/Duties/InstanceListDuty.cpp
@@ -36,8 +36,13 @@
     if (!response || response->status != 200)
         return;
     const auto offer = [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(list, decodeInstanceList(response->body));
-        events_.offer(InstanceListRead {std::move(list), readAt});
+        BOOST_LEAF_AUTO(decoded, decodeInstanceList(response->body));
+        if (decoded.malformed != malformed_) {
+            for (const std::string &entry : decoded.malformed)
+                fmt::print(stderr, "Ignoring a malformed entry of the instance list, {}\n", entry);
+        }
+        malformed_ = std::move(decoded.malformed);
+        events_.offer(InstanceListRead {std::move(decoded.list), readAt});
         return {};
     };
     recoverFrom(offer, [](const Error &error) {
--- a/Source/Duties/InstanceListDuty.h
+++ b/Source/Duties/InstanceListDuty.h
@@ -5,7 +5,9 @@
 #include "Duties/Rings.h"
 #include "Duties/ServeSettings.h"
 
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace caraway {
 
@@ -24,6 +26,8 @@
     const Clock &clock_;
     Milliseconds interval_;
     std::unique_ptr<httplib::Client> client_;
+    /// The malformed entries of the last list, which are logged when they change.
+    std::vector<std::string> malformed_;
     StopSignal stop_;
     std::thread thread_;
 };
--- a/Source/Messages/FleetCodec.cpp
+++ b/Source/Messages/FleetCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "Messages/JobCodec.h"
 
+#include <fmt/format.h>
+
 namespace caraway {
 
 namespace {
@@ -48,23 +50,35 @@
     return worker;
 }
 
+template<class Member>
+void decodeMembers(const nlohmann::json &rows, Result<Member> (*decode)(const nlohmann::json &),
+                   std::vector<Member> &members, std::vector<std::string> &malformed)
+{
+    for (const nlohmann::json &row : rows) {
+        const auto add = [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(member, decode(row));
+            members.push_back(std::move(member));
+            return {};
+        };
+        recoverFrom(add, [&](const Error &error) {
+            const nlohmann::json id = row.is_object() ? row.value("id", nlohmann::json()) : row;
+            malformed.push_back(fmt::format(
+                    "{}: {}", id.is_string() ? id.dump() : std::string("no id"), error.message));
+        });
+    }
+}
+
 } // namespace
 
-Result<InstanceList> decodeInstanceList(std::string_view body)
+Result<DecodedInstanceList> decodeInstanceList(std::string_view body)
 {
     BOOST_LEAF_AUTO(json, parseJson(body));
     ObjectReader reader(json, "instance list");
-    InstanceList list;
-    for (const nlohmann::json &element : reader.array("entries")) {
-        BOOST_LEAF_AUTO(entry, decodeEntry(element));
-        list.entries.push_back(std::move(entry));
-    }
-    for (const nlohmann::json &element : reader.array("workers")) {
-        BOOST_LEAF_AUTO(worker, decodeWorker(element));
-        list.workers.push_back(std::move(worker));
-    }
+    DecodedInstanceList decoded;
+    decodeMembers(reader.array("entries"), decodeEntry, decoded.list.entries, decoded.malformed);
+    decodeMembers(reader.array("workers"), decodeWorker, decoded.list.workers, decoded.malformed);
     BOOST_LEAF_CHECK(reader.finish());
-    return list;
+    return decoded;
 }
 
 std::string encodeShardRecord(const ShardRecord &record)
