--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -748,9 +748,9 @@
         simulation_->store().put({RecordType::Workers, excessive.id.value()}, excessive);
         simulation_->advance(Milliseconds(1500));
         simulation_->plan = longRuns();
-        simulation_->submitAndWait(0, CellSimulation::job("a", 8 * 4));
+        simulation_->submitAndWait(0, CellSimulation::job("a", 32));
         CPPUNIT_ASSERT(simulation_->advanceUntil(
-                [&] { return simulation_->startsOf(JobId("a")) == 8 * 4; }, Milliseconds(3000)));
+                [&] { return simulation_->startsOf(JobId("a")) == 32; }, Milliseconds(3000)));
         JobSpec gang = CellSimulation::job("gang", 16);
         gang.steps.front().gang = true;
         simulation_->submitAndWait(0, gang);
--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fmt/format.h>
+
 #include <openssl/evp.h>
 
 #include <map>
@@ -263,7 +265,8 @@
             assertMalformed({{"born", number}}, "born");
             assertMalformed({{"remainingMs", number}}, "remainingMs");
             for (const std::string field : {"cpu", "memMb", "gpus"})
-                assertMalformed({{"capacity", R"({")" + field + "\":" + number + "}"}}, field);
+                assertMalformed({{"capacity", fmt::format(R"({{"{}":{}}})", field, number)}},
+                                field);
         }
     }
 
@@ -596,7 +599,7 @@
         std::string entry;
         for (const auto &[field, text] : fields) {
             if (!text.empty())
-                entry += (entry.empty() ? "\"" : ",\"") + field + "\":" + text;
+                entry += fmt::format(R"({}"{}":{})", entry.empty() ? "" : ",", field, text);
         }
         return "{" + entry + "}";
     }
