--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds stopRetryInterval {600};
 constexpr Milliseconds unansweredBackoff {1500};
 constexpr Milliseconds unhealthyBackoff {1000};
+/// After a refusal for lack of capacity, which the worker's entry overstates.
+constexpr Milliseconds overloadBackoff {300};
 /// A worker lists at most this many completions in one reply, so a full list may be incomplete.
 constexpr std::size_t maxCompletionsPerReply = 500;
 /// Worker clocks may be slow by two percent (1/50).
@@ -98,9 +100,12 @@
     if (!entry.reportedAt && worker.hasClock())
         worker.entry->reportedAt = worker.estimatedClock(context_.now());
     worker.isListed = true;
-    if (entry.incarnation != WorkerIncarnation()
-        && (!worker.incarnation || entry.incarnation > *worker.incarnation))
-        updateIncarnation(worker, entry.incarnation);
+    // Only the worker's own replies show that it has restarted, as other writers may change its
+    // entry. Until the next reply, it receives no new work.
+    if (worker.incarnation && entry.incarnation > *worker.incarnation) {
+        worker.isStateRead = false;
+        scheduleHeartbeat(worker);
+    }
 }
 
 void WorkerFleet::removeEntry(const WorkerId &id)
@@ -211,6 +216,9 @@
     case WorkerOutcome::Misdirected:
         worker->avoidUntil = context_.now() + unansweredBackoff;
         break;
+    case WorkerOutcome::InsufficientCapacity:
+        worker->avoidUntil = std::max(worker->avoidUntil, context_.now() + overloadBackoff);
+        break;
     default:
         break;
     }
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -51,6 +51,18 @@
     CPPUNIT_TEST(task_completingBeforeItsWorkerLeaves_isNotStopped);
     CPPUNIT_TEST(task_onAWorkerThatLeavesAfterAChangeOfHolder_startsElsewhereBefore);
     CPPUNIT_TEST(task_onALeavingWorkerThatDoesNotAnswer_startsElsewhereSoonAfterItsLeaving);
+    CPPUNIT_TEST(workerList_withAnOddEntry_isStillFollowedByEveryHolder);
+    CPPUNIT_TEST(workerEntry_replacedByAnOddOne_isUsedAgainAfterItsReturn);
+    CPPUNIT_TEST(workerEntry_malformed_isLoggedOncePerChange);
+    CPPUNIT_TEST(workerName_withALineBreak_isLoggedInOneLine);
+    CPPUNIT_TEST(worker_removedWhileAHolderLoads_receivesNoStart);
+    CPPUNIT_TEST(workerEntry_replacedByAnOddOneWhileAHolderLoads_receivesNoStart);
+    CPPUNIT_TEST(workerEntry_withAnImpossibleIncarnation_startsNothingTwice);
+    CPPUNIT_TEST(workerEntry_withAnImpossibleIncarnation_laterRestartIsRecognized);
+    CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayTheNextHolder);
+    CPPUNIT_TEST(workerEntry_movedToWhereNobodyAnswers_doesNotDelayTheNextHolder);
+    CPPUNIT_TEST(workerEntry_whereNobodyAnswers_doesNotDelayStarts);
+    CPPUNIT_TEST(workerEntry_withExcessiveCapacity_doesNotHoldTasksBack);
     CPPUNIT_TEST(store_refusingWrites_jobIsReportedAsNotRun);
     CPPUNIT_TEST(store_losingTheReply_acceptsTheJobOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -806,6 +818,189 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
+    /// The machines that read a list with one odd entry stopped following it.
+    void workerList_withAnOddEntry_isStillFollowedByEveryHolder()
+    {
+        putMalformed("odd");
+        for (std::size_t next = 0; next < 3; ++next) {
+            makeHolder(next);
+            const std::string suffix = std::to_string(next);
+            // Another odd entry, a draining worker and a removed worker, all after the start.
+            putMalformed("odd-" + suffix);
+            simulation_->worker(1).entry.draining = true;
+            publish(1);
+            simulation_->store().remove({RecordType::Workers, idOf(0).value()});
+            simulation_->advance(Milliseconds(2000));
+            const std::size_t before = simulation_->starts().size();
+            CPPUNIT_ASSERT(simulation_->submitAndWait(next, CellSimulation::job("few" + suffix, 16))
+                           == CallerOutcome::Accepted);
+            CPPUNIT_ASSERT(completes("few" + suffix));
+            for (std::size_t i = before; i < simulation_->starts().size(); ++i) {
+                CPPUNIT_ASSERT(simulation_->starts()[i].worker != idOf(0));
+                CPPUNIT_ASSERT(simulation_->starts()[i].worker != idOf(1));
+            }
+            simulation_->worker(1).entry.draining = false;
+            publish(0);
+            publish(1);
+            simulation_->advance(Milliseconds(2000));
+            std::set<WorkerId> used;
+            const std::size_t all = simulation_->starts().size();
+            CPPUNIT_ASSERT(simulation_->submitAndWait(next, CellSimulation::job("all" + suffix, 32))
+                           == CallerOutcome::Accepted);
+            CPPUNIT_ASSERT(completes("all" + suffix));
+            for (std::size_t i = all; i < simulation_->starts().size(); ++i)
+                used.insert(simulation_->starts()[i].worker);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(4), used.size());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void workerEntry_replacedByAnOddOne_isUsedAgainAfterItsReturn()
+    {
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a", 32));
+        simulation_->advance(Milliseconds(300));
+        putMalformed(idOf(2).value());
+        // Runs on the worker go on.
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(32), simulation_->startsOf(JobId("a")));
+        simulation_->submitAndWait(0, CellSimulation::job("b", 24));
+        CPPUNIT_ASSERT(completes("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(idOf(2), "b"));
+        publish(2);
+        simulation_->advance(Milliseconds(1000));
+        simulation_->submitAndWait(0, CellSimulation::job("c", 32));
+        CPPUNIT_ASSERT(completes("c"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), startsOn(idOf(2), "c"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void workerEntry_malformed_isLoggedOncePerChange()
+    {
+        putMalformed("odd");
+        simulation_->advance(Milliseconds(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=worker_entry_malformed"));
+        putMalformed("odd");
+        simulation_->advance(Milliseconds(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), logged("event=worker_entry_malformed"));
+    }
+
+    void workerName_withALineBreak_isLoggedInOneLine()
+    {
+        putMalformed("odd\nevent=forged\r\x1b[2J");
+        simulation_->advance(Milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=worker_entry_malformed"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), logged("\nevent=forged"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), logged("\x1b"));
+    }
+
+    /// A worker whose entry was removed while a new holder was still loading stayed in its list.
+    void worker_removedWhileAHolderLoads_receivesNoStart()
+    {
+        beginSlowTakeover();
+        simulation_->store().remove({RecordType::Workers, idOf(0).value()});
+        finishSlowTakeover();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(idOf(0), "a"));
+    }
+
+    void workerEntry_replacedByAnOddOneWhileAHolderLoads_receivesNoStart()
+    {
+        beginSlowTakeover();
+        putMalformed(idOf(0).value());
+        finishSlowTakeover();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(idOf(0), "a"));
+    }
+
+    /// An entry with a start time in the future counted as a restart of the worker: its tasks were
+    /// started elsewhere while they ran.
+    void workerEntry_withAnImpossibleIncarnation_startsNothingTwice()
+    {
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a", 8));
+        simulation_->advance(Milliseconds(300));
+        for (std::size_t i = 0; i < 4; ++i) {
+            if (startsOn(idOf(i), "a") > 0)
+                publishWithImpossibleIncarnation(i);
+        }
+        CPPUNIT_ASSERT(completes("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), simulation_->startsOf(JobId("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    /// After an entry with a start time in the future, the worker's real restart was not seen, and
+    /// its completions, numbered anew, were taken for known ones.
+    void workerEntry_withAnImpossibleIncarnation_laterRestartIsRecognized()
+    {
+        for (int i = 0; i < 2; ++i) {
+            const std::string job = "before" + std::to_string(i);
+            simulation_->submitAndWait(0, CellSimulation::job(job, 32));
+            CPPUNIT_ASSERT(completes(job));
+        }
+        for (std::size_t i = 0; i < 4; ++i)
+            publishWithImpossibleIncarnation(i);
+        simulation_->advance(Milliseconds(1000));
+        simulation_->submitAndWait(0, CellSimulation::job("between", 32));
+        CPPUNIT_ASSERT(completes("between"));
+        for (std::size_t i = 0; i < 4; ++i)
+            simulation_->worker(i).restart(simulation_->now());
+        simulation_->publishWorkers();
+        simulation_->advance(Milliseconds(3000));
+        simulation_->submitAndWait(0, CellSimulation::job("after", 4));
+        CPPUNIT_ASSERT(completes("after"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), simulation_->startsOf(JobId("after")));
+    }
+
+    /// The next holder waited for the lease of a worker that no holder had ever reached.
+    void workerEntry_whereNobodyAnswers_doesNotDelayTheNextHolder()
+    {
+        putUnreachable("odd");
+        simulation_->advance(Milliseconds(3000));
+        for (int i = 0; i < 3; ++i)
+            assertPromptTakeover();
+    }
+
+    void workerEntry_movedToWhereNobodyAnswers_doesNotDelayTheNextHolder()
+    {
+        simulation_->submitAndWait(0, CellSimulation::job("a", 32));
+        CPPUNIT_ASSERT(completes("a"));
+        putUnreachable(idOf(0).value());
+        simulation_->advance(Milliseconds(15'000));
+        assertPromptTakeover();
+        publish(0);
+        simulation_->advance(Milliseconds(3000));
+        simulation_->submitAndWait(other(), CellSimulation::job("b", 32));
+        CPPUNIT_ASSERT(completes("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), startsOn(idOf(0), "b"));
+    }
+
+    void workerEntry_whereNobodyAnswers_doesNotDelayStarts()
+    {
+        putUnreachable("odd");
+        simulation_->advance(Milliseconds(1000));
+        simulation_->submitAndWait(0, CellSimulation::job("a", 32));
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 32; }, Milliseconds(300)));
+    }
+
+    /// A worker that refused what did not fit was chosen again at once, pass after pass.
+    void workerEntry_withExcessiveCapacity_doesNotHoldTasksBack()
+    {
+        simulation_->worker(0).refusesOverload = true;
+        WorkerEntry excessive = simulation_->worker(0).entry;
+        excessive.capacity.processors = Millicores(100'000'000);
+        excessive.capacity.memory = Bytes(std::int64_t(1) << 50);
+        simulation_->store().put({RecordType::Workers, excessive.id.value()}, excessive);
+        simulation_->advance(Milliseconds(1500));
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a", 32));
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 32; }, Milliseconds(3000)));
+        JobSpec gang = CellSimulation::job("gang", 16);
+        gang.steps.front().gang = true;
+        simulation_->submitAndWait(0, gang);
+        CPPUNIT_ASSERT(completes("gang"));
+    }
+
     void store_refusingWrites_jobIsReportedAsNotRun()
     {
         simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
@@ -931,6 +1126,102 @@
             return write.key.type == RecordType::Roster;
         });
     }
+    /// Makes one instance the holder, then restarts the others.
+    void makeHolder(std::size_t next)
+    {
+        for (std::size_t i = 0; i < 3; ++i) {
+            if (i != next)
+                simulation_->kill(i);
+        }
+        CPPUNIT_ASSERT(
+                simulation_->advanceUntil([&] { return simulation_->holder() == next; }, longWait));
+        for (std::size_t i = 0; i < 3; ++i) {
+            if (i != next)
+                simulation_->restart(i);
+        }
+        simulation_->advance(Milliseconds(1500));
+    }
+
+    void putMalformed(const std::string &name)
+    {
+        simulation_->store().put({RecordType::Workers, name}, Malformed {});
+    }
+    void publish(std::size_t worker)
+    {
+        simulation_->store().put({RecordType::Workers, idOf(worker).value()},
+                                 simulation_->worker(worker).entry);
+    }
+    void publishWithImpossibleIncarnation(std::size_t worker)
+    {
+        WorkerEntry entry = simulation_->worker(worker).entry;
+        entry.incarnation = WorkerIncarnation(std::uint64_t(1) << 62);
+        simulation_->store().put({RecordType::Workers, entry.id.value()}, entry);
+    }
+    /// Writes an entry with an address where nobody answers.
+    void putUnreachable(const std::string &name)
+    {
+        WorkerEntry entry = simulation_->worker(0).entry;
+        entry.id = WorkerId(name);
+        entry.address = nobody;
+        simulation_->store().put({RecordType::Workers, name}, entry);
+        simulation_->workerDelivery = [](const InstanceId &, const WorkerRequest &request) {
+            return request.address == nobody ? CellSimulation::Delivery::Lost
+                                             : CellSimulation::Delivery::Delivered;
+        };
+    }
+    const WorkerId &idOf(std::size_t worker) { return simulation_->worker(worker).entry.id; }
+    std::size_t startsOn(const WorkerId &worker, const std::string &job) const
+    {
+        const auto &starts = simulation_->starts();
+        return static_cast<std::size_t>(std::count_if(
+                starts.begin(), starts.end(), [&](const CellSimulation::ObservedRun &row) {
+                    return row.worker == worker && row.task.job == JobId(job);
+                }));
+    }
+    std::size_t logged(const std::string &text) const
+    {
+        std::size_t count = 0;
+        for (std::size_t at = simulation_->log.find(text); at != std::string::npos;
+             at = simulation_->log.find(text, at + 1))
+            ++count;
+        return count;
+    }
+    void assertPromptTakeover()
+    {
+        const std::size_t old = *simulation_->holder();
+        replaceHolder();
+        simulation_->log.clear();
+        simulation_->advance(Milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=workers_recovered"));
+        simulation_->restart(old);
+        simulation_->advance(Milliseconds(1500));
+    }
+    /// Replaces the holder by one whose reads of job progress are refused, so that it keeps
+    /// loading.
+    void beginSlowTakeover()
+    {
+        simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &request) {
+            const auto *list = std::get_if<StoreList>(&request);
+            return list && list->type == RecordType::Progress ? CellSimulation::Delivery::Lost
+                                                              : CellSimulation::Delivery::Delivered;
+        };
+        replaceHolder();
+        simulation_->advance(Milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=holder_state_loaded"));
+    }
+    void finishSlowTakeover()
+    {
+        simulation_->advance(Milliseconds(1200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged("event=holder_state_loaded"));
+        simulation_->storeDelivery = nullptr;
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return logged("event=holder_state_loaded") == 2; }, longWait));
+        simulation_->advance(Milliseconds(3000));
+        simulation_->submitAndWait(*simulation_->holder(), CellSimulation::job("a", 32));
+        simulation_->advance(Milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(32), simulation_->startsOf(JobId("a")));
+    }
+
     /// An instance that is not the holder.
     std::size_t other() const { return (*simulation_->holder() + 1) % 3; }
     bool completes(const std::string &job) { return reaches(job, JobState::Completed); }
@@ -943,6 +1234,7 @@
     static constexpr Milliseconds longWait {20'000};
     /// A job for which there is capacity has something running again within this time.
     static constexpr Milliseconds longestIdleTime {3000};
+    static inline const Address nobody {"10.9.9.9", 9};
     std::unique_ptr<CellSimulation> simulation_;
 };
 
