Take an entry's later start time for a restart if it is not in the future

Callers saw (in the test): tasks of a worker that had restarted and was cut off from the holder waited for the lease that the worker had before.

Cause: since entries with an impossible start time are no longer believed, none was: only a reply of the worker showed a restart.

Change: a start time up to a minute ahead of this instance's time of day is taken for a restart at once, as before; one beyond that needs the worker's reply.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -34,6 +34,8 @@
 constexpr std::int64_t clockDriftDivisor = 50;
 /// For network delay.
 constexpr Milliseconds recoveryMargin {300};
+/// By this much the time of day of a worker may be ahead of this instance's; both may jump.
+constexpr WallTime maxClockDifference {60'000};
 
 } // namespace
 
@@ -100,12 +102,18 @@
     if (!entry.reportedAt && worker.hasClock())
         worker.entry->reportedAt = worker.estimatedClock(context_.now());
     worker.isListed = true;
-    // Only the worker's own replies show that it has restarted, as other writers may change its
-    // entry. Until the next reply, it receives no new work.
-    if (worker.incarnation && entry.incarnation > *worker.incarnation) {
-        worker.isStateRead = false;
-        scheduleHeartbeat(worker);
+    if (!worker.incarnation || entry.incarnation <= *worker.incarnation)
+        return;
+    const auto latestStart
+            = static_cast<std::uint64_t>((context_.wallTime() + maxClockDifference).count());
+    if (entry.incarnation.value() <= latestStart) {
+        updateIncarnation(worker, entry.incarnation);
+        return;
     }
+    // Another writer has left a start time in the future. Only the worker's reply shows whether it
+    // has restarted; until then it receives no new work.
+    worker.isStateRead = false;
+    scheduleHeartbeat(worker);
 }
 
 void WorkerFleet::removeEntry(const WorkerId &id)
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(worker_restarted_itsTasksRunAgain);
     CPPUNIT_TEST(worker_unreachable_itsTasksRunElsewhereAfterLeaseExpiry);
     CPPUNIT_TEST(worker_refusingConnections_itsTasksRunElsewhereAfterLeaseExpiry);
+    CPPUNIT_TEST(worker_restartedAndCutOff_itsTasksRunElsewhereWithoutWaitingForTheLease);
     CPPUNIT_TEST(worker_draining_receivesNoStart);
     CPPUNIT_TEST(worker_thatStopsAnswering_isLoggedWithItsRunsAndLease);
     CPPUNIT_TEST(gang_onAWorkerThatLeaves_startsAgainWithoutWaitingForTheLease);
@@ -724,6 +725,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
+    void worker_restartedAndCutOff_itsTasksRunElsewhereWithoutWaitingForTheLease()
+    {
+        simulation_->plan = longRuns();
+        simulation_->submitAndWait(0, CellSimulation::job("a"));
+        simulation_->advance(Milliseconds(300));
+        const WorkerId restarted = simulation_->starts().front().worker;
+        losesCallsTo(restarted, CellSimulation::Delivery::Lost);
+        simulation_->worker(simulation_->indexOf(restarted)).restart(simulation_->now());
+        simulation_->publishWorkers();
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 2; }, longestIdleTime));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
     void worker_draining_receivesNoStart()
     {
         simulation_->worker(0).entry.draining = true;
