Let only the jobs of a closed worker's runs wait for it after a takeover

Cause: a worker with runs that crashed, was cut off or drains stays in the roster until its runs have certainly ended. If the holder changes before, all older jobs wait for 7 s and the longest lease, although the last holder knew which jobs have runs there.

Change: the holder closes such a worker to starts and stores the jobs of its runs, in the commit that writes the roster. A new holder that cannot read a closed worker lets only these jobs wait. The record is valid only with the revision of the roster, as an earlier release writes the roster alone; it ignores the new record. Fields of existing records are unchanged.

Why it is safe: a worker is closed only when its state was read, the holder has recovered, and all its completions are recorded, so the list holds each job that may have a run or an unread completion there. From before the write until a roster that opens the worker is stored, the holder starts nothing there; a holder that was replaced cannot store one. A new holder keeps the list until it reads the worker or its wait ends.

Result: before, holder_afterTheCrashOfAWorkerWithRuns_delaysOnlyTheirJobs failed: the other job had not started after 3 s. The tests of the dangerous cases fail when the closing before the write, the list of jobs or the check of the revision is taken out. noticesLoss replaces 3 s in the test of an idle worker: the heartbeat before the loss may wait 1.5 s, which its comment left out.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -368,11 +368,10 @@
     context_.callStore(StoreGet {{RecordType::Roster, {}}}, [this, term](const StoreReply &reply) {
         if (term != termChanges_ || !loading_)
             return;
-        const RosterRecord *roster = nullptr;
-        if (!reply.items.empty())
-            roster = std::get_if<RosterRecord>(&reply.items.front().value);
-        if (reply.outcome == StoreOutcome::Done && roster)
-            loading_->roster = roster->workers;
+        const bool hasRoster = !reply.items.empty()
+                && std::holds_alternative<RosterRecord>(reply.items.front().value);
+        if (reply.outcome == StoreOutcome::Done && hasRoster)
+            loadClosedWorkers(term, reply.items.front());
         else if (reply.outcome == StoreOutcome::NotFound)
             loading_->roster.emplace();
         else
@@ -381,6 +380,37 @@
     });
 }
 
+void CellInstance::loadClosedWorkers(std::uint64_t term, const StoreItem &rosterItem)
+{
+    context_.callStore(
+            StoreGet {{RecordType::ClosedWorkers, {}}},
+            [this, term, rosterItem](const StoreReply &reply) {
+                if (term != termChanges_ || !loading_)
+                    return;
+                if (reply.outcome != StoreOutcome::Done
+                    && reply.outcome != StoreOutcome::NotFound) {
+                    retryLater([this, term, rosterItem] { loadClosedWorkers(term, rosterItem); });
+                    return;
+                }
+                const auto &workers = std::get<RosterRecord>(rosterItem.value).workers;
+                Roster &roster = loading_->roster.emplace();
+                roster.workers = {workers.begin(), workers.end()};
+                // An earlier release writes the roster alone, which leaves this record outdated.
+                const bool isCurrent = !reply.items.empty()
+                        && reply.items.front().revision == rosterItem.revision;
+                if (isCurrent) {
+                    const auto *closed
+                            = std::get_if<ClosedWorkersRecord>(&reply.items.front().value);
+                    if (closed)
+                        roster.closed = closed->workers;
+                    else
+                        context_.log("event=record_malformed name=closed-workers revision={}",
+                                     rosterItem.revision.value());
+                }
+                checkLoaded();
+            });
+}
+
 void CellInstance::checkLoaded()
 {
     if (!loading_ || !loading_->progressRead || !loading_->sequence || !loading_->roster
@@ -389,9 +419,11 @@
     }
     const Loading loaded = std::move(*loading_);
     loading_.reset();
-    context_.log("event=holder_state_loaded generation={} jobs={} progress={} workers={} roster={}",
+    context_.log("event=holder_state_loaded generation={} jobs={} progress={} workers={} roster={} "
+                 "closed={}",
                  election_.generation(), loaded.jobs.size(), loaded.progress.size(),
-                 loaded.workers.size(), loaded.roster->size());
+                 loaded.workers.size(), loaded.roster->workers.size(),
+                 loaded.roster->closed.size());
     scheduler_.startTerm({election_.token(), election_.generation(), election_.holderPrecondition(),
                           *loaded.sequence, *loaded.roster});
     for (const WorkerEntry &entry : loaded.workers)
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -87,6 +87,7 @@
     void loadProgress(std::uint64_t term, const std::optional<RecordKey> &after);
     void loadSequence(std::uint64_t term);
     void loadRoster(std::uint64_t term);
+    void loadClosedWorkers(std::uint64_t term, const StoreItem &rosterItem);
     /// Reads the results that earlier holders stored, so that they are removed when their lifetime
     /// expires.
     void loadResults(std::uint64_t term, const std::optional<RecordKey> &after);
@@ -118,7 +119,7 @@
         std::vector<JobId> cancels;
         std::vector<WorkerEntry> workers;
         std::optional<Revision> sequence;
-        std::optional<std::vector<WorkerId>> roster;
+        std::optional<Roster> roster;
         bool progressRead = false;
         std::vector<std::function<void()>> retries;
     };
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -28,7 +28,7 @@
     if (job.accepted().generation > generation_)
         return false;
     // A worker that was not read since the takeover may run a task that an earlier holder started.
-    if (!fleet_.isRecovered() && job.accepted().generation < generation_)
+    if (job.accepted().generation < generation_ && fleet_.mayHaveUnknownRuns(job.id()))
         return false;
     const std::size_t waiting = step.countTasks(CellTask::State::Waiting);
     return step.spec.gang ? waiting == step.tasks.size() : waiting > 0;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -54,9 +54,9 @@
     };
     handlers.resultRecorded
             = [this](const JobId &id, JobState state) { onResultRecorded(id, state); };
-    handlers.rosterRecorded = [this](const std::vector<WorkerId> &roster) {
+    handlers.rosterRecorded = [this](const Roster &roster) {
         rosterWritePending_ = false;
-        roster_ = {roster.begin(), roster.end()};
+        roster_ = roster;
         fleet_.setRoster(roster_);
         passNeeded_ = true;
     };
@@ -70,8 +70,8 @@
     ++term_;
     active_ = true;
     generation_ = term.generation;
-    roster_ = {term.roster.begin(), term.roster.end()};
     fleet_.startTerm(term.token, term.roster);
+    roster_ = std::move(term.roster);
     recorder_.startTerm(std::move(term.holder), term.sequence);
 }
 
@@ -393,23 +393,15 @@
 {
     if (rosterWritePending_)
         return;
-    std::set<WorkerId> roster;
-    bool areAllInRoster = true;
-    for (const auto &[id, worker] : fleet_.workers()) {
-        if (!fleet_.belongsInRoster(worker))
-            continue;
-        roster.insert(roster.end(), id);
-        areAllInRoster &= worker.isInRoster;
-    }
+    Roster roster = fleet_.currentRoster();
     if (roster == roster_) {
         // A worker that was removed and added again is in the stored roster already.
-        if (!areAllInRoster)
-            fleet_.setRoster(roster_);
+        fleet_.setRoster(roster_);
         return;
     }
     rosterWritePending_ = true;
     fleet_.restrictRoster(roster);
-    recorder_.markRoster({roster.begin(), roster.end()});
+    recorder_.markRoster(std::move(roster));
 }
 
 void CellScheduler::expireResults()
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -26,7 +26,7 @@
         std::uint64_t generation = 0;
         StorePrecondition holder;
         Revision sequence;
-        std::vector<WorkerId> roster;
+        Roster roster;
     };
     struct Handlers
     {
@@ -210,7 +210,7 @@
     /// Finished jobs whose result is in the store, with the time at which the result expires.
     std::unordered_map<JobId, TimePoint> finishedJobs_;
     std::set<JobId> cancellations_;
-    std::set<WorkerId> roster_;
+    Roster roster_;
     bool rosterWritePending_ = false;
     /// Since the last pass, a change occurred that may allow further starts.
     bool passNeeded_ = false;
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -45,6 +45,8 @@
     bool isListed = false;
     /// Whether the stored worker roster contains this worker.
     bool isInRoster = false;
+    /// Set while the stored roster closes the worker to starts: the jobs that may have runs there.
+    std::optional<std::set<JobId>> closedWithJobs;
     /// Whether all its running tasks and completions were read under the current fencing token and
     /// in its current incarnation.
     bool isStateRead = false;
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -61,7 +61,7 @@
         expired_.push_back(job);
 }
 
-void ProgressRecorder::markRoster(std::vector<WorkerId> roster)
+void ProgressRecorder::markRoster(Roster roster)
 {
     if (active_)
         roster_ = std::move(roster);
@@ -91,7 +91,9 @@
     commit.write({RecordType::CommitSequence, {}},
                  CommitSequenceRecord {context_.self(), batch.number});
     if (roster_) {
-        commit.write({RecordType::Roster, {}}, RosterRecord {*roster_});
+        commit.write({RecordType::Roster, {}},
+                     RosterRecord {{roster_->workers.begin(), roster_->workers.end()}});
+        commit.write({RecordType::ClosedWorkers, {}}, ClosedWorkersRecord {roster_->closed});
         batch.roster = std::exchange(roster_, std::nullopt);
     }
     while (!jobOrder_.empty() && commit.entries() + entriesPerJob <= maxEntries) {
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -33,7 +33,7 @@
         std::function<std::optional<Snapshot>(const JobId &)> snapshot;
         std::function<void(const RecordedCompletion &)> completionRecorded;
         std::function<void(const JobId &, JobState)> resultRecorded;
-        std::function<void(const std::vector<WorkerId> &)> rosterRecorded;
+        std::function<void(const Roster &)> rosterRecorded;
         /// Another holder has taken over the cell.
         std::function<void()> superseded;
     };
@@ -49,7 +49,7 @@
     void markChanged(const JobId &job, std::optional<RecordedCompletion> completion = std::nullopt);
     /// Schedules the deletion of the result of \a job.
     void markExpired(const JobId &job);
-    void markRoster(std::vector<WorkerId> roster);
+    void markRoster(Roster roster);
     /// Sends the next commit when one is due.
     void tick();
 
@@ -65,7 +65,7 @@
         StoreCommit commit;
         std::vector<RecordedCompletion> completions;
         std::vector<std::pair<JobId, JobState>> results;
-        std::optional<std::vector<WorkerId>> roster;
+        std::optional<Roster> roster;
         std::uint64_t number = 0;
     };
 
@@ -87,7 +87,7 @@
     std::deque<JobId> jobOrder_;
     std::map<JobId, std::vector<RecordedCompletion>> changed_;
     std::deque<JobId> expired_;
-    std::optional<std::vector<WorkerId>> roster_;
+    std::optional<Roster> roster_;
     /// The commit in flight or to be retried.
     std::optional<Batch> batch_;
     bool commitInFlight_ = false;
--- a/Source/Cell/Records.h
+++ b/Source/Cell/Records.h
@@ -3,6 +3,9 @@
 #include "Cell/JobSpec.h"
 #include "Cell/WorkerCalls.h"
 
+#include <map>
+#include <set>
+
 namespace caraway::cell {
 
 /// The types of record in the store. A record's key consists of its type and a name.
@@ -15,6 +18,8 @@
     CommitSequence,
     /// The worker roster: workers on which the holder may have started runs.
     Roster,
+    /// Workers of the roster that receive no starts; valid if it has the revision of the roster.
+    ClosedWorkers,
     /// Accepted jobs that have not finished.
     Jobs,
     /// Cancellation requests for jobs that have not finished.
@@ -71,6 +76,23 @@
     std::vector<WorkerId> workers;
 };
 
+/// Closed workers, and the jobs that may have runs on each of them.
+using ClosedWorkers = std::map<WorkerId, std::set<JobId>>;
+
+struct ClosedWorkersRecord
+{
+    ClosedWorkers workers;
+};
+
+/// The contents of the roster record and of the record of closed workers.
+struct Roster
+{
+    std::set<WorkerId> workers;
+    ClosedWorkers closed;
+
+    friend bool operator==(const Roster &, const Roster &) = default;
+};
+
 struct CancelRecord
 {
     WallTime at;
@@ -88,7 +110,7 @@
 };
 
 using RecordValue = std::variant<std::monostate, Malformed, HolderRecord, CommitSequenceRecord,
-                                 RosterRecord, AcceptedJob, CancelRecord, JobProgress, JobResult,
-                                 CellConfiguration, WorkerEntry>;
+                                 RosterRecord, ClosedWorkersRecord, AcceptedJob, CancelRecord,
+                                 JobProgress, JobResult, CellConfiguration, WorkerEntry>;
 
 } // namespace caraway::cell
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -29,6 +29,8 @@
 constexpr std::int64_t clockDriftDivisor = 50;
 /// For network delay.
 constexpr Milliseconds recoveryMargin {300};
+/// Bounds the record of closed workers; further workers stay open.
+constexpr std::size_t maxClosedJobs = 2000;
 
 } // namespace
 
@@ -38,14 +40,15 @@
 {
 }
 
-void WorkerFleet::startTerm(FencingToken token, const std::vector<WorkerId> &roster)
+void WorkerFleet::startTerm(FencingToken token, const Roster &roster)
 {
     endTerm();
     token_ = token;
     active_ = true;
     termStartedAt_ = context_.now();
-    for (const WorkerId &id : roster)
-        findOrAdd(id).isInRoster = true;
+    for (const WorkerId &id : roster.workers)
+        findOrAdd(id);
+    setRoster(roster);
     checkRecovery();
 }
 
@@ -106,16 +109,46 @@
     worker->isListed = false;
 }
 
-void WorkerFleet::setRoster(const std::set<WorkerId> &roster)
+Roster WorkerFleet::currentRoster() const
 {
-    for (auto &[id, worker] : workers_)
-        worker.isInRoster = roster.contains(id);
+    Roster roster;
+    std::size_t closedJobs = 0;
+    for (const auto &[id, worker] : workers_) {
+        if (!belongsInRoster(worker))
+            continue;
+        roster.workers.insert(roster.workers.end(), id);
+        if (!shouldBeClosed(worker))
+            continue;
+        std::set<JobId> jobs = worker.closedWithJobs.value_or(std::set<JobId>());
+        for (const Placement &placement : worker.placements)
+            jobs.insert(placement.task.job);
+        closedJobs += jobs.size();
+        if (closedJobs <= maxClosedJobs)
+            roster.closed.emplace(id, std::move(jobs));
+    }
+    return roster;
+}
+
+void WorkerFleet::setRoster(const Roster &roster)
+{
+    for (auto &[id, worker] : workers_) {
+        worker.isInRoster = roster.workers.contains(id);
+        worker.closedWithJobs.reset();
+    }
+    for (const auto &[id, jobs] : roster.closed) {
+        if (CellWorker *worker = findWorker(id))
+            worker->closedWithJobs = jobs;
+    }
 }
 
-void WorkerFleet::restrictRoster(const std::set<WorkerId> &roster)
+void WorkerFleet::restrictRoster(const Roster &roster)
 {
     for (auto &[id, worker] : workers_)
-        worker.isInRoster = worker.isInRoster && roster.contains(id);
+        worker.isInRoster = worker.isInRoster && roster.workers.contains(id);
+    for (const auto &[id, jobs] : roster.closed) {
+        if (CellWorker *worker = findWorker(id))
+            worker->closedWithJobs = jobs;
+    }
 }
 
 /// The next holder has to read each worker of the roster before it starts older jobs, so workers
@@ -136,10 +169,25 @@
     return worker.isInRoster || worker.isStateRead;
 }
 
+/// A worker that may not answer the next holder is closed to starts, so that only the jobs of its
+/// runs wait for it.
+bool WorkerFleet::shouldBeClosed(const CellWorker &worker) const
+{
+    const bool isClosed = worker.closedWithJobs.has_value();
+    if (!recovered_)
+        return isClosed && !worker.isStateRead;
+    const bool maySkipWorker = !worker.isListed || worker.entry->draining
+            || (worker.unansweredCalls > 0 && (isClosed || context_.storeHealth().isServing()));
+    // The next holder has to read unrecorded completions from the worker.
+    const bool areJobsKnown = worker.isStateRead && worker.unrecordedCompletions.empty();
+    return maySkipWorker && (isClosed || areJobsKnown);
+}
+
 bool WorkerFleet::isUsable(const CellWorker &worker) const
 {
-    return worker.isListed && worker.isStateRead && worker.isInRoster && !worker.entry->draining
-            && worker.orphanedRuns == 0 && context_.now() >= worker.avoidUntil;
+    return worker.isListed && worker.isStateRead && worker.isInRoster && !worker.closedWithJobs
+            && !worker.entry->draining && worker.orphanedRuns == 0
+            && context_.now() >= worker.avoidUntil;
 }
 
 void WorkerFleet::start(const WorkerId &id, StartRequest request)
@@ -524,8 +572,18 @@
             + lease / clockDriftDivisor + recoveryMargin;
     const bool isTimedOut = context_.now() - termStartedAt_ > recoveryLimit;
     std::size_t unreadInRoster = 0;
-    for (const auto &[id, worker] : workers_)
-        unreadInRoster += worker.isInRoster && !worker.isStateRead ? 1 : 0;
+    isOpenWorkerUnread_ = false;
+    jobsOnUnreadWorkers_.clear();
+    for (const auto &[id, worker] : workers_) {
+        if (!worker.isInRoster || worker.isStateRead)
+            continue;
+        ++unreadInRoster;
+        if (worker.closedWithJobs)
+            jobsOnUnreadWorkers_.insert(worker.closedWithJobs->begin(),
+                                        worker.closedWithJobs->end());
+        else
+            isOpenWorkerUnread_ = true;
+    }
     if (unreadInRoster > 0 && !isTimedOut)
         return;
     recovered_ = true;
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -2,6 +2,7 @@
 
 #include "Cell/CellContext.h"
 #include "Cell/CellWorker.h"
+#include "Cell/Records.h"
 
 #include <map>
 
@@ -43,16 +44,17 @@
     WorkerFleet(CellContext &context, Handlers handlers);
 
     /// Starts a term; \a roster lists the workers that earlier holders may have used.
-    void startTerm(FencingToken token, const std::vector<WorkerId> &roster);
+    void startTerm(FencingToken token, const Roster &roster);
     void endTerm();
     void setEntry(const WorkerEntry &entry);
     void removeEntry(const WorkerId &id);
-    void setRoster(const std::set<WorkerId> &roster);
-    /// Excludes workers that are not in \a roster from starts, before it is written.
-    void restrictRoster(const std::set<WorkerId> &roster);
-    /// Whether runs or unrecorded completions may be on the worker, or runs may be started there
-    /// before the next roster is written.
-    bool belongsInRoster(const CellWorker &worker) const;
+    /// The roster that describes the present state of the workers.
+    Roster currentRoster() const;
+    /// The store contains \a roster.
+    void setRoster(const Roster &roster);
+    /// Excludes workers that are not in \a roster, or closed in it, from starts before it is
+    /// written.
+    void restrictRoster(const Roster &roster);
 
     void start(const WorkerId &worker, StartRequest request);
     void stop(const WorkerId &worker, const TaskKey &task, RunNumber run);
@@ -72,6 +74,11 @@
     /// Whether all runs of earlier holders are known: each worker of the roster was read, or its
     /// lease has expired.
     bool isRecovered() const { return recovered_; }
+    /// Whether an earlier holder may have started a run of the job that is not known yet.
+    bool mayHaveUnknownRuns(const JobId &job) const
+    {
+        return !recovered_ && (isOpenWorkerUnread_ || jobsOnUnreadWorkers_.contains(job));
+    }
     std::vector<WorkerId> unreadWorkers() const;
 
 private:
@@ -100,6 +107,8 @@
     void updateFromReply(CellWorker &worker, const WorkerReply &reply);
     void expireLease(CellWorker &worker);
     void checkRecovery();
+    bool belongsInRoster(const CellWorker &worker) const;
+    bool shouldBeClosed(const CellWorker &worker) const;
     CellWorker *findWorker(const WorkerId &id);
     CellWorker &findOrAdd(const WorkerId &id);
 
@@ -113,6 +122,9 @@
     bool active_ = false;
     TimePoint termStartedAt_;
     bool recovered_ = false;
+    /// An unread worker of the roster may have runs of any older job.
+    bool isOpenWorkerUnread_ = false;
+    std::set<JobId> jobsOnUnreadWorkers_;
     /// Workers whose next heartbeat became due between two ticks.
     std::vector<WorkerId> dueHeartbeats_;
 };
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -280,6 +280,29 @@
     return record;
 }
 
+Json encode(const ClosedWorkersRecord &record)
+{
+    Json json = Json::array();
+    for (const auto &[worker, jobs] : record.workers) {
+        Json names = Json::array();
+        for (const JobId &job : jobs)
+            names.push_back(job.value());
+        json.push_back(Json::array({worker.value(), std::move(names)}));
+    }
+    return json;
+}
+
+ClosedWorkersRecord decodeClosedWorkers(const Json &json)
+{
+    ClosedWorkersRecord record;
+    for (const Json &row : json) {
+        std::set<JobId> &jobs = record.workers[decodeName<WorkerId>(row.at(0))];
+        for (const Json &job : row.at(1))
+            jobs.insert(decodeName<JobId>(job));
+    }
+    return record;
+}
+
 Json encode(const CancelRecord &record)
 {
     return record.at.count();
@@ -507,6 +530,8 @@
         return CommitSequenceRecord {decodeProcess(json.at(0)), json.at(1).get<std::uint64_t>()};
     case RecordType::Roster:
         return decodeRoster(json);
+    case RecordType::ClosedWorkers:
+        return decodeClosedWorkers(json);
     case RecordType::Jobs:
         return decodeJob(json);
     case RecordType::Cancels:
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -26,6 +26,10 @@
     CPPUNIT_TEST(holder_findingAnEntryWithoutProcess_startsOlderJobsWithoutWaitingForIt);
     CPPUNIT_TEST(holder_afterTheCrashOfAnIdleWorker_startsOlderJobsWithoutWaitingForIt);
     CPPUNIT_TEST(holder_afterADrainedWorkerLeft_startsOlderJobsWithoutWaitingForIt);
+    CPPUNIT_TEST(holder_afterTheCrashOfAWorkerWithRuns_delaysOnlyTheirJobs);
+    CPPUNIT_TEST(holder_afterAnUnansweredStartOnACrashedWorker_startsNothingTwice);
+    CPPUNIT_TEST(holder_readingAnOutdatedRecordOfClosedWorkers_startsNoOlderJobs);
+    CPPUNIT_TEST(holder_notConfirmingThatAWorkerIsClosed_startsNothingThere);
     CPPUNIT_TEST(holder_notConfirmingThatAWorkerLeftTheRoster_startsNothingThere);
     CPPUNIT_TEST(holder_cutOffFromTheStore_itsRunsAreNotStartedAgainWhileItRenewsTheirLease);
     CPPUNIT_TEST(holder_restartedWhileAWorkerIsUnreachable_startsNothingTwice);
@@ -393,8 +397,7 @@
     void holder_afterTheCrashOfAnIdleWorker_startsOlderJobsWithoutWaitingForIt()
     {
         losesCallsTo(simulation_->worker(0).entry.id, CellSimulation::Delivery::Lost);
-        // The holder notices it when its waiting heartbeat ends, after 2.3 s at the latest.
-        simulation_->advance(Milliseconds(3000));
+        simulation_->advance(noticesLoss);
         killHolderAndSubmit("a");
         CPPUNIT_ASSERT(startsInTime("a"));
     }
@@ -410,41 +413,67 @@
         CPPUNIT_ASSERT(startsInTime("a"));
     }
 
-    /// The commit without the worker is applied, but its reply is lost, and the worker answers the
-    /// old holder again. The next holder reads a roster without it.
-    void holder_notConfirmingThatAWorkerLeftTheRoster_startsNothingThere()
+    void holder_afterTheCrashOfAWorkerWithRuns_delaysOnlyTheirJobs()
+    {
+        const std::size_t receiver = loseWorkerWithRunsOf("a");
+        killHolderAndSubmit("b");
+        CPPUNIT_ASSERT(startsInTime("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), simulation_->startsOf(JobId("a")));
+        simulation_->advance(Milliseconds(30'000));
+        CPPUNIT_ASSERT(simulation_->stateOf(receiver, JobId("a")) == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void holder_afterAnUnansweredStartOnACrashedWorker_startsNothingTwice()
     {
-        const std::size_t old = *simulation_->holder();
         const std::size_t receiver = other();
-        const WorkerId dropped = simulation_->worker(0).entry.id;
         simulation_->plan = longRuns();
-        losesCallsTo(dropped, CellSimulation::Delivery::Lost);
-        bool isDropped = false;
-        simulation_->storeDelivery = [&](const InstanceId &id, const StoreRequest &request) {
-            const auto *commit = std::get_if<StoreCommit>(&request);
-            if (!commit || id != instanceId(old))
-                return CellSimulation::Delivery::Delivered;
-            const bool isFirst = !isDropped && writesRoster(*commit);
-            isDropped |= isFirst;
-            return isFirst ? CellSimulation::Delivery::AnswerLost : CellSimulation::Delivery::Lost;
-        };
-        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return isDropped; }, Milliseconds(3000)));
-        simulation_->workerDelivery = [old, dropped](const InstanceId &id,
-                                                     const WorkerRequest &request) {
-            const bool isReached = (id == instanceId(old)) == (request.worker == dropped);
-            return isReached ? CellSimulation::Delivery::Delivered : CellSimulation::Delivery::Lost;
+        std::optional<WorkerId> crashed;
+        simulation_->workerDelivery = [&](const InstanceId &, const WorkerRequest &request) {
+            if (!crashed && std::holds_alternative<WorkerStart>(request.command)) {
+                crashed = request.worker;
+                return CellSimulation::Delivery::AnswerLost;
+            }
+            return request.worker == crashed ? CellSimulation::Delivery::Lost
+                                             : CellSimulation::Delivery::Delivered;
         };
-        simulation_->advance(Milliseconds(3000));
-        CPPUNIT_ASSERT(simulation_->submitAndWait(receiver, CellSimulation::job("a"))
-                       == CallerOutcome::Accepted);
+        simulation_->submitAndWait(receiver, CellSimulation::job("a"));
         simulation_->advance(Milliseconds(1000));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->startsOf(JobId("a")));
-        cutOffFromStore(old);
+        killHolderAndSubmit("b");
+        simulation_->advance(longWait);
+        CPPUNIT_ASSERT(simulation_->stateOf(receiver, JobId("a")) == JobState::Completed);
+        CPPUNIT_ASSERT(simulation_->stateOf(receiver, JobId("b")) == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    /// A holder of an earlier release writes the roster without the record of closed workers.
+    void holder_readingAnOutdatedRecordOfClosedWorkers_startsNoOlderJobs()
+    {
+        loseWorkerWithRunsOf("a");
+        killHolderAndSubmit("b");
+        const RecordKey roster {RecordType::Roster, {}};
+        simulation_->store().put(roster, *simulation_->store().find(roster));
+        CPPUNIT_ASSERT(!startsInTime("b"));
         CPPUNIT_ASSERT(simulation_->advanceUntil(
-                [&] { return simulation_->startsOf(JobId("a")) > 0; }, Milliseconds(4000)));
-        simulation_->advance(Milliseconds(8000));
+                [&] { return simulation_->startsOf(JobId("b")) > 0; }, longWait));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+    }
+
+    void holder_notConfirmingThatAWorkerIsClosed_startsNothingThere()
+    {
+        simulation_->plan = [](const TaskKey &task, RunNumber) {
+            return SimulatedWorker::RunPlan {Milliseconds(task.job == JobId("c") ? 20'000 : 4000),
+                                             CompletionReason::Succeeded};
+        };
+        simulation_->submitAndWait(other(), CellSimulation::job("c"));
+        simulation_->advance(Milliseconds(300));
+        checkNoStartsWhileUnconfirmed(simulation_->starts().front().worker);
+    }
+
+    void holder_notConfirmingThatAWorkerLeftTheRoster_startsNothingThere()
+    {
+        simulation_->plan = longRuns();
+        checkNoStartsWhileUnconfirmed(simulation_->worker(0).entry.id);
     }
 
     void holder_cutOffFromTheStore_itsRunsAreNotStartedAgainWhileItRenewsTheirLease()
@@ -795,6 +824,54 @@
             return request.worker == worker ? delivery : CellSimulation::Delivery::Delivered;
         };
     }
+    /// The roster that closes the worker or lacks it is stored, but the reply is lost, and the
+    /// worker answers the old holder again, but not the next one.
+    void checkNoStartsWhileUnconfirmed(const WorkerId &dropped)
+    {
+        const std::size_t old = *simulation_->holder();
+        const std::size_t receiver = other();
+        losesCallsTo(dropped, CellSimulation::Delivery::Lost);
+        bool isDropped = false;
+        simulation_->storeDelivery = [&](const InstanceId &id, const StoreRequest &request) {
+            const auto *commit = std::get_if<StoreCommit>(&request);
+            if (!commit || id != instanceId(old))
+                return CellSimulation::Delivery::Delivered;
+            const bool isFirst = !isDropped && writesRoster(*commit);
+            isDropped |= isFirst;
+            return isFirst ? CellSimulation::Delivery::AnswerLost : CellSimulation::Delivery::Lost;
+        };
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return isDropped; }, Milliseconds(3000)));
+        simulation_->workerDelivery = [old, dropped](const InstanceId &id,
+                                                     const WorkerRequest &request) {
+            const bool isReached = (id == instanceId(old)) == (request.worker == dropped);
+            return isReached ? CellSimulation::Delivery::Delivered : CellSimulation::Delivery::Lost;
+        };
+        simulation_->advance(Milliseconds(3000));
+        CPPUNIT_ASSERT(simulation_->submitAndWait(receiver, CellSimulation::job("a"))
+                       == CallerOutcome::Accepted);
+        simulation_->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->startsOf(JobId("a")));
+        cutOffFromStore(old);
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) > 0; }, Milliseconds(4000)));
+        simulation_->advance(Milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+    }
+    /// Starts four tasks of a job, of which at least one is on a worker that the holder then finds
+    /// unreachable. Returns an instance that is not the holder.
+    std::size_t loseWorkerWithRunsOf(const std::string &job)
+    {
+        simulation_->plan = [](const TaskKey &, RunNumber) {
+            return SimulatedWorker::RunPlan {Milliseconds(10'000), CompletionReason::Succeeded};
+        };
+        const std::size_t receiver = other();
+        simulation_->submitAndWait(receiver, CellSimulation::job(job, 4));
+        simulation_->advance(Milliseconds(300));
+        losesCallsTo(simulation_->starts().front().worker, CellSimulation::Delivery::Lost);
+        simulation_->advance(noticesLoss);
+        return receiver;
+    }
     void drainAllBut(const std::set<WorkerId> &workers)
     {
         for (std::size_t i = 0; i < 4; ++i) {
@@ -840,6 +917,8 @@
     }
 
     static constexpr Milliseconds longWait {20'000};
+    /// A heartbeat that the worker answers after 1.5 s, and the next one without an answer (2.3 s).
+    static constexpr Milliseconds noticesLoss {4000};
     std::unique_ptr<CellSimulation> simulation_;
 };
 
