Judge by its progress whether a run completes before its worker leaves

Cause: a run was kept when its estimate ended before the worker leaves, with no time left to stop it if the estimate was exceeded. The elapsed time was counted from the discovery for a run of an earlier holder, and from its start for one that was resumed from a checkpoint.

Change: the remaining time is calculated from the percentage that the worker lists, by the expected duration or by the speed so far, whichever is longer, and has to end half a second before the leaving. Stops in the simulation take up to the 900 ms that a worker may need.

--- a/Source/Cell/CellEvacuation.cpp
+++ b/Source/Cell/CellEvacuation.cpp
@@ -7,6 +7,9 @@
 /// Runs on a leaving worker are stopped this long before it may leave: a worker takes up to a
 /// second for a stop, and the completion has to be read from it.
 constexpr WorkerTime evacuationLead {1500};
+/// A run that is expected to complete is kept only if it may take this much longer.
+constexpr Milliseconds completionMargin {500};
+constexpr std::int64_t percent = 100;
 
 } // namespace
 
@@ -19,13 +22,29 @@
         const std::optional<WorkerTime> remaining = worker.timeToLeaving(context_.now());
         if (!remaining || *remaining > evacuationLead)
             continue;
-        // Stopping a run changes the list of placements.
-        const std::vector<Placement> placements = worker.placements;
-        for (const Placement &placement : placements)
+        for (const Placement &placement : worker.placements)
             evacuate(worker, placement, *remaining);
     }
 }
 
+/// Whether the run is likely to complete while the worker stays. The expected duration of the whole
+/// task may be wrong, or the worker slow, so the speed so far counts as well.
+bool CellScheduler::completesBefore(const CellJob &job, const CellStep &step, const CellTask &task,
+                                    WorkerTime remaining) const
+{
+    if (step.spec.longRunning)
+        return false;
+    const std::int64_t done = std::min(task.progress.count(), percent);
+    const Milliseconds duration
+            = std::max(step.spec.estimate, expectedDuration(queueOf(job).id, step.spec));
+    Milliseconds left = duration * (percent - done) / percent;
+    if (done > 0)
+        left = std::max(left, (task.progressAt - task.placedAt()) * (percent - done) / done);
+    const Milliseconds sinceListed = context_.now() - task.progressAt;
+    return left > sinceListed
+            && left - sinceListed + completionMargin < Milliseconds(remaining.count());
+}
+
 void CellScheduler::evacuate(const CellWorker &worker, const Placement &placement,
                              WorkerTime remaining)
 {
@@ -34,18 +53,14 @@
         return;
     CellJob *job = nullptr;
     CellStep *step = findStep(placement.task, job);
-    const Milliseconds elapsed = context_.now() - task->placedAt();
-    const Milliseconds expected
-            = std::max(step->spec.estimate, expectedDuration(queueOf(*job).id, step->spec));
-    const bool isAboutToComplete = elapsed < expected
-            && expected - elapsed < Milliseconds(remaining.count()) && !step->spec.longRunning;
-    if (isAboutToComplete)
+    if (completesBefore(*job, *step, *task, remaining))
         return;
     context_.log("event=run_evacuated job={} step={} task={} run={} worker={} leaves_in_ms={} "
-                 "elapsed_ms={} expected_ms={}",
+                 "running_for_ms={} progress_percent={}",
                  placement.task.job.value(), placement.task.step.value(),
                  placement.task.index.value(), placement.run.value(), worker.id().value(),
-                 remaining.count(), elapsed.count(), expected.count());
+                 remaining.count(), (context_.now() - task->placedAt()).count(),
+                 task->progress.count());
     if (step->spec.gang) {
         stopGang(*step, placement.run);
         return;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -245,6 +245,7 @@
     if (!task->isIn(CellTask::State::Stopping))
         task->handle(CellTask::Event::Listed);
     task->progress = running.progress;
+    task->progressAt = context_.now();
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
 }
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -146,6 +146,8 @@
     void stopGang(CellStep &step, RunNumber run);
     void repairGangs();
     void evacuateLeavingWorkers();
+    bool completesBefore(const CellJob &job, const CellStep &step, const CellTask &task,
+                         WorkerTime remaining) const;
     void evacuate(const CellWorker &worker, const Placement &placement, WorkerTime remaining);
 
     void finish(CellJob &job, JobState state);
--- a/Source/Cell/CellTask.cpp
+++ b/Source/Cell/CellTask.cpp
@@ -22,6 +22,7 @@
     run_ = run;
     placedAt_ = at;
     progress = {};
+    progressAt = at;
 }
 
 void CellTask::withdraw()
--- a/Source/Cell/CellTask.h
+++ b/Source/Cell/CellTask.h
@@ -43,6 +43,8 @@
 
     std::string checkpoint;
     Percent progress;
+    /// When the worker listed the progress; when the run was placed, before that.
+    TimePoint progressAt;
     std::set<RunNumber> failedRuns;
 
 private:
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -53,7 +53,10 @@
     CPPUNIT_TEST(worker_draining_receivesNoStart);
     CPPUNIT_TEST(worker_thatStopsAnswering_isLoggedWithItsRunsAndLease);
     CPPUNIT_TEST(gang_onAWorkerThatLeaves_startsAgainWithoutWaitingForTheLease);
+    CPPUNIT_TEST(gang_exceedingItsEstimateOnAWorkerThatLeaves_startsAgainInTime);
     CPPUNIT_TEST(task_completingBeforeItsWorkerLeaves_isNotStopped);
+    CPPUNIT_TEST(task_almostDoneAtAChangeOfHolder_isNotStopped);
+    CPPUNIT_TEST(holder_frozenWhileAWorkerWithRunsLeaves_othersStartOlderJobs);
     CPPUNIT_TEST(task_onAWorkerThatLeavesAfterAChangeOfHolder_startsElsewhereBefore);
     CPPUNIT_TEST(task_onALeavingWorkerThatDoesNotAnswer_startsElsewhereSoonAfterItsLeaving);
     CPPUNIT_TEST(workerList_withAnOddEntry_isStillFollowedByEveryHolder);
@@ -806,6 +809,7 @@
         simulation_->plan = runsOf(Milliseconds(30'000));
         JobSpec gang = CellSimulation::job("gang", members);
         gang.steps.front().gang = true;
+        stopsTake(longestStop);
         CPPUNIT_ASSERT(simulation_->submitAndWait(0, gang) == CallerOutcome::Accepted);
         const std::size_t leaving = announceLeavingOfFirst(Milliseconds(4000));
         simulation_->advance(Milliseconds(4000));
@@ -816,6 +820,63 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
+    void gang_exceedingItsEstimateOnAWorkerThatLeaves_startsAgainInTime()
+    {
+        constexpr std::int64_t members = 20;
+        useApprovals();
+        simulation_->approvalDuration = [](const ApprovalRequest &) { return Milliseconds(600); };
+        simulation_->plan = runsOf(Milliseconds(5500));
+        stopsTake(longestStop);
+        JobSpec gang = CellSimulation::job("gang", members);
+        gang.steps.front().gang = true;
+        gang.steps.front().estimate = Milliseconds(4000);
+        CPPUNIT_ASSERT(simulation_->submitAndWait(0, gang) == CallerOutcome::Accepted);
+        const auto hasStarted = [&](std::int64_t starts) {
+            return simulation_->startsOf(JobId("gang")) == static_cast<std::size_t>(starts);
+        };
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return hasStarted(members); }, longWait));
+        simulation_->advance(Milliseconds(1000));
+        const std::size_t leaving = announceLeavingOfFirst(Milliseconds(3000));
+        simulation_->advance(Milliseconds(3000));
+        simulation_->removeWorker(leaving);
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return hasStarted(2 * members); },
+                                                 longestIdleTime));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void task_almostDoneAtAChangeOfHolder_isNotStopped()
+    {
+        simulation_->plan = runsOf(Milliseconds(10'000));
+        JobSpec job = CellSimulation::job("a");
+        job.steps.front().estimate = Milliseconds(10'000);
+        simulation_->submitAndWait(0, job);
+        simulation_->advance(Milliseconds(5500));
+        announceLeavingOfFirst(Milliseconds(5000));
+        replaceHolder();
+        simulation_->advance(Milliseconds(8000));
+        CPPUNIT_ASSERT(simulation_->starts().front().completedAt.has_value());
+        CPPUNIT_ASSERT(simulation_->starts().front().reason == CompletionReason::Succeeded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+    }
+
+    void holder_frozenWhileAWorkerWithRunsLeaves_othersStartOlderJobs()
+    {
+        simulation_->plan = runsOf(Milliseconds(30'000));
+        stopsTake(longestStop);
+        simulation_->submitAndWait(0, CellSimulation::job("a"));
+        const std::size_t leaving = announceLeavingOfFirst(Milliseconds(7000));
+        simulation_->advance(Milliseconds(6000));
+        const std::size_t receiver = other();
+        simulation_->pause(*simulation_->holder());
+        simulation_->submit(receiver, CellSimulation::job("b"));
+        simulation_->advance(Milliseconds(1000));
+        simulation_->removeWorker(leaving);
+        CPPUNIT_ASSERT(startsInTime("b"));
+        simulation_->advance(Milliseconds(30'000));
+        CPPUNIT_ASSERT(simulation_->startsOf(JobId("a")) > 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
     void task_completingBeforeItsWorkerLeaves_isNotStopped()
     {
         simulation_->plan = runsOf(Milliseconds(2000));
@@ -1095,6 +1156,11 @@
     {
         return runsOf(Milliseconds(4000));
     }
+    void stopsTake(Milliseconds duration)
+    {
+        for (std::size_t i = 0; i < 4; ++i)
+            simulation_->worker(i).stopDuration = duration;
+    }
     /// The worker of the first start announces that it leaves.
     std::size_t announceLeavingOfFirst(Milliseconds remaining)
     {
@@ -1326,6 +1392,8 @@
     static constexpr Milliseconds longWait {20'000};
     /// A job for which there is capacity has something running again within this time.
     static constexpr Milliseconds longestIdleTime {3000};
+    /// Bound of the time that a worker takes for a stop.
+    static constexpr Milliseconds longestStop {900};
     static inline const Address nobody {"10.9.9.9", 9};
     /// A heartbeat that the worker answers after 1.5 s, and the next one without an answer (2.3 s).
     static constexpr Milliseconds noticesLoss {4000};
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -18,6 +18,13 @@
     return WorkerTime((now - startedAt_).count() + 1);
 }
 
+Percent SimulatedWorker::progressOf(const Run &run, TimePoint now)
+{
+    constexpr std::int64_t percent = 100;
+    const std::int64_t duration = (run.completesAt - run.startedAt).count();
+    return Percent((now - run.startedAt).count() * percent / std::max<std::int64_t>(duration, 1));
+}
+
 WorkerReply SimulatedWorker::listRuns(TimePoint now) const
 {
     WorkerReply reply;
@@ -25,7 +32,7 @@
     reply.clock = clock(now);
     reply.incarnation = entry.incarnation;
     for (const Run &run : running_)
-        reply.running.push_back({run.task, run.run, {}, Percent()});
+        reply.running.push_back({run.task, run.run, {}, progressOf(run, now)});
     reply.completed = completed_;
     return reply;
 }
@@ -84,10 +91,16 @@
     if (const auto *command = std::get_if<WorkerStop>(&request.command)) {
         closedRuns_.emplace_back(command->task, command->run);
         for (std::size_t i = 0; i < running_.size(); ++i) {
-            if (running_[i].task == command->task && running_[i].run == command->run) {
+            Run &run = running_[i];
+            if (run.task != command->task || run.run != command->run)
+                continue;
+            if (stopDuration == Milliseconds()) {
                 complete(now, i, CompletionReason::Stopped);
-                break;
+            } else if (now + stopDuration < run.completesAt) {
+                run.completesAt = now + stopDuration;
+                run.reason = CompletionReason::Stopped;
             }
+            break;
         }
         answer.outcome = WorkerOutcome::Done;
         reply(answer);
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -61,6 +61,7 @@
     {
         leaseDeadline_ = std::max(leaseDeadline_, deadline);
     }
+    static Percent progressOf(const Run &run, TimePoint now);
     bool fits() const;
     cell::WorkerReply start(TimePoint now, const cell::WorkerStart &command);
     void complete(TimePoint now, std::size_t index, cell::CompletionReason reason);
