Restart an evacuated gang from the checkpoint of its stop

Callers saw: up to one checkpoint interval of a gang's work done again.

Cause: the first stopped member ends the others, whose completions arrive later with the checkpoint of the last interval. The last one to arrive won.

Change: a checkpoint that a stop produced is kept over others of its run.

--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -22,6 +22,8 @@
     /// Runs in which a member of the gang failed.
     std::set<RunNumber> failedGangRuns;
     std::string gangCheckpoint;
+    /// The run whose stop produced gangCheckpoint.
+    std::optional<RunNumber> gangCheckpointOfStop;
 
     bool isDone() const { return doneTasks == tasks.size(); }
     std::size_t countTasks(CellTask::State state) const;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -309,8 +309,14 @@
     if (completion.checkpoint.empty() || task.isFinished())
         return;
     task.checkpoint = completion.checkpoint;
-    if (step.spec.gang)
-        step.gangCheckpoint = completion.checkpoint;
+    // Members that end because another was stopped list the checkpoint of the last interval.
+    const bool isOlder = completion.reason != CompletionReason::Stopped
+            && step.gangCheckpointOfStop == completion.run;
+    if (!step.spec.gang || isOlder)
+        return;
+    step.gangCheckpoint = completion.checkpoint;
+    if (completion.reason == CompletionReason::Stopped)
+        step.gangCheckpointOfStop = completion.run;
 }
 
 void CellScheduler::recordFailure(CellJob &job, CellStep &step, CellTask &task,
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(worker_thatStopsAnswering_isLoggedWithItsRunsAndLease);
     CPPUNIT_TEST(gang_onAWorkerThatLeaves_startsAgainWithoutWaitingForTheLease);
     CPPUNIT_TEST(gang_exceedingItsEstimateOnAWorkerThatLeaves_startsAgainInTime);
+    CPPUNIT_TEST(gang_onAWorkerThatLeaves_startsFromTheCheckpointOfTheStop);
     CPPUNIT_TEST(task_completingBeforeItsWorkerLeaves_isNotStopped);
     CPPUNIT_TEST(task_almostDoneAtAChangeOfHolder_isNotStopped);
     CPPUNIT_TEST(holder_frozenWhileAWorkerWithRunsLeaves_othersStartOlderJobs);
@@ -844,6 +845,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
+    void gang_onAWorkerThatLeaves_startsFromTheCheckpointOfTheStop()
+    {
+        constexpr std::int64_t members = 20;
+        simulation_->plan = runsOf(Milliseconds(30'000));
+        for (std::size_t i = 0; i < 4; ++i) {
+            SimulatedWorker &worker = simulation_->worker(i);
+            worker.checkpoints = {{CompletionReason::Stopped, "of the stop"},
+                                  {CompletionReason::GangMemberStopped, "of the interval"}};
+            worker.stopDuration = Milliseconds(i == 0 ? 300 : 900);
+        }
+        std::set<std::string> used;
+        simulation_->workerDelivery = [&](const InstanceId &, const WorkerRequest &request) {
+            if (const auto *start = std::get_if<WorkerStart>(&request.command))
+                used.insert(start->checkpoint);
+            return CellSimulation::Delivery::Delivered;
+        };
+        JobSpec gang = CellSimulation::job("gang", members);
+        gang.steps.front().gang = true;
+        simulation_->submitAndWait(0, gang);
+        announceLeavingOfFirst(Milliseconds(3000));
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("gang")) == std::size_t(2 * members); },
+                longWait));
+        CPPUNIT_ASSERT((used == std::set<std::string> {"", "of the stop"}));
+    }
+
     void task_almostDoneAtAChangeOfHolder_isNotStopped()
     {
         simulation_->plan = runsOf(Milliseconds(10'000));
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -120,7 +120,9 @@
     const Run run = running_[index];
     running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(index));
     closedRuns_.emplace_back(run.task, run.run);
-    completed_.push_back({CompletionNumber(++lastCompletion_), run.task, run.run, reason, {}});
+    const auto checkpoint = checkpoints.find(reason);
+    completed_.push_back({CompletionNumber(++lastCompletion_), run.task, run.run, reason,
+                          checkpoint == checkpoints.end() ? std::string() : checkpoint->second});
     static_cast<void>(now);
     onCompleted(*this, run, reason);
 }
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 
 namespace caraway::tests {
 
@@ -39,6 +40,10 @@
 
     void handle(TimePoint now, const cell::WorkerRequest &request, const Reply &reply);
     void tick(TimePoint now);
+    /// Checkpoints of the runs that end for a reason.
+    std::map<cell::CompletionReason, std::string> checkpoints;
+    /// How long a stop of a run takes.
+    Milliseconds stopDuration;
     /// Restarts the process: a new incarnation with the same id and without runs.
     void restart(TimePoint now);
     /// Ends the process and all its runs for good; nothing answers at its address.
@@ -56,12 +61,12 @@
         Reply reply;
     };
 
+    static Percent progressOf(const Run &run, TimePoint now);
     cell::WorkerReply listRuns(TimePoint now) const;
     void extendLease(cell::WorkerTime deadline)
     {
         leaseDeadline_ = std::max(leaseDeadline_, deadline);
     }
-    static Percent progressOf(const Run &run, TimePoint now);
     bool fits() const;
     cell::WorkerReply start(TimePoint now, const cell::WorkerStart &command);
     void complete(TimePoint now, std::size_t index, cell::CompletionReason reason);
