Keep a worker's announcement when its entry repeats without the time

Cause: the new entry replaced the announcement.

Change: while the worker drains in the same incarnation, the announced time stays unless the entry names another.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -101,15 +101,20 @@
                      entry.upstream.value(), entry.incarnation.value(),
                      entry.remaining.value_or(Milliseconds()).count());
     }
-    worker.entry = entry;
-    if (!entry.reportedAt && worker.hasClock())
+    const std::optional<WorkerEntry> previous = std::exchange(worker.entry, entry);
+    const bool keepsAnnouncement = entry.draining && !entry.remaining && previous
+            && previous->draining && previous->incarnation == entry.incarnation;
+    if (keepsAnnouncement) {
+        worker.entry->remaining = previous->remaining;
+        worker.entry->reportedAt = previous->reportedAt;
+    } else if (!entry.reportedAt && worker.hasClock()) {
         worker.entry->reportedAt = worker.estimatedClock(context_.now());
+    }
     worker.isListed = true;
     if (!worker.incarnation || entry.incarnation <= *worker.incarnation)
         return;
     const auto latestStart
             = static_cast<std::uint64_t>((context_.wallTime() + maxClockDifference).count());
-    }
     if (entry.incarnation.value() <= latestStart) {
         updateIncarnation(worker, entry.incarnation);
         return;
@@ -173,11 +178,6 @@
     }
 }
 
-/// The next holder has to read each worker of the roster before it starts older jobs, so workers
-/// that may not answer it are left out once they are known to have no runs.
-bool WorkerFleet::belongsInRoster(const CellWorker &worker) const
-{
-    if (!worker.placements.empty() || !worker.unrecordedCompletions.empty())
 /// Whether the worker may have ended: it has answered nothing for as long as a heartbeat may take.
 bool WorkerFleet::isSilent(const CellWorker &worker) const
 {
@@ -185,6 +185,11 @@
             && context_.now() - worker.lastReplyAt >= heartbeatWait + heartbeatMargin;
 }
 
+/// The next holder has to read each worker of the roster before it starts older jobs, so workers
+/// that may not answer it are left out once they are known to have no runs.
+bool WorkerFleet::belongsInRoster(const CellWorker &worker) const
+{
+    if (!worker.placements.empty() || !worker.unrecordedCompletions.empty())
         return true;
     // An earlier holder may still act, even on a worker that was read and has restarted since.
     if (worker.isInRoster && !recovered_)
@@ -474,12 +479,12 @@
                      worker.id().value(), worker.unansweredCalls, worker.placements.size());
     }
     worker.unansweredCalls = 0;
+    worker.lastReplyAt = context_.now();
     if (reply.incarnation)
         updateIncarnation(worker, reply.incarnation);
     if (!reply.clock)
         return;
     // An earlier holder may have renewed the lease by its full length just before.
-    worker.lastReplyAt = context_.now();
     if (!worker.hasClock())
         worker.extendLeaseBound(*reply.clock + WorkerTime(context_.settings().workerLease.count()));
     worker.updateClock(*reply.clock, context_.now());
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(gang_onAWorkerThatLeaves_startsFromTheCheckpointOfTheStop);
     CPPUNIT_TEST(task_completingBeforeItsWorkerLeaves_isNotStopped);
     CPPUNIT_TEST(task_almostDoneAtAChangeOfHolder_isNotStopped);
+    CPPUNIT_TEST(task_onAWorkerThatRepeatsItsEntryWithoutTheTime_startsElsewhereBefore);
     CPPUNIT_TEST(workers_refusingCallsBrieflyInAStoreOutage_areUsedAgain);
     CPPUNIT_TEST(holder_frozenWhileAWorkerWithRunsLeaves_othersStartOlderJobs);
     CPPUNIT_TEST(task_onAWorkerThatLeavesAfterAChangeOfHolder_startsElsewhereBefore);
@@ -887,6 +888,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
     }
 
+    void task_onAWorkerThatRepeatsItsEntryWithoutTheTime_startsElsewhereBefore()
+    {
+        simulation_->plan = runsOf(Milliseconds(30'000));
+        simulation_->submitAndWait(0, CellSimulation::job("a"));
+        const std::size_t leaving = announceLeavingOfFirst(Milliseconds(3000));
+        simulation_->advance(Milliseconds(500));
+        WorkerEntry entry = simulation_->worker(leaving).entry;
+        entry.remaining.reset();
+        simulation_->store().put({RecordType::Workers, entry.id.value()}, entry);
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 2; }, Milliseconds(2500)));
+    }
+
     void workers_refusingCallsBrieflyInAStoreOutage_areUsedAgain()
     {
         simulation_->plan = runsOf(Milliseconds(2000));
