--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -12,7 +12,7 @@
 constexpr Milliseconds heartbeatMargin {800};
 constexpr Milliseconds heartbeatRetryInterval {250};
 /// How long a lease lasts beyond the time at which the worker may leave; more than a heartbeat
-/// waits and takes, so that the lease does not expire while the worker stays.
+/// waits and takes, so that it does not expire while the worker stays and answers.
 constexpr WorkerTime leavingLeaseMargin {2500};
 /// Interval of heartbeats while completions are unrecorded: the lease needs renewal, and a worker
 /// with unacknowledged completions replies without waiting.
--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -791,10 +791,7 @@
         simulation_->submitAndWait(0, CellSimulation::job("a"));
         simulation_->advance(Milliseconds(300));
         const WorkerId silent = simulation_->starts().front().worker;
-        simulation_->workerDelivery = [silent](const InstanceId &, const WorkerRequest &request) {
-            return request.worker == silent ? CellSimulation::Delivery::Lost
-                                            : CellSimulation::Delivery::Delivered;
-        };
+        losesCallsTo(silent, CellSimulation::Delivery::Lost);
         simulation_->advance(Milliseconds(5200));
         const std::string line = "event=worker_unreachable worker=" + silent.value()
                 + " outcome=unanswered listed=true draining=false runs=1 lease_expires_in_ms=";
@@ -975,11 +972,7 @@
         simulation_->submitAndWait(0, CellSimulation::job("a"));
         const std::size_t leaving = announceLeavingOfFirst(Milliseconds(8000));
         simulation_->advance(Milliseconds(6000));
-        simulation_->workerDelivery = [id = simulation_->worker(leaving).entry.id](
-                                              const InstanceId &, const WorkerRequest &request) {
-            return request.worker == id ? CellSimulation::Delivery::Lost
-                                        : CellSimulation::Delivery::Delivered;
-        };
+        losesCallsTo(simulation_->worker(leaving).entry.id, CellSimulation::Delivery::Lost);
         simulation_->advance(Milliseconds(2000));
         simulation_->removeWorker(leaving);
         CPPUNIT_ASSERT(simulation_->advanceUntil(
@@ -987,7 +980,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
-    /// The machines that read a list with one odd entry stopped following it.
     void workerList_withAnOddEntry_isStillFollowedByEveryHolder()
     {
         putMalformed("odd");
@@ -1063,7 +1055,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), logged("\x1b"));
     }
 
-    /// A worker whose entry was removed while a new holder was still loading stayed in its list.
     void worker_removedWhileAHolderLoads_receivesNoStart()
     {
         beginSlowTakeover();
@@ -1080,8 +1071,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(idOf(0), "a"));
     }
 
-    /// An entry with a start time in the future counted as a restart of the worker: its tasks were
-    /// started elsewhere while they ran.
+    /// A start time in the future does not prove a restart: the worker's tasks still run.
     void workerEntry_withAnImpossibleIncarnation_startsNothingTwice()
     {
         simulation_->plan = longRuns();
@@ -1096,8 +1086,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
-    /// After an entry with a start time in the future, the worker's real restart was not seen, and
-    /// its completions, numbered anew, were taken for known ones.
+    /// A restarted worker has a lower start time than the entry, and numbers its completions anew.
     void workerEntry_withAnImpossibleIncarnation_laterRestartIsRecognized()
     {
         for (int i = 0; i < 2; ++i) {
@@ -1119,7 +1108,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), simulation_->startsOf(JobId("after")));
     }
 
-    /// The next holder waited for the lease of a worker that no holder had ever reached.
     void workerEntry_whereNobodyAnswers_doesNotDelayTheNextHolder()
     {
         putUnreachable("odd");
@@ -1151,7 +1139,6 @@
                 [&] { return simulation_->startsOf(JobId("a")) == 32; }, Milliseconds(300)));
     }
 
-    /// A worker that refused what did not fit was chosen again at once, pass after pass.
     void workerEntry_withExcessiveCapacity_doesNotHoldTasksBack()
     {
         simulation_->worker(0).refusesOverload = true;
