--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -427,9 +427,9 @@
         return;
     fleet_.tick(maySchedule);
     approvalDispatcher_.tick();
-    updateRoster();
     if (context_.now() >= nextMaintenance_) {
         nextMaintenance_ = context_.now() + maintenanceInterval;
+        updateRoster();
         expireResults();
         for (auto &[id, job] : jobs_)
             job->updateReadiness(context_.now(), context_.wallTime());
