--- a/Tests/Cell/CellInstanceTest.cpp
+++ b/Tests/Cell/CellInstanceTest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(task_onAWorkerThatRepeatsItsEntryWithoutTheTime_startsElsewhereBefore);
     CPPUNIT_TEST(workers_refusingCallsBrieflyInAStoreOutage_areUsedAgain);
     CPPUNIT_TEST(holder_frozenWhileAWorkerWithRunsLeaves_othersStartOlderJobs);
+    CPPUNIT_TEST(holder_killedWithAWorkerThatHasRuns_othersStartOlderJobs);
     CPPUNIT_TEST(task_onAWorkerThatLeavesAfterAChangeOfHolder_startsElsewhereBefore);
     CPPUNIT_TEST(task_onALeavingWorkerThatDoesNotAnswer_startsElsewhereSoonAfterItsLeaving);
     CPPUNIT_TEST(workerList_withAnOddEntry_isStillFollowedByEveryHolder);
@@ -938,6 +939,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
+    void holder_killedWithAWorkerThatHasRuns_othersStartOlderJobs()
+    {
+        simulation_->plan = runsOf(Milliseconds(30'000));
+        simulation_->submitAndWait(0, CellSimulation::job("a"));
+        simulation_->advance(Milliseconds(300));
+        simulation_->removeWorker(simulation_->indexOf(simulation_->starts().front().worker));
+        killHolderAndSubmit("b");
+        CPPUNIT_ASSERT(startsInTime("b"));
+    }
+
     void task_completingBeforeItsWorkerLeaves_isNotStopped()
     {
         simulation_->plan = runsOf(Milliseconds(2000));
