Test workers whose capacity shrinks and grows

Change: the simulation changes capacities and counts starts beyond them, with runs until they have ended, and less capacity after 4.5 s or as soon as the holder may have read the entry.

--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -12,6 +12,10 @@
 constexpr Milliseconds storeDelay {4};
 constexpr Milliseconds tickInterval {25};
 constexpr std::int64_t workerMillicores = 8000;
+/// A worker may be overloaded for this long after its capacity has shrunk.
+constexpr Milliseconds shrinkTolerance {4500};
+/// The interval of the holder's watches of the list of workers, and the delays of their calls.
+constexpr Milliseconds entryDelay {350};
 
 Address peerAddress(std::size_t index)
 {
@@ -52,6 +56,7 @@
         worker->onCompleted
                 = [this](const SimulatedWorker &on, const SimulatedWorker::Run &run,
                          CompletionReason reason) { recordCompletion(on, run, reason); };
+        capacities_[worker->entry.id].change(now_, worker->entry.capacity);
         workers_.push_back(std::move(worker));
     }
     publishWorkers();
@@ -101,6 +106,32 @@
     store_.remove({RecordType::Workers, worker.entry.id.value()});
 }
 
+void CellSimulation::publishEntry(std::size_t index, Milliseconds delay)
+{
+    schedule(delay, [this, index] {
+        const WorkerEntry &entry = workers_[index]->entry;
+        store_.put({RecordType::Workers, entry.id.value()}, entry);
+    });
+}
+
+void CellSimulation::changeCapacity(std::size_t index, const Resources &capacity,
+                                    Milliseconds shownAfter)
+{
+    WorkerEntry &entry = workers_.at(index)->entry;
+    capacities_[entry.id].change(now_, capacity);
+    entry.capacity = capacity;
+    publishEntry(index, shownAfter);
+}
+
+void CellSimulation::restartWorker(std::size_t index, const Resources &capacity,
+                                   Milliseconds shownAfter)
+{
+    SimulatedWorker &worker = *workers_.at(index);
+    worker.restart(now_);
+    capacities_[worker.entry.id] = {};
+    changeCapacity(index, capacity, shownAfter);
+}
+
 std::size_t CellSimulation::indexOf(const WorkerId &id) const
 {
     const auto found = std::find_if(workers_.begin(), workers_.end(),
@@ -173,12 +204,12 @@
     const Delivery delivery
             = storeDelivery ? storeDelivery(instance.id, call.request) : Delivery::Delivered;
     const std::uint64_t incarnation = instance.incarnation;
-    const SimulatedStore::Reply reply
-            = [this, index, incarnation, id = call.id](const StoreReply &answer) {
-                  schedule(networkDelay, [=, this] {
-                      deliver(index, incarnation, StoreReplied {id, answer});
-                  });
-              };
+    const Milliseconds replyDelay
+            = networkDelay + (storeReplyDelay ? storeReplyDelay(call.request) : Milliseconds());
+    const SimulatedStore::Reply reply = [this, index, incarnation, replyDelay,
+                                         id = call.id](const StoreReply &answer) {
+        schedule(replyDelay, [=, this] { deliver(index, incarnation, StoreReplied {id, answer}); });
+    };
     if (delivery == Delivery::Refused) {
         reply({StoreOutcome::Refused, {}, false, {}, {}});
         return;
@@ -204,6 +235,9 @@
     if (const std::size_t worker = indexOf(call.request.worker);
         worker < workers_.size() && workers_[worker]->hasLeft())
         delivery = Delivery::Lost;
+    const Milliseconds delay = workerDelay ? workerDelay(call.request) : Milliseconds();
+    if (delivery == Delivery::Delivered && delay >= call.timeout)
+        delivery = Delivery::AnswerLost;
     const std::uint64_t incarnation = instance.incarnation;
     const SimulatedWorker::Reply reply
             = [this, index, incarnation, id = call.id](const WorkerReply &answer) {
@@ -222,7 +256,7 @@
     }
     if (delivery != Delivery::Delivered && delivery != Delivery::AnswerLost)
         return;
-    schedule(networkDelay, [this, delivery, reply, request = call.request] {
+    schedule(networkDelay + delay, [this, delivery, reply, request = call.request] {
         for (const auto &worker : workers_) {
             if (worker->entry.id == request.worker) {
                 worker->handle(now_, request,
@@ -325,7 +359,10 @@
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         if (job.steps[i].gang)
             gangs_.insert({job.id, Occurrence(), StepIndex(i)});
-        needs_[job.id.value() + "." + std::to_string(i)] = job.steps[i].need;
+        Resources &need = needs_[job.id.value() + "." + std::to_string(i)];
+        need = job.steps[i].need;
+        if (job.steps[i].fillsIdleTime)
+            need.processors = {};
     }
     return sendRequest(instance, {{}, host, "/q/" + job.id.value(), SubmitJob {job}, {}});
 }
@@ -388,7 +425,18 @@
     for (const SimulatedWorker::Run &running : worker.running()) {
         used += needs_[running.task.job.value() + "." + std::to_string(running.task.step.value())];
     }
-    overloads_ += used.fitsIn(worker.entry.capacity) ? 0 : 1;
+    overloads_ += fitsSince(worker, used, shrinkTolerance) ? 0 : 1;
+    promptOverloads_ += fitsSince(worker, used, entryDelay) ? 0 : 1;
+}
+
+bool CellSimulation::fitsSince(const SimulatedWorker &worker, const Resources &used,
+                               Milliseconds age) const
+{
+    const CapacityHistory &history = capacities_.at(worker.entry.id);
+    // A test may set the capacity directly.
+    if (!history.isPresent(worker.entry.capacity))
+        return used.fitsIn(worker.entry.capacity);
+    return used.fitsIn(history.mostSince(now_ - age));
 }
 
 void CellSimulation::recordCompletion(const SimulatedWorker &worker,
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/CapacityHistory.h"
 #include "Cell/CellInstance.h"
 #include "Cell/SimulatedStore.h"
 #include "Cell/SimulatedWorker.h"
@@ -43,6 +44,10 @@
     std::function<Delivery(const InstanceId &, const cell::StoreRequest &)> storeDelivery;
     std::function<Delivery(const InstanceId &, const cell::WorkerRequest &)> workerDelivery;
     std::function<Delivery(const InstanceId &, const cell::PeerMessage &)> peerDelivery;
+    /// By how much the reply to a call to the store is delayed; not at all without a function.
+    std::function<Milliseconds(const cell::StoreRequest &)> storeReplyDelay;
+    /// By how much a call arrives late at its worker; not at all without a function.
+    std::function<Milliseconds(const cell::WorkerRequest &)> workerDelay;
     /// Duration and completion reason of each run; by default 500 ms and success.
     std::function<SimulatedWorker::RunPlan(const cell::TaskKey &, cell::RunNumber)> plan;
     /// Whether the policy service approves the worker for the step; by default it always does.
@@ -65,6 +70,12 @@
     void announceLeaving(std::size_t worker, Milliseconds remaining);
     /// The worker's process ends with its runs, and its entry is removed.
     void removeWorker(std::size_t worker);
+    /// The worker has another capacity from now on; its entry shows it after \a shownAfter.
+    void changeCapacity(std::size_t worker, const Resources &capacity,
+                        Milliseconds shownAfter = {});
+    /// The worker's process restarts with another capacity; its entry shows both after
+    /// \a shownAfter.
+    void restartWorker(std::size_t worker, const Resources &capacity, Milliseconds shownAfter);
     std::size_t indexOf(const WorkerId &worker) const;
     SimulatedStore &store() { return store_; }
     SimulatedWorker &worker(std::size_t index) { return *workers_.at(index); }
@@ -98,8 +109,11 @@
     std::size_t startsOf(const cell::JobId &job) const;
     /// The number of pairs of simultaneous runs of one task.
     std::size_t overlaps() const;
-    /// The number of starts that exceeded the capacity of a worker.
+    /// The number of starts that exceeded the capacity of a worker. Less capacity than before
+    /// counts after 4.5 s; a run counts until it has ended.
     std::size_t overloads() const { return overloads_; }
+    /// Likewise, with less capacity counting as soon as the holder may have read the entry.
+    std::size_t promptOverloads() const { return promptOverloads_; }
     /// Log lines of all instances.
     std::string log;
 
@@ -138,6 +152,8 @@
     void send(std::size_t instance, const cell::PeerSend &message);
     cell::CallerRequestId sendRequest(std::size_t instance, cell::CallerRequest request);
     void step();
+    void publishEntry(std::size_t worker, Milliseconds delay);
+    bool fitsSince(const SimulatedWorker &worker, const Resources &used, Milliseconds age) const;
     void recordStart(const SimulatedWorker &worker, const SimulatedWorker::Run &run);
     void recordCompletion(const SimulatedWorker &worker, const SimulatedWorker::Run &run,
                           cell::CompletionReason reason);
@@ -154,7 +170,9 @@
     std::vector<ObservedRun> starts_;
     std::map<std::string, Resources> needs_;
     std::set<cell::StepKey> gangs_;
+    std::map<WorkerId, CapacityHistory> capacities_;
     std::size_t overloads_ = 0;
+    std::size_t promptOverloads_ = 0;
 };
 
 } // namespace caraway::tests
