Count no negative free processors as missing elsewhere

Cause: a worker that has shrunk below its runs has negative free processors, which were subtracted from those of other workers. With none left, no approvals were requested.

Change: each worker counts with at least zero, also in the load line.

--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -137,7 +137,7 @@
         WorkerOption &option = pass_.options.emplace_back();
         option.worker = &worker;
         option.free = worker.freeResources();
-        pass_.uncommitted += option.free.processors;
+        pass_.uncommitted += std::max(option.free.processors, Millicores());
         pass_.capacity += worker.entry->capacity.processors;
         pass_.maxFreeProcessors = std::max(pass_.maxFreeProcessors, option.free.processors);
         if (unreserved > Millicores()) {
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -495,7 +495,7 @@
         }
         if (!fleet_.isUsable(worker))
             continue;
-        free += worker.freeResources().processors;
+        free += std::max(worker.freeResources().processors, Millicores());
         ++usable;
     }
     context_.log("event=load workers={} usable={} free_millicores={} unreachable_millicores={} "
