Start nothing on a worker that is over its capacity

Cause: a resource that a task does not need was not compared, so gang members without accelerators, and tasks that fill idle time, started on workers that had shrunk below their runs.

Change: a worker with less capacity than is allocated receives no start.

--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -137,6 +137,7 @@
         WorkerOption &option = pass_.options.emplace_back();
         option.worker = &worker;
         option.free = worker.freeResources();
+        option.isOvercommitted = !Resources().fitsIn(option.free);
         pass_.uncommitted += std::max(option.free.processors, Millicores());
         pass_.capacity += worker.entry->capacity.processors;
         pass_.maxFreeProcessors = std::max(pass_.maxFreeProcessors, option.free.processors);
@@ -191,7 +192,7 @@
     }
     if (step.spec.fillsIdleTime)
         need.processors = {};
-    return limit > 0 ? need.timesIn(option.free, limit) : 0;
+    return limit > 0 && !option.isOvercommitted ? need.timesIn(option.free, limit) : 0;
 }
 
 CellScheduler::WorkerOption *CellScheduler::bestOption(const StartCandidate &candidate)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -76,6 +76,9 @@
         const CellWorker *worker = nullptr;
         /// Capacity neither allocated nor reserved for candidates earlier in the order.
         Resources free;
+        /// More is allocated than the worker has, as its capacity has shrunk. Nothing starts there,
+        /// not even a task that needs nothing of what is missing.
+        bool isOvercommitted = false;
         /// Only tasks of this or a more urgent priority may use the worker; nothing when all may.
         std::optional<std::int64_t> reservedFor;
     };
