Count the processors of tasks that fill idle time alike everywhere

Cause: such a task takes no processors when it is placed, but a new holder that found it on a worker counted them, and the worker stayed closed to others.

Change: StepSpec::allocation() says what a task takes, for both.

--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -179,7 +179,6 @@
 
 std::int64_t CellScheduler::fittingTasks(const WorkerOption &option, const CellStep &step)
 {
-    Resources need = step.spec.need;
     std::int64_t limit = step.spec.tasks;
     if (step.spec.maxPerWorker > 0) {
         limit = step.spec.maxPerWorker;
@@ -190,9 +189,8 @@
             limit -= isSameStep ? 1 : 0;
         }
     }
-    if (step.spec.fillsIdleTime)
-        need.processors = {};
-    return limit > 0 && !option.isOvercommitted ? need.timesIn(option.free, limit) : 0;
+    return limit > 0 && !option.isOvercommitted ? step.spec.allocation().timesIn(option.free, limit)
+                                                : 0;
 }
 
 CellScheduler::WorkerOption *CellScheduler::bestOption(const StartCandidate &candidate)
@@ -258,9 +256,7 @@
     request.run = run;
     request.payload = candidate.job->accepted().spec.payload;
     request.checkpoint = step.spec.gang ? step.gangCheckpoint : task.checkpoint;
-    request.need = step.spec.need;
-    if (step.spec.fillsIdleTime)
-        request.need.processors = {};
+    request.need = step.spec.allocation();
     if (const std::string *ticket = step.approvals.validTicket(worker.number(), context_.now()))
         request.ticket = *ticket;
     option.free -= request.need;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -228,13 +228,13 @@
     CellTask &task = step->tasks[running.task.index.value()];
     const bool isCurrent = findRun(running.task, running.run, worker.id()) != nullptr;
     if (isCurrent)
-        return step->spec.need;
+        return step->spec.allocation();
     if (!task.isIn(CellTask::State::Waiting))
         return std::nullopt;
     task.assign(worker.id(), running.run, context_.now());
     task.handle(CellTask::Event::Listed);
     markStarted(*job);
-    return step->spec.need;
+    return step->spec.allocation();
 }
 
 void CellScheduler::onListed(const CellWorker &worker, const RunningTask &running)
--- a/Source/Cell/JobSpec.h
+++ b/Source/Cell/JobSpec.h
@@ -38,6 +38,15 @@
     std::int64_t maxUnavailable = 0;
     /// Bound on the tail latency of the tasks' responses; 0 for none.
     Milliseconds latencyTarget;
+
+    /// What a task takes of its worker's capacity.
+    Resources allocation() const
+    {
+        Resources allocated = need;
+        if (fillsIdleTime)
+            allocated.processors = {};
+        return allocated;
+    }
 };
 
 /// When a recurring job repeats; runs = 0 for a job that runs once, immediately.
