Request approvals for tasks that fill idle time on a full fleet

Cause: approvals are requested only while processors are free. These tasks need none.

Change: without a need of processors, the request does not depend on them, and they are not subtracted for others.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -76,8 +76,9 @@
 {
     if (!needsApproval(*candidate.queue))
         return;
-    const bool isCapacityLeft = pass_.uncommitted > Millicores();
-    pass_.uncommitted -= candidate.step->spec.need.processors * tasks;
+    const Millicores processors = candidate.step->spec.allocation().processors * tasks;
+    const bool isCapacityLeft = pass_.uncommitted > Millicores() || processors == Millicores();
+    pass_.uncommitted -= processors;
     if (!isCapacityLeft || !isApprovalRequestDue(candidate))
         return;
     const CellStep &step = *candidate.step;
