Reserve nothing for a gang that exceeds all workers

Cause: all capacity of the approved workers was reserved for a gang that could not start even on idle workers, until it was late by three times its objective.

Change: capacity is reserved only if the listed workers could run the gang when idle. It waits, and is placed when the capacity is back.

--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -44,6 +44,25 @@
     return capacities;
 }
 
+/// Whether the listed workers could run the gang if nothing else ran on them.
+bool CellScheduler::fitsWhenIdle(const StartCandidate &candidate) const
+{
+    const CellStep &step = *candidate.step;
+    const auto needed = static_cast<std::int64_t>(step.tasks.size());
+    const std::int64_t mostPerWorker
+            = step.spec.maxPerWorker > 0 ? std::min(step.spec.maxPerWorker, needed) : needed;
+    std::int64_t total = 0;
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (!worker.isListed || worker.entry->draining || !isEligible(worker, candidate)
+            || step.approvals.isDenied(worker.number()))
+            continue;
+        total += step.spec.need.timesIn(worker.entry->capacity, mostPerWorker);
+        if (total >= needed)
+            return true;
+    }
+    return false;
+}
+
 /// Reserves capacity on these workers against candidates that come later in the order: the free
 /// capacity first, then one more member per worker at a time, as a worker frees capacity for one
 /// member much sooner than for several.
@@ -117,6 +136,8 @@
         requestGangApprovals(candidate, tasks - free, std::move(withoutTicket));
     else if (needsApproval(*candidate.queue) && isApprovalRequestDue(candidate))
         queueApprovalRequest(candidate, std::move(withoutTicket));
+    if (!fits && !fitsWhenIdle(candidate))
+        return;
     if (fits || pass_.gangDemand * gangReservationDivisor <= pass_.capacity)
         reserveForGang(candidate, capacities);
     if (!fits)
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -166,17 +166,21 @@
         startIndependentTasks(candidate);
 }
 
-bool CellScheduler::mayRun(const WorkerOption &option, const StartCandidate &candidate)
+bool CellScheduler::isEligible(const CellWorker &worker, const StartCandidate &candidate)
 {
     const Label &required = candidate.step->spec.requiredLabel;
-    if (option.worker->entry->upstream != candidate.queue->upstream)
-        return false;
-    if (option.reservedFor && candidate.queue->priority > *option.reservedFor)
+    if (worker.entry->upstream != candidate.queue->upstream)
         return false;
-    const std::vector<Label> &labels = option.worker->entry->labels;
+    const std::vector<Label> &labels = worker.entry->labels;
     return required.isEmpty() || std::find(labels.begin(), labels.end(), required) != labels.end();
 }
 
+bool CellScheduler::mayRun(const WorkerOption &option, const StartCandidate &candidate)
+{
+    const bool isReserved = option.reservedFor && candidate.queue->priority > *option.reservedFor;
+    return !isReserved && isEligible(*option.worker, candidate);
+}
+
 std::int64_t CellScheduler::fittingTasks(const WorkerOption &option, const CellStep &step)
 {
     std::int64_t limit = step.spec.tasks;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -171,6 +171,7 @@
     void startIndependentTasks(const StartCandidate &candidate);
     void startGang(const StartCandidate &candidate);
     std::vector<GangCapacity> gangCapacities(const StartCandidate &candidate);
+    bool fitsWhenIdle(const StartCandidate &candidate) const;
     void reserveForGang(const StartCandidate &candidate,
                         const std::vector<GangCapacity> &capacities);
     static std::vector<WorkerId> workersWithoutTicket(const std::vector<GangCapacity> &capacities);
@@ -193,6 +194,8 @@
     void updateMeanDuration(const CellJob &job, const CellTask &task);
     Milliseconds expectedDuration(const QueueId &queue, const StepSpec &step) const;
     void recordArrival(const CellJob &job);
+    /// Whether the worker belongs to the queue's upstream and has the label that the step requires.
+    static bool isEligible(const CellWorker &worker, const StartCandidate &candidate);
     static bool mayRun(const WorkerOption &option, const StartCandidate &candidate);
     bool needsApproval(const Queue &queue) const;
     void requestTaskApprovals(const StartCandidate &candidate, std::int64_t tasks);
