Leave the free capacity to others when a step fits no worker

Cause: the processors of a waiting step count as used when later steps request approvals, also if no worker can run the step.

Change: a step that fits no usable worker neither requests approvals nor counts.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -69,12 +69,21 @@
     return chosen;
 }
 
+bool CellScheduler::fitsAnyWorker(const StartCandidate &candidate) const
+{
+    const Resources needed = candidate.step->spec.allocation();
+    return std::any_of(pass_.options.begin(), pass_.options.end(), [&](const auto &option) {
+        return mayRun(option, candidate) && needed.fitsIn(option.worker->entry->capacity);
+    });
+}
+
 /// Requests new tickets for approved workers whose tickets have expired. If the approved workers
 /// have too little free capacity for all tasks, also requests decisions on as many workers as are
 /// likely to provide the rest.
 void CellScheduler::requestTaskApprovals(const StartCandidate &candidate, std::int64_t tasks)
 {
-    if (!needsApproval(*candidate.queue))
+    // Tasks that fit no worker at present leave the free capacity to others.
+    if (!needsApproval(*candidate.queue) || !fitsAnyWorker(candidate))
         return;
     const Millicores processors = candidate.step->spec.allocation().processors * tasks;
     const bool isCapacityLeft = pass_.uncommitted > Millicores() || processors == Millicores();
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -198,6 +198,8 @@
     static bool isEligible(const CellWorker &worker, const StartCandidate &candidate);
     static bool mayRun(const WorkerOption &option, const StartCandidate &candidate);
     bool needsApproval(const Queue &queue) const;
+    /// Whether an idle worker could run a task of the step.
+    bool fitsAnyWorker(const StartCandidate &candidate) const;
     void requestTaskApprovals(const StartCandidate &candidate, std::int64_t tasks);
     void requestGangApprovals(const StartCandidate &candidate, std::int64_t missing,
                               std::vector<WorkerId> withoutTicket);
