Use a restarted worker only with the entry of its incarnation

Cause: a restart is known from the worker's reply, and its entry may come later. Until then the capacity and labels of the earlier incarnation were used.

Change: such a worker receives no start before its entry is as new.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -219,8 +219,11 @@
 
 bool WorkerFleet::isUsable(const CellWorker &worker) const
 {
-    return worker.isListed && worker.isStateRead && worker.isInRoster && !worker.closedWithJobs
-            && !worker.entry->draining && worker.orphanedRuns == 0
+    // A new incarnation may have less capacity and other labels than the entry of the earlier one.
+    const bool isEntryOutdated = worker.isListed && worker.incarnation
+            && worker.entry->incarnation < *worker.incarnation;
+    return worker.isListed && !isEntryOutdated && worker.isStateRead && worker.isInRoster
+            && !worker.closedWithJobs && !worker.entry->draining && worker.orphanedRuns == 0
             && context_.now() >= worker.avoidUntil;
 }
 
