Ignore an older version of a record that a list no longer has

Cause: the revision of a key is forgotten when a list does not contain it, so a watch reply that arrives after that list brought the record back.

Change: a version that is not newer than the latest list, of a key that the list does not contain, is ignored.

--- a/Source/Cell/RecordWatcher.cpp
+++ b/Source/Cell/RecordWatcher.cpp
@@ -32,7 +32,7 @@
 {
     ++session_;
     running_ = listing_ = watching_ = relistDue_ = initialListDone_ = false;
-    watchedTo_ = {};
+    watchedTo_ = listedTo_ = {};
     known_.clear();
 }
 
@@ -101,6 +101,7 @@
     for (const RecordKey &key : removed)
         handlers_.removed(key);
     listing_ = false;
+    listedTo_ = listing.revision;
     if (!initialListDone_)
         watchedTo_ = listing.revision;
     initialListDone_ = true;
@@ -144,6 +145,9 @@
 
 void RecordWatcher::applyItem(const StoreItem &item)
 {
+    // A record of this revision that the latest list does not contain has been deleted since.
+    if (item.revision <= listedTo_ && !known_.contains(item.key))
+        return;
     Known &known = known_[item.key];
     if (known.revision >= item.revision)
         return;
--- a/Source/Cell/RecordWatcher.h
+++ b/Source/Cell/RecordWatcher.h
@@ -79,6 +79,8 @@
     TimePoint nextList_;
     TimePoint nextWatch_;
     Revision watchedTo_;
+    /// Revision of the latest complete list.
+    Revision listedTo_;
     std::map<RecordKey, Known> known_;
 };
 
