Log a change of a worker's capacity

Cause: the log did not say which capacity the holder believed in.

Change: event=worker_capacity_changed with both amounts and whether the runs fit.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -101,6 +101,8 @@
                      entry.upstream.value(), entry.incarnation.value(),
                      entry.remaining.value_or(Milliseconds()).count());
     }
+    if (worker.isListed && worker.entry->capacity != entry.capacity)
+        logCapacity(worker, entry.capacity);
     const std::optional<WorkerEntry> previous = std::exchange(worker.entry, entry);
     const bool keepsAnnouncement = entry.draining && !entry.remaining && previous
             && previous->draining && previous->incarnation == entry.incarnation;
@@ -125,6 +127,19 @@
     scheduleHeartbeat(worker);
 }
 
+void WorkerFleet::logCapacity(const CellWorker &worker, const Resources &capacity)
+{
+    Resources allocated;
+    for (const Placement &placement : worker.placements)
+        allocated += placement.need;
+    context_.log("event=worker_capacity_changed worker={} millicores={} previous_millicores={} "
+                 "memory_bytes={} accelerators={} runs={} fits={}",
+                 worker.id().value(), capacity.processors.count(),
+                 worker.entry->capacity.processors.count(), capacity.memory.count(),
+                 capacity.accelerators.count(), worker.placements.size(),
+                 allocated.fitsIn(capacity));
+}
+
 void WorkerFleet::removeEntry(const WorkerId &id)
 {
     CellWorker *worker = findWorker(id);
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -106,6 +106,7 @@
     void resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
     void updateIncarnation(CellWorker &worker, std::optional<WorkerIncarnation> incarnation);
     void updateFromReply(CellWorker &worker, const WorkerReply &reply);
+    void logCapacity(const CellWorker &worker, const Resources &capacity);
     void logUnreachable(const CellWorker &worker, WorkerOutcome outcome);
     void expireLease(CellWorker &worker);
     void checkRecovery();
