Let no task fit beside a negative amount in timesIn()

Cause: timesIn() takes a need of 0 to fit into a negative amount, fitsIn() does not. TaskPlacer::reserve() ends the process of serve when a chosen worker does not have the capacity.

Change: both agree. Tasks that fill idle time still use workers on which more is reserved for gangs than is free.

--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -193,8 +193,11 @@
             limit -= isSameStep ? 1 : 0;
         }
     }
-    return limit > 0 && !option.isOvercommitted ? step.spec.allocation().timesIn(option.free, limit)
-                                                : 0;
+    Resources free = option.free;
+    // The reservations for gangs may exceed the free processors.
+    if (step.spec.fillsIdleTime)
+        free.processors = std::max(free.processors, Millicores());
+    return limit > 0 && !option.isOvercommitted ? step.spec.allocation().timesIn(free, limit) : 0;
 }
 
 CellScheduler::WorkerOption *CellScheduler::bestOption(const StartCandidate &candidate)
--- a/Source/Decisions/Resources.cpp
+++ b/Source/Decisions/Resources.cpp
@@ -10,7 +10,7 @@
 std::int64_t timesInDimension(Amount needs, Amount capacity, std::int64_t most)
 {
     if (needs.count() <= 0)
-        return most;
+        return capacity.count() < 0 ? 0 : most;
     return std::clamp<std::int64_t>(capacity.count() / needs.count(), 0, most);
 }
 
