Move a worker between the grids when its accelerators change

Cause: a worker that lost its last accelerator stayed in the grid of workers with accelerators, with its earlier free capacity, and could be chosen for a task that ends the process of serve in TaskPlacer::reserve().

Change: the entry in the other grid is removed.

--- a/Source/Decisions/Policy/BestFit.cpp
+++ b/Source/Decisions/Policy/BestFit.cpp
@@ -130,9 +130,10 @@
     const auto number = static_cast<std::uint32_t>(worker.value());
     const bool isUsable
             = allocation.isOpen && allocation.reservedFor == reservedFor_ && free.slots > Slots();
-    FreeCapacityGrid &grid = allocation.capacity.accelerators > Accelerators()
-            ? withAccelerators_
-            : withoutAccelerators_;
+    const bool hasAccelerators = allocation.capacity.accelerators > Accelerators();
+    FreeCapacityGrid &grid = hasAccelerators ? withAccelerators_ : withoutAccelerators_;
+    // The worker may have gained or lost its accelerators.
+    (hasAccelerators ? withoutAccelerators_ : withAccelerators_).remove(number);
     if (isUsable)
         grid.insert({free, number}, FreeCapacityGrid::cellOf(free, maxCapacity_));
     else
