--- a/Tests/Cell/WorkerCapacityTest.cpp
+++ b/Tests/Cell/WorkerCapacityTest.cpp
@@ -441,7 +441,7 @@
         for (std::size_t i = 0; i < 6; ++i)
             simulation_->changeCapacity(i, processors(8));
         for (const std::string &job : jobs)
-            CPPUNIT_ASSERT_MESSAGE(name + ' ' + job, completes(job));
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("{} {}", name, job), completes(job));
         CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t(0), simulation_->overloads());
         CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t(0), simulation_->overlaps());
     }
