--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -137,7 +137,8 @@
         WorkerOption &option = pass_.options.emplace_back();
         option.worker = &worker;
         option.free = worker.freeResources();
-        pass_.uncommitted += option.free.processors;
+        option.isOvercommitted = !Resources().fitsIn(option.free);
+        pass_.uncommitted += std::max(option.free.processors, Millicores());
         pass_.capacity += worker.entry->capacity.processors;
         pass_.maxFreeProcessors = std::max(pass_.maxFreeProcessors, option.free.processors);
         if (unreserved > Millicores()) {
@@ -165,20 +166,23 @@
         startIndependentTasks(candidate);
 }
 
-bool CellScheduler::mayRun(const WorkerOption &option, const StartCandidate &candidate)
+bool CellScheduler::isEligible(const CellWorker &worker, const StartCandidate &candidate)
 {
     const Label &required = candidate.step->spec.requiredLabel;
-    if (option.worker->entry->upstream != candidate.queue->upstream)
-        return false;
-    if (option.reservedFor && candidate.queue->priority > *option.reservedFor)
+    if (worker.entry->upstream != candidate.queue->upstream)
         return false;
-    const std::vector<Label> &labels = option.worker->entry->labels;
+    const std::vector<Label> &labels = worker.entry->labels;
     return required.isEmpty() || std::find(labels.begin(), labels.end(), required) != labels.end();
 }
 
+bool CellScheduler::mayRun(const WorkerOption &option, const StartCandidate &candidate)
+{
+    const bool isReserved = option.reservedFor && candidate.queue->priority > *option.reservedFor;
+    return !isReserved && isEligible(*option.worker, candidate);
+}
+
 std::int64_t CellScheduler::fittingTasks(const WorkerOption &option, const CellStep &step)
 {
-    Resources need = step.spec.need;
     std::int64_t limit = step.spec.tasks;
     if (step.spec.maxPerWorker > 0) {
         limit = step.spec.maxPerWorker;
@@ -189,9 +193,11 @@
             limit -= isSameStep ? 1 : 0;
         }
     }
+    Resources free = option.free;
+    // The reservations for gangs may exceed the free processors.
     if (step.spec.fillsIdleTime)
-        need.processors = {};
-    return limit > 0 ? need.timesIn(option.free, limit) : 0;
+        free.processors = std::max(free.processors, Millicores());
+    return limit > 0 && !option.isOvercommitted ? step.spec.allocation().timesIn(free, limit) : 0;
 }
 
 CellScheduler::WorkerOption *CellScheduler::bestOption(const StartCandidate &candidate)
@@ -257,9 +263,7 @@
     request.run = run;
     request.payload = candidate.job->accepted().spec.payload;
     request.checkpoint = step.spec.gang ? step.gangCheckpoint : task.checkpoint;
-    request.need = step.spec.need;
-    if (step.spec.fillsIdleTime)
-        request.need.processors = {};
+    request.need = step.spec.allocation();
     if (const std::string *ticket = step.approvals.validTicket(worker.number(), context_.now()))
         request.ticket = *ticket;
     option.free -= request.need;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -76,6 +76,9 @@
         const CellWorker *worker = nullptr;
         /// Capacity neither allocated nor reserved for candidates earlier in the order.
         Resources free;
+        /// More is allocated than the worker has, as its capacity has shrunk. Nothing starts there,
+        /// not even a task that needs nothing of what is missing.
+        bool isOvercommitted = false;
         /// Only tasks of this or a more urgent priority may use the worker; nothing when all may.
         std::optional<std::int64_t> reservedFor;
     };
@@ -168,6 +171,7 @@
     void startIndependentTasks(const StartCandidate &candidate);
     void startGang(const StartCandidate &candidate);
     std::vector<GangCapacity> gangCapacities(const StartCandidate &candidate);
+    bool fitsWhenIdle(const StartCandidate &candidate) const;
     void reserveForGang(const StartCandidate &candidate,
                         const std::vector<GangCapacity> &capacities);
     static std::vector<WorkerId> workersWithoutTicket(const std::vector<GangCapacity> &capacities);
@@ -190,8 +194,12 @@
     void updateMeanDuration(const CellJob &job, const CellTask &task);
     Milliseconds expectedDuration(const QueueId &queue, const StepSpec &step) const;
     void recordArrival(const CellJob &job);
+    /// Whether the worker belongs to the queue's upstream and has the label that the step requires.
+    static bool isEligible(const CellWorker &worker, const StartCandidate &candidate);
     static bool mayRun(const WorkerOption &option, const StartCandidate &candidate);
     bool needsApproval(const Queue &queue) const;
+    /// Whether an idle worker could run a task of the step.
+    bool fitsAnyWorker(const StartCandidate &candidate) const;
     void requestTaskApprovals(const StartCandidate &candidate, std::int64_t tasks);
     void requestGangApprovals(const StartCandidate &candidate, std::int64_t missing,
                               std::vector<WorkerId> withoutTicket);
