--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -235,7 +235,9 @@
 bool WorkerFleet::isUsable(const CellWorker &worker) const
 {
     // A new incarnation may have less capacity and other labels than the entry of the earlier one.
+    // An entry without a start time tells nothing about this.
     const bool isEntryOutdated = worker.isListed && worker.incarnation
+            && worker.entry->incarnation != WorkerIncarnation()
             && worker.entry->incarnation < *worker.incarnation;
     return worker.isListed && !isEntryOutdated && worker.isStateRead && worker.isInRoster
             && !worker.closedWithJobs && !worker.entry->draining && worker.orphanedRuns == 0
--- a/Tests/Cell/WorkerCapacityTest.cpp
+++ b/Tests/Cell/WorkerCapacityTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(workerEntry_inAWatchReplyAfterItsRemoval_isIgnored);
     CPPUNIT_TEST(workerEntry_malformedForAWhile_olderCapacityIsNotUsed);
     CPPUNIT_TEST(worker_restartedWithLessCapacity_receivesNoStartBeforeItsEntry);
+    CPPUNIT_TEST(workerEntry_withoutAStartTime_isUsed);
     CPPUNIT_TEST(worker_shrinkingWhileStartsAreLate_isNotOverloadedForLong);
     CPPUNIT_TEST(worker_shrinkingWhileTheHolderIsCutOffFromTheStore_isNotOverloadedForLong);
     CPPUNIT_TEST(worker_shrinkingWhileTheStoreLosesAllReplies_isNotOverloadedForLong);
@@ -336,6 +337,18 @@
         assertNoOverloads();
     }
 
+    void workerEntry_withoutAStartTime_isUsed()
+    {
+        for (std::size_t i = 0; i < 4; ++i) {
+            WorkerEntry entry = simulation_->worker(i).entry;
+            entry.incarnation = WorkerIncarnation();
+            simulation_->store().put({RecordType::Workers, entry.id.value()}, entry);
+        }
+        simulation_->advance(Milliseconds(2000));
+        submit("a", 4);
+        waitForStarts("a", 4);
+    }
+
     void worker_shrinkingWhileStartsAreLate_isNotOverloadedForLong()
     {
         simulation_->workerDelay = [](const WorkerRequest &request) {
