Test tasks that crash the workers that start them

Change: runs of the simulation can crash their worker at the start or later; it is down meanwhile, silent or refusing connections, and returns in a new incarnation, its entry kept or removed and added again.

--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -52,6 +52,10 @@
         worker->onCompleted
                 = [this](const SimulatedWorker &on, const SimulatedWorker::Run &run,
                          CompletionReason reason) { recordCompletion(on, run, reason); };
+        worker->onCrashed = [this](const SimulatedWorker &on) { recordCrash(on); };
+        worker->onReturned = [this](const SimulatedWorker &on) {
+            store_.put({RecordType::Workers, on.entry.id.value()}, on.entry);
+        };
         workers_.push_back(std::move(worker));
     }
     publishWorkers();
@@ -204,6 +208,8 @@
     if (const std::size_t worker = indexOf(call.request.worker);
         worker < workers_.size() && workers_[worker]->hasLeft())
         delivery = Delivery::Lost;
+    else if (worker < workers_.size() && workers_[worker]->isDown())
+        delivery = deliveryWhileDown;
     const std::uint64_t incarnation = instance.incarnation;
     const SimulatedWorker::Reply reply
             = [this, index, incarnation, id = call.id](const WorkerReply &answer) {
@@ -382,8 +388,8 @@
 
 void CellSimulation::recordStart(const SimulatedWorker &worker, const SimulatedWorker::Run &run)
 {
-    starts_.push_back(
-            {run.task, run.run, worker.entry.id, now_, std::nullopt, CompletionReason::Succeeded});
+    starts_.push_back({run.task, run.run, worker.entry.id, now_, std::nullopt,
+                       CompletionReason::Succeeded, false});
     Resources used;
     for (const SimulatedWorker::Run &running : worker.running()) {
         used += needs_[running.task.job.value() + "." + std::to_string(running.task.step.value())];
@@ -407,6 +413,14 @@
         breakGangElsewhere(run);
 }
 
+void CellSimulation::recordCrash(const SimulatedWorker &worker)
+{
+    for (ObservedRun &row : starts_)
+        row.crashed = row.crashed || (row.worker == worker.entry.id && !row.completedAt);
+    if (removesEntriesOnCrash)
+        store_.remove({RecordType::Workers, worker.entry.id.value()});
+}
+
 void CellSimulation::breakGangElsewhere(const SimulatedWorker::Run &run)
 {
     schedule(networkDelay, [this, step = stepOf(run.task), number = run.run] {
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -34,6 +34,8 @@
         TimePoint startedAt;
         std::optional<TimePoint> completedAt;
         cell::CompletionReason reason = cell::CompletionReason::Succeeded;
+        /// The run ended with a crash of the worker.
+        bool crashed = false;
     };
 
     CellSimulation(std::size_t instances, std::size_t workers);
@@ -66,6 +68,10 @@
     /// The worker's process ends with its runs, and its entry is removed.
     void removeWorker(std::size_t worker);
     std::size_t indexOf(const WorkerId &worker) const;
+    /// What callers see of a worker that has crashed, until it has restarted.
+    Delivery deliveryWhileDown = Delivery::Lost;
+    /// Whether the entry of a worker is removed when it crashes, and added when it runs again.
+    bool removesEntriesOnCrash = false;
     SimulatedStore &store() { return store_; }
     SimulatedWorker &worker(std::size_t index) { return *workers_.at(index); }
 
@@ -141,6 +147,7 @@
     void recordStart(const SimulatedWorker &worker, const SimulatedWorker::Run &run);
     void recordCompletion(const SimulatedWorker &worker, const SimulatedWorker::Run &run,
                           cell::CompletionReason reason);
+    void recordCrash(const SimulatedWorker &worker);
     void breakGangElsewhere(const SimulatedWorker::Run &run);
 
     TimePoint now_ {Milliseconds(1'000'000)};
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -69,12 +69,22 @@
     }
     const RunPlan planned = plan(command.task, command.run);
     running_.push_back({command.task, command.run, now, now + planned.duration, planned.reason});
+    if (planned.crashesAfter)
+        running_.back().crashesAt = now + *planned.crashesAfter;
     onStarted(*this, running_.back());
+    if (planned.crashesAfter == Milliseconds()) {
+        crash(now);
+        return {};
+    }
     return reply;
 }
 
 void SimulatedWorker::handle(TimePoint now, const WorkerRequest &request, const Reply &reply)
 {
+    if (isDown()) {
+        reply({});
+        return;
+    }
     WorkerReply answer;
     answer.clock = clock(now);
     answer.incarnation = entry.incarnation;
@@ -144,6 +154,19 @@
 {
     if (hasLeft_)
         return;
+    if (isDown()) {
+        if (now < *returnsAt_)
+            return;
+        restart(now);
+        onReturned(*this);
+    }
+    const bool crashes = std::any_of(running_.begin(), running_.end(), [&](const Run &run) {
+        return run.crashesAt && now >= *run.crashesAt;
+    });
+    if (crashes) {
+        crash(now);
+        return;
+    }
     for (std::size_t i = running_.size(); i > 0; --i) {
         if (clock(now) > leaseDeadline_)
             complete(now, i - 1, CompletionReason::LeaseExpired);
@@ -171,8 +194,19 @@
     pendingHeartbeats_.clear();
 }
 
+void SimulatedWorker::crash(TimePoint now)
+{
+    onCrashed(*this);
+    for (const Run &run : std::exchange(running_, {}))
+        onCompleted(*this, run, CompletionReason::LeaseExpired);
+    for (const PendingHeartbeat &pending : std::exchange(pendingHeartbeats_, {}))
+        pending.reply({});
+    returnsAt_ = now + downtime;
+}
+
 void SimulatedWorker::restart(TimePoint now)
 {
+    returnsAt_.reset();
     for (const Run &run : running_)
         onCompleted(*this, run, CompletionReason::LeaseExpired);
     running_.clear();
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -22,11 +22,14 @@
         TimePoint startedAt;
         TimePoint completesAt;
         cell::CompletionReason reason = cell::CompletionReason::Succeeded;
+        /// When the run crashes the worker's process; nothing when it does not.
+        std::optional<TimePoint> crashesAt = std::nullopt;
     };
     struct RunPlan
     {
         Milliseconds duration;
         cell::CompletionReason reason = cell::CompletionReason::Succeeded;
+        std::optional<Milliseconds> crashesAfter = std::nullopt;
     };
 
     cell::WorkerEntry entry;
@@ -37,6 +40,9 @@
     /// Called for every start and every completion of a run.
     std::function<void(const SimulatedWorker &, const Run &)> onStarted;
     std::function<void(const SimulatedWorker &, const Run &, cell::CompletionReason)> onCompleted;
+    /// Called when the process crashes, before its runs complete, and when it runs again.
+    std::function<void(const SimulatedWorker &)> onCrashed;
+    std::function<void(const SimulatedWorker &)> onReturned;
 
     void handle(TimePoint now, const cell::WorkerRequest &request, const Reply &reply);
     void tick(TimePoint now);
@@ -46,6 +52,10 @@
     Milliseconds stopDuration;
     /// Restarts the process: a new incarnation with the same id and without runs.
     void restart(TimePoint now);
+    /// Ends the process and all its runs; it restarts after the downtime.
+    void crash(TimePoint now);
+    Milliseconds downtime {5000};
+    bool isDown() const { return returnsAt_.has_value(); }
     /// Ends the process and all its runs for good; nothing answers at its address.
     void leave();
     bool hasLeft() const { return hasLeft_; }
@@ -81,6 +91,7 @@
     std::uint64_t lastCompletion_ = 0;
     std::list<PendingHeartbeat> pendingHeartbeats_;
     bool hasLeft_ = false;
+    std::optional<TimePoint> returnsAt_;
 };
 
 } // namespace caraway::tests
