Give up jobs whose tasks crash the workers that start them

Change: WorkerFleet reports a worker's new incarnation without a drain as a crash, also for runs whose lease expired before. CrashHistory counts it for each task with a run there; the count is in the job's progress record before the task starts again, and later starts are recorded before they are sent, so that the next holder can resolve them. The job fails after three crashes if no other job can have caused the last, after four if other workers failed too, after five on a shared worker; a job that is given up takes one crash off the tasks beside it. Tasks with crashes are placed apart where capacity allows. Records without crashes are encoded as before.

--- /dev/null
+++ b/Source/Cell/CellCrashes.cpp
@@ -0,0 +1,229 @@
+#include "Cell/CellScheduler.h"
+
+#include <algorithm>
+
+namespace caraway::cell {
+
+namespace {
+
+/// A long-running task lives long enough to meet crashes of its workers' own; only those soon after
+/// the start of its run count.
+constexpr Milliseconds longRunningWindow {30'000};
+/// Restarts of other workers within this time may have the same cause, such as a loss of power.
+constexpr Milliseconds commonCauseWindow {3000};
+constexpr std::size_t maxUnrelatedFailures = 1;
+/// Each weight exceeds the sum of the following ones and of all other scores of a worker.
+constexpr double isolatedTaskWeight = 10'000;
+constexpr double suspectTaskWeight = 1000;
+constexpr double otherRunWeight = 2;
+constexpr std::int64_t maxOtherRuns = 400;
+
+} // namespace
+
+void CellScheduler::onWorkerCrashed(const CellWorker &worker, const std::vector<Placement> &lost)
+{
+    const WorkerCrash crash {worker.id(), worker.incarnation.value_or(WorkerIncarnation())};
+    std::vector<TaskKey> counted;
+    for (const Placement &placement : lost) {
+        CellJob *job = nullptr;
+        const CellStep *step = findStep(placement.task, job);
+        if (step && countsAsCrash(*step, placement)
+            && countCrash(crash, placement.task, placement.run))
+            counted.push_back(placement.task);
+    }
+    const auto unexplained = [this](const TaskKey &key) {
+        CellJob *job = nullptr;
+        return findStep(key, job)->tasks[key.index.value()].crashes().unexplained();
+    };
+    // A job that is given up explains the crash, so that others are not given up for it.
+    std::stable_sort(counted.begin(), counted.end(), [&](const TaskKey &a, const TaskKey &b) {
+        return unexplained(a) > unexplained(b);
+    });
+    const CrashEvidence evidence = evidenceOf(worker, lost);
+    for (const TaskKey &key : counted)
+        giveUpIfDue(key, evidence);
+}
+
+CrashEvidence CellScheduler::evidenceOf(const CellWorker &worker,
+                                        const std::vector<Placement> &lost) const
+{
+    const JobId &job = lost.front().task.job;
+    const bool hasOneJob = std::all_of(lost.begin(), lost.end(), [&](const Placement &placement) {
+        return placement.task.job == job;
+    });
+    if (!hasOneJob)
+        return CrashEvidence::SharedWorker;
+    return unrelatedFailures(worker, job) <= maxUnrelatedFailures ? CrashEvidence::OnlySuspect
+                                                                  : CrashEvidence::CommonCause;
+}
+
+bool CellScheduler::countCrash(const WorkerCrash &crash, const TaskKey &key, RunNumber run)
+{
+    CellJob *job = nullptr;
+    CellStep *step = findStep(key, job);
+    if (!step || isFinal(job->state()))
+        return false;
+    CellTask &task = step->tasks[key.index.value()];
+    if (task.isFinished() || !task.addCrash(crash))
+        return false;
+    jobsWithCrashes_.insert(key.job);
+    recorder_.markCrash(key);
+    context_.log("event=worker_crashed_under_run job={} step={} task={} run={} worker={} "
+                 "incarnation={} crashes={} unexplained={}",
+                 key.job.value(), key.step.value(), key.index.value(), run.value(),
+                 crash.worker.value(), crash.incarnation.value(), task.crashes().count(),
+                 task.crashes().unexplained());
+    return true;
+}
+
+void CellScheduler::giveUpIfDue(const TaskKey &key, CrashEvidence evidence)
+{
+    CellJob *job = nullptr;
+    const CellStep *step = findStep(key, job);
+    if (!step || isFinal(job->state()))
+        return;
+    const CrashHistory &crashes = step->tasks[key.index.value()].crashes();
+    if (crashes.shouldGiveUp(evidence))
+        giveUp(*job, key, crashes);
+}
+
+std::size_t CellScheduler::unrelatedFailures(const CellWorker &crashed, const JobId &job) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (&worker == &crashed || worker.hasRunsOf(job) || worker.jobsAtRestart.contains(job))
+            continue;
+        const bool hasRestarted
+                = worker.restartedAt && context_.now() - *worker.restartedAt < commonCauseWindow;
+        count += hasRestarted || worker.unansweredCalls > 0 ? 1 : 0;
+    }
+    return count;
+}
+
+bool CellScheduler::countsAsCrash(const CellStep &step, const Placement &placement) const
+{
+    if (!step.spec.longRunning)
+        return true;
+    const CellTask &task = step.tasks[placement.task.index.value()];
+    return task.run() == placement.run && context_.now() - task.placedAt() < longRunningWindow;
+}
+
+void CellScheduler::giveUp(CellJob &job, const TaskKey &key, const CrashHistory &crashes)
+{
+    context_.log("event=job_given_up job={} step={} task={} crashes={} workers={}", key.job.value(),
+                 key.step.value(), key.index.value(), crashes.count(), crashes.describe());
+    finish(job, JobState::Failed);
+    for (const JobId &id : jobsWithCrashes_) {
+        if (id == job.id())
+            continue;
+        for (CellStep &step : findJob(id)->steps()) {
+            for (CellTask &task : step.tasks) {
+                for (const WorkerCrash &crash : crashes.crashes())
+                    task.explainCrash(crash);
+            }
+        }
+    }
+}
+
+void CellScheduler::onCrashRecorded(const TaskKey &key)
+{
+    CellJob *job = nullptr;
+    CellStep *step = findStep(key, job);
+    if (!step)
+        return;
+    step->tasks[key.index.value()].onCrashRecorded();
+    passNeeded_ = true;
+}
+
+bool CellScheduler::recordsStart(const CellStep &step, const CellTask &task)
+{
+    if (!step.spec.gang)
+        return !task.crashes().isEmpty();
+    return std::any_of(step.tasks.begin(), step.tasks.end(),
+                       [](const CellTask &member) { return !member.crashes().isEmpty(); });
+}
+
+void CellScheduler::onStartRecorded(const TaskKey &key)
+{
+    auto start = unrecordedStarts_.extract(key);
+    if (!start.empty())
+        fleet_.sendStart(start.mapped().worker, std::move(start.mapped().request));
+}
+
+void CellScheduler::resolveRecordedStarts()
+{
+    for (const JobId &id : jobsWithCrashes_) {
+        for (CellStep &step : findJob(id)->steps()) {
+            for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+                CellTask &task = step.tasks[i];
+                if (!task.recordedStart || !task.isIn(CellTask::State::Waiting))
+                    continue;
+                const RecordedStart start = *task.recordedStart;
+                const CellWorker *worker = fleet_.worker(start.worker);
+                if (!worker || !worker->incarnation)
+                    continue;
+                const bool hasRestarted = *worker->incarnation > start.incarnation;
+                const WorkerCrash crash {start.worker, start.incarnation};
+                if (hasRestarted && worker->drainedIncarnation != start.incarnation
+                    && countCrash(crash, step.taskKey(i), start.run)) {
+                    // Nothing tells which other runs were there.
+                    giveUpIfDue(step.taskKey(i), CrashEvidence::SharedWorker);
+                }
+                if (hasRestarted || worker->isStateRead)
+                    task.recordedStart.reset();
+            }
+        }
+    }
+}
+
+bool CellScheduler::awaitsCrashEvidence(const CellStep &step, std::size_t index) const
+{
+    return step.tasks[index].crashes().needsIsolation()
+            && fleet_.mayHaveCrashedUnder(step.taskKey(index));
+}
+
+void CellScheduler::collectSuspects()
+{
+    if (jobsWithCrashes_.empty())
+        return;
+    std::map<WorkerId, std::vector<SuspectRun>> suspects;
+    for (const JobId &id : jobsWithCrashes_) {
+        const CellJob *job = findJob(id);
+        for (const CellStep &step : job->steps()) {
+            for (const CellTask &task : step.tasks) {
+                if (task.isIn(CellTask::State::OnWorker) && !task.crashes().isEmpty())
+                    suspects[task.worker()].push_back({id, task.crashes().needsIsolation()});
+            }
+        }
+    }
+    for (WorkerOption &option : pass_.options) {
+        const auto found = suspects.find(option.worker->id());
+        if (found != suspects.end())
+            option.suspects = std::move(found->second);
+    }
+}
+
+double CellScheduler::crashPenalty(const WorkerOption &option, const JobId &job,
+                                   const CrashHistory &crashes)
+{
+    double penalty = 0;
+    bool hasSuspect = false;
+    bool hasIsolated = false;
+    for (const SuspectRun &run : option.suspects) {
+        hasSuspect = hasSuspect || run.job != job;
+        hasIsolated = hasIsolated || (run.job != job && run.needsIsolation);
+    }
+    if (hasIsolated)
+        penalty += isolatedTaskWeight;
+    if (hasSuspect && !crashes.isEmpty())
+        penalty += suspectTaskWeight;
+    if (!crashes.needsIsolation())
+        return penalty;
+    const std::vector<Placement> &placements = option.worker->placements;
+    const std::int64_t others
+            = std::count_if(placements.begin(), placements.end(),
+                            [&](const Placement &placement) { return placement.task.job != job; });
+    return penalty + otherRunWeight * static_cast<double>(std::min(others, maxOtherRuns));
+}
+
+} // namespace caraway::cell
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -24,19 +24,26 @@
 {
     const CellStep &step = *candidate.step;
     std::vector<GangCapacity> capacities;
+    const auto mostCrashes = std::max_element(step.tasks.begin(), step.tasks.end(),
+                                              [](const CellTask &a, const CellTask &b) {
+                                                  return a.crashes().count() < b.crashes().count();
+                                              });
     for (WorkerOption &option : pass_.options) {
         if (!mayRun(option, candidate) || !isApproved(option, candidate))
             continue;
         const std::int64_t total
                 = step.spec.need.timesIn(option.worker->entry->capacity, step.spec.tasks);
         if (total > 0)
-            capacities.push_back(
-                    {&option, fittingTasks(option, step), total, hasTicket(option, candidate)});
+            capacities.push_back({&option, fittingTasks(option, step), total,
+                                  hasTicket(option, candidate),
+                                  crashPenalty(option, step.key.job, mostCrashes->crashes())});
     }
     std::sort(capacities.begin(), capacities.end(),
               [&](const GangCapacity &a, const GangCapacity &b) {
                   if ((a.free > 0 && a.hasTicket) != (b.free > 0 && b.hasTicket))
                       return a.free > 0 && a.hasTicket;
+                  if (a.crashPenalty != b.crashPenalty)
+                      return a.crashPenalty < b.crashPenalty;
                   if (a.free != b.free)
                       return a.free > b.free;
                   return a.option->free.processors > b.option->free.processors;
@@ -98,6 +105,10 @@
 {
     const CellStep &step = *candidate.step;
     const auto tasks = static_cast<std::int64_t>(step.tasks.size());
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        if (awaitsCrashEvidence(step, i))
+            return;
+    }
     const std::vector<GangCapacity> capacities = gangCapacities(candidate);
     std::int64_t free = 0;
     std::int64_t startable = 0;
--- a/Source/Cell/CellJob.cpp
+++ b/Source/Cell/CellJob.cpp
@@ -73,6 +73,15 @@
             else if (index < step.tasks.size())
                 step.tasks[index].failedRuns = runs;
         }
+        for (const auto &[index, crashes] : saved.crashes) {
+            markStarted();
+            if (index < step.tasks.size())
+                step.tasks[index].restoreCrashes(crashes);
+        }
+        for (const auto &[index, start] : saved.starts) {
+            if (index < step.tasks.size())
+                step.tasks[index].recordedStart = start;
+        }
         for (const auto &[index, text] : saved.checkpoints) {
             if (step.spec.gang)
                 step.gangCheckpoint = text;
@@ -121,6 +130,14 @@
     });
 }
 
+bool CellJob::hasCrashes() const
+{
+    return std::any_of(steps_.begin(), steps_.end(), [](const CellStep &step) {
+        return std::any_of(step.tasks.begin(), step.tasks.end(),
+                           [](const CellTask &task) { return !task.crashes().isEmpty(); });
+    });
+}
+
 bool CellJob::isDone() const
 {
     return std::all_of(steps_.begin(), steps_.end(),
@@ -159,6 +176,10 @@
             row.done.push_back(task.isIn(CellTask::State::Done));
             if (!task.failedRuns.empty())
                 row.failedRuns[i] = task.failedRuns;
+            if (!task.crashes().isEmpty() && !task.isIn(CellTask::State::Done))
+                row.crashes[i] = task.crashes().crashes();
+            if (task.recordedStart && !task.isIn(CellTask::State::Done))
+                row.starts[i] = *task.recordedStart;
             if (!task.checkpoint.empty() && !task.isIn(CellTask::State::Done))
                 row.checkpoints[i] = task.checkpoint;
         }
--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -58,6 +58,8 @@
     /// Ends the job in the final \a state and withdraws its tasks.
     void finish(JobState state);
     bool hasTasksOnWorkers() const;
+    /// Whether a worker crashed under a run of a task.
+    bool hasCrashes() const;
     bool isDone() const;
     /// Marks the steps as ready that are due and whose dependencies have all succeeded.
     void updateReadiness(TimePoint now, WallTime wallTime);
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -145,10 +145,12 @@
             unreserved -= worker.entry->capacity.processors;
         }
     }
+    collectSuspects();
 }
 
 void CellScheduler::runSchedulingPass()
 {
+    resolveRecordedStarts();
     preparePass();
     const std::vector<StartCandidate> candidates = startCandidates();
     for (const StartCandidate &candidate : candidates)
@@ -194,7 +196,8 @@
     return limit > 0 ? need.timesIn(option.free, limit) : 0;
 }
 
-CellScheduler::WorkerOption *CellScheduler::bestOption(const StartCandidate &candidate)
+CellScheduler::WorkerOption *CellScheduler::bestOption(const StartCandidate &candidate,
+                                                       const CellTask &task)
 {
     const StepSpec &spec = candidate.step->spec;
     if (spec.need.processors > pass_.maxFreeProcessors && !spec.fillsIdleTime)
@@ -213,6 +216,7 @@
         double score = Choice::score(*option.worker, option.free, spec);
         // Workers with a reservation for a gang are chosen last.
         score -= wasReservedForGang(option) ? 1.0 : 0.0;
+        score -= crashPenalty(option, candidate.step->key.job, task.crashes());
         if (!best || score > bestScore) {
             best = &option;
             bestScore = score;
@@ -234,9 +238,9 @@
     const bool isWaitingForTickets
             = needsApproval(*candidate.queue) && !step.approvals.hasValidTickets(context_.now());
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-        if (!step.tasks[i].isIn(CellTask::State::Waiting))
+        if (!step.tasks[i].isIn(CellTask::State::Waiting) || awaitsCrashEvidence(step, i))
             continue;
-        WorkerOption *option = isWaitingForTickets ? nullptr : bestOption(candidate);
+        WorkerOption *option = isWaitingForTickets ? nullptr : bestOption(candidate, step.tasks[i]);
         if (!option) {
             const std::size_t waiting = step.countTasks(CellTask::State::Waiting);
             requestTaskApprovals(candidate, static_cast<std::int64_t>(waiting));
@@ -263,13 +267,24 @@
     if (const std::string *ticket = step.approvals.validTicket(worker.number(), context_.now()))
         request.ticket = *ticket;
     option.free -= request.need;
+    if (!task.crashes().isEmpty())
+        option.suspects.push_back({step.key.job, task.crashes().needsIsolation()});
     task.assign(worker.id(), run, context_.now());
     task.handle(CellTask::Event::Placed);
     context_.log("event=task_start job={} step={} task={} run={} worker={} config={} waited_ms={}",
                  step.key.job.value(), step.key.step.value(), index, run.value(),
                  worker.id().value(), configuration_.version().value(),
                  (context_.now() - *step.readySince).count());
-    fleet_.start(worker.id(), std::move(request));
+    if (!recordsStart(step, task)) {
+        fleet_.start(worker.id(), std::move(request));
+        return;
+    }
+    task.recordedStart
+            = RecordedStart {run, worker.id(), worker.incarnation.value_or(WorkerIncarnation())};
+    fleet_.reserve(worker.id(), request);
+    const TaskKey key = request.task;
+    unrecordedStarts_.insert_or_assign(key, UnrecordedStart {worker.id(), std::move(request)});
+    recorder_.markStart(key);
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -39,6 +39,9 @@
     handlers.notOnWorker
             = [this](const CellWorker &worker, const TaskKey &key, RunNumber run,
                      WorkerOutcome outcome) { onRunNotOnWorker(worker, key, run, outcome); };
+    handlers.crashed = [this](const CellWorker &worker, const std::vector<Placement> &lost) {
+        onWorkerCrashed(worker, lost);
+    };
     handlers.startUnanswered
             = [this](const TaskKey &key, RunNumber run) { onStartUnanswered(key, run); };
     handlers.fenced = [this] { handlers_.superseded(); };
@@ -52,6 +55,8 @@
     handlers.completionRecorded = [this](const ProgressRecorder::RecordedCompletion &completion) {
         fleet_.onCompletionRecorded(completion.worker, completion.incarnation, completion.number);
     };
+    handlers.crashRecorded = [this](const TaskKey &key) { onCrashRecorded(key); };
+    handlers.startRecorded = [this](const TaskKey &key) { onStartRecorded(key); };
     handlers.resultRecorded
             = [this](const JobId &id, JobState state) { onResultRecorded(id, state); };
     handlers.rosterRecorded = [this](const Roster &roster) {
@@ -82,6 +87,8 @@
     jobs_.clear();
     finishedJobs_.clear();
     cancellations_.clear();
+    jobsWithCrashes_.clear();
+    unrecordedStarts_.clear();
     fleet_.endTerm();
     recorder_.endTerm();
     approvalDispatcher_.clear();
@@ -135,6 +142,8 @@
     auto added = std::make_unique<CellJob>(job, progress, context_.now());
     CellJob &addedJob = *added;
     jobs_.emplace(id, std::move(added));
+    if (addedJob.hasCrashes())
+        jobsWithCrashes_.insert(id);
     addedJob.updateReadiness(context_.now(), context_.wallTime());
     context_.log("event=job_added job={} queue={} steps={} accepted_generation={}", id.value(),
                  job.queue.id.value(), job.spec.steps.size(), job.generation);
@@ -198,6 +207,7 @@
 void CellScheduler::onResultRecorded(const JobId &id, JobState state)
 {
     jobs_.erase(id);
+    jobsWithCrashes_.erase(id);
     cancellations_.erase(id);
     finishedJobs_[id] = context_.now() + context_.settings().resultLifetime;
     handlers_.stateChanged(id, state);
@@ -286,7 +296,8 @@
 {
     CellTask &task = step.tasks[completion.task.index.value()];
     const bool isCurrent = findRun(completion.task, completion.run, worker.id()) != nullptr;
-    const bool isWaiting = task.isIn(CellTask::State::Waiting);
+    const bool isWaiting
+            = task.isIn(CellTask::State::Waiting) || task.isIn(CellTask::State::Unrecorded);
     updateCheckpoint(step, task, completion);
     if (completion.reason == CompletionReason::Failed && !task.isFinished())
         recordFailure(job, step, task, completion);
@@ -295,6 +306,8 @@
         onTaskSucceeded(job, step, task, completion.run);
     else if (isCurrent)
         task.handle(CellTask::Event::Ended);
+    if (task.recordedStart && task.recordedStart->run == completion.run)
+        task.recordedStart.reset();
     if (completion.reason != CompletionReason::Succeeded || !isCurrent) {
         context_.log(
                 "event=run_completed job={} step={} task={} run={} worker={} reason={} current={}",
@@ -362,6 +375,7 @@
                  worker.id().value(), nameOf(outcome));
     if (outcome == WorkerOutcome::TicketInvalid)
         step->approvals.clearDecision(worker.number());
+    task->recordedStart.reset();
     task->handle(CellTask::Event::Ended);
     if (step->spec.gang)
         stopGang(*step, run);
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -70,6 +70,17 @@
     using Order = ObjectiveOrder;
     using Headroom = ArrivalHeadroom;
 
+    struct UnrecordedStart
+    {
+        WorkerId worker;
+        WorkerFleet::StartRequest request;
+    };
+    /// A run of a task under which workers have crashed.
+    struct SuspectRun
+    {
+        JobId job;
+        bool needsIsolation = false;
+    };
     /// A usable worker in one scheduling pass.
     struct WorkerOption
     {
@@ -78,6 +89,8 @@
         Resources free;
         /// Only tasks of this or a more urgent priority may use the worker; nothing when all may.
         std::optional<std::int64_t> reservedFor;
+        /// Runs on the worker of tasks under which workers have crashed.
+        std::vector<SuspectRun> suspects;
     };
     /// A worker on which the policy service has not decided for a step.
     struct UndecidedWorker
@@ -103,6 +116,7 @@
         /// On its whole capacity.
         std::int64_t total = 0;
         bool hasTicket = false;
+        double crashPenalty = 0;
     };
     /// The state of one scheduling pass.
     struct PassState
@@ -138,6 +152,29 @@
                          CellStep &step);
     void onRunNotOnWorker(const CellWorker &worker, const TaskKey &key, RunNumber run,
                           WorkerOutcome outcome);
+    void onWorkerCrashed(const CellWorker &worker, const std::vector<Placement> &lost);
+    void onCrashRecorded(const TaskKey &key);
+    void onStartRecorded(const TaskKey &key);
+    /// Whether the run's start is recorded first, so that a later holder can tell that the worker
+    /// crashed under it.
+    static bool recordsStart(const CellStep &step, const CellTask &task);
+    /// Compares the recorded starts of earlier holders with the present incarnations of workers.
+    void resolveRecordedStarts();
+    /// Returns false when the crash was counted before or the task needs no further run.
+    bool countCrash(const WorkerCrash &crash, const TaskKey &key, RunNumber run);
+    void giveUpIfDue(const TaskKey &key, CrashEvidence evidence);
+    CrashEvidence evidenceOf(const CellWorker &worker, const std::vector<Placement> &lost) const;
+    /// How many other workers that had no runs of the job are silent or have restarted lately.
+    std::size_t unrelatedFailures(const CellWorker &crashed, const JobId &job) const;
+    bool countsAsCrash(const CellStep &step, const Placement &placement) const;
+    void giveUp(CellJob &job, const TaskKey &key, const CrashHistory &crashes);
+    void collectSuspects();
+    /// Whether the task is started only when it is known whether its last worker crashed.
+    bool awaitsCrashEvidence(const CellStep &step, std::size_t index) const;
+    /// The higher, the less the worker should receive a run of the task or gang, to tell tasks that
+    /// crash workers from tasks beside them.
+    static double crashPenalty(const WorkerOption &option, const JobId &job,
+                               const CrashHistory &crashes);
     void onStartUnanswered(const TaskKey &key, RunNumber run);
     void onTaskSucceeded(CellJob &job, CellStep &step, CellTask &task, RunNumber run);
     void recordFailure(CellJob &job, CellStep &step, CellTask &task,
@@ -179,7 +216,7 @@
     {
         return previousGangWorkers_.contains(option.worker->number());
     }
-    WorkerOption *bestOption(const StartCandidate &candidate);
+    WorkerOption *bestOption(const StartCandidate &candidate, const CellTask &task);
     /// How many tasks of the step fit into the worker's free capacity.
     static std::int64_t fittingTasks(const WorkerOption &option, const CellStep &step);
     void preparePass();
@@ -214,6 +251,10 @@
     /// Finished jobs whose result is in the store, with the time at which the result expires.
     std::unordered_map<JobId, TimePoint> finishedJobs_;
     std::set<JobId> cancellations_;
+    /// Jobs with tasks under which workers have crashed.
+    std::set<JobId> jobsWithCrashes_;
+    /// Starts that are sent when they are recorded.
+    std::map<TaskKey, UnrecordedStart> unrecordedStarts_;
     Roster roster_;
     bool rosterWritePending_ = false;
     /// Since the last pass, a change occurred that may allow further starts.
--- a/Source/Cell/CellTask.cpp
+++ b/Source/Cell/CellTask.cpp
@@ -6,11 +6,12 @@
 {
     static const BoundChart<CellTask> bound = BoundChart<CellTask> {
             "CellTask.scxml",
-            {"waiting", "onWorker", "starting", "unconfirmed", "running", "stopping", "done",
-             "dropped"},
+            {"waiting", "unrecorded", "onWorker", "starting", "unconfirmed", "running", "stopping",
+             "done", "dropped"},
             {"placed", "started", "listed", "unanswered", "stopRequested", "withdrawn", "succeeded",
-             "ended"},
-            {{"isWithdrawn", &CellTask::isWithdrawn}},
+             "ended", "recorded"},
+            {{"isWithdrawn", &CellTask::isWithdrawn},
+             {"hasUnrecordedCrash", &CellTask::hasUnrecordedCrash}},
             {{"releaseWorker",
               &CellTask::releaseWorker}}}.loadedOrAbort();
     return bound;
@@ -25,6 +26,21 @@
     progressAt = at;
 }
 
+bool CellTask::addCrash(const WorkerCrash &crash)
+{
+    if (!crashes_.add(crash))
+        return false;
+    ++unrecordedCrashes_;
+    return true;
+}
+
+void CellTask::onCrashRecorded()
+{
+    --unrecordedCrashes_;
+    if (!hasUnrecordedCrash())
+        handle(Event::Recorded);
+}
+
 void CellTask::withdraw()
 {
     withdrawn_ = true;
--- a/Source/Cell/CellTask.h
+++ b/Source/Cell/CellTask.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Cell/CellTypes.h"
+#include "Cell/CrashHistory.h"
 #include "Core/Lifecycle.h"
 
 #include <set>
@@ -11,7 +11,17 @@
 class CellTask
 {
 public:
-    enum class State { Waiting, OnWorker, Starting, Unconfirmed, Running, Stopping, Done, Dropped };
+    enum class State {
+        Waiting,
+        Unrecorded,
+        OnWorker,
+        Starting,
+        Unconfirmed,
+        Running,
+        Stopping,
+        Done,
+        Dropped,
+    };
     enum class Event {
         Placed,
         Started,
@@ -21,6 +31,7 @@
         Withdrawn,
         Succeeded,
         Ended,
+        Recorded,
     };
 
     static const BoundChart<CellTask> &chart();
@@ -36,6 +47,14 @@
     /// The task needs no further run; a current one has to be stopped.
     void withdraw();
 
+    /// Counts a crash of a worker under a run; false when it was counted before. The task does not
+    /// start again before the crash is recorded.
+    bool addCrash(const WorkerCrash &crash);
+    void onCrashRecorded();
+    void restoreCrashes(const std::set<WorkerCrash> &crashes) { crashes_ = CrashHistory(crashes); }
+    void explainCrash(const WorkerCrash &crash) { crashes_.explain(crash); }
+    const CrashHistory &crashes() const { return crashes_; }
+
     const WorkerId &worker() const { return worker_; }
     RunNumber run() const { return run_; }
     /// When the current run was placed or discovered.
@@ -46,15 +65,20 @@
     /// When the worker listed the progress; when the run was placed, before that.
     TimePoint progressAt;
     std::set<RunNumber> failedRuns;
+    /// The last start that is recorded, until its outcome is known.
+    std::optional<RecordedStart> recordedStart;
 
 private:
     bool isWithdrawn() const { return withdrawn_; }
+    bool hasUnrecordedCrash() const { return unrecordedCrashes_ > 0; }
     void releaseWorker() { worker_ = {}; }
 
     WorkerId worker_;
     RunNumber run_;
     TimePoint placedAt_;
     bool withdrawn_ = false;
+    CrashHistory crashes_;
+    std::size_t unrecordedCrashes_ = 0;
     Lifecycle<CellTask> lifecycle_;
 };
 
--- a/Source/Cell/CellTypes.h
+++ b/Source/Cell/CellTypes.h
@@ -76,6 +76,26 @@
     friend auto operator<=>(const StepKey &, const StepKey &) = default;
 };
 
+/// A crash of a worker's process.
+struct WorkerCrash
+{
+    WorkerId worker;
+    /// The incarnation that ended.
+    WorkerIncarnation incarnation;
+
+    friend auto operator<=>(const WorkerCrash &, const WorkerCrash &) = default;
+};
+
+/// A run that was about to start on a worker.
+struct RecordedStart
+{
+    RunNumber run;
+    WorkerId worker;
+    WorkerIncarnation incarnation;
+
+    friend bool operator==(const RecordedStart &, const RecordedStart &) = default;
+};
+
 inline StepKey stepOf(const TaskKey &task)
 {
     return {task.job, task.occurrence, task.step};
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -48,6 +48,13 @@
     return remaining && (*remaining < Milliseconds() || leaseBound_ <= clock_);
 }
 
+bool CellWorker::hasRunsOf(const JobId &job) const
+{
+    const auto isOfJob = [&](const Placement &placement) { return placement.task.job == job; };
+    return std::any_of(placements.begin(), placements.end(), isOfJob)
+            || std::any_of(expiredPlacements.begin(), expiredPlacements.end(), isOfJob);
+}
+
 Placement *CellWorker::find(const TaskKey &task, RunNumber run)
 {
     for (Placement &placement : placements) {
@@ -79,6 +86,7 @@
     highestCompletion = {};
     unrecordedCompletions.clear();
     placements.clear();
+    expiredPlacements.clear();
     orphanedRuns = 0;
     clockAt_.reset();
     clock_ = leaseBound_ = {};
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -19,6 +19,8 @@
     std::optional<WorkerTime> confirmedAt;
     /// The worker refuses to start the run after this time on its own clock.
     WorkerTime startDeadline;
+    /// Whether the start may have reached the worker.
+    bool startSent = false;
     bool startAnswered = false;
     bool stopRequested = false;
     bool stopInFlight = false;
@@ -63,6 +65,15 @@
     /// Completions that were processed and are not in the store yet.
     std::set<CompletionNumber> unrecordedCompletions;
     std::vector<Placement> placements;
+    /// Runs that expired with the lease. Whether the worker crashed under them shows when it
+    /// returns, in the same incarnation or in a new one.
+    std::vector<Placement> expiredPlacements;
+    TimePoint leaseExpiredAt;
+    /// The incarnation that announced that it drains, so that its end is no crash.
+    std::optional<WorkerIncarnation> drainedIncarnation;
+    /// When a restart was noticed last, and the jobs that had runs there.
+    std::optional<TimePoint> restartedAt;
+    std::set<JobId> jobsAtRestart;
     /// Runs that belong to no unfinished job. They are being stopped, and the resources that they
     /// use are unknown.
     std::size_t orphanedRuns = 0;
@@ -83,6 +94,7 @@
     /// unknown.
     std::optional<Milliseconds> timeToLeaseExpiry(TimePoint now) const;
 
+    bool hasRunsOf(const JobId &job) const;
     Placement *find(const TaskKey &task, RunNumber run);
     Resources freeResources() const;
     /// The highest completion number up to which all completions are recorded.
--- a/Source/Cell/JobSpec.h
+++ b/Source/Cell/JobSpec.h
@@ -131,6 +131,10 @@
     std::map<std::uint64_t, std::set<RunNumber>> failedRuns;
     /// Last checkpoint by task; that of a gang under task 0.
     std::map<std::uint64_t, std::string> checkpoints;
+    /// Crashes of workers under runs of the tasks, by task.
+    std::map<std::uint64_t, std::set<WorkerCrash>> crashes;
+    /// Current runs, by task, of tasks with crashes.
+    std::map<std::uint64_t, RecordedStart> starts;
 };
 
 /// The stored progress of a job: one entry for each step of each repetition.
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -48,11 +48,29 @@
 {
     if (!active_)
         return;
+    Changes &changes = changesOf(job);
+    if (completion)
+        changes.completions.push_back(std::move(*completion));
+}
+
+void ProgressRecorder::markCrash(const TaskKey &task)
+{
+    if (active_)
+        changesOf(task.job).crashes.push_back(task);
+}
+
+void ProgressRecorder::markStart(const TaskKey &task)
+{
+    if (active_)
+        changesOf(task.job).starts.push_back(task);
+}
+
+ProgressRecorder::Changes &ProgressRecorder::changesOf(const JobId &job)
+{
     const auto [position, isNew] = changed_.try_emplace(job);
     if (isNew)
         jobOrder_.push_back(job);
-    if (completion)
-        position->second.push_back(std::move(*completion));
+    return position->second;
 }
 
 void ProgressRecorder::markExpired(const JobId &job)
@@ -102,8 +120,12 @@
         auto changed = changed_.extract(job);
         if (const std::optional<Snapshot> snapshot = handlers_.snapshot(job))
             addJob(batch, job, *snapshot);
-        for (RecordedCompletion &completion : changed.mapped())
-            batch.completions.push_back(std::move(completion));
+        for (RecordedCompletion &completion : changed.mapped().completions)
+            batch.changes.completions.push_back(std::move(completion));
+        for (TaskKey &task : changed.mapped().crashes)
+            batch.changes.crashes.push_back(std::move(task));
+        for (TaskKey &task : changed.mapped().starts)
+            batch.changes.starts.push_back(std::move(task));
     }
     while (!expired_.empty() && commit.entries() < maxEntries) {
         commit.deletes.push_back({RecordType::Results, expired_.front().value()});
@@ -189,8 +211,12 @@
     sequence_ = revision;
     const Batch batch = std::move(*batch_);
     batch_.reset();
-    for (const RecordedCompletion &completion : batch.completions)
+    for (const RecordedCompletion &completion : batch.changes.completions)
         handlers_.completionRecorded(completion);
+    for (const TaskKey &task : batch.changes.crashes)
+        handlers_.crashRecorded(task);
+    for (const TaskKey &task : batch.changes.starts)
+        handlers_.startRecorded(task);
     for (const auto &[job, state] : batch.results)
         handlers_.resultRecorded(job, state);
     if (batch.roster)
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -32,6 +32,8 @@
         /// called when a commit is assembled.
         std::function<std::optional<Snapshot>(const JobId &)> snapshot;
         std::function<void(const RecordedCompletion &)> completionRecorded;
+        std::function<void(const TaskKey &)> crashRecorded;
+        std::function<void(const TaskKey &)> startRecorded;
         std::function<void(const JobId &, JobState)> resultRecorded;
         std::function<void(const Roster &)> rosterRecorded;
         /// Another holder has taken over the cell.
@@ -47,6 +49,11 @@
     /// Schedules a write of the job's state. \a completion is the completion that changed it, if
     /// any.
     void markChanged(const JobId &job, std::optional<RecordedCompletion> completion = std::nullopt);
+    /// Schedules a write of the state of the task's job, which contains another crash of a worker
+    /// under the task.
+    void markCrash(const TaskKey &task);
+    /// Schedules a write of the state of the task's job, which contains a start of the task.
+    void markStart(const TaskKey &task);
     /// Schedules the deletion of the result of \a job.
     void markExpired(const JobId &job);
     void markRoster(Roster roster);
@@ -60,15 +67,24 @@
     /// Whether there is something to commit besides the deletion of expired results.
     bool hasChanges() const { return !jobOrder_.empty() || roster_.has_value(); }
 
+    /// What is reported once the state of a job is recorded.
+    struct Changes
+    {
+        std::vector<RecordedCompletion> completions;
+        std::vector<TaskKey> crashes;
+        std::vector<TaskKey> starts;
+    };
+
     struct Batch
     {
         StoreCommit commit;
-        std::vector<RecordedCompletion> completions;
+        Changes changes;
         std::vector<std::pair<JobId, JobState>> results;
         std::optional<Roster> roster;
         std::uint64_t number = 0;
     };
 
+    Changes &changesOf(const JobId &job);
     void fill(Batch &batch);
     void addJob(Batch &batch, const JobId &job, const Snapshot &snapshot) const;
     void send();
@@ -85,7 +101,7 @@
     std::uint64_t lastNumber_ = 0;
     /// The keys of changed_ in the order of their first change.
     std::deque<JobId> jobOrder_;
-    std::map<JobId, std::vector<RecordedCompletion>> changed_;
+    std::map<JobId, Changes> changed_;
     std::deque<JobId> expired_;
     std::optional<Roster> roster_;
     /// The commit in flight or to be retried.
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -36,6 +36,11 @@
 constexpr Milliseconds recoveryMargin {300};
 /// By this much the time of day of a worker may be ahead of this instance's; both may jump.
 constexpr WallTime maxClockDifference {60'000};
+/// How long a removed worker is kept whose runs expired with its lease; a crashed worker normally
+/// returns within seconds.
+constexpr Milliseconds returnLimit {30'000};
+/// How long a task with several crashes waits to know whether there was another.
+constexpr Milliseconds crashEvidenceWait {10'000};
 /// Bounds the record of closed workers; further workers stay open.
 constexpr std::size_t maxClosedJobs = 2000;
 
@@ -111,6 +116,8 @@
         worker.entry->reportedAt = worker.estimatedClock(context_.now());
     }
     worker.isListed = true;
+    if (entry.draining)
+        worker.drainedIncarnation = entry.incarnation;
     if (!worker.incarnation || entry.incarnation <= *worker.incarnation)
         return;
     const auto latestStart
@@ -226,19 +233,33 @@
 
 void WorkerFleet::start(const WorkerId &id, StartRequest request)
 {
-    CellWorker *worker = findWorker(id);
-    const TimePoint now = context_.now();
+    reserve(id, request);
+    sendStart(id, std::move(request));
+}
+
+void WorkerFleet::reserve(const WorkerId &id, const StartRequest &request)
+{
     Placement placement;
     placement.task = request.task;
     placement.run = request.run;
     placement.need = request.need;
-    placement.startDeadline = worker->estimatedClock(now) + startWindow;
-    worker->extendLeaseBound(placement.startDeadline);
-    worker->placements.push_back(placement);
+    findWorker(id)->placements.push_back(placement);
+}
+
+void WorkerFleet::sendStart(const WorkerId &id, StartRequest request)
+{
+    CellWorker *worker = findWorker(id);
+    Placement *placement = worker ? worker->find(request.task, request.run) : nullptr;
+    if (!placement || placement->stopRequested)
+        return;
+    const TimePoint now = context_.now();
+    placement->startSent = true;
+    placement->startDeadline = worker->estimatedClock(now) + startWindow;
+    worker->extendLeaseBound(placement->startDeadline);
     WorkerStart start {request.task,
                        request.run,
                        std::move(request.payload),
-                       placement.startDeadline,
+                       placement->startDeadline,
                        std::move(request.checkpoint),
                        std::move(request.ticket),
                        now + startTimeout};
@@ -386,7 +407,8 @@
     std::erase_if(workers_, [&](const auto &row) {
         const CellWorker &worker = row.second;
         return recovered_ && !worker.isListed && worker.placements.empty()
-                && worker.unrecordedCompletions.empty() && !worker.heartbeatInFlight;
+                && worker.unrecordedCompletions.empty() && !worker.heartbeatInFlight
+                && !awaitsReturn(worker);
     });
     checkRecovery();
 }
@@ -397,11 +419,32 @@
 {
     context_.log("event=worker_lease_expired worker={} runs={} unanswered_calls={}",
                  worker.id().value(), worker.placements.size(), worker.unansweredCalls);
+    std::vector<Placement> expired = worker.expiredPlacements;
+    std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(expired),
+                 [](const Placement &placement) { return placement.startSent; });
     const CompletionNumber highest = worker.highestCompletion;
     const std::set<CompletionNumber> unrecorded = worker.unrecordedCompletions;
     resetWorker(worker, worker.incarnation);
     worker.highestCompletion = highest;
     worker.unrecordedCompletions = unrecorded;
+    worker.expiredPlacements = std::move(expired);
+    worker.leaseExpiredAt = context_.now();
+}
+
+bool WorkerFleet::mayHaveCrashedUnder(const TaskKey &task) const
+{
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto &row) {
+        const std::vector<Placement> &expired = row.second.expiredPlacements;
+        return context_.now() - row.second.leaseExpiredAt < crashEvidenceWait
+                && std::any_of(expired.begin(), expired.end(),
+                               [&](const Placement &placement) { return placement.task == task; });
+    });
+}
+
+bool WorkerFleet::awaitsReturn(const CellWorker &worker) const
+{
+    return !worker.expiredPlacements.empty()
+            && context_.now() - worker.leaseExpiredAt < returnLimit;
 }
 
 void WorkerFleet::sendHeartbeat(CellWorker &worker, bool mayRenew)
@@ -482,6 +525,8 @@
     worker.lastReplyAt = context_.now();
     if (reply.incarnation)
         updateIncarnation(worker, reply.incarnation);
+    if (reply.incarnation && reply.incarnation == worker.incarnation)
+        worker.expiredPlacements.clear();
     if (!reply.clock)
         return;
     // An earlier holder may have renewed the lease by its full length just before.
@@ -512,12 +557,26 @@
         context_.log("event=worker_restarted worker={} incarnation={} previous={} runs={}",
                      worker.id().value(), incarnation->value(), worker.incarnation->value(),
                      worker.placements.size());
+        reportCrash(worker);
         resetWorker(worker, incarnation);
         return;
     }
     worker.incarnation = incarnation;
 }
 
+void WorkerFleet::reportCrash(CellWorker &worker)
+{
+    std::vector<Placement> lost = std::exchange(worker.expiredPlacements, {});
+    std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(lost),
+                 [](const Placement &placement) { return placement.startSent; });
+    worker.restartedAt = context_.now();
+    worker.jobsAtRestart.clear();
+    for (const Placement &placement : lost)
+        worker.jobsAtRestart.insert(placement.task.job);
+    if (!lost.empty() && worker.drainedIncarnation != worker.incarnation)
+        handlers_.crashed(worker, lost);
+}
+
 void WorkerFleet::resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
 {
     const std::vector<Placement> lost = std::exchange(worker.placements, {});
@@ -566,6 +625,7 @@
         discovered.run = running.run;
         discovered.need = need.value_or(Resources());
         discovered.confirmedAt = reply.clock;
+        discovered.startSent = true;
         discovered.startAnswered = true;
         worker.placements.push_back(discovered);
         if (!need)
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -25,6 +25,9 @@
         /// The run is not on the worker and can no longer start there.
         std::function<void(const CellWorker &, const TaskKey &, RunNumber, WorkerOutcome)>
                 notOnWorker;
+        /// The worker's process ended without notice under these runs. Called before the runs are
+        /// reported as not on the worker, while it has the incarnation that ended.
+        std::function<void(const CellWorker &, const std::vector<Placement> &)> crashed;
         /// A start received no reply; the run may exist.
         std::function<void(const TaskKey &, RunNumber)> startUnanswered;
         /// A worker has seen the fencing token of a later holder.
@@ -57,6 +60,10 @@
     void restrictRoster(const Roster &roster);
 
     void start(const WorkerId &worker, StartRequest request);
+    /// Allocates the resources of a run that sendStart() starts later.
+    void reserve(const WorkerId &worker, const StartRequest &request);
+    /// Starts a reserved run, unless it was stopped or the worker restarted since.
+    void sendStart(const WorkerId &worker, StartRequest request);
     void stop(const WorkerId &worker, const TaskKey &task, RunNumber run);
     /// The completion is in the store, so the worker may discard it.
     void onCompletionRecorded(const WorkerId &worker, WorkerIncarnation incarnation,
@@ -69,6 +76,9 @@
 
     const Workers &workers() const { return workers_; }
     const CellWorker *worker(const WorkerId &id) const;
+    /// Whether the task had a run on a worker whose lease expired a short time ago and that has not
+    /// returned, so that it is open whether the worker crashed.
+    bool mayHaveCrashedUnder(const TaskKey &task) const;
     /// Whether new work may be placed on the worker.
     bool isUsable(const CellWorker &worker) const;
     /// Whether all runs of earlier holders are known: each worker of the roster was read, or its
@@ -104,10 +114,13 @@
     /// Discards what is known about the worker, after its restart or the expiry of its lease, and
     /// reports that its runs are not on it any more.
     void resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
+    void reportCrash(CellWorker &worker);
     void updateIncarnation(CellWorker &worker, std::optional<WorkerIncarnation> incarnation);
     void updateFromReply(CellWorker &worker, const WorkerReply &reply);
     void logUnreachable(const CellWorker &worker, WorkerOutcome outcome);
     void expireLease(CellWorker &worker);
+    /// Whether the worker may still return and show that it crashed under its expired runs.
+    bool awaitsReturn(const CellWorker &worker) const;
     void checkRecovery();
     bool belongsInRoster(const CellWorker &worker) const;
     bool isSilent(const CellWorker &worker) const;
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -221,6 +221,52 @@
     return rows;
 }
 
+Json encodeCrashes(const std::map<std::uint64_t, std::set<WorkerCrash>> &rows)
+{
+    Json json = Json::array();
+    for (const auto &[index, crashes] : rows) {
+        Json list = Json::array();
+        for (const WorkerCrash &crash : crashes)
+            list.push_back(Json::array({crash.worker.value(), crash.incarnation.value()}));
+        json.push_back(Json::array({index, std::move(list)}));
+    }
+    return json;
+}
+
+std::map<std::uint64_t, std::set<WorkerCrash>> decodeCrashes(const Json &json)
+{
+    std::map<std::uint64_t, std::set<WorkerCrash>> rows;
+    for (const Json &row : json) {
+        std::set<WorkerCrash> &crashes = rows[row.at(0).get<std::uint64_t>()];
+        for (const Json &crash : row.at(1)) {
+            crashes.insert({decodeName<WorkerId>(crash.at(0)),
+                            decodeNumber<WorkerIncarnation>(crash.at(1))});
+        }
+    }
+    return rows;
+}
+
+Json encodeStarts(const std::map<std::uint64_t, RecordedStart> &rows)
+{
+    Json json = Json::array();
+    for (const auto &[index, start] : rows) {
+        json.push_back(Json::array(
+                {index, start.run.value(), start.worker.value(), start.incarnation.value()}));
+    }
+    return json;
+}
+
+std::map<std::uint64_t, RecordedStart> decodeStarts(const Json &json)
+{
+    std::map<std::uint64_t, RecordedStart> rows;
+    for (const Json &row : json) {
+        rows[row.at(0).get<std::uint64_t>()]
+                = {decodeNumber<RunNumber>(row.at(1)), decodeName<WorkerId>(row.at(2)),
+                   decodeNumber<WorkerIncarnation>(row.at(3))};
+    }
+    return rows;
+}
+
 Json encode(const JobProgress &progress)
 {
     Json steps = Json::array();
@@ -228,8 +274,13 @@
         std::string done;
         for (const bool isDone : step.done)
             done.push_back(isDone ? '1' : '0');
-        steps.push_back(Json::array(
-                {std::move(done), encodeRuns(step.failedRuns), encodeMap(step.checkpoints)}));
+        Json row = Json::array(
+                {std::move(done), encodeRuns(step.failedRuns), encodeMap(step.checkpoints)});
+        if (!step.crashes.empty())
+            row.push_back(encodeCrashes(step.crashes));
+        if (!step.crashes.empty() && !step.starts.empty())
+            row.push_back(encodeStarts(step.starts));
+        steps.push_back(std::move(row));
     }
     return steps;
 }
@@ -243,6 +294,11 @@
             step.done.push_back(mark == '1');
         step.failedRuns = decodeRuns(row.at(1));
         step.checkpoints = decodeMap<std::string>(row.at(2));
+        // Earlier releases record no crashes.
+        if (row.size() > 3)
+            step.crashes = decodeCrashes(row.at(3));
+        if (row.size() > 4)
+            step.starts = decodeStarts(row.at(4));
     }
     return progress;
 }
--- a/Tests/Messages/CellCodecTest.cpp
+++ b/Tests/Messages/CellCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "Messages/CellCodec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 namespace caraway::tests {
 
@@ -11,6 +12,10 @@
     CPPUNIT_TEST_SUITE(CellCodecTest);
     CPPUNIT_TEST(decode_encodedClosedWorkers_returnsEqualRecord);
     CPPUNIT_TEST(decode_closedWorkersWithoutJobs_isMalformed);
+    CPPUNIT_TEST(decode_encodedCrashes_returnsEqualRecord);
+    CPPUNIT_TEST(decode_progressOfAnEarlierRelease_hasNoCrashes);
+    CPPUNIT_TEST(encode_progressWithoutCrashes_equalsThatOfAnEarlierRelease);
+    CPPUNIT_TEST(decode_malformedCrashes_isMalformed);
     CPPUNIT_TEST_SUITE_END();
 
     void decode_encodedClosedWorkers_returnsEqualRecord()
@@ -28,6 +33,51 @@
         CPPUNIT_ASSERT(
                 std::holds_alternative<Malformed>(decodeRecord(RecordType::ClosedWorkers, roster)));
     }
+
+    void decode_encodedCrashes_returnsEqualRecord()
+    {
+        StepProgress step;
+        step.done = {true, false};
+        step.crashes[1]
+                = {{WorkerId("a"), WorkerIncarnation(7)}, {WorkerId("b"), WorkerIncarnation(8)}};
+        step.starts[1] = {RunNumber(9), WorkerId("c"), WorkerIncarnation(3)};
+        const RecordValue decoded
+                = decodeRecord(RecordType::Progress, encodeRecord(JobProgress {{step}}));
+        CPPUNIT_ASSERT(std::holds_alternative<JobProgress>(decoded));
+        CPPUNIT_ASSERT(std::get<JobProgress>(decoded).steps.front().crashes == step.crashes);
+        CPPUNIT_ASSERT(std::get<JobProgress>(decoded).steps.front().starts == step.starts);
+    }
+
+    void decode_progressOfAnEarlierRelease_hasNoCrashes()
+    {
+        const RecordValue decoded
+                = decodeRecord(RecordType::Progress, toCbor(R"([["10",[[1,[5]]],[[1,"text"]]]])"));
+        CPPUNIT_ASSERT(std::holds_alternative<JobProgress>(decoded));
+        const StepProgress &step = std::get<JobProgress>(decoded).steps.front();
+        CPPUNIT_ASSERT(step.crashes.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), step.checkpoints.at(1));
+    }
+
+    void encode_progressWithoutCrashes_equalsThatOfAnEarlierRelease()
+    {
+        StepProgress step;
+        step.done = {true, false};
+        CPPUNIT_ASSERT(toCbor(R"([["10",[],[]]])") == encodeRecord(JobProgress {{step}}));
+    }
+
+    void decode_malformedCrashes_isMalformed()
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<Malformed>(
+                decodeRecord(RecordType::Progress, toCbor(R"([["10",[],[],[[1,[["a"]]]]]])"))));
+    }
+
+private:
+    static std::string toCbor(const std::string &json)
+    {
+        const std::vector<std::uint8_t> bytes
+                = nlohmann::json::to_cbor(nlohmann::json::parse(json));
+        return {bytes.begin(), bytes.end()};
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellCodecTest);
