Keep other jobs off the worker of a task with several crashes

Cause: with little free capacity other jobs started beside tasks with two crashes, so that their workers' crashes were shared: sound tasks were lost with up to six workers and their jobs given up, and the crashing ones were started 6 times.

Change: a worker receives no runs of other jobs until it has listed a run of a task with two crashes for 3 s. The bound keeps the capacity from staying idle.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -11,6 +11,8 @@
 constexpr Milliseconds longRunningWindow {30'000};
 /// Restarts of other workers within this time may have the same cause, such as a loss of power.
 constexpr Milliseconds commonCauseWindow {3000};
+/// Bounds how long a worker is kept for a task with several crashes.
+constexpr Milliseconds probation {3000};
 constexpr std::size_t maxUnrelatedFailures = 1;
 /// Each weight exceeds the sum of the following ones and of all other scores of a worker.
 constexpr double isolatedTaskWeight = 10'000;
@@ -192,7 +194,9 @@
         for (const CellStep &step : job->steps()) {
             for (const CellTask &task : step.tasks) {
                 if (task.isIn(CellTask::State::OnWorker) && !task.crashes().isEmpty())
-                    suspects[task.worker()].push_back({id, task.crashes().needsIsolation()});
+                    suspects[task.worker()].push_back(
+                            {id, task.crashes().needsIsolation(),
+                             task.progressAt - task.placedAt() < probation});
             }
         }
     }
@@ -203,6 +207,13 @@
     }
 }
 
+bool CellScheduler::isIsolated(const WorkerOption &option, const JobId &job)
+{
+    return std::any_of(option.suspects.begin(), option.suspects.end(), [&](const SuspectRun &run) {
+        return run.job != job && run.needsIsolation && run.isOnProbation;
+    });
+}
+
 double CellScheduler::crashPenalty(const WorkerOption &option, const JobId &job,
                                    const CrashHistory &crashes)
 {
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -29,7 +29,8 @@
                                                   return a.crashes().count() < b.crashes().count();
                                               });
     for (WorkerOption &option : pass_.options) {
-        if (!mayRun(option, candidate) || !isApproved(option, candidate))
+        if (!mayRun(option, candidate) || !isApproved(option, candidate)
+            || isIsolated(option, step.key.job))
             continue;
         const std::int64_t total
                 = step.spec.need.timesIn(option.worker->entry->capacity, step.spec.tasks);
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -210,6 +210,7 @@
         if (!spec.need.fitsIn(option.free) && !spec.fillsIdleTime)
             continue;
         if (!mayRun(option, candidate) || !hasTicket(option, candidate)
+            || isIsolated(option, candidate.step->key.job)
             || fittingTasks(option, *candidate.step) < 1) {
             continue;
         }
@@ -268,7 +269,7 @@
         request.ticket = *ticket;
     option.free -= request.need;
     if (!task.crashes().isEmpty())
-        option.suspects.push_back({step.key.job, task.crashes().needsIsolation()});
+        option.suspects.push_back({step.key.job, task.crashes().needsIsolation(), true});
     task.assign(worker.id(), run, context_.now());
     task.handle(CellTask::Event::Placed);
     context_.log("event=task_start job={} step={} task={} run={} worker={} config={} waited_ms={}",
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -80,6 +80,8 @@
     {
         JobId job;
         bool needsIsolation = false;
+        /// The worker has not listed the run for long enough to show that it does not crash soon.
+        bool isOnProbation = false;
     };
     /// A usable worker in one scheduling pass.
     struct WorkerOption
@@ -169,6 +171,9 @@
     bool countsAsCrash(const CellStep &step, const Placement &placement) const;
     void giveUp(CellJob &job, const TaskKey &key, const CrashHistory &crashes);
     void collectSuspects();
+    /// Whether the worker receives no runs of the job while a suspect of another job is on
+    /// probation there.
+    static bool isIsolated(const WorkerOption &option, const JobId &job);
     /// Whether the task is started only when it is known whether its last worker crashed.
     bool awaitsCrashEvidence(const CellStep &step, std::size_t index) const;
     /// The higher, the less the worker should receive a run of the task or gang, to tell tasks that
