--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -13,6 +13,13 @@
 constexpr Milliseconds tickInterval {25};
 constexpr std::int64_t workerMillicores = 8000;
 
+/// Whether the call ends with a reply or a timeout.
+bool isReported(CellSimulation::Delivery delivery)
+{
+    return delivery != CellSimulation::Delivery::ReplyDropped
+            && delivery != CellSimulation::Delivery::Dropped;
+}
+
 Address peerAddress(std::size_t index)
 {
     return {"10.0.0." + std::to_string(index + 1), 7000};
@@ -81,8 +88,20 @@
 
 void CellSimulation::publishWorkers()
 {
-    for (const auto &worker : workers_)
-        store_.put({RecordType::Workers, worker->entry.id.value()}, worker->entry);
+    for (std::size_t i = 0; i < workers_.size(); ++i)
+        publishWorker(i);
+}
+
+void CellSimulation::publishWorker(std::size_t index)
+{
+    const WorkerEntry &entry = workers_.at(index)->entry;
+    store_.put({RecordType::Workers, entry.id.value()}, entry);
+}
+
+void CellSimulation::restartWorker(std::size_t index)
+{
+    workers_.at(index)->restart(now_);
+    publishWorker(index);
 }
 
 void CellSimulation::announceLeaving(std::size_t index, Milliseconds remaining)
@@ -91,7 +110,7 @@
     entry.draining = true;
     entry.remaining = remaining;
     entry.reportedAt = workers_[index]->clock(now_);
-    store_.put({RecordType::Workers, entry.id.value()}, entry);
+    publishWorker(index);
 }
 
 void CellSimulation::removeWorker(std::size_t index)
@@ -183,10 +202,9 @@
         reply({StoreOutcome::Refused, {}, false, {}, {}});
         return;
     }
-    if (delivery != Delivery::Delivered) {
+    if (isReported(delivery))
         schedule(call.timeout, [=] { reply({StoreOutcome::Unanswered, {}, false, {}, {}}); });
-    }
-    if (delivery == Delivery::Lost)
+    if (delivery == Delivery::Lost || delivery == Delivery::Dropped)
         return;
     schedule(storeDelay, [this, delivery, reply, request = call.request] {
         store_.handle(now_, request,
@@ -201,8 +219,8 @@
     const Instance &instance = instances_[index];
     Delivery delivery
             = workerDelivery ? workerDelivery(instance.id, call.request) : Delivery::Delivered;
-    if (const std::size_t worker = indexOf(call.request.worker);
-        worker < workers_.size() && workers_[worker]->hasLeft())
+    if (const std::size_t worker = indexOf(call.request.worker); worker < workers_.size()
+        && workers_[worker]->hasLeft() && delivery != Delivery::NotSent && isReported(delivery))
         delivery = Delivery::Lost;
     const std::uint64_t incarnation = instance.incarnation;
     const SimulatedWorker::Reply reply
@@ -211,7 +229,7 @@
                       deliver(index, incarnation, WorkerReplied {id, answer});
                   });
               };
-    if (delivery != Delivery::Delivered) {
+    if (isReported(delivery)) {
         WorkerReply failed;
         if (delivery == Delivery::Refused)
             failed.outcome = WorkerOutcome::Unhealthy;
@@ -220,11 +238,13 @@
         const bool isPrompt = delivery == Delivery::Refused || delivery == Delivery::NotSent;
         schedule(isPrompt ? networkDelay : call.timeout, [=] { reply(failed); });
     }
-    if (delivery != Delivery::Delivered && delivery != Delivery::AnswerLost)
+    const bool isExecuted = delivery == Delivery::Delivered || delivery == Delivery::AnswerLost
+            || delivery == Delivery::ReplyDropped;
+    if (!isExecuted)
         return;
     schedule(networkDelay, [this, delivery, reply, request = call.request] {
         for (const auto &worker : workers_) {
-            if (worker->entry.id == request.worker) {
+            if (worker->entry.id == request.worker && !worker->hasLeft()) {
                 worker->handle(now_, request,
                                delivery == Delivery::Delivered
                                        ? reply
@@ -236,6 +256,17 @@
 
 void CellSimulation::call(std::size_t index, const ApprovalCall &call)
 {
+    const Delivery delivery = approvalDelivery
+            ? approvalDelivery(instances_[index].id, call.request)
+            : Delivery::Delivered;
+    if (!isReported(delivery))
+        return;
+    if (delivery != Delivery::Delivered) {
+        schedule(call.timeout, [=, this, id = call.id, own = instances_[index].incarnation] {
+            deliver(index, own, ApprovalReplied {id, {}});
+        });
+        return;
+    }
     ApprovalReply approved;
     approved.answered = true;
     for (const WorkerId &worker : call.request.workers) {
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -21,6 +21,10 @@
         AnswerLost,
         /// Neither executed nor answered.
         Lost,
+        /// Executed, but not even its timeout is reported, as when a full ring drops the reply.
+        ReplyDropped,
+        /// Neither executed nor reported as unanswered.
+        Dropped,
         /// Refused immediately, not executed.
         Refused,
         /// The connection is refused, so that nothing is sent.
@@ -43,6 +47,7 @@
     std::function<Delivery(const InstanceId &, const cell::StoreRequest &)> storeDelivery;
     std::function<Delivery(const InstanceId &, const cell::WorkerRequest &)> workerDelivery;
     std::function<Delivery(const InstanceId &, const cell::PeerMessage &)> peerDelivery;
+    std::function<Delivery(const InstanceId &, const cell::ApprovalRequest &)> approvalDelivery;
     /// Duration and completion reason of each run; by default 500 ms and success.
     std::function<SimulatedWorker::RunPlan(const cell::TaskKey &, cell::RunNumber)> plan;
     /// Whether the policy service approves the worker for the step; by default it always does.
@@ -61,13 +66,19 @@
     /// Processors of an instance by its index; takes effect at its next start.
     std::map<std::size_t, Millicores> processors;
     void publishWorkers();
+    void publishWorker(std::size_t worker);
     /// The worker announces in its entry that it leaves after \a remaining at the earliest.
     void announceLeaving(std::size_t worker, Milliseconds remaining);
     /// The worker's process ends with its runs, and its entry is removed.
     void removeWorker(std::size_t worker);
+    /// The worker's process ends with its runs; its entry stays.
+    void crashWorker(std::size_t worker) { workers_.at(worker)->leave(); }
+    /// Starts the worker's process again and publishes its entry.
+    void restartWorker(std::size_t worker);
     std::size_t indexOf(const WorkerId &worker) const;
     SimulatedStore &store() { return store_; }
     SimulatedWorker &worker(std::size_t index) { return *workers_.at(index); }
+    const SimulatedWorker &worker(std::size_t index) const { return *workers_.at(index); }
 
     /// Submits a job through an instance. The returned id identifies the answer.
     cell::CallerRequestId submit(std::size_t instance, const cell::JobSpec &job,
@@ -86,6 +97,10 @@
     void restart(std::size_t instance);
     void pause(std::size_t index) { instances_.at(index).isPaused = true; }
     void resume(std::size_t index) { instances_.at(index).isPaused = false; }
+    bool isRunning(std::size_t index) const
+    {
+        return instances_.at(index).cellInstance && !instances_.at(index).isPaused;
+    }
     std::optional<std::size_t> holder() const;
     cell::CellInstance &instance(std::size_t index) { return *instances_.at(index).cellInstance; }
     /// Processor time spent in the decisions of an instance, in seconds.
--- a/Tests/Cell/SimulatedStore.cpp
+++ b/Tests/Cell/SimulatedStore.cpp
@@ -120,8 +120,12 @@
 std::vector<StoreItem> SimulatedStore::changesAfter(RecordType type, Revision after) const
 {
     std::vector<StoreItem> changes;
-    for (const Change &change : history_) {
-        if (change.revision <= after || !isOfType(type, change.key))
+    const auto first = std::upper_bound(
+            history_.begin(), history_.end(), after,
+            [](Revision revision, const Change &change) { return revision < change.revision; });
+    for (auto next = first; next != history_.end(); ++next) {
+        const Change &change = *next;
+        if (!isOfType(type, change.key))
             continue;
         StoreItem item = itemOf(change.key);
         // Only the latest value is stored, so an overwritten change is left out.
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -180,6 +180,7 @@
     closedRuns_.clear();
     for (const PendingHeartbeat &pending : std::exchange(pendingHeartbeats_, {}))
         pending.reply({});
+    hasLeft_ = false;
     lastCompletion_ = 0;
     token_ = {};
     leaseDeadline_ = {};
