Give each call in flight a bound of its own

Cause: a reply that a full ring drops, or a timeout that it drops, leaves the call in flight for ever: heartbeats to that worker, commits, lists of the holder record and renewals are then not sent again, and a start is not resolved.

Change: CallTable completes a call as unanswered 300 ms after its timeout. The time does not count pauses of the process, as the replies of a pause may be handled after the next tick. A later reply is ignored.

--- a/Source/Cell/CellContext.h
+++ b/Source/Cell/CellContext.h
@@ -57,26 +57,47 @@
     std::vector<std::string> log;
 };
 
-/// Calls in flight, each with the handler of its reply. Further replies to a call are ignored.
+/// Calls in flight, each with the handler of its reply. A call without a reply at its deadline is
+/// completed as unanswered. Further replies to a call are ignored.
 template<class Reply>
 class CallTable
 {
 public:
     using Handler = std::function<void(const Reply &)>;
 
-    void add(CallId id, Handler handler) { inFlight_.emplace(id, std::move(handler)); }
+    void add(CallId id, TimePoint deadline, Handler handler)
+    {
+        inFlight_.emplace(id, Call {deadline, std::move(handler)});
+    }
     void complete(CallId id, const Reply &reply)
     {
         const auto found = inFlight_.find(id);
         if (found == inFlight_.end())
             return;
-        const Handler handler = std::move(found->second);
+        const Handler handler = std::move(found->second.handler);
         inFlight_.erase(found);
         handler(reply);
     }
+    void expire(TimePoint now)
+    {
+        std::vector<CallId> overdue;
+        for (const auto &[id, call] : inFlight_) {
+            if (now >= call.deadline)
+                overdue.push_back(id);
+        }
+        std::sort(overdue.begin(), overdue.end());
+        for (const CallId id : overdue)
+            complete(id, Reply());
+    }
 
 private:
-    std::unordered_map<CallId, Handler> inFlight_;
+    struct Call
+    {
+        TimePoint deadline;
+        Handler handler;
+    };
+
+    std::unordered_map<CallId, Call> inFlight_;
 };
 
 /// Shared by the parts of one instance: the time of the present event, the settings, and the
@@ -100,6 +121,17 @@
         wallTime_ = wallTime;
     }
 
+    /// Completes the calls that neither a reply nor their timeout has completed, as when a full
+    /// ring has dropped it.
+    void tick()
+    {
+        activeTime_ = activeTime_ + std::min(now_ - lastTick_, maxTickGap);
+        lastTick_ = now_;
+        storeCalls_.expire(activeTime_);
+        workerCalls_.expire(activeTime_);
+        approvalCalls_.expire(activeTime_);
+    }
+
     void callStore(StoreRequest request, CallTable<StoreReply>::Handler handler,
                    Milliseconds timeout = defaultStoreTimeout)
     {
@@ -107,7 +139,8 @@
         // A watch that waits for changes shows little about the store's health.
         const bool countsForHealth = !std::holds_alternative<StoreWatch>(request);
         storeCalls_.add(
-                id, [this, countsForHealth, handler = std::move(handler)](const StoreReply &reply) {
+                id, deadlineOf(timeout),
+                [this, countsForHealth, handler = std::move(handler)](const StoreReply &reply) {
                     if (countsForHealth)
                         recordStoreOutcome(reply.outcome);
                     handler(reply);
@@ -118,14 +151,14 @@
                     CallTable<WorkerReply>::Handler handler)
     {
         const CallId id = nextCall();
-        workerCalls_.add(id, std::move(handler));
+        workerCalls_.add(id, deadlineOf(timeout), std::move(handler));
         actions_.workers.push_back({id, std::move(request), timeout});
     }
     void callApprovals(ApprovalRequest request, Milliseconds timeout,
                        CallTable<ApprovalReply>::Handler handler)
     {
         const CallId id = nextCall();
-        approvalCalls_.add(id, std::move(handler));
+        approvalCalls_.add(id, deadlineOf(timeout), std::move(handler));
         actions_.approvals.push_back({id, std::move(request), timeout});
     }
     void send(const Address &to, PeerMessage message)
@@ -160,6 +193,11 @@
     static constexpr Milliseconds defaultStoreTimeout {1000};
 
 private:
+    /// From a call's timeout in its duty until the decisions have handled it.
+    static constexpr Milliseconds replyMargin {300};
+    /// A longer gap between two ticks is a pause, whose replies may be handled after the next tick.
+    static constexpr Milliseconds maxTickGap {100};
+
     void recordStoreOutcome(StoreOutcome outcome)
     {
         const bool wasServing = storeHealth_.isServing();
@@ -167,12 +205,16 @@
         if (wasServing != storeHealth_.isServing())
             log("event=store_{}", wasServing ? "unavailable" : "available");
     }
+    TimePoint deadlineOf(Milliseconds timeout) const { return activeTime_ + timeout + replyMargin; }
     CallId nextCall() { return lastCall_ = lastCall_.next(); }
 
     CellSettings settings_;
     ProcessId self_;
     TimePoint now_;
     WallTime wallTime_;
+    TimePoint lastTick_;
+    /// The time that has passed without the pauses of the process.
+    TimePoint activeTime_;
     CallId lastCall_;
     CellActions actions_;
     StoreHealth storeHealth_;
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -97,6 +97,7 @@
 
 void CellInstance::on(const Tick & /*tick*/)
 {
+    context_.tick();
     configuration_.tick();
     election_.tick();
     jobsAndCancelsWatcher_.tick();
--- a/Tests/Cell/LostCallsTest.cpp
+++ b/Tests/Cell/LostCallsTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(commit_withoutAnyReply_isSentAgain);
     CPPUNIT_TEST(listOfTheHolder_withoutAnyReply_isReadAgain);
     CPPUNIT_TEST(approvalRequest_withoutAnyReply_isSentAgain);
+    CPPUNIT_TEST(calls_inFlightDuringAPause_areCompletedByTheirReplies);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +124,30 @@
         CPPUNIT_ASSERT(isDropped);
     }
 
+    /// After a pause, the replies that arrived meanwhile may be handled later than the first tick.
+    void calls_inFlightDuringAPause_areCompletedByTheirReplies()
+    {
+        CellContext context({}, {});
+        int replies = 0;
+        StoreOutcome outcome = StoreOutcome::Unanswered;
+        context.setTime(TimePoint(Milliseconds(1000)), {});
+        context.tick();
+        context.callStore(
+                StoreGet {{RecordType::Holder, {}}},
+                [&](const StoreReply &reply) {
+                    ++replies;
+                    outcome = reply.outcome;
+                },
+                Milliseconds(500));
+        const CallId call = context.takeActions().store.front().id;
+        context.setTime(TimePoint(Milliseconds(60'000)), {});
+        context.tick();
+        CPPUNIT_ASSERT_EQUAL(0, replies);
+        context.complete(call, StoreReply {StoreOutcome::Done, {}, false, {}, {}});
+        CPPUNIT_ASSERT_EQUAL(1, replies);
+        CPPUNIT_ASSERT(outcome == StoreOutcome::Done);
+    }
+
 private:
     using Delivery = CellSimulation::Delivery;
 
