Bound a takeover by the end of the earlier holder when it is known

Cause: a new holder lets older jobs wait for an unread worker until 7 s and a lease after its own term began, as the earlier holder may still renew leases, also when that holder's process is known to have ended.

Change: HolderElection keeps the latest time at which each earlier holder may renew leases: 7 s after the next one's claim, or the time at which a later incarnation of its instance was seen. The fleet waits a lease from then, and at least a lease from its own start, so that completions are read. A refused connection is no such proof: a link that is cut or reset looks the same.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -108,6 +108,7 @@
         for (const std::function<void()> &retry : std::exchange(loading_->retries, {}))
             retry();
     }
+    scheduler_.setEarlierRenewalsEnd(election_.earlierRenewalsEnd());
     scheduler_.tick(election_.maySchedule());
     if (context_.now() >= nextHello_)
         sendHello();
@@ -186,6 +187,7 @@
 
 void CellInstance::on(const PeerFrame &frame)
 {
+    election_.onPeerSeen(frame.from);
     std::visit([&](const auto &message) { onMessage(frame, message); }, frame.message);
 }
 
@@ -426,7 +428,7 @@
                  loaded.workers.size(), loaded.roster->workers.size(),
                  loaded.roster->closed.size());
     scheduler_.startTerm({election_.token(), election_.generation(), election_.holderPrecondition(),
-                          *loaded.sequence, *loaded.roster});
+                          *loaded.sequence, *loaded.roster, election_.earlierRenewalsEnd()});
     for (const auto &[id, entry] : loaded.workers)
         scheduler_.setWorker(entry);
     for (const JobId &job : loaded.cancels)
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -70,7 +70,7 @@
     ++term_;
     active_ = true;
     generation_ = term.generation;
-    fleet_.startTerm(term.token, term.roster);
+    fleet_.startTerm(term.token, term.roster, term.earlierRenewalsEnd);
     roster_ = std::move(term.roster);
     recorder_.startTerm(std::move(term.holder), term.sequence);
 }
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -27,6 +27,7 @@
         StorePrecondition holder;
         Revision sequence;
         Roster roster;
+        TimePoint earlierRenewalsEnd;
     };
     struct Handlers
     {
@@ -51,6 +52,9 @@
     void setWorker(const WorkerEntry &entry) { fleet_.setEntry(entry); }
     void removeWorker(const WorkerId &id) { fleet_.removeEntry(id); }
 
+    /// The latest time at which an earlier holder may renew leases of workers.
+    void setEarlierRenewalsEnd(TimePoint time) { fleet_.setEarlierRenewalsEnd(time); }
+
     /// Does all periodic work that is due; tasks are started and leases extended only if
     /// \a maySchedule.
     void tick(bool maySchedule);
--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -102,9 +102,7 @@
     holderRevision_ = item.revision;
     if (holder_ && holder_->generation > record->generation)
         return;
-    if (!holder_ || holder_->generation != record->generation)
-        holderChangedAt_ = context_.now();
-    holder_ = *record;
+    setHolder(*record);
     refusedPeer_.reset();
     context_.log("event=holder_record_read instance={} generation={} revision={}",
                  record->process.instance.value(), record->generation, item.revision.value());
@@ -180,6 +178,45 @@
             && holder_->processors * undersizedFactor <= context_.settings().processors;
 }
 
+/// A holder renews leases of workers for confirmationLimit after the claim of the next one at most,
+/// and none after its end.
+void HolderElection::setHolder(const HolderRecord &holder)
+{
+    const bool isNew = !holder_ || holder_->generation != holder.generation;
+    if (!isNew) {
+        holder_ = holder;
+        return;
+    }
+    const TimePoint renewalsEnd = context_.now() + confirmationLimit;
+    formerHolder_.reset();
+    if (holder_ && holder_->generation + 1 == holder.generation) {
+        olderRenewalsEnd_ = earlierRenewalsEnd();
+        formerHolder_ = holder_->process;
+        formerRenewalsEnd_ = holderEndedAt_.value_or(renewalsEnd);
+    } else {
+        olderRenewalsEnd_ = holder.generation == 0 ? TimePoint() : renewalsEnd;
+        formerRenewalsEnd_ = {};
+    }
+    holder_ = holder;
+    holderEndedAt_.reset();
+    holderChangedAt_ = context_.now();
+}
+
+void HolderElection::onPeerSeen(const ProcessId &peer)
+{
+    const TimePoint now = context_.now();
+    const auto hasRestartedAs = [&peer](const ProcessId &process) {
+        return peer.instance == process.instance && peer.incarnation > process.incarnation;
+    };
+    if (holder_ && !holderEndedAt_ && hasRestartedAs(holder_->process))
+        holderEndedAt_ = now;
+    if (!formerHolder_ || now >= formerRenewalsEnd_ || !hasRestartedAs(*formerHolder_))
+        return;
+    formerRenewalsEnd_ = now;
+    context_.log("event=former_holder_ended instance={} incarnation={} seen={}",
+                 peer.instance.value(), formerHolder_->incarnation, peer.incarnation);
+}
+
 void HolderElection::onPeerRefused(const Address &peer)
 {
     if (!holder_ || holder_->peers != peer || isHolder() || refusedPeer_ == peer)
@@ -192,8 +229,7 @@
 {
     if (holder_ && holder.generation <= holder_->generation)
         return;
-    holder_ = holder;
-    holderChangedAt_ = context_.now();
+    setHolder(holder);
     refusedPeer_.reset();
     watcher_.relistSoon();
     context_.log("event=holder_announced instance={} generation={}",
@@ -273,7 +309,7 @@
 
 void HolderElection::startTerm()
 {
-    holder_ = ownRecord(generation_);
+    setHolder(ownRecord(generation_));
     nextRenewal_ = context_.now() + renewalInterval;
     context_.log("event=term_started generation={} token={}", generation_, token().value());
     handlers_.termStarted();
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -50,6 +50,9 @@
     /// \a peer refused a connection. If it is the holder's address, the holder's process has
     /// exited.
     void onPeerRefused(const Address &peer);
+    /// A message of \a peer was received. A later incarnation of an earlier holder shows that the
+    /// holder's process has ended.
+    void onPeerSeen(const ProcessId &peer);
     /// An instance announced itself as the holder; ignored unless its generation is higher than
     /// that of the known holder.
     void onHolderAnnounced(const HolderRecord &holder);
@@ -69,6 +72,9 @@
     /// the holder.
     TimePoint confirmedAt() const { return confirmedAt_; }
 
+    /// The latest time at which a holder before the known one may renew leases of workers.
+    TimePoint earlierRenewalsEnd() const { return std::max(olderRenewalsEnd_, formerRenewalsEnd_); }
+
     /// Without a confirmation for this long, a holder neither starts tasks nor renews leases.
     static constexpr Milliseconds confirmationLimit {7000};
 
@@ -98,6 +104,7 @@
     void restoreLease();
     void writeLeaseRecord(LeaseId lease);
     HolderRecord ownRecord(std::uint64_t generation) const;
+    void setHolder(const HolderRecord &holder);
 
     CellContext &context_;
     Handlers handlers_;
@@ -110,6 +117,13 @@
     std::optional<Address> refusedPeer_;
     TimePoint refusedAt_;
     TimePoint holderChangedAt_;
+    /// When the known holder's process was found to have ended.
+    std::optional<TimePoint> holderEndedAt_;
+    /// The holder directly before the known one; nothing when it is not known.
+    std::optional<ProcessId> formerHolder_;
+    TimePoint formerRenewalsEnd_;
+    /// The bound for the holders before the former one.
+    TimePoint olderRenewalsEnd_;
     LeaseId lease_;
     Revision termRevision_;
     std::uint64_t generation_ = 0;
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -1,7 +1,5 @@
 #include "Cell/WorkerFleet.h"
 
-#include "Cell/HolderElection.h"
-
 namespace caraway::cell {
 
 namespace {
@@ -47,9 +45,10 @@
 {
 }
 
-void WorkerFleet::startTerm(FencingToken token, const Roster &roster)
+void WorkerFleet::startTerm(FencingToken token, const Roster &roster, TimePoint earlierRenewalsEnd)
 {
     endTerm();
+    earlierRenewalsEnd_ = earlierRenewalsEnd;
     token_ = token;
     active_ = true;
     termStartedAt_ = context_.now();
@@ -635,9 +634,10 @@
     if (recovered_)
         return;
     const Milliseconds lease = context_.settings().workerLease;
-    const Milliseconds recoveryLimit = HolderElection::confirmationLimit + lease
-            + lease / clockDriftDivisor + recoveryMargin;
-    const bool isTimedOut = context_.now() - termStartedAt_ > recoveryLimit;
+    // A reachable worker has the same time to be read, however early the earlier holder ended.
+    const TimePoint leasesStart = std::max(earlierRenewalsEnd_, termStartedAt_);
+    const bool isTimedOut
+            = context_.now() - leasesStart > lease + lease / clockDriftDivisor + recoveryMargin;
     std::size_t unreadInRoster = 0;
     isOpenWorkerUnread_ = false;
     jobsOnUnreadWorkers_.clear();
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -44,7 +44,9 @@
     WorkerFleet(CellContext &context, Handlers handlers);
 
     /// Starts a term; \a roster lists the workers that earlier holders may have used.
-    void startTerm(FencingToken token, const Roster &roster);
+    /// \a earlierRenewalsEnd is the latest time at which an earlier holder may renew leases.
+    void startTerm(FencingToken token, const Roster &roster, TimePoint earlierRenewalsEnd);
+    void setEarlierRenewalsEnd(TimePoint time) { earlierRenewalsEnd_ = time; }
     void endTerm();
     void setEntry(const WorkerEntry &entry);
     void removeEntry(const WorkerId &id);
@@ -124,6 +126,7 @@
     std::uint64_t term_ = 0;
     bool active_ = false;
     TimePoint termStartedAt_;
+    TimePoint earlierRenewalsEnd_;
     bool recovered_ = false;
     /// An unread worker of the roster may have runs of any older job.
     bool isOpenWorkerUnread_ = false;
