Commit jobs alone when the store refuses their commit for good

Cause: a commit that the store refuses for good, for example as too large, was tried again without end, and all later completions and results waited behind it.

The jobs of such a commit are committed one by one, in turn with the others; one that is refused alone is tried again after a second.

--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -1,5 +1,7 @@
 #include "Cell/ProgressRecorder.h"
 
+#include <algorithm>
+
 namespace caraway::cell {
 
 namespace {
@@ -13,6 +15,7 @@
 constexpr std::size_t minExpired = 20;
 /// Tasks often complete at nearly the same time; the interval lets one commit record them all.
 constexpr Milliseconds commitInterval {30};
+constexpr Milliseconds invalidRetryInterval {1000};
 /// Jobs that fill a commit; with that many changed, the next commit follows at once.
 constexpr std::size_t jobsPerCommit = (maxEntries - 2) / entriesPerJob;
 
@@ -38,6 +41,9 @@
     active_ = false;
     jobOrder_.clear();
     changed_.clear();
+    isolated_.clear();
+    nextIsolated_ = {};
+    invalidInRow_ = 0;
     expired_.clear();
     roster_.reset();
     batch_.reset();
@@ -48,6 +54,13 @@
 {
     if (!active_)
         return;
+    const auto isolated = std::find_if(isolated_.begin(), isolated_.end(),
+                                       [&](const ChangedJob &row) { return row.id == job; });
+    if (isolated != isolated_.end()) {
+        if (completion)
+            isolated->completions.push_back(std::move(*completion));
+        return;
+    }
     const auto [position, isNew] = changed_.try_emplace(job);
     if (isNew)
         jobOrder_.push_back(job);
@@ -74,7 +87,7 @@
     if (!active_ || commitInFlight_ || !isCommitDue)
         return;
     if (!batch_) {
-        if (!hasChanges() && expired_.size() < minExpired)
+        if (!hasChanges() && !isIsolatedDue() && expired_.size() < minExpired)
             return;
         batch_ = Batch {};
         fill(*batch_);
@@ -90,6 +103,13 @@
     commit.require({RecordType::CommitSequence, {}}, sequence_);
     commit.write({RecordType::CommitSequence, {}},
                  CommitSequenceRecord {context_.self(), batch.number});
+    batch.isIsolated = isIsolatedDue() && (!wasIsolated_ || !hasChanges());
+    wasIsolated_ = batch.isIsolated;
+    if (batch.isIsolated) {
+        addJob(batch, std::move(isolated_.front()));
+        isolated_.pop_front();
+        return;
+    }
     if (roster_) {
         commit.write({RecordType::Roster, {}},
                      RosterRecord {{roster_->workers.begin(), roster_->workers.end()}});
@@ -97,13 +117,9 @@
         batch.roster = std::exchange(roster_, std::nullopt);
     }
     while (!jobOrder_.empty() && commit.entries() + entriesPerJob <= maxEntries) {
-        const JobId job = std::move(jobOrder_.front());
+        auto changed = changed_.extract(jobOrder_.front());
         jobOrder_.pop_front();
-        auto changed = changed_.extract(job);
-        if (const std::optional<Snapshot> snapshot = handlers_.snapshot(job))
-            addJob(batch, job, *snapshot);
-        for (RecordedCompletion &completion : changed.mapped())
-            batch.completions.push_back(std::move(completion));
+        addJob(batch, {std::move(changed.key()), std::move(changed.mapped())});
     }
     while (!expired_.empty() && commit.entries() < maxEntries) {
         commit.deletes.push_back({RecordType::Results, expired_.front().value()});
@@ -111,21 +127,26 @@
     }
 }
 
-void ProgressRecorder::addJob(Batch &batch, const JobId &job, const Snapshot &snapshot) const
+void ProgressRecorder::addJob(Batch &batch, ChangedJob job) const
 {
     StoreCommit &commit = batch.commit;
-    const std::string &name = job.value();
-    if (const auto *progress = std::get_if<JobProgress>(&snapshot.value)) {
+    const JobId id = job.id;
+    const std::string &name = id.value();
+    batch.jobs.push_back(std::move(job));
+    const std::optional<Snapshot> snapshot = handlers_.snapshot(id);
+    if (!snapshot)
+        return;
+    if (const auto *progress = std::get_if<JobProgress>(&snapshot->value)) {
         commit.write({RecordType::Progress, name}, *progress);
         return;
     }
-    const auto &result = std::get<JobResult>(snapshot.value);
+    const auto &result = std::get<JobResult>(snapshot->value);
     commit.write({RecordType::Results, name}, result);
     commit.deletes.push_back({RecordType::Jobs, name});
     commit.deletes.push_back({RecordType::Progress, name});
-    if (snapshot.hasCancel)
+    if (snapshot->hasCancel)
         commit.deletes.push_back({RecordType::Cancels, name});
-    batch.results.emplace_back(job, result.state);
+    batch.results.emplace_back(id, result.state);
 }
 
 void ProgressRecorder::send()
@@ -148,6 +169,9 @@
     case StoreOutcome::Conflict:
         onConflict(reply);
         return;
+    case StoreOutcome::Invalid:
+        isolateJobs();
+        return;
     default:
         // The same commit is retried; the precondition on the sequence lets it take effect only
         // once.
@@ -157,6 +181,25 @@
     }
 }
 
+/// A commit of one job that is refused as invalid is tried again, as the job changes later.
+void ProgressRecorder::isolateJobs()
+{
+    Batch batch = std::move(*batch_);
+    batch_.reset();
+    context_.log("event=commit_invalid number={} jobs={} first_job={} entries={}", batch.number,
+                 batch.jobs.size(),
+                 batch.jobs.empty() ? std::string() : batch.jobs.front().id.value(),
+                 batch.commit.entries());
+    if (batch.jobs.empty())
+        nextCommit_ = context_.now() + invalidRetryInterval;
+    if (batch.isIsolated && ++invalidInRow_ > isolated_.size())
+        nextIsolated_ = context_.now() + invalidRetryInterval;
+    for (ChangedJob &job : batch.jobs)
+        isolated_.push_back(std::move(job));
+    if (batch.roster && !roster_)
+        roster_ = std::move(batch.roster);
+}
+
 void ProgressRecorder::onConflict(const StoreReply &reply)
 {
     Revision sequence = sequence_;
@@ -189,8 +232,12 @@
     sequence_ = revision;
     const Batch batch = std::move(*batch_);
     batch_.reset();
-    for (const RecordedCompletion &completion : batch.completions)
-        handlers_.completionRecorded(completion);
+    if (batch.isIsolated)
+        invalidInRow_ = 0;
+    for (const ChangedJob &job : batch.jobs) {
+        for (const RecordedCompletion &completion : job.completions)
+            handlers_.completionRecorded(completion);
+    }
     for (const auto &[job, state] : batch.results)
         handlers_.resultRecorded(job, state);
     if (batch.roster)
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -59,18 +59,27 @@
 private:
     /// Whether there is something to commit besides the deletion of expired results.
     bool hasChanges() const { return !jobOrder_.empty() || roster_.has_value(); }
+    bool isIsolatedDue() const { return !isolated_.empty() && context_.now() >= nextIsolated_; }
 
+    /// A job that changed, with the completions that changed it.
+    struct ChangedJob
+    {
+        JobId id;
+        std::vector<RecordedCompletion> completions;
+    };
     struct Batch
     {
         StoreCommit commit;
-        std::vector<RecordedCompletion> completions;
+        std::vector<ChangedJob> jobs;
+        bool isIsolated = false;
         std::vector<std::pair<JobId, JobState>> results;
         std::optional<Roster> roster;
         std::uint64_t number = 0;
     };
 
     void fill(Batch &batch);
-    void addJob(Batch &batch, const JobId &job, const Snapshot &snapshot) const;
+    void addJob(Batch &batch, ChangedJob job) const;
+    void isolateJobs();
     void send();
     void onReply(const StoreReply &reply);
     void onConflict(const StoreReply &reply);
@@ -86,6 +95,13 @@
     /// The keys of changed_ in the order of their first change.
     std::deque<JobId> jobOrder_;
     std::map<JobId, std::vector<RecordedCompletion>> changed_;
+    /// The jobs of a commit that the store refused as invalid. Each is committed alone, so that the
+    /// others do not wait for one that the store refuses.
+    std::deque<ChangedJob> isolated_;
+    TimePoint nextIsolated_;
+    bool wasIsolated_ = false;
+    /// Jobs committed alone that were refused since the last one that was not.
+    std::size_t invalidInRow_ = 0;
     std::deque<JobId> expired_;
     std::optional<Roster> roster_;
     /// The commit in flight or to be retried.
--- a/Source/Cell/StoreCalls.h
+++ b/Source/Cell/StoreCalls.h
@@ -96,6 +96,8 @@
     HistoryCompacted,
     /// The store refused the call and did not carry it out.
     Refused,
+    /// The store refuses the call itself, now and later, for example as too large.
+    Invalid,
     /// No reply was received: the call may have been, or may still be, carried out.
     Unanswered,
 };
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -198,8 +198,9 @@
                       deliver(index, incarnation, StoreReplied {id, answer});
                   });
               };
-    if (delivery == Delivery::Refused) {
-        reply({StoreOutcome::Refused, {}, false, {}, {}});
+    if (delivery == Delivery::Refused || delivery == Delivery::Invalid) {
+        const bool isInvalid = delivery == Delivery::Invalid;
+        reply({isInvalid ? StoreOutcome::Invalid : StoreOutcome::Refused, {}, false, {}, {}});
         return;
     }
     if (isReported(delivery))
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -27,6 +27,8 @@
         Dropped,
         /// Refused immediately, not executed.
         Refused,
+        /// Refused immediately and at each later attempt, not executed; of the store only.
+        Invalid,
         /// The connection is refused, so that nothing is sent.
         NotSent,
     };
