--- a/Tests/Cell/LossSchedule.cpp
+++ b/Tests/Cell/LossSchedule.cpp
@@ -373,10 +373,14 @@
     if (!isAnyRunning)
         disruptedUntil(now());
     const std::optional<std::size_t> holder = simulation_.holder();
-    if (!holder)
+    if (!holder) {
+        isHolderMissing_ = true;
         return;
-    if (lastHolder_ && lastHolder_ != holder)
+    }
+    // An instance that was restarted may become the holder again.
+    if (lastHolder_ && (lastHolder_ != holder || isHolderMissing_))
         takeovers_.push_back({lastHolderAt_, now()});
+    isHolderMissing_ = false;
     lastHolder_ = holder;
     lastHolderAt_ = now();
 }
@@ -543,14 +547,19 @@
         return "a task had two runs at once";
     for (const SubmittedJob &job : jobs_) {
         const bool isLongRunning = job.spec.steps.front().longRunning;
+        std::string shown;
         const auto isShown = [&] {
             const std::optional<std::size_t> holder = simulation_.holder();
             const std::optional<JobState> state
                     = holder ? simulation_.stateOf(*holder, job.spec.id) : std::nullopt;
-            return state == (isLongRunning ? JobState::Running : JobState::Completed);
+            if (!state)
+                return false;
+            const JobState expected = isLongRunning ? JobState::Running : JobState::Completed;
+            shown = std::to_string(static_cast<int>(*state));
+            return *state == expected;
         };
         if (!simulation_.advanceUntil(isShown, takeoverBound + longestIdle))
-            return job.spec.id.value() + " is not shown as completed at "
+            return job.spec.id.value() + " is shown as " + shown + " at "
                     + std::to_string(now().sinceStart().count());
     }
     return simulation_.overlaps() > 0 ? "a task had two runs at once" : "";
--- a/Tests/Cell/LossSchedule.h
+++ b/Tests/Cell/LossSchedule.h
@@ -116,6 +116,7 @@
     /// Workers that leave or whose entry is removed.
     std::set<std::size_t> unlisted_;
     std::optional<std::size_t> lastHolder_;
+    bool isHolderMissing_ = false;
     TimePoint lastHolderAt_;
     Delivery storeDelivery_ = Delivery::Delivered;
     std::int64_t droppedPercent_ = 0;
