Read states from the store that may have changed before the holder's contact

Cause: an instance answers the state of an unfinished job from memory while it has contact with the holder. A change that it missed before that contact began, paused or cut off, was never made up for: the job was shown as running for ever.

Change: a state older than the present contact with the present holder is read from the store, and counts as current again once its job record was found.

--- a/Source/Cell/CallerRequestHandler.cpp
+++ b/Source/Cell/CallerRequestHandler.cpp
@@ -319,7 +319,10 @@
 void CallerRequestHandler::read(const CallerRequest &request, const JobId &job)
 {
     const KnownJob *state = findKnownJob(job);
-    if (state && (isFinal(state->state) || handlers_.isHolderContactCurrent())) {
+    // A change may have been missed before the contact with the holder began.
+    const bool isCurrent = state && handlers_.isHolderContactCurrent()
+            && state->updatedAt >= handlers_.holderContactSince();
+    if (state && (isFinal(state->state) || isCurrent)) {
         answerState(request.id, state->state);
         return;
     }
@@ -330,9 +333,11 @@
 {
     ++storeLookups_;
     context_.callStore(StoreGet {{RecordType::Jobs, job.value()}},
-                       [this, caller, job](const StoreReply &reply) {
+                       [this, caller, job, sentAt = context_.now()](const StoreReply &reply) {
                            --storeLookups_;
                            const KnownJob *state = findKnownJob(job);
+                           if (state && reply.outcome == StoreOutcome::Done)
+                               known_[job].updatedAt = std::max(state->updatedAt, sentAt);
                            if (reply.outcome == StoreOutcome::Done)
                                answerState(caller, state ? state->state : JobState::Pending);
                            else if (reply.outcome == StoreOutcome::NotFound)
--- a/Source/Cell/CallerRequestHandler.h
+++ b/Source/Cell/CallerRequestHandler.h
@@ -22,6 +22,8 @@
         std::function<std::uint64_t()> generation;
         /// Whether the job states and pending-job counts known here are current.
         std::function<bool()> isHolderContactCurrent;
+        /// Since when this instance has received all changes of states, while the contact lasts.
+        std::function<TimePoint()> holderContactSince;
     };
 
     CallerRequestHandler(CellContext &context, const ConfigurationCache &configuration,
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -63,6 +63,7 @@
         return election_.holder() ? election_.holder()->generation : 0;
     };
     handlers.isHolderContactCurrent = [this] { return isHolderContactCurrent(); };
+    handlers.holderContactSince = [this] { return holderContactSince_; };
     return handlers;
 }
 
@@ -193,6 +194,8 @@
 
 void CellInstance::on(const PeerLost &lost)
 {
+    if (holderAddress() == lost.peer)
+        holderContacted_ = false;
     peers_.erase(lost.peer);
     for (auto &[id, relayed] : relayed_) {
         if (relayed.to == lost.peer)
@@ -239,11 +242,15 @@
 {
     configuration_.onVersionAnnounced(message.configuration);
     election_.onHolderAnnounced({frame.from, frame.fromAddress, message.generation, Millicores()});
+    const bool isContactNew = !isHolderContactCurrent() || message.generation != contactGeneration_;
     for (const JobStateChange &change : message.changed)
         callerRequests_.recordState(change.job, change.state);
     const std::optional<HolderRecord> &holder = election_.holder();
     if (!holder || holder->process != frame.from)
         return;
+    if (isContactNew)
+        holderContactSince_ = context_.now();
+    contactGeneration_ = message.generation;
     holderContacted_ = true;
     lastHolderContactAt_ = context_.now();
     if (!message.queues.empty())
@@ -439,6 +446,7 @@
                           progress == loaded.progress.end() ? JobProgress() : progress->second);
     }
     nextLoadBroadcast_ = context_.now();
+    holderContactSince_ = context_.now();
     election_.onLoaded();
     loadResults(termChanges_, std::nullopt);
 }
