--- a/Tests/Cell/LossSchedule.cpp
+++ b/Tests/Cell/LossSchedule.cpp
@@ -27,6 +27,8 @@
 /// Until a holder has found that a worker is lost, and has stored that it is closed.
 constexpr Milliseconds closesWorkerWithin {5000};
 constexpr Milliseconds readsWorkersWithin {1000};
+/// Until a start without any reply is taken as unanswered.
+constexpr Milliseconds longestStartCall {1000};
 /// Until a holder uses a worker again that has answered again.
 constexpr Milliseconds longestAvoidance {2000};
 
@@ -198,7 +200,7 @@
     case Loss::RepliesDropped: {
         const Milliseconds duration = pickTime(300, 2000);
         droppedPercent_ = 20;
-        disruptedUntil(now() + duration);
+        disruptedUntil(now() + duration + longestStartCall);
         schedule(duration, [this] { droppedPercent_ = 0; });
         break;
     }
@@ -247,7 +249,10 @@
         return;
     unlisted_.insert(worker);
     simulation_.store().remove({RecordType::Workers, simulation_.worker(worker).entry.id.value()});
-    schedule(pickTime(300, 4000), [this, worker] {
+    const Milliseconds duration = pickTime(300, 4000);
+    // A holder that takes over meanwhile has no address at which to read the worker.
+    losses_.push_back({worker, now(), now() + duration, Milliseconds()});
+    schedule(duration, [this, worker] {
         unlisted_.erase(worker);
         if (!simulation_.worker(worker).hasLeft())
             simulation_.publishWorker(worker);
@@ -340,7 +345,7 @@
             return problem;
         const bool areAllDone = std::all_of(jobs_.begin(), jobs_.end(),
                                             [&](const SubmittedJob &job) { return isDone(job); });
-        if (areAllDone && now() > calmFrom_ + longestIdle
+        if (areAllDone && actions_.empty() && now() > calmFrom_ + longestIdle
             && now() > end - longestRun + trafficDuration + longestIdle)
             break;
     }
@@ -477,8 +482,8 @@
 bool LossSchedule::isApproved(const std::string &job, const WorkerId &worker) const
 {
     constexpr std::size_t deniedShare = 4;
-    return std::hash<std::string>()(job + worker.value() + std::to_string(seed_)) % deniedShare
-            != 0;
+    const std::size_t first = std::hash<std::string>()(job + std::to_string(seed_));
+    return (first + simulation_.indexOf(worker)) % deniedShare != 0;
 }
 
 /// Whether a run of the job, its completion or its start may have been lost with the worker.
