Renew no lease of a worker that reports itself unhealthy

Cause: heartbeats that an unhealthy worker refused raised the latest end of its lease each time, although it does not carry them out. Its runs ended with their lease, and counted as there as long as it stayed unhealthy.

Change: after such an answer heartbeats renew nothing until one is carried out.

--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -52,6 +52,9 @@
     bool isStateRead = false;
     bool heartbeatInFlight = false;
     TimePoint nextHeartbeat;
+    /// Whether the worker reported itself unhealthy at the last heartbeat, and did not renew its
+    /// lease.
+    bool isUnhealthy = false;
     /// Consecutive calls without an answer.
     int unansweredCalls = 0;
     TimePoint lastReplyAt;
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -412,12 +412,14 @@
     heartbeat.acknowledged = worker.highestAcknowledgeable();
     // A renewal without a reply may still have reached the worker, so each raises the latest time
     // at which the worker's lease may end. If renewals to an unreachable worker continued, the
-    // holder could never conclude that its runs have ended.
-    if (mayRenew && worker.hasClock() && worker.unansweredCalls == 0) {
+    // holder could never conclude that its runs have ended; nor those to an unhealthy one, which
+    // does not renew its lease.
+    const bool isAnswering = worker.unansweredCalls == 0 && !worker.isUnhealthy;
+    if (mayRenew && worker.hasClock() && isAnswering) {
         heartbeat.deadline = renewedLeaseEnd(worker);
         worker.extendLeaseBound(heartbeat.deadline);
     }
-    if (worker.isStateRead && mayRenew && worker.unansweredCalls == 0)
+    if (worker.isStateRead && mayRenew && isAnswering)
         heartbeat.wait = heartbeatWait;
     context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat},
                         heartbeat.wait + heartbeatMargin,
@@ -445,6 +447,7 @@
     if (!worker)
         return;
     worker->heartbeatInFlight = false;
+    worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
     if (reply.outcome != WorkerOutcome::Done) {
         worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
         updateFromReply(*worker, reply);
