--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -63,6 +63,7 @@
         return election_.holder() ? election_.holder()->generation : 0;
     };
     handlers.isHolderContactCurrent = [this] { return isHolderContactCurrent(); };
+    handlers.holderContactSince = [this] { return holderContactSince_; };
     return handlers;
 }
 
@@ -97,6 +98,7 @@
 
 void CellInstance::on(const Tick & /*tick*/)
 {
+    context_.tick();
     configuration_.tick();
     election_.tick();
     jobsAndCancelsWatcher_.tick();
@@ -107,6 +109,7 @@
         for (const std::function<void()> &retry : std::exchange(loading_->retries, {}))
             retry();
     }
+    scheduler_.setEarlierRenewalsEnd(election_.earlierRenewalsEnd());
     scheduler_.tick(election_.maySchedule());
     if (context_.now() >= nextHello_)
         sendHello();
@@ -185,11 +188,14 @@
 
 void CellInstance::on(const PeerFrame &frame)
 {
+    election_.onPeerSeen(frame.from);
     std::visit([&](const auto &message) { onMessage(frame, message); }, frame.message);
 }
 
 void CellInstance::on(const PeerLost &lost)
 {
+    if (holderAddress() == lost.peer)
+        holderContacted_ = false;
     peers_.erase(lost.peer);
     for (auto &[id, relayed] : relayed_) {
         if (relayed.to == lost.peer)
@@ -236,11 +242,15 @@
 {
     configuration_.onVersionAnnounced(message.configuration);
     election_.onHolderAnnounced({frame.from, frame.fromAddress, message.generation, Millicores()});
+    const bool isContactNew = !isHolderContactCurrent() || message.generation != contactGeneration_;
     for (const JobStateChange &change : message.changed)
         callerRequests_.recordState(change.job, change.state);
     const std::optional<HolderRecord> &holder = election_.holder();
     if (!holder || holder->process != frame.from)
         return;
+    if (isContactNew)
+        holderContactSince_ = context_.now();
+    contactGeneration_ = message.generation;
     holderContacted_ = true;
     lastHolderContactAt_ = context_.now();
     if (!message.queues.empty())
@@ -425,7 +435,7 @@
                  loaded.workers.size(), loaded.roster->workers.size(),
                  loaded.roster->closed.size());
     scheduler_.startTerm({election_.token(), election_.generation(), election_.holderPrecondition(),
-                          *loaded.sequence, *loaded.roster});
+                          *loaded.sequence, *loaded.roster, election_.earlierRenewalsEnd()});
     for (const auto &[id, entry] : loaded.workers)
         scheduler_.setWorker(entry);
     for (const JobId &job : loaded.cancels)
@@ -436,6 +446,7 @@
                           progress == loaded.progress.end() ? JobProgress() : progress->second);
     }
     nextLoadBroadcast_ = context_.now();
+    holderContactSince_ = context_.now();
     election_.onLoaded();
     loadResults(termChanges_, std::nullopt);
 }
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -1,7 +1,5 @@
 #include "Cell/WorkerFleet.h"
 
-#include "Cell/HolderElection.h"
-
 namespace caraway::cell {
 
 namespace {
@@ -52,9 +50,10 @@
 {
 }
 
-void WorkerFleet::startTerm(FencingToken token, const Roster &roster)
+void WorkerFleet::startTerm(FencingToken token, const Roster &roster, TimePoint earlierRenewalsEnd)
 {
     endTerm();
+    earlierRenewalsEnd_ = earlierRenewalsEnd;
     token_ = token;
     active_ = true;
     termStartedAt_ = context_.now();
@@ -476,12 +475,14 @@
     heartbeat.acknowledged = worker.highestAcknowledgeable();
     // A renewal without a reply may still have reached the worker, so each raises the latest time
     // at which the worker's lease may end. If renewals to an unreachable worker continued, the
-    // holder could never conclude that its runs have ended.
-    if (mayRenew && worker.hasClock() && worker.unansweredCalls == 0) {
+    // holder could never conclude that its runs have ended; nor those to an unhealthy one, which
+    // does not renew its lease.
+    const bool isAnswering = worker.unansweredCalls == 0 && !worker.isUnhealthy;
+    if (mayRenew && worker.hasClock() && isAnswering) {
         heartbeat.deadline = renewedLeaseEnd(worker);
         worker.extendLeaseBound(heartbeat.deadline);
     }
-    if (worker.isStateRead && mayRenew && worker.unansweredCalls == 0)
+    if (worker.isStateRead && mayRenew && isAnswering)
         heartbeat.wait = heartbeatWait;
     context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat},
                         heartbeat.wait + heartbeatMargin,
@@ -509,6 +510,7 @@
     if (!worker)
         return;
     worker->heartbeatInFlight = false;
+    worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
     if (reply.outcome != WorkerOutcome::Done) {
         worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
         updateFromReply(*worker, reply);
@@ -715,9 +717,10 @@
     if (recovered_)
         return;
     const Milliseconds lease = context_.settings().workerLease;
-    const Milliseconds recoveryLimit = HolderElection::confirmationLimit + lease
-            + lease / clockDriftDivisor + recoveryMargin;
-    const bool isTimedOut = context_.now() - termStartedAt_ > recoveryLimit;
+    // A reachable worker has the same time to be read, however early the earlier holder ended.
+    const TimePoint leasesStart = std::max(earlierRenewalsEnd_, termStartedAt_);
+    const bool isTimedOut
+            = context_.now() - leasesStart > lease + lease / clockDriftDivisor + recoveryMargin;
     std::size_t unreadInRoster = 0;
     isOpenWorkerUnread_ = false;
     jobsOnUnreadWorkers_.clear();
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -17,6 +17,13 @@
 /// The interval of the holder's watches of the list of workers, and the delays of their calls.
 constexpr Milliseconds entryDelay {350};
 
+/// Whether the call ends with a reply or a timeout.
+bool isReported(CellSimulation::Delivery delivery)
+{
+    return delivery != CellSimulation::Delivery::ReplyDropped
+            && delivery != CellSimulation::Delivery::Dropped;
+}
+
 Address peerAddress(std::size_t index)
 {
     return {"10.0.0." + std::to_string(index + 1), 7000};
@@ -90,8 +97,20 @@
 
 void CellSimulation::publishWorkers()
 {
-    for (const auto &worker : workers_)
-        store_.put({RecordType::Workers, worker->entry.id.value()}, worker->entry);
+    for (std::size_t i = 0; i < workers_.size(); ++i)
+        publishWorker(i);
+}
+
+void CellSimulation::publishWorker(std::size_t index)
+{
+    const WorkerEntry &entry = workers_.at(index)->entry;
+    store_.put({RecordType::Workers, entry.id.value()}, entry);
+}
+
+void CellSimulation::restartWorker(std::size_t index)
+{
+    workers_.at(index)->restart(now_);
+    publishWorker(index);
 }
 
 void CellSimulation::announceLeaving(std::size_t index, Milliseconds remaining)
@@ -100,7 +119,7 @@
     entry.draining = true;
     entry.remaining = remaining;
     entry.reportedAt = workers_[index]->clock(now_);
-    store_.put({RecordType::Workers, entry.id.value()}, entry);
+    publishWorker(index);
 }
 
 void CellSimulation::removeWorker(std::size_t index)
@@ -214,14 +233,14 @@
                                          id = call.id](const StoreReply &answer) {
         schedule(replyDelay, [=, this] { deliver(index, incarnation, StoreReplied {id, answer}); });
     };
-    if (delivery == Delivery::Refused) {
-        reply({StoreOutcome::Refused, {}, false, {}, {}});
+    if (delivery == Delivery::Refused || delivery == Delivery::Invalid) {
+        const bool isInvalid = delivery == Delivery::Invalid;
+        reply({isInvalid ? StoreOutcome::Invalid : StoreOutcome::Refused, {}, false, {}, {}});
         return;
     }
-    if (delivery != Delivery::Delivered) {
+    if (isReported(delivery))
         schedule(call.timeout, [=] { reply({StoreOutcome::Unanswered, {}, false, {}, {}}); });
-    }
-    if (delivery == Delivery::Lost)
+    if (delivery == Delivery::Lost || delivery == Delivery::Dropped)
         return;
     schedule(storeDelay, [this, delivery, reply, request = call.request] {
         store_.handle(now_, request,
@@ -236,8 +255,8 @@
     const Instance &instance = instances_[index];
     Delivery delivery
             = workerDelivery ? workerDelivery(instance.id, call.request) : Delivery::Delivered;
-    if (const std::size_t worker = indexOf(call.request.worker);
-        worker < workers_.size() && workers_[worker]->hasLeft())
+    if (const std::size_t worker = indexOf(call.request.worker); worker < workers_.size()
+        && workers_[worker]->hasLeft() && delivery != Delivery::NotSent && isReported(delivery))
         delivery = Delivery::Lost;
     else if (worker < workers_.size() && workers_[worker]->isDown())
         delivery = deliveryWhileDown;
@@ -251,7 +270,7 @@
                       deliver(index, incarnation, WorkerReplied {id, answer});
                   });
               };
-    if (delivery != Delivery::Delivered) {
+    if (isReported(delivery)) {
         WorkerReply failed;
         if (delivery == Delivery::Refused)
             failed.outcome = WorkerOutcome::Unhealthy;
@@ -260,11 +279,13 @@
         const bool isPrompt = delivery == Delivery::Refused || delivery == Delivery::NotSent;
         schedule(isPrompt ? networkDelay : call.timeout, [=] { reply(failed); });
     }
-    if (delivery != Delivery::Delivered && delivery != Delivery::AnswerLost)
+    const bool isExecuted = delivery == Delivery::Delivered || delivery == Delivery::AnswerLost
+            || delivery == Delivery::ReplyDropped;
+    if (!isExecuted)
         return;
     schedule(networkDelay + delay, [this, delivery, reply, request = call.request] {
         for (const auto &worker : workers_) {
-            if (worker->entry.id == request.worker) {
+            if (worker->entry.id == request.worker && !worker->hasLeft()) {
                 worker->handle(now_, request,
                                delivery == Delivery::Delivered
                                        ? reply
@@ -276,6 +297,17 @@
 
 void CellSimulation::call(std::size_t index, const ApprovalCall &call)
 {
+    const Delivery delivery = approvalDelivery
+            ? approvalDelivery(instances_[index].id, call.request)
+            : Delivery::Delivered;
+    if (!isReported(delivery))
+        return;
+    if (delivery != Delivery::Delivered) {
+        schedule(call.timeout, [=, this, id = call.id, own = instances_[index].incarnation] {
+            deliver(index, own, ApprovalReplied {id, {}});
+        });
+        return;
+    }
     ApprovalReply approved;
     approved.answered = true;
     for (const WorkerId &worker : call.request.workers) {
