Test the counting of crashes after the review

Cause: a reviewer who had not seen the work found four courses in which the counting of crashes breaks a rule; a fifth has holders lost beside crashing jobs.

--- a/Tests/Cell/CrashingTaskTest.cpp
+++ b/Tests/Cell/CrashingTaskTest.cpp
@@ -23,7 +23,10 @@
     CPPUNIT_TEST(step_whoseTasksAllCrashTheirWorkers_failsWithinTheBudget);
     CPPUNIT_TEST(job_whoseHolderIsLostBetweenCrashes_failsWithinTheBudget);
     CPPUNIT_TEST(job_whoseHolderIsLostWithACrash_failsWithinTheBudget);
+    CPPUNIT_TEST(job_onBusyWorkersWhoseHolderIsLostWithACrash_failsWithinTheBudget);
+    CPPUNIT_TEST(gang_onBusyWorkersWhoseHolderIsLostWithACrash_failsWithinTheBudget);
     CPPUNIT_TEST(soundJobs_besideCrashingJobs_complete);
+    CPPUNIT_TEST(soundJobs_besideCrashingJobsWhileHoldersAreLost_complete);
     CPPUNIT_TEST(soundJobs_besideACrashingGang_complete);
     CPPUNIT_TEST(soundJobs_afterRepeatedPowerCuts_complete);
     CPPUNIT_TEST(soundJobs_onWorkersCutOffAndBack_complete);
@@ -137,38 +140,19 @@
         }
     }
 
-    void soundJobs_besideCrashingJobs_complete()
+    void job_onBusyWorkersWhoseHolderIsLostWithACrash_failsWithinTheBudget()
     {
-        std::string seen;
-        for (unsigned seed = 1; seed <= seeds; ++seed) {
-            startCell(8);
-            std::mt19937 random(seed);
-            simulation_->deliveryWhileDown
-                    = seed % 2 ? CellSimulation::Delivery::Lost : CellSimulation::Delivery::NotSent;
-            setDowntime(Milliseconds(seed % 3 ? 4000 : 8000));
-            const Milliseconds crashAt(seed % 4 * 300);
-            simulation_->plan = [crashAt](const TaskKey &task, RunNumber) {
-                if (task.job.value().starts_with("bad"))
-                    return crashAfter(crashAt);
-                const auto position = std::hash<JobId>()(task.job) + task.index.value();
-                return soundRun(Milliseconds(300 + position % 8 * 500));
-            };
-            std::vector<std::string> sound;
-            std::vector<std::string> bad;
-            for (std::size_t i = 0; i < 40; ++i) {
-                const bool isBad = i % 10 == 4;
-                std::vector<std::string> &names = isBad ? bad : sound;
-                names.push_back((isBad ? "bad" : "sound") + std::to_string(i));
-                JobSpec job = CellSimulation::job(
-                        names.back(), static_cast<std::int64_t>(1 + random() % (isBad ? 2 : 5)));
-                simulation_->submit(0, job);
-                simulation_->advance(Milliseconds(random() % 300));
-            }
-            seen += deviations(sound, bad, "seed " + std::to_string(seed));
-        }
-        CPPUNIT_ASSERT_MESSAGE(seen, seen.empty());
+        playOnBusyWorkers(CellSimulation::job("bad"));
     }
 
+    void gang_onBusyWorkersWhoseHolderIsLostWithACrash_failsWithinTheBudget()
+    {
+        playOnBusyWorkers(gang("bad", 10));
+    }
+
+    void soundJobs_besideCrashingJobs_complete() { playMixedJobs(0); }
+    void soundJobs_besideCrashingJobsWhileHoldersAreLost_complete() { playMixedJobs(2); }
+
     void soundJobs_besideACrashingGang_complete()
     {
         std::string seen;
@@ -176,11 +160,11 @@
             startCell(8);
             std::mt19937 random(seed);
             setDowntime(Milliseconds(seed % 3 ? 4000 : 8000));
-            const Milliseconds crashAt(seed % 4 * 300);
+            const Milliseconds crashAt = milliseconds(seed % 4 * 300UL);
             simulation_->plan = [crashAt](const TaskKey &task, RunNumber) {
                 if (task.job.value().starts_with("bad"))
                     return crashAfter(crashAt);
-                return soundRun(Milliseconds(500 + task.index.value() * 500));
+                return soundRun(milliseconds(500 + task.index.value() * 500));
             };
             std::vector<std::string> sound;
             std::vector<std::string> bad;
@@ -192,7 +176,7 @@
                 simulation_->submit(0,
                                     isBad || i % 3 == 0 ? gang(names.back(), tasks)
                                                         : CellSimulation::job(names.back(), tasks));
-                simulation_->advance(Milliseconds(random() % 1000));
+                simulation_->advance(milliseconds(random() % 1000));
             }
             seen += deviations(sound, bad, "seed " + std::to_string(seed));
         }
@@ -254,6 +238,10 @@
     /// Starts that may follow after the third crash of a worker under a task.
     static constexpr std::size_t maxFurtherStarts = 2;
 
+    static Milliseconds milliseconds(std::uint64_t count)
+    {
+        return Milliseconds(static_cast<std::int64_t>(count));
+    }
     static SimulatedWorker::RunPlan soundRun(Milliseconds duration)
     {
         return {duration, CompletionReason::Succeeded};
@@ -318,6 +306,73 @@
                 }));
     }
 
+    /// Four jobs that crash workers among 40, with random changes of the holder.
+    void playMixedJobs(std::size_t holderLosses)
+    {
+        std::string seen;
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            startCell(8);
+            std::mt19937 random(seed);
+            simulation_->deliveryWhileDown
+                    = seed % 2 ? CellSimulation::Delivery::Lost : CellSimulation::Delivery::NotSent;
+            setDowntime(Milliseconds(seed % 3 ? 4000 : 8000));
+            const Milliseconds crashAt = milliseconds(seed % 4 * 300UL);
+            simulation_->plan = [crashAt](const TaskKey &task, RunNumber) {
+                if (task.job.value().starts_with("bad"))
+                    return crashAfter(crashAt);
+                const auto position = std::hash<JobId>()(task.job) + task.index.value();
+                return soundRun(milliseconds(300 + position % 8 * 500));
+            };
+            std::vector<std::string> sound;
+            std::vector<std::string> bad;
+            for (std::size_t i = 0; i < 40; ++i) {
+                const bool isBad = i % 10 == 4;
+                std::vector<std::string> &names = isBad ? bad : sound;
+                names.push_back((isBad ? "bad" : "sound") + std::to_string(i));
+                JobSpec job = CellSimulation::job(
+                        names.back(), static_cast<std::int64_t>(1 + random() % (isBad ? 2 : 5)));
+                simulation_->submit(0, job);
+                simulation_->advance(milliseconds(random() % 300));
+            }
+            for (std::size_t i = 0; i < holderLosses; ++i) {
+                simulation_->advance(milliseconds(random() % 6000));
+                replaceHolder();
+            }
+            seen += deviations(sound, bad, "seed " + std::to_string(seed));
+        }
+        CPPUNIT_ASSERT_MESSAGE(seen, seen.empty());
+    }
+
+    /// The job crashes workers that always have sound runs, and the holder is lost with the first
+    /// crashes.
+    void playOnBusyWorkers(const JobSpec &bad)
+    {
+        std::string seen;
+        for (std::size_t lostWith = 1; lostWith <= 2; ++lostWith) {
+            for (const Milliseconds crashAt : {Milliseconds(0), Milliseconds(700)}) {
+                startCell(8);
+                simulation_->plan = [crashAt](const TaskKey &task, RunNumber) {
+                    return task.job == JobId("bad") ? crashAfter(crashAt)
+                                                    : soundRun(Milliseconds(6000));
+                };
+                simulation_->submitAndWait(0, CellSimulation::job("sound", 400));
+                simulation_->advance(Milliseconds(300));
+                simulation_->submitAndWait(0, bad);
+                simulation_->advanceUntil([&] { return crashesOf("bad") >= lostWith; }, longWait);
+                simulation_->advance(Milliseconds(100));
+                replaceHolder();
+                simulation_->advanceUntil(
+                        [&] { return simulation_->stateOf(0, JobId("bad")) == JobState::Failed; },
+                        giveUpWait);
+                report(describe("bad"));
+                if (highestCount("bad").furtherStarts > maxFurtherStarts
+                    || simulation_->stateOf(0, JobId("bad")) != JobState::Failed)
+                    seen += describe("bad") + "\n";
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE(seen, seen.empty());
+    }
+
     struct Count
     {
         std::size_t starts = 0;
--- a/Tests/Cell/LossSchedule.cpp
+++ b/Tests/Cell/LossSchedule.cpp
@@ -190,21 +190,27 @@
     case Loss::StoreRepliesLost:
         disturbStore(Delivery::AnswerLost, pickTime(300, 3000));
         break;
-    case Loss::ApprovalsUnanswered: {
-        const Milliseconds duration = pickTime(300, 3000);
-        areApprovalsAnswered_ = false;
-        disruptedUntil(now() + duration);
-        schedule(duration, [this] { areApprovalsAnswered_ = true; });
+    case Loss::ApprovalsUnanswered:
+        leaveApprovalsUnanswered(pickTime(300, 3000));
         break;
-    }
-    case Loss::RepliesDropped: {
-        const Milliseconds duration = pickTime(300, 2000);
-        droppedPercent_ = 20;
-        disruptedUntil(now() + duration + longestStartCall);
-        schedule(duration, [this] { droppedPercent_ = 0; });
+    case Loss::RepliesDropped:
+        dropReplies(pickTime(300, 2000));
         break;
     }
-    }
+}
+
+void LossSchedule::leaveApprovalsUnanswered(Milliseconds duration)
+{
+    areApprovalsAnswered_ = false;
+    disruptedUntil(now() + duration);
+    schedule(duration, [this] { areApprovalsAnswered_ = true; });
+}
+
+void LossSchedule::dropReplies(Milliseconds duration)
+{
+    droppedPercent_ = 20;
+    disruptedUntil(now() + duration + longestStartCall);
+    schedule(duration, [this] { droppedPercent_ = 0; });
 }
 
 void LossSchedule::loseWorker(std::size_t worker, std::optional<Milliseconds> restartAfter)
--- a/Tests/Cell/LossSchedule.h
+++ b/Tests/Cell/LossSchedule.h
@@ -85,6 +85,8 @@
     void killNextHolder();
     void pauseHolder(Milliseconds duration);
     void disturbStore(Delivery delivery, Milliseconds duration);
+    void leaveApprovalsUnanswered(Milliseconds duration);
+    void dropReplies(Milliseconds duration);
     void disruptedUntil(TimePoint time) { calmFrom_ = std::max(calmFrom_, time); }
 
     Delivery deliver(const cell::WorkerRequest &request);
