Send a recorded start only while the holder may schedule

Cause: a start that is recorded first was sent with the reply of its commit, also by a holder that had been replaced meanwhile, with a new deadline, and to a worker that had changed since. A stop of such a start waited for the worker's answer.

Change: recorded starts are sent with the other work of a holder that may schedule, if the worker may still be used; stopped ones are discarded at once.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -147,9 +147,27 @@
 
 void CellScheduler::onStartRecorded(const TaskKey &key)
 {
-    auto start = unrecordedStarts_.extract(key);
-    if (!start.empty())
-        fleet_.sendStart(start.mapped().worker, std::move(start.mapped().request));
+    const auto start = unsentStarts_.find(key);
+    if (start != unsentStarts_.end())
+        start->second.isRecorded = true;
+}
+
+void CellScheduler::sendRecordedStarts(bool maySchedule)
+{
+    for (auto start = unsentStarts_.begin(); start != unsentStarts_.end();) {
+        RecordedFirst &next = start->second;
+        const bool isDue = maySchedule && next.isRecorded;
+        if (fleet_.isStopRequested(next.worker, next.request)
+            || (isDue && !fleet_.mayReceive(next.worker))) {
+            fleet_.discardStart(next.worker, next.request);
+        } else if (isDue) {
+            fleet_.sendStart(next.worker, std::move(next.request));
+        } else {
+            ++start;
+            continue;
+        }
+        start = unsentStarts_.erase(start);
+    }
 }
 
 void CellScheduler::resolveRecordedStarts()
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -288,7 +288,7 @@
             = RecordedStart {run, worker.id(), worker.incarnation.value_or(WorkerIncarnation())};
     fleet_.reserve(worker.id(), request);
     const TaskKey key = request.task;
-    unrecordedStarts_.insert_or_assign(key, UnrecordedStart {worker.id(), std::move(request)});
+    unsentStarts_.insert_or_assign(key, RecordedFirst {worker.id(), std::move(request)});
     recorder_.markStart(key);
 }
 
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -88,7 +88,7 @@
     finishedJobs_.clear();
     cancellations_.clear();
     jobsWithCrashes_.clear();
-    unrecordedStarts_.clear();
+    unsentStarts_.clear();
     fleet_.endTerm();
     recorder_.endTerm();
     approvalDispatcher_.clear();
@@ -468,6 +468,7 @@
         passNeeded_ = false;
         runSchedulingPass();
     }
+    sendRecordedStarts(maySchedule);
     fleet_.sendDueHeartbeats(maySchedule);
     recorder_.tick();
 }
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -74,10 +74,12 @@
     using Order = ObjectiveOrder;
     using Headroom = ArrivalHeadroom;
 
-    struct UnrecordedStart
+    /// A start that is sent once the store has it.
+    struct RecordedFirst
     {
         WorkerId worker;
         WorkerFleet::StartRequest request;
+        bool isRecorded = false;
     };
     /// A run of a task under which workers have crashed.
     struct SuspectRun
@@ -164,6 +166,9 @@
     void onWorkerCrashed(const CellWorker &worker, const std::vector<Placement> &lost);
     void onCrashRecorded(const TaskKey &key);
     void onStartRecorded(const TaskKey &key);
+    /// Sends the starts that were recorded, and discards those that were stopped meanwhile or whose
+    /// worker may no longer be used.
+    void sendRecordedStarts(bool maySchedule);
     /// Whether the run's start is recorded first, so that a later holder can tell that the worker
     /// crashed under it.
     static bool recordsStart(const CellStep &step, const CellTask &task);
@@ -271,7 +276,7 @@
     /// Jobs with tasks under which workers have crashed.
     std::set<JobId> jobsWithCrashes_;
     /// Starts that are sent when they are recorded.
-    std::map<TaskKey, UnrecordedStart> unrecordedStarts_;
+    std::map<TaskKey, RecordedFirst> unsentStarts_;
     Roster roster_;
     bool rosterWritePending_ = false;
     /// Since the last pass, a change occurred that may allow further starts.
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -265,6 +265,25 @@
     findWorker(id)->placements.push_back(placement);
 }
 
+void WorkerFleet::discardStart(const WorkerId &id, const StartRequest &request)
+{
+    if (CellWorker *worker = findWorker(id))
+        removePlacement(*worker, request.task, request.run, WorkerOutcome::NotSent);
+}
+
+bool WorkerFleet::isStopRequested(const WorkerId &id, const StartRequest &request)
+{
+    CellWorker *worker = findWorker(id);
+    const Placement *placement = worker ? worker->find(request.task, request.run) : nullptr;
+    return !placement || placement->stopRequested;
+}
+
+bool WorkerFleet::mayReceive(const WorkerId &id) const
+{
+    const CellWorker *found = worker(id);
+    return found && isUsable(*found) && Resources().fitsIn(found->freeResources());
+}
+
 void WorkerFleet::sendStart(const WorkerId &id, StartRequest request)
 {
     CellWorker *worker = findWorker(id);
@@ -344,6 +363,8 @@
         return;
     placement->stopRequested = true;
     context_.log("event=run_stop_requested job={} step={} task={} run={} worker={}",
+    if (!placement->startSent)
+        return;
                  task.job.value(), task.step.value(), task.index.value(), run.value(), id.value());
     sendStop(*worker, task, run);
 }
@@ -379,7 +400,7 @@
 {
     for (std::size_t i = 0; i < worker.placements.size(); ++i) {
         const Placement &placement = worker.placements[i];
-        if (placement.stopRequested && !placement.stopInFlight
+        if (placement.stopRequested && placement.startSent && !placement.stopInFlight
             && context_.now() >= placement.nextStopAttempt)
             sendStop(worker, placement.task, placement.run);
     }
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -66,6 +66,12 @@
     void reserve(const WorkerId &worker, const StartRequest &request);
     /// Starts a reserved run, unless it was stopped or the worker restarted since.
     void sendStart(const WorkerId &worker, StartRequest request);
+    /// Releases the capacity of a start that was not sent.
+    void discardStart(const WorkerId &worker, const StartRequest &request);
+    /// Whether the reserved start was stopped, or has been lost with its worker.
+    bool isStopRequested(const WorkerId &worker, const StartRequest &request);
+    /// Whether a reserved start may still be sent to the worker.
+    bool mayReceive(const WorkerId &worker) const;
     void stop(const WorkerId &worker, const TaskKey &task, RunNumber run);
     /// The completion is in the store, so the worker may discard it.
     void onCompletionRecorded(const WorkerId &worker, WorkerIncarnation incarnation,
