Count crashes of long-running tasks by the time that the run was listed

Cause: a crash that is known only after the lease did not count for a long-running task, as its next run had started. The 30 s ran to the detection.

Change: a run counts unless its worker listed it for 30 s.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -8,7 +8,7 @@
 
 /// A long-running task lives long enough to meet crashes of its workers' own; only those soon after
 /// the start of its run count.
-constexpr Milliseconds longRunningWindow {30'000};
+constexpr WorkerTime longRunningWindow {30'000};
 /// Restarts of other workers within this time may have the same cause, such as a loss of power.
 constexpr Milliseconds commonCauseWindow {3000};
 /// Bounds how long a worker is kept for a task with several crashes.
@@ -102,12 +102,10 @@
     return count;
 }
 
-bool CellScheduler::countsAsCrash(const CellStep &step, const Placement &placement) const
+bool CellScheduler::countsAsCrash(const CellStep &step, const Placement &placement)
 {
-    if (!step.spec.longRunning)
-        return true;
-    const CellTask &task = step.tasks[placement.task.index.value()];
-    return task.run() == placement.run && context_.now() - task.placedAt() < longRunningWindow;
+    const std::optional<WorkerTime> listedFor = placement.listedFor();
+    return !step.spec.longRunning || !listedFor || *listedFor < longRunningWindow;
 }
 
 void CellScheduler::giveUp(CellJob &job, const TaskKey &key, const CrashHistory &crashes)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -180,7 +180,7 @@
     CrashEvidence evidenceOf(const CellWorker &worker, const std::vector<Placement> &lost) const;
     /// How many other workers that had no runs of the job are silent or have restarted lately.
     std::size_t unrelatedFailures(const CellWorker &crashed, const JobId &job) const;
-    bool countsAsCrash(const CellStep &step, const Placement &placement) const;
+    static bool countsAsCrash(const CellStep &step, const Placement &placement);
     void giveUp(CellJob &job, const TaskKey &key, const CrashHistory &crashes);
     void collectSuspects();
     /// Whether the worker receives no runs of the job while a suspect of another job is on
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -19,6 +19,9 @@
     std::optional<WorkerTime> confirmedAt;
     /// The worker refuses to start the run after this time on its own clock.
     WorkerTime startDeadline;
+    /// The worker's clock when the start was sent, or at most its clock then for a run of an
+    /// earlier holder.
+    WorkerTime sentAt;
     /// Whether the start may have reached the worker.
     bool startSent = false;
     bool startAnswered = false;
@@ -27,6 +30,12 @@
     /// The time, on the worker's clock, at which it accepted a stop of the run.
     std::optional<WorkerTime> stopAcceptedAt;
     TimePoint nextStopAttempt;
+
+    /// How long after its start the worker last listed the run; nothing when it never did.
+    std::optional<WorkerTime> listedFor() const
+    {
+        return confirmedAt ? std::optional(*confirmedAt - sentAt) : std::nullopt;
+    }
 };
 
 /// The holder's state of one worker: its list entry, clock, lease and allocations.
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -292,7 +292,8 @@
         return;
     const TimePoint now = context_.now();
     placement->startSent = true;
-    placement->startDeadline = worker->estimatedClock(now) + startWindow;
+    placement->sentAt = worker->estimatedClock(now);
+    placement->startDeadline = placement->sentAt + startWindow;
     worker->extendLeaseBound(placement->startDeadline);
     WorkerStart start {request.task,
                        request.run,
@@ -362,9 +363,9 @@
     if (!placement || placement->stopRequested)
         return;
     placement->stopRequested = true;
-    context_.log("event=run_stop_requested job={} step={} task={} run={} worker={}",
     if (!placement->startSent)
         return;
+    context_.log("event=run_stop_requested job={} step={} task={} run={} worker={}",
                  task.job.value(), task.step.value(), task.index.value(), run.value(), id.value());
     sendStop(*worker, task, run);
 }
