Give up a task at the fifth crash also if one is explained

Cause: a crash that another job explains raised the limit to six, so that a task could be started three times after the third crash.

Change: five crashes end the job in any case.

Result: task_withAnExplainedCrash_isGivenUpWithinTheBudget: 6 before, 5 now.

--- a/Source/Cell/CrashHistory.cpp
+++ b/Source/Cell/CrashHistory.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t maxCrashesWithCommonCause = 4;
 /// A sound task may have run on several workers that other tasks crashed.
 constexpr std::size_t maxCrashesOnSharedWorkers = 5;
+/// Also if another job explains one of them.
+constexpr std::size_t maxCrashes = 5;
 
 } // namespace
 
@@ -22,6 +24,8 @@
 
 bool CrashHistory::shouldGiveUp(CrashEvidence evidence) const
 {
+    if (count() >= maxCrashes)
+        return true;
     switch (evidence) {
     case CrashEvidence::OnlySuspect:
         return unexplained() >= maxCrashesAsOnlySuspect;
