Count a crash when a worker's entry is gone and its lease has expired

Cause: a crashed worker returns there under another id, so the new incarnation that counts a crash never shows under the old one, and no crash was counted.

Change: runs whose lease expired on a worker that is not listed and did not announce that it leaves count as lost in a crash. A cut that also removes the entry looks the same.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -155,6 +155,8 @@
                  id.value(), worker->placements.size(), worker->entry && worker->entry->draining,
                  worker->unansweredCalls);
     worker->isListed = false;
+    if (!worker->expiredPlacements.empty())
+        reportCrash(*worker);
 }
 
 Roster WorkerFleet::currentRoster() const
@@ -465,6 +467,11 @@
                  [](const Placement &placement) { return placement.startSent; });
     const CompletionNumber highest = worker.highestCompletion;
     const std::set<CompletionNumber> unrecorded = worker.unrecordedCompletions;
+    // A crashed worker may return under another id, so its next incarnation may never show here.
+    if (!worker.isListed) {
+        reportCrash(worker);
+        expired.clear();
+    }
     resetWorker(worker, worker.incarnation);
     worker.highestCompletion = highest;
     worker.unrecordedCompletions = unrecorded;
--- a/Tests/Cell/CrashingTaskTest.cpp
+++ b/Tests/Cell/CrashingTaskTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(job_onWorkersRefusingConnectionsAfterACrash_failsWithinTheBudget);
     CPPUNIT_TEST(job_whoseWorkersReturnAfterTheirLease_failsWithinTheBudget);
     CPPUNIT_TEST(job_whoseWorkersLoseTheirEntriesInACrash_failsWithinTheBudget);
+    CPPUNIT_TEST(job_whoseWorkersDoNotReturn_failsWithinTheBudget);
     CPPUNIT_TEST(gang_withOneCrashingMember_failsWithinTheBudget);
     CPPUNIT_TEST(gang_whoseMembersAllCrashTheirWorkers_failsWithinTheBudget);
     CPPUNIT_TEST(step_withOneCrashingTask_failsWithinTheBudget);
@@ -80,6 +81,15 @@
         }
     }
 
+    void job_whoseWorkersDoNotReturn_failsWithinTheBudget()
+    {
+        simulation_->removesEntriesOnCrash = true;
+        setDowntime(Milliseconds(600'000));
+        simulation_->plan = crashing("bad", Milliseconds(10));
+        simulation_->submitAndWait(0, CellSimulation::job("bad"));
+        assertFailsWithinBudget("bad");
+    }
+
     void gang_withOneCrashingMember_failsWithinTheBudget()
     {
         simulation_->plan = [](const TaskKey &task, RunNumber) {
