Count a recorded start whose worker is gone as a crash

Cause: the holder was lost with a crash, and the worker returned under another id. The next holder compares a recorded start with its worker's incarnation, and there was no such worker any more, so the crash was missed.

Change: once the earlier runs are known, a recorded start on a worker that is neither listed nor was read counts.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -178,12 +178,16 @@
                     continue;
                 const RecordedStart start = *task.recordedStart;
                 const CellWorker *worker = fleet_.worker(start.worker);
-                if (!worker || !worker->incarnation)
+                const bool isRead = worker && worker->incarnation;
+                // Its next incarnation may have another name.
+                const bool isGone
+                        = fleet_.isRecovered() && !isRead && !(worker && worker->isListed);
+                if (!isRead && !isGone)
                     continue;
-                const bool hasRestarted = *worker->incarnation > start.incarnation;
+                const bool hasRestarted = isGone || *worker->incarnation > start.incarnation;
+                const bool hasDrained = worker && worker->drainedIncarnation == start.incarnation;
                 const WorkerCrash crash {start.worker, start.incarnation};
-                if (hasRestarted && worker->drainedIncarnation != start.incarnation
-                    && countCrash(crash, step.taskKey(i), start.run)) {
+                if (hasRestarted && !hasDrained && countCrash(crash, step.taskKey(i), start.run)) {
                     // Nothing tells which other runs were there.
                     giveUpIfDue(step.taskKey(i), CrashEvidence::SharedWorker);
                 }
--- a/Tests/Cell/CrashingTaskTest.cpp
+++ b/Tests/Cell/CrashingTaskTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(job_whoseWorkersReturnAfterTheirLease_failsWithinTheBudget);
     CPPUNIT_TEST(job_whoseWorkersLoseTheirEntriesInACrash_failsWithinTheBudget);
     CPPUNIT_TEST(job_whoseWorkersDoNotReturn_failsWithinTheBudget);
+    CPPUNIT_TEST(job_whoseHolderIsLostWithAWorkerThatDoesNotReturn_countsItsCrash);
     CPPUNIT_TEST(gang_withOneCrashingMember_failsWithinTheBudget);
     CPPUNIT_TEST(gang_whoseMembersAllCrashTheirWorkers_failsWithinTheBudget);
     CPPUNIT_TEST(step_withOneCrashingTask_failsWithinTheBudget);
@@ -90,6 +91,19 @@
         assertFailsWithinBudget("bad");
     }
 
+    void job_whoseHolderIsLostWithAWorkerThatDoesNotReturn_countsItsCrash()
+    {
+        simulation_->removesEntriesOnCrash = true;
+        setDowntime(Milliseconds(600'000));
+        simulation_->plan = crashing("bad", Milliseconds(10));
+        simulation_->submitAndWait(0, CellSimulation::job("bad"));
+        simulation_->advanceUntil([&] { return crashesOf("bad") == 2; }, longWait);
+        simulation_->advance(Milliseconds(1500));
+        replaceHolder();
+        assertFailsWithinBudget("bad");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), highestCount("bad").starts);
+    }
+
     void gang_withOneCrashingMember_failsWithinTheBudget()
     {
         simulation_->plan = [](const TaskKey &task, RunNumber) {
