Give up the main suspect on a shared worker at the fourth crash

Cause: the first crash of a task is missed when the holder is lost with it, and on workers shared with other jobs five further crashes were allowed.

Change: four, if the task has more unexplained crashes than the tasks of all other jobs on the worker.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -42,8 +42,14 @@
         return unexplained(a) > unexplained(b);
     });
     const CrashEvidence evidence = evidenceOf(worker, lost);
-    for (const TaskKey &key : counted)
-        giveUpIfDue(key, evidence);
+    for (const TaskKey &key : counted) {
+        const bool isMainSuspect
+                = std::all_of(counted.begin(), counted.end(), [&](const TaskKey &other) {
+                      return other.job == key.job || unexplained(other) < unexplained(key);
+                  });
+        const bool isShared = evidence == CrashEvidence::SharedWorker;
+        giveUpIfDue(key, isShared && isMainSuspect ? CrashEvidence::MainSuspect : evidence);
+    }
 }
 
 CrashEvidence CellScheduler::evidenceOf(const CellWorker &worker,
--- a/Source/Cell/CrashHistory.cpp
+++ b/Source/Cell/CrashHistory.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t maxExplained = 1;
 constexpr std::size_t maxCrashesAsOnlySuspect = 3;
 constexpr std::size_t maxCrashesWithCommonCause = 4;
+/// Leaves a start for a crash that was missed with an earlier holder.
+constexpr std::size_t maxCrashesAsMainSuspect = 4;
 /// A sound task may have run on several workers that other tasks crashed.
 constexpr std::size_t maxCrashesOnSharedWorkers = 5;
 /// Also if another job explains one of them.
@@ -31,6 +33,8 @@
         return unexplained() >= maxCrashesAsOnlySuspect;
     case CrashEvidence::CommonCause:
         return unexplained() >= maxCrashesWithCommonCause;
+    case CrashEvidence::MainSuspect:
+        return unexplained() >= maxCrashesAsMainSuspect;
     case CrashEvidence::SharedWorker:
         return unexplained() >= maxCrashesOnSharedWorkers;
     }
--- a/Source/Cell/CrashHistory.h
+++ b/Source/Cell/CrashHistory.h
@@ -12,6 +12,9 @@
     OnlySuspect,
     /// One job had runs there, but other workers failed too.
     CommonCause,
+    /// Several jobs had runs there, and the task has more unexplained crashes than any task of the
+    /// others.
+    MainSuspect,
     /// Several jobs had runs there.
     SharedWorker,
 };
