Log starts with the holder's commits, and count crashes from the log

Cause: the first start of a task was recorded nowhere, so a crash under it was missed when the holder was lost before it counted the crash; a run whose lease had expired was forgotten with the holder too. Tasks of crashing jobs were started six or seven times, and sound tasks beside them failed.

A new holder reads the log and counts a crash for each start whose worker has a later incarnation or is gone, with the jobs that were there together as evidence.

Tried and not kept: not counting crashes at which most other workers failed towards isolation (for soundJobs_afterTwoPowerCuts); four crashing jobs fell most of 8 workers, and sound jobs failed.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -24,14 +24,24 @@
 
 void CellScheduler::onWorkerCrashed(const CellWorker &worker, const std::vector<Placement> &lost)
 {
-    const WorkerCrash crash {worker.id(), worker.incarnation.value_or(WorkerIncarnation())};
-    std::vector<TaskKey> counted;
+    std::vector<LostRun> runs;
     for (const Placement &placement : lost) {
         CellJob *job = nullptr;
         const CellStep *step = findStep(placement.task, job);
-        if (step && countsAsCrash(*step, placement)
-            && countCrash(crash, placement.task, placement.run))
-            counted.push_back(placement.task);
+        if (step && countsAsCrash(*step, placement))
+            runs.push_back({placement.task, placement.run});
+    }
+    countCrashes({worker.id(), worker.incarnation.value_or(WorkerIncarnation())}, runs,
+                 evidenceOf(worker, lost));
+}
+
+void CellScheduler::countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost,
+                                 CrashEvidence evidence)
+{
+    std::vector<TaskKey> counted;
+    for (const LostRun &run : lost) {
+        if (countCrash(crash, run))
+            counted.push_back(run.task);
     }
     const auto unexplained = [this](const TaskKey &key) {
         CellJob *job = nullptr;
@@ -41,7 +51,6 @@
     std::stable_sort(counted.begin(), counted.end(), [&](const TaskKey &a, const TaskKey &b) {
         return unexplained(a) > unexplained(b);
     });
-    const CrashEvidence evidence = evidenceOf(worker, lost);
     for (const TaskKey &key : counted) {
         const bool isMainSuspect
                 = std::all_of(counted.begin(), counted.end(), [&](const TaskKey &other) {
@@ -65,8 +74,9 @@
                                                                   : CrashEvidence::CommonCause;
 }
 
-bool CellScheduler::countCrash(const WorkerCrash &crash, const TaskKey &key, RunNumber run)
+bool CellScheduler::countCrash(const WorkerCrash &crash, const LostRun &lost)
 {
+    const TaskKey &key = lost.task;
     CellJob *job = nullptr;
     CellStep *step = findStep(key, job);
     if (!step || isFinal(job->state()))
@@ -78,7 +88,7 @@
     recorder_.markCrash(key);
     context_.log("event=worker_crashed_under_run job={} step={} task={} run={} worker={} "
                  "incarnation={} crashes={} unexplained={}",
-                 key.job.value(), key.step.value(), key.index.value(), run.value(),
+                 key.job.value(), key.step.value(), key.index.value(), lost.run.value(),
                  crash.worker.value(), crash.incarnation.value(), task.crashes().count(),
                  task.crashes().unexplained());
     return true;
@@ -174,36 +184,95 @@
     }
 }
 
-void CellScheduler::resolveRecordedStarts()
+CellScheduler::OpenStartOutcome CellScheduler::outcomeOf(const LoggedStart &start)
 {
-    for (const JobId &id : jobsWithCrashes_) {
-        for (CellStep &step : findJob(id)->steps()) {
-            for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-                CellTask &task = step.tasks[i];
-                if (!task.recordedStart || !task.isIn(CellTask::State::Waiting))
-                    continue;
-                const RecordedStart start = *task.recordedStart;
-                const CellWorker *worker = fleet_.worker(start.worker);
-                const bool isRead = worker && worker->incarnation;
-                // Its next incarnation may have another name.
-                const bool isGone
-                        = fleet_.isRecovered() && !isRead && !(worker && worker->isListed);
-                if (!isRead && !isGone)
-                    continue;
-                const bool hasRestarted = isGone || *worker->incarnation > start.incarnation;
-                const bool hasDrained = worker && worker->drainedIncarnation == start.incarnation;
-                const WorkerCrash crash {start.worker, start.incarnation};
-                if (hasRestarted && !hasDrained && countCrash(crash, step.taskKey(i), start.run)) {
-                    // Nothing tells which other runs were there.
-                    giveUpIfDue(step.taskKey(i), CrashEvidence::SharedWorker);
-                }
-                if (hasRestarted || worker->isStateRead)
-                    task.recordedStart.reset();
+    CellJob *job = nullptr;
+    const CellStep *step = findStep(start.task, job);
+    if (!step || isFinal(job->state()) || step->tasks[start.task.index.value()].isFinished()
+        || findRun(start.task, start.run, start.worker))
+        return OpenStartOutcome::Settled;
+    const CellWorker *worker = fleet_.worker(start.worker);
+    const bool isRead = worker && worker->incarnation;
+    // Its next incarnation may have another name.
+    const bool isGone = fleet_.isRecovered() && !isRead && !(worker && worker->isListed);
+    if (!isRead && !isGone)
+        return OpenStartOutcome::Unknown;
+    if (isGone || *worker->incarnation > start.incarnation) {
+        const bool hasDrained = worker && worker->drainedIncarnation == start.incarnation;
+        return hasDrained ? OpenStartOutcome::Settled : OpenStartOutcome::Crashed;
+    }
+    return worker->isStateRead ? OpenStartOutcome::Settled : OpenStartOutcome::Unknown;
+}
+
+void CellScheduler::resolveOpenStarts()
+{
+    std::map<WorkerCrash, std::vector<LostRun>> crashes;
+    std::erase_if(openStarts_, [&](const auto &row) {
+        const LoggedStart &start = row.second;
+        const OpenStartOutcome outcome = outcomeOf(start);
+        if (outcome == OpenStartOutcome::Unknown)
+            return false;
+        if (outcome == OpenStartOutcome::Crashed)
+            crashes[{start.worker, start.incarnation}].push_back({start.task, start.run});
+        CellJob *job = nullptr;
+        CellStep *step = findStep(start.task, job);
+        CellTask *task = step ? &step->tasks[start.task.index.value()] : nullptr;
+        const bool isCurrent = task && task->isIn(CellTask::State::OnWorker);
+        if (task && !isCurrent && task->recordedStart && task->recordedStart->run == start.run)
+            task->recordedStart.reset();
+        return true;
+    });
+    for (const auto &[crash, lost] : crashes) {
+        // The log may lack runs that started just before the earlier holder ended.
+        const bool hasOneJob = std::all_of(lost.begin(), lost.end(), [&](const LostRun &run) {
+            return run.task.job == lost.front().task.job;
+        });
+        countCrashes(crash, lost,
+                     hasOneJob ? CrashEvidence::CommonCause : CrashEvidence::SharedWorker);
+    }
+}
+
+void CellScheduler::addRecordedStarts(const CellJob &job)
+{
+    for (const CellStep &step : job.steps()) {
+        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+            const std::optional<RecordedStart> &start = step.tasks[i].recordedStart;
+            if (start) {
+                const TaskKey key = step.taskKey(i);
+                openStarts_.insert_or_assign(
+                        {key, start->run},
+                        LoggedStart {key, start->run, start->worker, start->incarnation, false});
             }
         }
     }
 }
 
+bool CellScheduler::isStartNeeded(const LoggedStart &start)
+{
+    CellJob *job = nullptr;
+    const CellStep *step = findStep(start.task, job);
+    if (start.hasEnded || !step || isFinal(job->state()))
+        return false;
+    const CellTask &task = step->tasks[start.task.index.value()];
+    if (task.isFinished())
+        return false;
+    if (openStarts_.contains({start.task, start.run})
+        || findRun(start.task, start.run, start.worker))
+        return true;
+    // The worker's lease has expired, and it may still show that it has crashed.
+    const CellWorker *worker = fleet_.worker(start.worker);
+    return worker && worker->incarnation == start.incarnation
+            && std::any_of(worker->expiredPlacements.begin(), worker->expiredPlacements.end(),
+                           [&](const Placement &placement) {
+                               return placement.run == start.run && placement.task == start.task;
+                           });
+}
+
+void CellScheduler::logEnd(const CellWorker &worker, const TaskKey &key, RunNumber run)
+{
+    startLog_.addEnd({key, run, worker.id(), worker.incarnation.value_or(WorkerIncarnation())});
+}
+
 bool CellScheduler::awaitsCrashEvidence(const CellStep &step, std::size_t index) const
 {
     return step.tasks[index].crashes().needsIsolation()
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -1,5 +1,7 @@
 #include "Cell/CellInstance.h"
 
+#include <charconv>
+
 namespace caraway::cell {
 
 namespace {
@@ -316,6 +318,7 @@
     jobsAndCancelsWatcher_.start();
     workerWatcher_.start();
     loadProgress(termChanges_, std::nullopt);
+    loadStartLog(termChanges_, std::nullopt);
     loadSequence(termChanges_);
     loadRoster(termChanges_);
 }
@@ -357,6 +360,41 @@
                        });
 }
 
+void CellInstance::loadStartLog(std::uint64_t term, const std::optional<RecordKey> &after)
+{
+    context_.callStore(StoreList {RecordType::StartLog, after},
+                       [this, term, after](const StoreReply &reply) {
+                           if (term != termChanges_ || !loading_)
+                               return;
+                           if (reply.outcome != StoreOutcome::Done) {
+                               retryLater([this, term, after] { loadStartLog(term, after); });
+                               return;
+                           }
+                           for (const StoreItem &item : reply.items)
+                               addStartLogSegment(item);
+                           if (reply.hasMore && !reply.items.empty()) {
+                               loadStartLog(term, reply.items.back().key);
+                               return;
+                           }
+                           loading_->startLogRead = true;
+                           checkLoaded();
+                       });
+}
+
+void CellInstance::addStartLogSegment(const StoreItem &item)
+{
+    const std::string &name = item.key.name;
+    std::uint64_t position = 0;
+    const auto [end, error] = std::from_chars(name.data(), name.data() + name.size(), position);
+    const auto *segment = std::get_if<StartLogSegment>(&item.value);
+    if (!segment || error != std::errc() || end != name.data() + name.size()) {
+        context_.log("event=record_malformed name=start-log/{} revision={}", name,
+                     item.revision.value());
+        return;
+    }
+    loading_->startLog.insert_or_assign(position, *segment);
+}
+
 void CellInstance::loadSequence(std::uint64_t term)
 {
     context_.callStore(StoreGet {{RecordType::CommitSequence, {}}},
@@ -423,8 +461,8 @@
 
 void CellInstance::checkLoaded()
 {
-    if (!loading_ || !loading_->progressRead || !loading_->sequence || !loading_->roster
-        || !jobsAndCancelsWatcher_.isListed() || !workerWatcher_.isListed()) {
+    if (!loading_ || !loading_->progressRead || !loading_->startLogRead || !loading_->sequence
+        || !loading_->roster || !jobsAndCancelsWatcher_.isListed() || !workerWatcher_.isListed()) {
         return;
     }
     const Loading loaded = std::move(*loading_);
@@ -435,7 +473,8 @@
                  loaded.workers.size(), loaded.roster->workers.size(),
                  loaded.roster->closed.size());
     scheduler_.startTerm({election_.token(), election_.generation(), election_.holderPrecondition(),
-                          *loaded.sequence, *loaded.roster, election_.earlierRenewalsEnd()});
+                          *loaded.sequence, *loaded.roster, election_.earlierRenewalsEnd(),
+                          loaded.startLog});
     for (const auto &[id, entry] : loaded.workers)
         scheduler_.setWorker(entry);
     for (const JobId &job : loaded.cancels)
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -85,6 +85,8 @@
     void startTerm();
     void endTerm();
     void loadProgress(std::uint64_t term, const std::optional<RecordKey> &after);
+    void loadStartLog(std::uint64_t term, const std::optional<RecordKey> &after);
+    void addStartLogSegment(const StoreItem &item);
     void loadSequence(std::uint64_t term);
     void loadRoster(std::uint64_t term);
     void loadClosedWorkers(std::uint64_t term, const StoreItem &rosterItem);
@@ -122,7 +124,10 @@
         std::map<WorkerId, WorkerEntry> workers;
         std::optional<Revision> sequence;
         std::optional<Roster> roster;
+        /// By position in the log.
+        std::map<std::uint64_t, StartLogSegment> startLog;
         bool progressRead = false;
+        bool startLogRead = false;
         std::vector<std::function<void()>> retries;
     };
     std::optional<Loading> loading_;
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -151,7 +151,7 @@
 
 void CellScheduler::runSchedulingPass()
 {
-    resolveRecordedStarts();
+    resolveOpenStarts();
     preparePass();
     const std::vector<StartCandidate> candidates = startCandidates();
     for (const StartCandidate &candidate : candidates)
@@ -281,6 +281,12 @@
                  worker.id().value(), configuration_.version().value(),
                  (context_.now() - *step.readySince).count());
     if (!recordsStart(step, task)) {
+        // A long-running task survives crashes of its workers, unless they come soon after its
+        // starts, which are recorded from the first such crash on.
+        if (!step.spec.longRunning) {
+            startLog_.addStart({request.task, run, worker.id(),
+                                worker.incarnation.value_or(WorkerIncarnation())});
+        }
         fleet_.start(worker.id(), std::move(request));
         return;
     }
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -15,6 +15,7 @@
     : context_(context)
     , configuration_(configuration)
     , handlers_(std::move(handlers))
+    , startLog_(context)
     , fleet_(context, fleetHandlers())
     , recorder_(context, recorderHandlers())
     , approvalDispatcher_(context)
@@ -52,6 +53,13 @@
 {
     ProgressRecorder::Handlers handlers;
     handlers.snapshot = [this](const JobId &id) { return snapshot(id); };
+    handlers.startLogWrite = [this]() -> std::optional<StoreWrite> {
+        if (!startLog_.hasNews())
+            return std::nullopt;
+        return startLog_.takeSegment(
+                [this](const LoggedStart &start) { return isStartNeeded(start); });
+    };
+    handlers.isStartLogDue = [this] { return startLog_.isDue(); };
     handlers.completionRecorded = [this](const ProgressRecorder::RecordedCompletion &completion) {
         fleet_.onCompletionRecorded(completion.worker, completion.incarnation, completion.number);
     };
@@ -77,6 +85,11 @@
     generation_ = term.generation;
     fleet_.startTerm(term.token, term.roster, term.earlierRenewalsEnd);
     roster_ = std::move(term.roster);
+    startLog_.startTerm(term.startLog);
+    for (LoggedStart &start : StartLog::openStarts(term.startLog)) {
+        const std::pair<TaskKey, RunNumber> key {start.task, start.run};
+        openStarts_.emplace(key, std::move(start));
+    }
     recorder_.startTerm(std::move(term.holder), term.sequence);
 }
 
@@ -88,6 +101,8 @@
     finishedJobs_.clear();
     cancellations_.clear();
     jobsWithCrashes_.clear();
+    openStarts_.clear();
+    startLog_.endTerm();
     unsentStarts_.clear();
     fleet_.endTerm();
     recorder_.endTerm();
@@ -144,6 +159,7 @@
     jobs_.emplace(id, std::move(added));
     if (addedJob.hasCrashes())
         jobsWithCrashes_.insert(id);
+    addRecordedStarts(addedJob);
     addedJob.updateReadiness(context_.now(), context_.wallTime());
     context_.log("event=job_added job={} queue={} steps={} accepted_generation={}", id.value(),
                  job.queue.id.value(), job.spec.steps.size(), job.generation);
@@ -299,6 +315,8 @@
     const bool isWaiting
             = task.isIn(CellTask::State::Waiting) || task.isIn(CellTask::State::Unrecorded);
     updateCheckpoint(step, task, completion);
+    if (completion.reason != CompletionReason::Succeeded && !task.isFinished())
+        logEnd(worker, completion.task, completion.run);
     if (completion.reason == CompletionReason::Failed && !task.isFinished())
         recordFailure(job, step, task, completion);
     if (completion.reason == CompletionReason::Succeeded && (isCurrent || isWaiting)
@@ -375,6 +393,9 @@
                  worker.id().value(), nameOf(outcome));
     if (outcome == WorkerOutcome::TicketInvalid)
         step->approvals.clearDecision(worker.number());
+    // A worker that was reset may have crashed under the run.
+    if (outcome != WorkerOutcome::Unanswered || worker.isStateRead)
+        logEnd(worker, key, run);
     task->recordedStart.reset();
     task->handle(CellTask::Event::Ended);
     if (step->spec.gang)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -8,6 +8,7 @@
 #include "Cell/Policy/StartOrder.h"
 #include "Cell/Policy/WorkerChoice.h"
 #include "Cell/ProgressRecorder.h"
+#include "Cell/StartLog.h"
 #include "Cell/WorkerFleet.h"
 
 #include <unordered_set>
@@ -28,6 +29,7 @@
         Revision sequence;
         Roster roster;
         TimePoint earlierRenewalsEnd;
+        std::map<std::uint64_t, StartLogSegment> startLog;
     };
     struct Handlers
     {
@@ -81,6 +83,19 @@
         WorkerFleet::StartRequest request;
         bool isRecorded = false;
     };
+    /// How the run of an earlier holder's start ended.
+    enum class OpenStartOutcome {
+        Unknown,
+        Crashed,
+        /// Otherwise, or it does not matter any more, or the worker lists the run.
+        Settled,
+    };
+    /// A run that was on a worker when it crashed.
+    struct LostRun
+    {
+        TaskKey task;
+        RunNumber run;
+    };
     /// A run of a task under which workers have crashed.
     struct SuspectRun
     {
@@ -172,10 +187,18 @@
     /// Whether the run's start is recorded first, so that a later holder can tell that the worker
     /// crashed under it.
     static bool recordsStart(const CellStep &step, const CellTask &task);
-    /// Compares the recorded starts of earlier holders with the present incarnations of workers.
-    void resolveRecordedStarts();
+    /// Compares the starts of earlier holders with the present incarnations of workers.
+    void resolveOpenStarts();
+    OpenStartOutcome outcomeOf(const LoggedStart &start);
+    void addRecordedStarts(const CellJob &job);
+    /// Whether the start log has to keep the start.
+    bool isStartNeeded(const LoggedStart &start);
+    void logEnd(const CellWorker &worker, const TaskKey &key, RunNumber run);
+    /// Counts the crash for the tasks of \a lost runs and fails the jobs that are given up for it.
+    void countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost,
+                      CrashEvidence evidence);
     /// Returns false when the crash was counted before or the task needs no further run.
-    bool countCrash(const WorkerCrash &crash, const TaskKey &key, RunNumber run);
+    bool countCrash(const WorkerCrash &crash, const LostRun &lost);
     void giveUpIfDue(const TaskKey &key, CrashEvidence evidence);
     CrashEvidence evidenceOf(const CellWorker &worker, const std::vector<Placement> &lost) const;
     /// How many other workers that had no runs of the job are silent or have restarted lately.
@@ -275,6 +298,9 @@
     std::set<JobId> cancellations_;
     /// Jobs with tasks under which workers have crashed.
     std::set<JobId> jobsWithCrashes_;
+    StartLog startLog_;
+    /// Starts of earlier holders of which it is not known how their runs ended.
+    std::map<std::pair<TaskKey, RunNumber>, LoggedStart> openStarts_;
     /// Starts that are sent when they are recorded.
     std::map<TaskKey, RecordedFirst> unsentStarts_;
     Roster roster_;
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -131,6 +131,8 @@
         commit.write({RecordType::ClosedWorkers, {}}, ClosedWorkersRecord {roster_->closed});
         batch.roster = std::exchange(roster_, std::nullopt);
     }
+    if (std::optional<StoreWrite> segment = handlers_.startLogWrite())
+        commit.writes.push_back(std::move(*segment));
     while (!jobOrder_.empty() && commit.entries() + entriesPerJob <= maxEntries) {
         auto changed = changed_.extract(jobOrder_.front());
         jobOrder_.pop_front();
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -31,6 +31,11 @@
         /// Returns the current state of a job, or nothing when its result is already recorded;
         /// called when a commit is assembled.
         std::function<std::optional<Snapshot>(const JobId &)> snapshot;
+        /// Returns what is to be written to the start log, if anything; called when a commit is
+        /// assembled.
+        std::function<std::optional<StoreWrite>()> startLogWrite;
+        /// Whether the start log should be written even if nothing else is.
+        std::function<bool()> isStartLogDue;
         std::function<void(const RecordedCompletion &)> completionRecorded;
         std::function<void(const TaskKey &)> crashRecorded;
         std::function<void(const TaskKey &)> startRecorded;
@@ -65,7 +70,10 @@
 
 private:
     /// Whether there is something to commit besides the deletion of expired results.
-    bool hasChanges() const { return !jobOrder_.empty() || roster_.has_value(); }
+    bool hasChanges() const
+    {
+        return !jobOrder_.empty() || roster_.has_value() || handlers_.isStartLogDue();
+    }
     bool isIsolatedDue() const { return !isolated_.empty() && context_.now() >= nextIsolated_; }
 
     /// What is reported once the state of a job is recorded.
--- a/Source/Cell/Records.h
+++ b/Source/Cell/Records.h
@@ -30,6 +30,8 @@
     Progress,
     /// Final states of jobs.
     Results,
+    /// The starts of the current runs, in segments.
+    StartLog,
     /// The operator's configuration.
     Configuration,
     /// The list of workers.
@@ -93,6 +95,26 @@
     friend bool operator==(const Roster &, const Roster &) = default;
 };
 
+/// A start of a task that needed no record of its own before it was sent, or the end of its run.
+struct LoggedStart
+{
+    TaskKey task;
+    RunNumber run;
+    WorkerId worker;
+    WorkerIncarnation incarnation;
+    /// The run ended, or cannot start, and not with a crash of the worker.
+    bool hasEnded = false;
+
+    friend bool operator==(const LoggedStart &, const LoggedStart &) = default;
+};
+
+struct StartLogSegment
+{
+    /// Rises with each segment that is written.
+    std::uint64_t number = 0;
+    std::vector<LoggedStart> starts;
+};
+
 struct CancelRecord
 {
     WallTime at;
@@ -111,8 +133,9 @@
     std::string reason;
 };
 
-using RecordValue = std::variant<std::monostate, Malformed, HolderRecord, CommitSequenceRecord,
-                                 RosterRecord, ClosedWorkersRecord, AcceptedJob, CancelRecord,
-                                 JobProgress, JobResult, CellConfiguration, WorkerEntry>;
+using RecordValue
+        = std::variant<std::monostate, Malformed, HolderRecord, CommitSequenceRecord, RosterRecord,
+                       ClosedWorkersRecord, AcceptedJob, CancelRecord, JobProgress, JobResult,
+                       CellConfiguration, WorkerEntry, StartLogSegment>;
 
 } // namespace caraway::cell
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -359,6 +359,34 @@
     return record;
 }
 
+Json encode(const StartLogSegment &segment)
+{
+    Json starts = Json::array();
+    for (const LoggedStart &start : segment.starts) {
+        starts.push_back(
+                Json::array({start.task.job.value(), start.task.occurrence.value(),
+                             start.task.step.value(), start.task.index.value(), start.run.value(),
+                             start.worker.value(), start.incarnation.value(), start.hasEnded}));
+    }
+    return Json::array({segment.number, std::move(starts)});
+}
+
+StartLogSegment decodeStartLog(const Json &json)
+{
+    StartLogSegment segment;
+    segment.number = json.at(0).get<std::uint64_t>();
+    for (const Json &row : json.at(1)) {
+        segment.starts.push_back(
+                {{decodeName<JobId>(row.at(0)), decodeNumber<Occurrence>(row.at(1)),
+                  decodeNumber<StepIndex>(row.at(2)), decodeNumber<TaskIndex>(row.at(3))},
+                 decodeNumber<RunNumber>(row.at(4)),
+                 decodeName<WorkerId>(row.at(5)),
+                 decodeNumber<WorkerIncarnation>(row.at(6)),
+                 row.at(7).get<bool>()});
+    }
+    return segment;
+}
+
 Json encode(const CancelRecord &record)
 {
     return record.at.count();
@@ -594,6 +622,8 @@
         return CancelRecord {decodeQuantity<WallTime>(json)};
     case RecordType::Progress:
         return decodeProgress(json);
+    case RecordType::StartLog:
+        return decodeStartLog(json);
     case RecordType::Results:
         return JobResult {decodeState(json.at(0)), decodeQuantity<WallTime>(json.at(1))};
     default:
--- a/Tests/Messages/CellCodecTest.cpp
+++ b/Tests/Messages/CellCodecTest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(decode_progressOfAnEarlierRelease_hasNoCrashes);
     CPPUNIT_TEST(encode_progressWithoutCrashes_equalsThatOfAnEarlierRelease);
     CPPUNIT_TEST(decode_malformedCrashes_isMalformed);
+    CPPUNIT_TEST(decode_encodedStartLog_returnsEqualRecord);
+    CPPUNIT_TEST(decode_startLogWithoutARunNumber_isMalformed);
     CPPUNIT_TEST_SUITE_END();
 
     void decode_encodedClosedWorkers_returnsEqualRecord()
@@ -71,6 +73,27 @@
                 decodeRecord(RecordType::Progress, toCbor(R"([["10",[],[],[[1,[["a"]]]]]])"))));
     }
 
+    void decode_encodedStartLog_returnsEqualRecord()
+    {
+        const LoggedStart start {{JobId("a"), Occurrence(1), StepIndex(2), TaskIndex(3)},
+                                 RunNumber(4097),
+                                 WorkerId("w"),
+                                 WorkerIncarnation(1'700'000'000'000),
+                                 true};
+        const RecordValue decoded
+                = decodeRecord(RecordType::StartLog, encodeRecord(StartLogSegment {9, {start}}));
+        CPPUNIT_ASSERT(std::holds_alternative<StartLogSegment>(decoded));
+        const auto &segment = std::get<StartLogSegment>(decoded);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), segment.number);
+        CPPUNIT_ASSERT(segment.starts == std::vector({start}));
+    }
+
+    void decode_startLogWithoutARunNumber_isMalformed()
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<Malformed>(
+                decodeRecord(RecordType::StartLog, toCbor(R"([1,[["a",0,0,0]]])"))));
+    }
+
 private:
     static std::string toCbor(const std::string &json)
     {
