Start tasks of long-running jobs again before other work of their priority

Cause: a job that takes three times its objective came last in the order, also a long-running one, so each of its tasks that ended later waited as long as any other work arrived; approvals were requested only with capacity left after all candidates before it.

Change: a long-running step is never late, may use workers with headroom for urgent work, and requests approvals also when the rest of the capacity is spoken for.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -86,7 +86,9 @@
     if (!needsApproval(*candidate.queue) || !fitsAnyWorker(candidate))
         return;
     const Millicores processors = candidate.step->spec.allocation().processors * tasks;
-    const bool isCapacityLeft = pass_.uncommitted > Millicores() || processors == Millicores();
+    // Of a long-running step only a few tasks wait at a time, so capacity for them is found soon.
+    const bool isCapacityLeft = pass_.uncommitted > Millicores() || processors == Millicores()
+            || candidate.step->spec.longRunning;
     pass_.uncommitted -= processors;
     if (!isCapacityLeft || !isApprovalRequestDue(candidate))
         return;
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -179,7 +179,9 @@
 
 bool CellScheduler::mayRun(const WorkerOption &option, const StartCandidate &candidate)
 {
-    const bool isReserved = option.reservedFor && candidate.queue->priority > *option.reservedFor;
+    // Headroom shortens the wait of urgent work; a service that lacks a task does not wait for that.
+    const bool isReserved = option.reservedFor && candidate.queue->priority > *option.reservedFor
+            && !candidate.step->spec.longRunning;
     return !isReserved && isEligible(*option.worker, candidate);
 }
 
--- a/Source/Cell/Policy/StartOrder.h
+++ b/Source/Cell/Policy/StartOrder.h
@@ -38,8 +38,8 @@
 };
 
 /// By the queue's priority, then by the earliest objective. Jobs that will take more than three
-/// times their objective come last, as their completion has no value any more. Meant for bursts of
-/// one kind of job.
+/// times their objective come last, as their completion has no value any more; but not long-running
+/// ones, whose tasks are of value whenever they run. Meant for bursts of one kind of job.
 struct ObjectiveOrder
 {
     static bool startsBefore(const StartCandidate &a, const StartCandidate &b, TimePoint now)
@@ -61,6 +61,8 @@
 
     static int rank(const StartCandidate &candidate, TimePoint now)
     {
+        if (candidate.step->spec.longRunning)
+            return 0;
         const Milliseconds objective = candidate.objective - candidate.job->arrivedAt();
         const TimePoint worthlessAfter = candidate.job->arrivedAt() + objective * lateFactor;
         return now + candidate.remaining > worthlessAfter ? 1 : 0;
