Bound the holder's cost of approvals, passes and state updates in large fleets

Up to 1000 approval requests were queued (approval_queue_ms 18000), their replies came when the choice of workers was outdated, and nothing ran 14 s later beside 70 of 70 million free millicores. Each step without approvals walked the whole queue in each pass (canQueue), each of 146 copies of a state update was encoded again, and passes came as often as on a small fleet.

Change: the queue keeps sums by priority, and takes no request while the oldest one has waited for 200 ms; a message to several instances is one action, encoded once; updates are sent at most once in 1 ms a peer; the time between passes grows with candidates times workers above 350 workers; cheap checks of a worker come first.

--- a/Source/Cell/ApprovalDispatcher.cpp
+++ b/Source/Cell/ApprovalDispatcher.cpp
@@ -21,8 +21,9 @@
 constexpr std::size_t maxShortInFlight = 2;
 /// Maximum number of queued long requests.
 constexpr std::size_t maxLongQueued = 2;
-/// Maximum service time, for each instance, of the short requests queued ahead of a new one. A
-/// request that waited longer would name workers chosen by an outdated state of the cell.
+/// Maximum service time, for each instance, of the short requests queued ahead of a new one, and
+/// maximum time for which the oldest has waited. A request that waited longer would name workers
+/// chosen by an outdated state of the cell.
 constexpr Milliseconds maxShortQueueTime {200};
 
 } // namespace
@@ -102,30 +103,54 @@
 Milliseconds ApprovalDispatcher::queuedServiceTime() const
 {
     Milliseconds total;
-    for (const auto &[priority, number] : queue_)
-        total += requests_.at(number).serviceTime;
+    for (const auto &[priority, queued] : queue_) {
+        total += queued.shortServiceTime;
+        for (const std::uint64_t number : queued.longOnes)
+            total += requests_.at(number).serviceTime;
+    }
     return total;
 }
 
+/// Called for each step that lacks approvals, so its cost must not grow with the queue.
 bool ApprovalDispatcher::canQueue(Milliseconds serviceTime, std::int64_t priority) const
 {
     const bool isLong = serviceTime > maxShortServiceTime;
     std::size_t longAhead = 0;
     Milliseconds shortAhead;
-    for (const auto &[otherPriority, number] : queue_) {
-        if (otherPriority > priority)
-            break;
-        const Milliseconds other = requests_.at(number).serviceTime;
-        if (other > maxShortServiceTime)
-            ++longAhead;
-        else
-            shortAhead += other;
+    for (auto ahead = queue_.begin(); ahead != queue_.end() && ahead->first <= priority; ++ahead) {
+        const QueuedRequests &queued = ahead->second;
+        longAhead += queued.longOnes.size();
+        shortAhead += queued.shortServiceTime;
+        if (isLong || queued.shortOnes.empty())
+            continue;
+        const Request &oldest = requests_.at(*queued.shortOnes.begin());
+        if (context_.now() - oldest.queuedAt >= maxShortQueueTime)
+            return false;
     }
     if (isLong)
         return longAhead < maxLongQueued;
     return shortAhead < maxShortQueueTime * static_cast<std::int64_t>(instances_.size());
 }
 
+void ApprovalDispatcher::addToQueue(std::uint64_t number, const Request &request)
+{
+    QueuedRequests &queued = queue_[request.priority];
+    if (request.serviceTime > maxShortServiceTime) {
+        queued.longOnes.insert(number);
+        return;
+    }
+    queued.shortOnes.insert(number);
+    queued.shortServiceTime += request.serviceTime;
+}
+
+void ApprovalDispatcher::removeFromQueue(std::uint64_t number, const Request &request)
+{
+    QueuedRequests &queued = queue_[request.priority];
+    if (queued.shortOnes.erase(number) > 0)
+        queued.shortServiceTime -= request.serviceTime;
+    queued.longOnes.erase(number);
+}
+
 std::optional<Address> ApprovalDispatcher::chooseInstance(bool isLong) const
 {
     std::size_t available = 0;
@@ -155,22 +180,25 @@
     instances_.try_emplace(self());
     bool isFull = false;
     bool isFullForLong = false;
-    for (auto queued = queue_.begin(); queued != queue_.end() && !isFull;) {
-        Request &request = requests_.at(queued->second);
-        const bool isLong = request.serviceTime > maxShortServiceTime;
-        if (isLong && isFullForLong) {
-            ++queued;
-            continue;
-        }
-        const std::optional<Address> instance = chooseInstance(isLong);
-        if (!instance) {
-            (isLong ? isFullForLong : isFull) = true;
-            ++queued;
-            continue;
+    for (const auto &[priority, queued] : queue_) {
+        while (!isFull) {
+            const auto nextShort = queued.shortOnes.begin();
+            const auto nextLong = isFullForLong ? queued.longOnes.end() : queued.longOnes.begin();
+            const bool hasShort = nextShort != queued.shortOnes.end();
+            const bool hasLong = nextLong != queued.longOnes.end();
+            if (!hasShort && !hasLong)
+                break;
+            const bool isLong = hasLong && (!hasShort || *nextLong < *nextShort);
+            const std::optional<Address> instance = chooseInstance(isLong);
+            if (!instance) {
+                (isLong ? isFullForLong : isFull) = true;
+                continue;
+            }
+            const std::uint64_t number = isLong ? *nextLong : *nextShort;
+            Request &request = requests_.at(number);
+            removeFromQueue(number, request);
+            send(number, request, *instance);
         }
-        const std::uint64_t number = queued->second;
-        queued = queue_.erase(queued);
-        send(number, request, *instance);
     }
 }
 
@@ -194,9 +222,9 @@
 void ApprovalDispatcher::queueRequest(ApprovalRequest request, Milliseconds serviceTime,
                                       std::int64_t priority, ReplyHandler handler)
 {
-    requests_[++lastNumber_]
-            = {std::move(request), serviceTime, priority, std::move(handler), {}, {}};
-    queue_.emplace(priority, lastNumber_);
+    requests_[++lastNumber_] = {std::move(request), serviceTime, priority, std::move(handler),
+                                context_.now(),     {},          {}};
+    addToQueue(lastNumber_, requests_.at(lastNumber_));
     dispatch();
 }
 
--- a/Source/Cell/ApprovalDispatcher.h
+++ b/Source/Cell/ApprovalDispatcher.h
@@ -50,11 +50,21 @@
         Milliseconds serviceTime;
         std::int64_t priority = 0;
         ReplyHandler handler;
+        TimePoint queuedAt;
         /// The instance that calls the service; nothing while the request is queued.
         std::optional<Address> instance;
         TimePoint expiresAt;
     };
 
+    /// The queued requests of one priority.
+    struct QueuedRequests
+    {
+        /// Numbers, in the order of arrival.
+        std::set<std::uint64_t> shortOnes;
+        std::set<std::uint64_t> longOnes;
+        Milliseconds shortServiceTime;
+    };
+
     Address self() const { return context_.settings().peers; }
     bool isAvailable(const Address &address, const InstanceState &instance) const;
     void finish(std::uint64_t number, const ApprovalReply &reply);
@@ -62,13 +72,15 @@
     void dispatch();
     std::optional<Address> chooseInstance(bool isLong) const;
     void send(std::uint64_t number, Request &request, const Address &address);
+    void addToQueue(std::uint64_t number, const Request &request);
+    void removeFromQueue(std::uint64_t number, const Request &request);
 
     CellContext &context_;
     std::map<Address, InstanceState> instances_;
     std::uint64_t lastNumber_ = 0;
     std::map<std::uint64_t, Request> requests_;
-    /// Requests that were not sent yet, by priority and number.
-    std::set<std::pair<std::int64_t, std::uint64_t>> queue_;
+    /// Requests that were not sent yet, by priority.
+    std::map<std::int64_t, QueuedRequests> queue_;
 };
 
 } // namespace caraway::cell
--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -98,7 +98,7 @@
     std::int64_t approvedCapacity = 0;
     for (const WorkerOption &option : pass_.options) {
         const WorkerNumber number = option.worker->number();
-        if (!mayRun(option, candidate) || step.approvals.isDenied(number))
+        if (step.approvals.isDenied(number) || !mayRun(option, candidate))
             continue;
         const std::int64_t fitting = fittingTasks(option, step);
         if (fitting <= 0)
@@ -140,7 +140,7 @@
     std::int64_t freeCapacity = 0;
     for (const WorkerOption &option : pass_.options) {
         const WorkerNumber number = option.worker->number();
-        if (!mayRun(option, candidate) || step.approvals.isDenied(number))
+        if (step.approvals.isDenied(number) || !mayRun(option, candidate))
             continue;
         const std::int64_t total
                 = step.spec.need.timesIn(option.worker->entry->capacity, step.spec.tasks);
--- a/Source/Cell/CellContext.h
+++ b/Source/Cell/CellContext.h
@@ -40,9 +40,10 @@
     Milliseconds timeout;
 };
 
+/// A message to one or more instances, which is encoded once.
 struct PeerSend
 {
-    Address to;
+    std::vector<Address> to;
     PeerMessage message;
 };
 
@@ -163,7 +164,12 @@
     }
     void send(const Address &to, PeerMessage message)
     {
-        actions_.peers.push_back({to, std::move(message)});
+        actions_.peers.push_back({{to}, std::move(message)});
+    }
+    void broadcast(std::vector<Address> to, PeerMessage message)
+    {
+        if (!to.empty())
+            actions_.peers.push_back({std::move(to), std::move(message)});
     }
     void answer(CallerAnswer answer) { actions_.answers.push_back(answer); }
 
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -13,6 +13,8 @@
 constexpr RecordWatcher::Intervals workerIntervals {Milliseconds(1000), Milliseconds(300)};
 /// Interval at which changed job states are sent to the other instances, in batches.
 constexpr Milliseconds broadcastInterval {60};
+/// Bounds the rate of messages in a fleet with many instances to 1000 a second.
+constexpr Milliseconds broadcastIntervalPerPeer {1};
 /// Counts are sent at this interval even if nothing changed, as a heartbeat of the holder.
 constexpr Milliseconds loadBroadcastInterval {400};
 constexpr Milliseconds helloInterval {700};
@@ -294,7 +296,9 @@
     const bool areLoadsDue = context_.now() >= nextLoadBroadcast_;
     if (changedStates_.empty() && !areLoadsDue)
         return;
-    nextBroadcast_ = context_.now() + broadcastInterval;
+    nextBroadcast_ = context_.now()
+            + std::max(broadcastInterval,
+                       broadcastIntervalPerPeer * static_cast<std::int64_t>(peers_.size()));
     PeerStateUpdate update;
     update.generation = election_.generation();
     update.configuration = configuration_.version();
@@ -307,8 +311,10 @@
     std::erase_if(peers_, [&](const auto &peer) {
         return context_.now() - peer.second > peerContactLimit;
     });
+    std::vector<Address> addresses;
     for (const auto &[address, lastContactAt] : peers_)
-        context_.send(address, update);
+        addresses.push_back(address);
+    context_.broadcast(std::move(addresses), std::move(update));
 }
 
 void CellInstance::startTerm()
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -15,8 +15,10 @@
 constexpr std::int64_t mostUrgentPriority = 0;
 /// Minimum time between two scheduling passes; the events in between are handled by one pass.
 constexpr Milliseconds minPassInterval {15};
-/// A long backlog lengthens the interval, so that passes use a small part of the processor.
+/// A long backlog lengthens the interval, and with many workers a shorter one does, so that passes
+/// use a small part of the processor.
 constexpr std::int64_t candidatesPerAddedMillisecond = 100;
+constexpr std::int64_t choicesPerAddedMillisecond = 35'000;
 
 } // namespace
 
@@ -156,7 +158,10 @@
     const std::vector<StartCandidate> candidates = startCandidates();
     for (const StartCandidate &candidate : candidates)
         startStep(candidate);
-    const auto added = static_cast<std::int64_t>(candidates.size()) / candidatesPerAddedMillisecond;
+    const auto count = static_cast<std::int64_t>(candidates.size());
+    const auto choices = count * static_cast<std::int64_t>(pass_.options.size());
+    const std::int64_t added
+            = std::max(count / candidatesPerAddedMillisecond, choices / choicesPerAddedMillisecond);
     nextPass_ = context_.now() + minPassInterval + Milliseconds(added);
 }
 
@@ -179,7 +184,7 @@
 
 bool CellScheduler::mayRun(const WorkerOption &option, const StartCandidate &candidate)
 {
-    // Headroom shortens the wait of urgent work; a service that lacks a task does not wait for that.
+    // Headroom shortens the wait of urgent work; a service that lacks a task comes before that.
     const bool isReserved = option.reservedFor && candidate.queue->priority > *option.reservedFor
             && !candidate.step->spec.longRunning;
     return !isReserved && isEligible(*option.worker, candidate);
@@ -217,7 +222,7 @@
         maxFreeProcessors = std::max(maxFreeProcessors, option.free.processors);
         if (!spec.need.fitsIn(option.free) && !spec.fillsIdleTime)
             continue;
-        if (!mayRun(option, candidate) || !hasTicket(option, candidate)
+        if (!hasTicket(option, candidate) || !mayRun(option, candidate)
             || isIsolated(option, candidate.step->key.job)
             || fittingTasks(option, *candidate.step) < 1) {
             continue;
--- a/Source/CellDuties/CellMetrics.cpp
+++ b/Source/CellDuties/CellMetrics.cpp
@@ -29,9 +29,8 @@
         metrics_.observe({Metric::CallerRequests, 1,
                           outcomeNames.at(static_cast<std::size_t>(answer.outcome))});
     }
-    if (!actions.peers.empty()) {
-        metrics_.observe({Metric::PeerFramesSent, static_cast<double>(actions.peers.size()), {}});
-    }
+    for (const PeerSend &message : actions.peers)
+        metrics_.observe({Metric::PeerFramesSent, static_cast<double>(message.to.size()), {}});
 }
 
 void CellMetrics::countReply(const WorkerReply &reply)
--- a/Source/CellDuties/CellPeersDuty.cpp
+++ b/Source/CellDuties/CellPeersDuty.cpp
@@ -64,21 +64,27 @@
 
 void CellPeersDuty::offer(const PeerSend &message)
 {
-    std::string frame = encodeCellFrame({self_, selfAddress_, message.message});
+    const std::string frame = encodeCellFrame({self_, selfAddress_, message.message});
     const std::lock_guard lock(mutex_);
+    for (const Address &to : message.to)
+        send(to, frame);
+}
+
+void CellPeersDuty::send(const Address &to, const std::string &frame)
+{
     const TimePoint now = clock_.now();
-    const auto [found, isNew] = links_.try_emplace(message.to);
+    const auto [found, isNew] = links_.try_emplace(to);
     Link &link = found->second;
     link.lastSentAt = now;
     if (isNew) {
         link.connection = ++lastConnection_;
         link.openedAt = now;
-        endpoint_.open(link.connection, message.to.host, message.to.port);
+        endpoint_.open(link.connection, to.host, to.port);
     }
     if (link.open)
-        endpoint_.send(link.connection, std::move(frame));
+        endpoint_.send(link.connection, frame);
     else if (link.queuedFrames.size() < maxQueuedFrames)
-        link.queuedFrames.push_back(std::move(frame));
+        link.queuedFrames.push_back(frame);
 }
 
 void CellPeersDuty::onOpened(std::uint64_t connection)
--- a/Source/CellDuties/CellPeersDuty.h
+++ b/Source/CellDuties/CellPeersDuty.h
@@ -19,7 +19,7 @@
                   ProcessId self);
     ~CellPeersDuty();
 
-    /// Sends a frame; it is dropped when the connection cannot be opened.
+    /// Sends a frame to each recipient; it is dropped when the connection cannot be opened.
     void offer(const PeerSend &message);
 
 private:
@@ -37,6 +37,8 @@
 
     WebSocketEndpoint::Handlers makeHandlers();
     void receive(const std::string &frame);
+    /// To be called with the mutex locked.
+    void send(const Address &to, const std::string &frame);
     void onOpened(std::uint64_t connection);
     void onClosed(std::uint64_t connection);
     void onTick();
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -330,12 +330,12 @@
     if (peerDelivery && peerDelivery(from, message.message) != Delivery::Delivered)
         return;
     for (std::size_t to = 0; to < instances_.size(); ++to) {
-        if (peerAddress(to) != message.to)
+        if (std::find(message.to.begin(), message.to.end(), peerAddress(to)) == message.to.end())
             continue;
         const std::uint64_t incarnation = instances_[to].incarnation;
         if (!instances_[to].cellInstance) {
             schedule(networkDelay, [=, this, own = instances_[index].incarnation] {
-                deliver(index, own, PeerLost {message.to, true});
+                deliver(index, own, PeerLost {peerAddress(to), true});
             });
             continue;
         }
