Renew the holder's lease while its events are handled late

Renewals were sent by a tick, which waits behind up to thousands of events, and not before the last reply was handled.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -89,6 +89,7 @@
 
 void CellInstance::runSchedulingPass()
 {
+    election_.renewIfDue();
     scheduler_.onEventsHandled(election_.maySchedule());
     if (context_.now() >= nextBroadcast_)
         broadcast();
--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -80,8 +80,7 @@
     }
     lastTick_ = now;
     if (isHolder()) {
-        if (!renewing_ && now >= nextRenewal_)
-            renew();
+        renewIfDue();
         if (now - confirmedAt_ > confirmationLimit)
             handle(Event::ConfirmationOverdue);
         return;
@@ -328,15 +327,18 @@
         context_.callStore(StoreEndLease {lease_}, [](const StoreReply &) {});
 }
 
-void HolderElection::renew()
+/// Does not wait for the reply to the last renewal: while many events are queued, it may be handled
+/// after the lease has expired.
+void HolderElection::renewIfDue()
 {
-    renewing_ = true;
+    if (!isHolder() || restoring_ || context_.now() < nextRenewal_)
+        return;
     nextRenewal_ = context_.now() + renewalInterval;
     context_.callStore(
             StoreRenewLease {lease_},
-            [this](const StoreReply &reply) {
-                renewing_ = false;
-                onRenewed(reply);
+            [this, lease = lease_](const StoreReply &reply) {
+                if (lease == lease_)
+                    onRenewed(reply);
             },
             renewalTimeout);
 }
@@ -351,13 +353,13 @@
 /// revision of this term, no other instance has become the holder.
 void HolderElection::restoreLease()
 {
-    if (renewing_)
+    if (restoring_)
         return;
-    renewing_ = true;
+    restoring_ = true;
     context_.callStore(
             StoreGrantLease {leaseLifetime},
             [this](const StoreReply &reply) {
-                renewing_ = false;
+                restoring_ = false;
                 if (reply.outcome == StoreOutcome::Done && isHolder())
                     writeLeaseRecord(reply.lease);
             },
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -58,6 +58,10 @@
     void onHolderAnnounced(const HolderRecord &holder);
     void stop() { handle(Event::StopRequested); }
 
+    /// Renews the holder's lease when that is due. To be called after each batch of events, as the
+    /// next tick may be queued behind many events.
+    void renewIfDue();
+
     bool isHolder() const { return lifecycle_.isIn(State::Holder); }
     /// Whether this process is the holder, has read its records and is confirmed, so that it may
     /// start tasks.
@@ -99,7 +103,6 @@
     /// Delay of the claim while no holder is known.
     Milliseconds firstClaimDelay() const;
     void confirm(TimePoint sentAt);
-    void renew();
     void onRenewed(const StoreReply &reply);
     void restoreLease();
     void writeLeaseRecord(LeaseId lease);
@@ -133,7 +136,7 @@
     TimePoint confirmationNeededFrom_;
     TimePoint lastTick_;
     TimePoint nextRenewal_;
-    bool renewing_ = false;
+    bool restoring_ = false;
     TimePoint nextClaim_;
     Lifecycle<HolderElection> lifecycle_;
 };
