Record results before the progress of other jobs

Fewer than 20 expired results were never removed on an idle cell: the new order made result_olderThanItsLifetime_isRemovedFromTheStore fail with 4 left.

Change: a commit takes results first and leaves 8 of its 32 entries to progress; a result deletes progress only if some was stored; expired results are removed 10 s after the first at the latest.

--- a/Source/Cell/CellJob.cpp
+++ b/Source/Cell/CellJob.cpp
@@ -31,7 +31,8 @@
 }
 
 CellJob::CellJob(AcceptedJob accepted, const JobProgress &progress, TimePoint now)
-    : accepted_(std::move(accepted))
+    : hasProgressRecord(!progress.steps.empty())
+    , accepted_(std::move(accepted))
     , arrivedAt_(now)
     , criticalPath_(findCriticalPath(accepted_.spec))
 {
--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -39,6 +39,9 @@
 public:
     CellJob(AcceptedJob accepted, const JobProgress &progress, TimePoint now);
 
+    /// Whether the store may contain progress of the job.
+    bool hasProgressRecord = false;
+
     const AcceptedJob &accepted() const { return accepted_; }
     const JobId &id() const { return accepted_.spec.id; }
     std::vector<CellStep> &steps() { return steps_; }
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -204,19 +204,20 @@
                 fleet_.stop(task.worker(), step.taskKey(i), task.run());
         }
     }
-    recorder_.markChanged(job.id());
+    recorder_.markFinished(job.id());
     passNeeded_ = true;
 }
 
 std::optional<ProgressRecorder::Snapshot> CellScheduler::snapshot(const JobId &id)
 {
-    const CellJob *job = findJob(id);
+    CellJob *job = findJob(id);
     if (!job)
         return std::nullopt;
     if (isFinal(job->state())) {
         return ProgressRecorder::Snapshot {JobResult {job->state(), context_.wallTime()},
-                                           cancellations_.contains(id)};
+                                           cancellations_.contains(id), job->hasProgressRecord};
     }
+    job->hasProgressRecord = true;
     return ProgressRecorder::Snapshot {job->progress(), false};
 }
 
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -11,13 +11,17 @@
 /// A result writes one record and deletes up to three.
 constexpr std::size_t entriesPerJob = 4;
 /// Expired results are deleted along with other commits, or in a commit of their own when there are
-/// at least this many.
+/// at least this many or after a while.
 constexpr std::size_t minExpired = 20;
+constexpr Milliseconds maxExpiredDelay {10'000};
 /// Tasks often complete at nearly the same time; the interval lets one commit record them all.
 constexpr Milliseconds commitInterval {30};
 constexpr Milliseconds invalidRetryInterval {1000};
 /// Jobs that fill a commit; with that many changed, the next commit follows at once.
 constexpr std::size_t jobsPerCommit = (maxEntries - 2) / entriesPerJob;
+/// Entries of a commit that results leave to the progress of other jobs: workers keep the
+/// completions until they are recorded.
+constexpr std::size_t progressEntries = 8;
 
 } // namespace
 
@@ -40,6 +44,7 @@
     ++term_;
     active_ = false;
     jobOrder_.clear();
+    finishedOrder_.clear();
     changed_.clear();
     isolated_.clear();
     nextIsolated_ = {};
@@ -59,6 +64,14 @@
         changes.completions.push_back(std::move(*completion));
 }
 
+void ProgressRecorder::markFinished(const JobId &job)
+{
+    if (!active_)
+        return;
+    changesOf(job);
+    finishedOrder_.push_back(job);
+}
+
 void ProgressRecorder::markCrash(const TaskKey &task)
 {
     if (active_)
@@ -85,8 +98,11 @@
 
 void ProgressRecorder::markExpired(const JobId &job)
 {
-    if (active_)
-        expired_.push_back(job);
+    if (!active_)
+        return;
+    if (expired_.empty())
+        expiredSince_ = context_.now();
+    expired_.push_back(job);
 }
 
 void ProgressRecorder::markRoster(Roster roster)
@@ -98,11 +114,13 @@
 void ProgressRecorder::tick()
 {
     const bool isCommitDue
-            = context_.now() >= nextCommit_ || (!batch_ && jobOrder_.size() >= jobsPerCommit);
+            = context_.now() >= nextCommit_ || (!batch_ && changed_.size() >= jobsPerCommit);
     if (!active_ || commitInFlight_ || !isCommitDue)
         return;
     if (!batch_) {
-        if (!hasChanges() && !isIsolatedDue() && expired_.size() < minExpired)
+        const bool areExpiredDue = expired_.size() >= minExpired
+                || (!expired_.empty() && context_.now() - expiredSince_ >= maxExpiredDelay);
+        if (!hasChanges() && !isIsolatedDue() && !areExpiredDue)
             return;
         batch_ = Batch {};
         fill(*batch_);
@@ -133,17 +151,25 @@
     }
     if (std::optional<StoreWrite> segment = handlers_.startLogWrite())
         commit.writes.push_back(std::move(*segment));
-    while (!jobOrder_.empty() && commit.entries() + entriesPerJob <= maxEntries) {
-        auto changed = changed_.extract(jobOrder_.front());
-        jobOrder_.pop_front();
-        addJob(batch, {std::move(changed.key()), std::move(changed.mapped())});
-    }
+    addJobs(batch, finishedOrder_, maxEntries - progressEntries);
+    addJobs(batch, jobOrder_, maxEntries);
+    addJobs(batch, finishedOrder_, maxEntries);
     while (!expired_.empty() && commit.entries() < maxEntries) {
         commit.deletes.push_back({RecordType::Results, expired_.front().value()});
         expired_.pop_front();
     }
 }
 
+void ProgressRecorder::addJobs(Batch &batch, std::deque<JobId> &order, std::size_t maxEntries)
+{
+    while (!order.empty() && batch.commit.entries() + entriesPerJob <= maxEntries) {
+        auto changed = changed_.extract(order.front());
+        order.pop_front();
+        if (changed)
+            addJob(batch, {std::move(changed.key()), std::move(changed.mapped())});
+    }
+}
+
 void ProgressRecorder::addJob(Batch &batch, ChangedJob job) const
 {
     StoreCommit &commit = batch.commit;
@@ -160,7 +186,8 @@
     const auto &result = std::get<JobResult>(snapshot->value);
     commit.write({RecordType::Results, name}, result);
     commit.deletes.push_back({RecordType::Jobs, name});
-    commit.deletes.push_back({RecordType::Progress, name});
+    if (snapshot->hasProgress)
+        commit.deletes.push_back({RecordType::Progress, name});
     if (snapshot->hasCancel)
         commit.deletes.push_back({RecordType::Cancels, name});
     batch.results.emplace_back(id, result.state);
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -25,6 +25,8 @@
     {
         std::variant<JobProgress, JobResult> value;
         bool hasCancel = false;
+        /// Whether the store may contain progress of the job.
+        bool hasProgress = true;
     };
     struct Handlers
     {
@@ -54,6 +56,9 @@
     /// Schedules a write of the job's state. \a completion is the completion that changed it, if
     /// any.
     void markChanged(const JobId &job, std::optional<RecordedCompletion> completion = std::nullopt);
+    /// Schedules a write of the job's result, before the progress of other jobs: callers wait for
+    /// it.
+    void markFinished(const JobId &job);
     /// Schedules a write of the state of the task's job, which contains another crash of a worker
     /// under the task.
     void markCrash(const TaskKey &task);
@@ -66,13 +71,13 @@
     void tick();
 
     /// Changed jobs that are not in a commit yet.
-    std::size_t unrecordedJobs() const { return jobOrder_.size(); }
+    std::size_t unrecordedJobs() const { return changed_.size(); }
 
 private:
     /// Whether there is something to commit besides the deletion of expired results.
     bool hasChanges() const
     {
-        return !jobOrder_.empty() || roster_.has_value() || handlers_.isStartLogDue();
+        return !changed_.empty() || roster_.has_value() || handlers_.isStartLogDue();
     }
     bool isIsolatedDue() const { return !isolated_.empty() && context_.now() >= nextIsolated_; }
 
@@ -100,6 +105,9 @@
 
     Changes &changesOf(const JobId &job);
     void fill(Batch &batch);
+    /// Adds changed jobs in the order of \a order while the commit has fewer than \a maxEntries
+    /// entries.
+    void addJobs(Batch &batch, std::deque<JobId> &order, std::size_t maxEntries);
     void addJob(Batch &batch, ChangedJob job) const;
     void isolateJobs();
     void send();
@@ -114,8 +122,10 @@
     StorePrecondition holderPrecondition_;
     Revision sequence_;
     std::uint64_t lastNumber_ = 0;
-    /// The keys of changed_ in the order of their first change.
+    /// The keys of changed_ in the order of their first change, and jobs recorded since.
     std::deque<JobId> jobOrder_;
+    /// Those that have finished, in that order.
+    std::deque<JobId> finishedOrder_;
     std::map<JobId, Changes> changed_;
     /// The jobs of a commit that the store refused as invalid. Each is committed alone, so that the
     /// others do not wait for one that the store refuses.
@@ -125,6 +135,8 @@
     /// Jobs committed alone that were refused since the last one that was not.
     std::size_t invalidInRow_ = 0;
     std::deque<JobId> expired_;
+    /// When the first of expired_ was added.
+    TimePoint expiredSince_;
     std::optional<Roster> roster_;
     /// The commit in flight or to be retried.
     std::optional<Batch> batch_;
