--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -222,12 +222,13 @@
             task->recordedStart.reset();
         return true;
     });
-    for (const auto &[crash, lost] : crashes) {
+    for (const auto &row : crashes) {
+        const std::vector<LostRun> &lost = row.second;
         // The log may lack runs that started just before the earlier holder ended.
         const bool hasOneJob = std::all_of(lost.begin(), lost.end(), [&](const LostRun &run) {
             return run.task.job == lost.front().task.job;
         });
-        countCrashes(crash, lost,
+        countCrashes(row.first, lost,
                      hasOneJob ? CrashEvidence::CommonCause : CrashEvidence::SharedWorker);
     }
 }
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -160,9 +160,9 @@
     }
 }
 
-void ProgressRecorder::addJobs(Batch &batch, std::deque<JobId> &order, std::size_t maxEntries)
+void ProgressRecorder::addJobs(Batch &batch, std::deque<JobId> &order, std::size_t limit)
 {
-    while (!order.empty() && batch.commit.entries() + entriesPerJob <= maxEntries) {
+    while (!order.empty() && batch.commit.entries() + entriesPerJob <= limit) {
         auto changed = changed_.extract(order.front());
         order.pop_front();
         if (changed)
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -105,9 +105,8 @@
 
     Changes &changesOf(const JobId &job);
     void fill(Batch &batch);
-    /// Adds changed jobs in the order of \a order while the commit has fewer than \a maxEntries
-    /// entries.
-    void addJobs(Batch &batch, std::deque<JobId> &order, std::size_t maxEntries);
+    /// Adds changed jobs in the order of \a order until the commit has \a limit entries.
+    void addJobs(Batch &batch, std::deque<JobId> &order, std::size_t limit);
     void addJob(Batch &batch, ChangedJob job) const;
     void isolateJobs();
     void send();
