--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -190,9 +190,11 @@
     /// Compares the starts of earlier holders with the present incarnations of workers.
     void resolveOpenStarts();
     OpenStartOutcome outcomeOf(const LoggedStart &start);
+    /// Adds the starts in the job's own record to the open ones.
     void addRecordedStarts(const CellJob &job);
     /// Whether the start log has to keep the start.
     bool isStartNeeded(const LoggedStart &start);
+    /// Logs that the run ended, or cannot start, and not with a crash of the worker.
     void logEnd(const CellWorker &worker, const TaskKey &key, RunNumber run);
     /// Counts the crash for the tasks of \a lost runs and fails the jobs that are given up for it.
     void countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost,
