--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -1176,7 +1176,7 @@
     return deployment.find(runsOf(probe).front().worker);
 }
 
-/// A worker is cut off for 1.2 s, crashes behind the cut and starts again under its id. A job comes
+/// A worker is cut off for 0.8 s, crashes behind the cut and starts again under its id. A job comes
 /// just after the cut.
 void runRebornRound(Deployment &deployment, bool trouble, std::int64_t workMs,
                     std::vector<std::string> &jobs)
@@ -1185,16 +1185,16 @@
     sleepMs(6000);
     if (trouble) {
         worker->cut(true);
-        sleepMs(300);
+        sleepMs(200);
         worker->crash();
-        sleepMs(500);
+        sleepMs(300);
         worker->restart();
-        sleepMs(400);
+        sleepMs(300);
         worker->cut(false);
     } else {
-        sleepMs(1200);
+        sleepMs(800);
     }
-    sleepMs(50);
+    sleepMs(10);
     jobs.push_back(deployment.submit(oneTask(workMs), std::to_string(workMs)));
     deployment.waitForEnd(jobs.back(), 14'000);
     sleepMs(1500);
@@ -1206,7 +1206,7 @@
 int runRebornOverlap(Deployment &deployment, bool trouble)
 {
     std::vector<std::string> jobs;
-    for (int round = 0; round < 4; ++round) {
+    for (int round = 0; round < 7; ++round) {
         runRebornRound(deployment, trouble, 4000, jobs);
         if (hasOverlap(jobs.back()))
             return 1;
