--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -1315,6 +1315,54 @@
     return state == "completed" ? 0 : 2;
 }
 
+/// A job with tasks that last, one on each worker. The holder's machine and one worker are lost for
+/// good at the same time; the worker's task has to run again on another worker.
+int runLasting(Deployment &deployment, bool trouble)
+{
+    // Half of the workers, so that there is room for the lost task elsewhere.
+    const Json step = {{"count", 4},       {"cpu", 2000},        {"memMb", 256},
+                       {"estimateMs", 1000}, {"longRunning", true}, {"maxPerServer", 1}};
+    const std::string job = deployment.submit(Json::array({step}), "100000000");
+    sleepMs(8000);
+    const std::vector<Run> runs = runsOf(job);
+    if (runs.size() != 4)
+        cannotRun("the lasting tasks do not run");
+    const auto holder
+            = std::find_if(deployment.entries.begin(), deployment.entries.end(),
+                           [](const auto &entry) { return entry->hasLogged("event=term_started"); });
+    if (holder == deployment.entries.end())
+        cannotRun("no entry instance is the holder");
+    if (trouble) {
+        Worker *worker = deployment.find(runs.front().worker);
+        worker->cut(true);
+        worker->crash();
+        (*holder)->kill(SIGKILL);
+        record("entry %s is removed for good", (*holder)->name().c_str());
+        sleepMs(3 * Worker::beatMs);
+        deployment.store().remove("servers/" + worker->id());
+        record("the store removes the entry of worker %s", worker->id().c_str());
+    }
+    sleepMs(25'000);
+    const std::string task = runs.front().task;
+    const std::int64_t lostAt = runsOf(job).front().endedAt;
+    if (lostAt < 0)
+        return 0;
+    std::int64_t nextStart = steadyMs() - startedAt;
+    for (const Run &run : runsOf(job)) {
+        if (run.task == task && run.startedAt > lostAt)
+            nextStart = std::min(nextStart, run.startedAt);
+    }
+    // From 6 s after the last run, after 4 s without a disruption, which count from the end of the
+    // stable window of 3 s after the loss; then 3 s without a run break the rule.
+    constexpr std::int64_t limit = 3000 + 4000 + 3000;
+    record("task %s has no run for %lld ms; the rule allows %lld", task.c_str(),
+           static_cast<long long>(nextStart - lostAt), static_cast<long long>(limit));
+    if (nextStart - lostAt <= limit)
+        return 0;
+    record("LOST: a task that lasts has nothing running");
+    return 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -1333,7 +1381,8 @@
             = {{"reborn-overlap", runRebornOverlap},
                {"reborn-done", runRebornDone},
                {"reborn-late-answer", runRebornLateAnswer},
-               {"crashes", runCrashes}};
+               {"crashes", runCrashes},
+               {"lasting", runLasting}};
     const auto found = scenarios.find(scenario);
     if (found == scenarios.end())
         cannotRun("unknown scenario");
