--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -883,6 +883,9 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
+/// The bound `status_s` of the deployment.
+std::string statusSeconds = "120";
+
 /// An entry instance, started with the command and the template of the deploy file.
 class Entry
 {
@@ -913,7 +916,7 @@
         replaceAll(settings, "{{limits.cpuShare}}", "0.25");
         replaceAll(settings, "{{bounds.maxHoldMs}}", "6000");
         replaceAll(settings, "{{bounds.graceS}}", "6");
-        replaceAll(settings, "{{bounds.status_s}}", "120");
+        replaceAll(settings, "{{bounds.status_s}}", statusSeconds);
         std::ofstream(settingsPath()) << settings;
         start();
     }
@@ -1315,6 +1318,27 @@
     return state == "completed" ? 0 : 2;
 }
 
+/// Jobs complete, and their callers ask for the states some seconds later.
+int runResults(Deployment &deployment, bool /*trouble*/)
+{
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 10; ++i)
+        jobs.push_back(deployment.submit(oneTask(200), "200", static_cast<std::size_t>(i)));
+    for (const std::string &job : jobs) {
+        if (deployment.waitForEnd(job, 10'000) != "completed")
+            cannotRun("a job on an idle fleet does not complete");
+    }
+    sleepMs(12'000);
+    int lost = 0;
+    for (const std::string &job : jobs) {
+        for (std::size_t entry = 0; entry < deployment.entries.size(); ++entry)
+            lost += deployment.stateAt(job, entry) == "(410)" ? 1 : 0;
+    }
+    record("%d of %zu questions for accepted jobs are answered 410, %s s being the bound status_s",
+           lost, jobs.size() * deployment.entries.size(), statusSeconds.c_str());
+    return lost > 0 ? 1 : 0;
+}
+
 /// A job with tasks that last, one on each worker. The holder's machine and one worker are lost for
 /// good at the same time; the worker's task has to run again on another worker.
 int runLasting(Deployment &deployment, bool trouble)
@@ -1382,10 +1406,13 @@
                {"reborn-done", runRebornDone},
                {"reborn-late-answer", runRebornLateAnswer},
                {"crashes", runCrashes},
-               {"lasting", runLasting}};
+               {"lasting", runLasting},
+               {"results", runResults}};
     const auto found = scenarios.find(scenario);
     if (found == scenarios.end())
         cannotRun("unknown scenario");
+    if (scenario == "results" && trouble)
+        statusSeconds = "120.5";
     int result = 2;
     {
         auto deployment = std::make_unique<Deployment>(argv[3]);
