Apply no reply of a worker's earlier incarnation to the present one

Cause: updateIncarnation() ignored a lower `born` in a heartbeat's reply, but onHeartbeatReply() went on and applied its lists and its clock to the present incarnation. Ends of the new one up to the earlier one's last number were then skipped as known, and acknowledged unread.

Change: a call keeps the incarnation and the clock that the worker had when it was sent. CellWorker compares them with the reply in one place; lists, stops, clock and reachability are taken from the present incarnation only. An earlier incarnation cannot answer a call that was sent after the next one had registered, so such a reply shows that the entry was wrong. The simulated worker leaves the incarnation out of replies to starts and stops, as the protocol does, and its replies can be delayed.

--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -11,6 +11,17 @@
 
 } // namespace
 
+bool CellWorker::isCurrent(const CallTarget &target, const WorkerReply &reply) const
+{
+    const bool isSameTarget = target.incarnation == incarnation;
+    // An earlier incarnation has ended before the store or a reply shows the present one, so it
+    // does not answer a call that was sent later.
+    if (reply.incarnation)
+        return isSameTarget || !incarnation || *reply.incarnation >= *incarnation;
+    // Only a later incarnation's clock may be behind one that was read before.
+    return isSameTarget && (!reply.clock || *reply.clock >= target.clock);
+}
+
 void CellWorker::updateClock(WorkerTime clock, TimePoint at)
 {
     if (clockAt_ && clock < clock_)
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -38,6 +38,16 @@
     }
 };
 
+/// A worker as the holder knew it when it sent a call. The worker may start again under its id, so
+/// an earlier or a later incarnation may send the reply.
+struct CallTarget
+{
+    WorkerId worker;
+    std::optional<WorkerIncarnation> incarnation;
+    /// The worker's clock in its last reply.
+    WorkerTime clock;
+};
+
 /// The holder's state of one worker: its list entry, clock, lease and allocations.
 class CellWorker
 {
@@ -90,6 +100,10 @@
     /// use are unknown.
     std::size_t orphanedRuns = 0;
 
+    CallTarget callTarget() const { return {id_, incarnation, clock_}; }
+    /// Whether \a reply shows the state of the present incarnation, or of a later one that it
+    /// names, and not of an earlier or an unknown one.
+    bool isCurrent(const CallTarget &target, const WorkerReply &reply) const;
     void updateClock(WorkerTime clock, TimePoint at);
     bool hasClock() const { return clockAt_.has_value(); }
     /// The worker's clock at \a now, estimated from its last reply.
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -305,27 +305,21 @@
                        std::move(request.ticket),
                        now + startTimeout};
     context_.callWorker({id, worker->entry->address, token_, std::move(start)}, startTimeout,
-                        [this, term = term_, id, task = request.task,
+                        [this, term = term_, target = worker->callTarget(), task = request.task,
                          run = request.run](const WorkerReply &reply) {
                             if (term == term_)
-                                onStart(id, task, run, reply);
+                                onStart(target, task, run, reply);
                         });
 }
 
-Placement *WorkerFleet::updateAndFindPlacement(CellWorker *worker, const TaskKey &task,
-                                               RunNumber run, const WorkerReply &reply)
-{
-    if (!worker)
-        return nullptr;
-    updateFromReply(*worker, reply);
-    return worker->find(task, run);
-}
-
-void WorkerFleet::onStart(const WorkerId &id, const TaskKey &task, RunNumber run,
+void WorkerFleet::onStart(const CallTarget &target, const TaskKey &task, RunNumber run,
                           const WorkerReply &reply)
 {
-    CellWorker *worker = findWorker(id);
-    Placement *placement = updateAndFindPlacement(worker, task, run, reply);
+    CellWorker *worker = findWorker(target.worker);
+    if (!worker)
+        return;
+    updateFromReply(*worker, target, reply);
+    Placement *placement = worker->find(task, run);
     if (!placement)
         return;
     placement->startAnswered = true;
@@ -339,7 +333,7 @@
         // The next heartbeat or the start deadline shows whether the run exists. The stop makes
         // sure that it ends and cannot start later.
         handlers_.startUnanswered(task, run);
-        stop(id, task, run);
+        stop(target.worker, task, run);
         return;
     case WorkerOutcome::Unhealthy:
         worker->avoidUntil = context_.now() + unhealthyBackoff;
@@ -378,24 +372,28 @@
         placement->stopInFlight = true;
         placement->nextStopAttempt = context_.now() + stopRetryInterval;
     }
-    context_.callWorker(
-            {worker.id(), worker.entry ? worker.entry->address : Address(), token_,
-             WorkerStop {task, run}},
-            stopTimeout,
-            [this, term = term_, id = worker.id(), task, run](const WorkerReply &reply) {
-                if (term == term_)
-                    onStop(id, task, run, reply);
-            });
+    context_.callWorker({worker.id(), worker.entry ? worker.entry->address : Address(), token_,
+                         WorkerStop {task, run}},
+                        stopTimeout,
+                        [this, term = term_, target = worker.callTarget(), task,
+                         run](const WorkerReply &reply) {
+                            if (term == term_)
+                                onStop(target, task, run, reply);
+                        });
 }
 
-void WorkerFleet::onStop(const WorkerId &id, const TaskKey &task, RunNumber run,
+void WorkerFleet::onStop(const CallTarget &target, const TaskKey &task, RunNumber run,
                          const WorkerReply &reply)
 {
-    Placement *placement = updateAndFindPlacement(findWorker(id), task, run, reply);
+    CellWorker *worker = findWorker(target.worker);
+    if (!worker)
+        return;
+    const bool isCurrent = updateFromReply(*worker, target, reply);
+    Placement *placement = worker->find(task, run);
     if (!placement)
         return;
     placement->stopInFlight = false;
-    if (reply.outcome == WorkerOutcome::Done && reply.clock)
+    if (isCurrent && reply.outcome == WorkerOutcome::Done && reply.clock)
         placement->stopAcceptedAt = reply.clock;
 }
 
@@ -513,12 +511,13 @@
     }
     if (worker.isStateRead && mayRenew && isAnswering)
         heartbeat.wait = heartbeatWait;
-    context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat},
-                        heartbeat.wait + heartbeatMargin,
-                        [this, term = term_, id = worker.id()](const WorkerReply &reply) {
-                            if (term == term_)
-                                onHeartbeatReply(id, reply);
-                        });
+    context_.callWorker(
+            {worker.id(), worker.entry->address, token_, heartbeat},
+            heartbeat.wait + heartbeatMargin,
+            [this, term = term_, target = worker.callTarget()](const WorkerReply &reply) {
+                if (term == term_)
+                    onHeartbeatReply(target, reply);
+            });
 }
 
 /// The lease of a worker that has announced when it leaves lasts little longer, as its runs count
@@ -533,19 +532,18 @@
     return std::min(full, now + std::max(*remaining, WorkerTime()) + leavingLeaseMargin);
 }
 
-void WorkerFleet::onHeartbeatReply(const WorkerId &id, const WorkerReply &reply)
+void WorkerFleet::onHeartbeatReply(const CallTarget &target, const WorkerReply &reply)
 {
-    CellWorker *worker = findWorker(id);
+    CellWorker *worker = findWorker(target.worker);
     if (!worker)
         return;
     worker->heartbeatInFlight = false;
     worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
-    if (reply.outcome != WorkerOutcome::Done) {
+    const bool isCurrent = updateFromReply(*worker, target, reply);
+    if (reply.outcome != WorkerOutcome::Done || !isCurrent) {
         worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
-        updateFromReply(*worker, reply);
         return;
     }
-    updateFromReply(*worker, reply);
     handleLists(*worker, reply);
     if (worker->unrecordedCompletions.empty())
         scheduleHeartbeat(*worker);
@@ -553,11 +551,12 @@
         worker->nextHeartbeat = context_.now() + unrecordedHeartbeatInterval;
 }
 
-void WorkerFleet::updateFromReply(CellWorker &worker, const WorkerReply &reply)
+bool WorkerFleet::updateFromReply(CellWorker &worker, const CallTarget &target,
+                                  const WorkerReply &reply)
 {
     if (reply.outcome == WorkerOutcome::Fenced) {
         handlers_.fenced();
-        return;
+        return false;
     }
     const bool isUnreachable = reply.outcome == WorkerOutcome::Unanswered
             || reply.outcome == WorkerOutcome::NotSent
@@ -566,7 +565,15 @@
         if (++worker.unansweredCalls == 1 && !worker.placements.empty())
             logUnreachable(worker, reply.outcome);
         worker.avoidUntil = context_.now() + unansweredBackoff;
-        return;
+        return false;
+    }
+    if (!worker.isCurrent(target, reply)) {
+        context_.log("event=worker_reply_ignored worker={} incarnation={} reply_incarnation={} "
+                     "reply_clock_ms={}",
+                     worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
+                     reply.incarnation.value_or(WorkerIncarnation()).value(),
+                     reply.clock.value_or(WorkerTime()).count());
+        return false;
     }
     if (worker.unansweredCalls > 0 && !worker.placements.empty()) {
         context_.log("event=worker_reachable worker={} unanswered_calls={} runs={}",
@@ -579,11 +586,12 @@
     if (reply.incarnation && reply.incarnation == worker.incarnation)
         worker.expiredPlacements.clear();
     if (!reply.clock)
-        return;
+        return true;
     // An earlier holder may have renewed the lease by its full length just before.
     if (!worker.hasClock())
         worker.extendLeaseBound(*reply.clock + WorkerTime(context_.settings().workerLease.count()));
     worker.updateClock(*reply.clock, context_.now());
+    return true;
 }
 
 /// The runs on an unreachable worker are not started elsewhere before its lease has expired.
@@ -602,8 +610,6 @@
 {
     if (worker.incarnation == incarnation)
         return;
-    if (worker.incarnation && incarnation && *incarnation < *worker.incarnation)
-        return;
     if (worker.incarnation) {
         context_.log("event=worker_restarted worker={} incarnation={} previous={} runs={}",
                      worker.id().value(), incarnation->value(), worker.incarnation->value(),
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -103,18 +103,16 @@
     void sendHeartbeat(CellWorker &worker, bool mayRenew);
     void scheduleHeartbeat(CellWorker &worker);
     WorkerTime renewedLeaseEnd(const CellWorker &worker) const;
-    void onHeartbeatReply(const WorkerId &id, const WorkerReply &reply);
+    void onHeartbeatReply(const CallTarget &target, const WorkerReply &reply);
     void handleLists(CellWorker &worker, const WorkerReply &reply);
     void handleCompletions(CellWorker &worker, const WorkerReply &reply);
     void handleRunningTasks(CellWorker &worker, const WorkerReply &reply);
     void removeAbsentPlacements(CellWorker &worker, const WorkerReply &reply);
     bool isAbsent(const Placement &placement, WorkerTime clock) const;
-    /// Updates the state of the worker from the reply. Returns the placement that the reply is
-    /// about, or null when the placement has been removed.
-    Placement *updateAndFindPlacement(CellWorker *worker, const TaskKey &task, RunNumber run,
-                                      const WorkerReply &reply);
-    void onStart(const WorkerId &id, const TaskKey &task, RunNumber run, const WorkerReply &reply);
-    void onStop(const WorkerId &id, const TaskKey &task, RunNumber run, const WorkerReply &reply);
+    void onStart(const CallTarget &target, const TaskKey &task, RunNumber run,
+                 const WorkerReply &reply);
+    void onStop(const CallTarget &target, const TaskKey &task, RunNumber run,
+                const WorkerReply &reply);
     void sendStop(CellWorker &worker, const TaskKey &task, RunNumber run);
     void resendStops(CellWorker &worker);
     void removePlacement(CellWorker &worker, const TaskKey &task, RunNumber run,
@@ -124,7 +122,9 @@
     void resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
     void reportCrash(CellWorker &worker);
     void updateIncarnation(CellWorker &worker, std::optional<WorkerIncarnation> incarnation);
-    void updateFromReply(CellWorker &worker, const WorkerReply &reply);
+    /// Updates the state of the worker from the reply; returns whether the reply shows the state of
+    /// its present incarnation.
+    bool updateFromReply(CellWorker &worker, const CallTarget &target, const WorkerReply &reply);
     void logCapacity(const CellWorker &worker, const Resources &capacity);
     void logUnreachable(const CellWorker &worker, WorkerOutcome outcome);
     void expireLease(CellWorker &worker);
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -264,12 +264,12 @@
     if (delivery == Delivery::Delivered && delay >= call.timeout)
         delivery = Delivery::AnswerLost;
     const std::uint64_t incarnation = instance.incarnation;
-    const SimulatedWorker::Reply reply
-            = [this, index, incarnation, id = call.id](const WorkerReply &answer) {
-                  schedule(networkDelay, [=, this] {
-                      deliver(index, incarnation, WorkerReplied {id, answer});
-                  });
-              };
+    const auto report = [this, index, incarnation, id = call.id](const WorkerReply &answer,
+                                                                 Milliseconds wait) {
+        schedule(networkDelay + wait, [=, this] {
+            deliver(index, incarnation, WorkerReplied {id, answer});
+        });
+    };
     if (isReported(delivery)) {
         WorkerReply failed;
         if (delivery == Delivery::Refused)
@@ -277,8 +277,12 @@
         if (delivery == Delivery::NotSent)
             failed.outcome = WorkerOutcome::NotSent;
         const bool isPrompt = delivery == Delivery::Refused || delivery == Delivery::NotSent;
-        schedule(isPrompt ? networkDelay : call.timeout, [=] { reply(failed); });
+        schedule(isPrompt ? networkDelay : call.timeout, [=] { report(failed, Milliseconds()); });
     }
+    const SimulatedWorker::Reply reply
+            = [=, this, request = call.request](const WorkerReply &answer) {
+                  report(answer, workerReplyDelay ? workerReplyDelay(request) : Milliseconds());
+              };
     const bool isExecuted = delivery == Delivery::Delivered || delivery == Delivery::AnswerLost
             || delivery == Delivery::ReplyDropped;
     if (!isExecuted)
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -56,6 +56,8 @@
     std::function<Milliseconds(const cell::StoreRequest &)> storeReplyDelay;
     /// By how much a call arrives late at its worker; not at all without a function.
     std::function<Milliseconds(const cell::WorkerRequest &)> workerDelay;
+    /// By how much a worker's reply is delayed; not at all without a function.
+    std::function<Milliseconds(const cell::WorkerRequest &)> workerReplyDelay;
     std::function<Delivery(const InstanceId &, const cell::ApprovalRequest &)> approvalDelivery;
     /// Duration and completion reason of each run; by default 500 ms and success.
     std::function<SimulatedWorker::RunPlan(const cell::TaskKey &, cell::RunNumber)> plan;
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -47,7 +47,6 @@
 {
     WorkerReply reply;
     reply.clock = clock(now);
-    reply.incarnation = entry.incarnation;
     if (command.deadline < clock(now)) {
         reply.outcome = WorkerOutcome::DeadlinePassed;
         return reply;
@@ -85,9 +84,9 @@
         reply({});
         return;
     }
+    // Only a list of runs names the incarnation.
     WorkerReply answer;
     answer.clock = clock(now);
-    answer.incarnation = entry.incarnation;
     answer.outcome = WorkerOutcome::Fenced;
     if (request.token < token_) {
         reply(answer);
@@ -199,11 +198,18 @@
     onCrashed(*this);
     for (const Run &run : std::exchange(running_, {}))
         onCompleted(*this, run, CompletionReason::LeaseExpired);
-    for (const PendingHeartbeat &pending : std::exchange(pendingHeartbeats_, {}))
-        pending.reply({});
+    dropHeartbeats();
     returnsAt_ = now + downtime;
 }
 
+void SimulatedWorker::dropHeartbeats()
+{
+    for (const PendingHeartbeat &pending : std::exchange(pendingHeartbeats_, {})) {
+        if (resetsConnections)
+            pending.reply({});
+    }
+}
+
 void SimulatedWorker::restart(TimePoint now)
 {
     returnsAt_.reset();
@@ -212,8 +218,7 @@
     running_.clear();
     completed_.clear();
     closedRuns_.clear();
-    for (const PendingHeartbeat &pending : std::exchange(pendingHeartbeats_, {}))
-        pending.reply({});
+    dropHeartbeats();
     hasLeft_ = false;
     lastCompletion_ = 0;
     token_ = {};
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -50,6 +50,9 @@
     std::map<cell::CompletionReason, std::string> checkpoints;
     /// How long a stop of a run takes.
     Milliseconds stopDuration;
+    /// Whether calls that wait for a reply fail at once when the process ends. Otherwise, as behind
+    /// a partition, they are never answered.
+    bool resetsConnections = true;
     /// Restarts the process: a new incarnation with the same id and without runs.
     void restart(TimePoint now);
     /// Ends the process and all its runs; it restarts after the downtime.
@@ -81,6 +84,7 @@
     cell::WorkerReply start(TimePoint now, const cell::WorkerStart &command);
     void complete(TimePoint now, std::size_t index, cell::CompletionReason reason);
     void answerHeartbeats(TimePoint now);
+    void dropHeartbeats();
 
     TimePoint startedAt_;
     cell::FencingToken token_;
