Keep runs that may have reached a worker's next incarnation

Cause: when a later incarnation of a worker showed, resetWorker() dropped all its placements, also those whose starts had reached the new one. The reply to a start does not name the incarnation.

Change: a run is lost with a restart if the earlier incarnation has listed it, or if its start's reply carries a clock that no later incarnation can have reached since the earlier one was last seen. Other runs stay allocated until the new incarnation lists them, or its list lacks them after the start was answered or a stop was accepted, or its longest lease is over. The crash is counted for them only then, under the incarnation that ended. The new incarnation is read at once. Stops that the earlier incarnation accepted are sent again.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-void CellScheduler::onWorkerCrashed(const CellWorker &worker, const std::vector<Placement> &lost)
+void CellScheduler::onWorkerCrashed(const CellWorker &worker, WorkerIncarnation incarnation,
+                                    const std::vector<Placement> &lost)
 {
     std::vector<LostRun> runs;
     for (const Placement &placement : lost) {
@@ -31,8 +32,7 @@
         if (step && countsAsCrash(*step, placement))
             runs.push_back({placement.task, placement.run});
     }
-    countCrashes({worker.id(), worker.incarnation.value_or(WorkerIncarnation())}, runs,
-                 evidenceOf(worker, lost));
+    countCrashes({worker.id(), incarnation}, runs, evidenceOf(worker, lost));
 }
 
 void CellScheduler::countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost,
@@ -65,10 +65,9 @@
                                         const std::vector<Placement> &lost) const
 {
     const JobId &job = lost.front().task.job;
-    const bool hasOneJob = std::all_of(lost.begin(), lost.end(), [&](const Placement &placement) {
-        return placement.task.job == job;
-    });
-    if (!hasOneJob)
+    // It may only have shown later that a start did not reach the next incarnation.
+    const std::set<JobId> &jobs = worker.jobsAtRestart;
+    if (jobs.size() != 1 || !jobs.contains(job))
         return CrashEvidence::SharedWorker;
     return unrelatedFailures(worker, job) <= maxUnrelatedFailures ? CrashEvidence::OnlySuspect
                                                                   : CrashEvidence::CommonCause;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -178,7 +178,8 @@
                          CellStep &step);
     void onRunNotOnWorker(const CellWorker &worker, const TaskKey &key, RunNumber run,
                           WorkerOutcome outcome);
-    void onWorkerCrashed(const CellWorker &worker, const std::vector<Placement> &lost);
+    void onWorkerCrashed(const CellWorker &worker, WorkerIncarnation incarnation,
+                         const std::vector<Placement> &lost);
     void onCrashRecorded(const TaskKey &key);
     void onStartRecorded(const TaskKey &key);
     /// Sends the starts that were recorded, and discards those that were stopped meanwhile or whose
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -11,15 +11,26 @@
 
 } // namespace
 
-bool CellWorker::isCurrent(const CallTarget &target, const WorkerReply &reply) const
+ReplySource CellWorker::sourceOf(const CallTarget &target, const WorkerReply &reply,
+                                 TimePoint now) const
 {
     const bool isSameTarget = target.incarnation == incarnation;
     // An earlier incarnation has ended before the store or a reply shows the present one, so it
     // does not answer a call that was sent later.
-    if (reply.incarnation)
-        return isSameTarget || !incarnation || *reply.incarnation >= *incarnation;
+    if (reply.incarnation) {
+        const bool isEarlier = incarnation && *reply.incarnation < *incarnation;
+        return isEarlier && !isSameTarget ? ReplySource::Other : ReplySource::Present;
+    }
+    if (!isSameTarget)
+        return ReplySource::Other;
+    if (!reply.clock)
+        return ReplySource::Unproven;
     // Only a later incarnation's clock may be behind one that was read before.
-    return isSameTarget && (!reply.clock || *reply.clock >= target.clock);
+    if (*reply.clock < target.clock)
+        return ReplySource::Other;
+    const std::int64_t age = (now - seenAt_).count();
+    const WorkerTime latestOfNext(age + age / clockDriftDivisor + leaseMargin.count());
+    return *reply.clock > latestOfNext ? ReplySource::Present : ReplySource::Unproven;
 }
 
 void CellWorker::updateClock(WorkerTime clock, TimePoint at)
@@ -45,7 +56,7 @@
 std::optional<Milliseconds> CellWorker::timeToLeaseExpiry(TimePoint now) const
 {
     if (!clockAt_)
-        return std::nullopt;
+        return unreadLeaseEnd_ ? std::optional(*unreadLeaseEnd_ - now) : std::nullopt;
     const std::int64_t remaining = (leaseBound_ - clock_).count();
     if (remaining <= 0)
         return Milliseconds(remaining);
@@ -56,7 +67,7 @@
 bool CellWorker::isLeaseExpired(TimePoint now) const
 {
     const std::optional<Milliseconds> remaining = timeToLeaseExpiry(now);
-    return remaining && (*remaining < Milliseconds() || leaseBound_ <= clock_);
+    return remaining && (*remaining < Milliseconds() || (clockAt_ && leaseBound_ <= clock_));
 }
 
 bool CellWorker::hasRunsOf(const JobId &job) const
@@ -101,6 +112,24 @@
     orphanedRuns = 0;
     clockAt_.reset();
     clock_ = leaseBound_ = {};
+    unreadLeaseEnd_.reset();
+    seenAt_ = {};
+}
+
+void CellWorker::carryOver(Placement placement, std::optional<WorkerIncarnation> earlier,
+                           TimePoint leaseEnd)
+{
+    placement.confirmedAt.reset();
+    placement.startDeadline.reset();
+    placement.isOnPresentIncarnation = false;
+    placement.stopInFlight = false;
+    placement.stopAcceptedAt.reset();
+    placement.nextStopAttempt = {};
+    placement.sentAt = {};
+    if (!placement.sentToIncarnation)
+        placement.sentToIncarnation = earlier;
+    placements.push_back(std::move(placement));
+    unreadLeaseEnd_ = leaseEnd;
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -17,14 +17,21 @@
     /// The latest time, on the worker's clock, at which the worker confirmed the run; nothing
     /// before the first confirmation.
     std::optional<WorkerTime> confirmedAt;
-    /// The worker refuses to start the run after this time on its own clock.
-    WorkerTime startDeadline;
+    /// The worker refuses to start the run after this time on its own clock. Nothing when the
+    /// worker has restarted since, as its clock has started again.
+    std::optional<WorkerTime> startDeadline;
     /// The worker's clock when the start was sent, or at most its clock then for a run of an
     /// earlier holder.
     WorkerTime sentAt;
     /// Whether the start may have reached the worker.
     bool startSent = false;
-    bool startAnswered = false;
+    /// When a start was answered, or found to be unanswered.
+    std::optional<TimePoint> startAnsweredAt;
+    /// Whether a reply has shown that the start reached the present incarnation.
+    bool isOnPresentIncarnation = false;
+    /// The incarnation that ended after the start had been sent, without a proof that the start had
+    /// reached it, so that the next incarnation may have the run.
+    std::optional<WorkerIncarnation> sentToIncarnation;
     bool stopRequested = false;
     bool stopInFlight = false;
     /// The time, on the worker's clock, at which it accepted a stop of the run.
@@ -46,6 +53,17 @@
     std::optional<WorkerIncarnation> incarnation;
     /// The worker's clock in its last reply.
     WorkerTime clock;
+    TimePoint sentAt;
+};
+
+/// Which incarnation of a worker has sent a reply.
+enum class ReplySource {
+    /// The present one, or a later one that the reply names.
+    Present,
+    /// The present one, unless a later one has replied that is not known yet.
+    Unproven,
+    /// An earlier one, or one that is not known.
+    Other,
 };
 
 /// The holder's state of one worker: its list entry, clock, lease and allocations.
@@ -100,10 +118,10 @@
     /// use are unknown.
     std::size_t orphanedRuns = 0;
 
-    CallTarget callTarget() const { return {id_, incarnation, clock_}; }
-    /// Whether \a reply shows the state of the present incarnation, or of a later one that it
-    /// names, and not of an earlier or an unknown one.
-    bool isCurrent(const CallTarget &target, const WorkerReply &reply) const;
+    CallTarget callTarget(TimePoint now) const { return {id_, incarnation, clock_, now}; }
+    ReplySource sourceOf(const CallTarget &target, const WorkerReply &reply, TimePoint now) const;
+    /// The present incarnation was running at \a time.
+    void setSeenAt(TimePoint time) { seenAt_ = std::max(seenAt_, time); }
     void updateClock(WorkerTime clock, TimePoint at);
     bool hasClock() const { return clockAt_.has_value(); }
     /// The worker's clock at \a now, estimated from its last reply.
@@ -116,8 +134,7 @@
     /// Whether the lease has expired even if the worker's clock is slow, so that nothing runs
     /// there.
     bool isLeaseExpired(TimePoint now) const;
-    /// Time until isLeaseExpired(), negative afterwards; nothing while the worker's clock is
-    /// unknown.
+    /// Time until isLeaseExpired(), negative afterwards; nothing while it is unknown.
     std::optional<Milliseconds> timeToLeaseExpiry(TimePoint now) const;
 
     bool hasRunsOf(const JobId &job) const;
@@ -127,6 +144,11 @@
     CompletionNumber highestAcknowledgeable() const;
     /// Discards all state of the earlier incarnation.
     void startIncarnation(std::optional<WorkerIncarnation> newIncarnation);
+    /// Keeps the allocation of a run that may be on the present incarnation, although its start was
+    /// sent to an earlier one. \a leaseEnd is the latest time at which the lease of the run may
+    /// expire if the present incarnation never replies.
+    void carryOver(Placement placement, std::optional<WorkerIncarnation> earlier,
+                   TimePoint leaseEnd);
 
 private:
     WorkerId id_;
@@ -134,6 +156,10 @@
     WorkerTime clock_;
     std::optional<TimePoint> clockAt_;
     WorkerTime leaseBound_;
+    /// The end of the lease while the clock is unknown; nothing when there is no lease.
+    std::optional<TimePoint> unreadLeaseEnd_;
+    /// The latest time at which the present incarnation is known to have been running.
+    TimePoint seenAt_;
 };
 
 } // namespace caraway::cell
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -42,6 +42,17 @@
 /// Bounds the record of closed workers; further workers stay open.
 constexpr std::size_t maxClosedJobs = 2000;
 
+bool wasSent(const Placement &placement)
+{
+    return placement.startSent;
+}
+
+/// Whether the start may reach a later incarnation of the worker than it was sent to.
+bool mayBeOnNextIncarnation(const Placement &placement)
+{
+    return placement.startSent && !placement.isOnPresentIncarnation;
+}
+
 } // namespace
 
 WorkerFleet::WorkerFleet(CellContext &context, Handlers handlers)
@@ -156,7 +167,7 @@
                  worker->unansweredCalls);
     worker->isListed = false;
     if (!worker->expiredPlacements.empty())
-        reportCrash(*worker);
+        reportCrash(*worker, wasSent);
 }
 
 Roster WorkerFleet::currentRoster() const
@@ -295,17 +306,18 @@
     const TimePoint now = context_.now();
     placement->startSent = true;
     placement->sentAt = worker->estimatedClock(now);
-    placement->startDeadline = placement->sentAt + startWindow;
-    worker->extendLeaseBound(placement->startDeadline);
+    const WorkerTime deadline = placement->sentAt + startWindow;
+    placement->startDeadline = deadline;
+    worker->extendLeaseBound(deadline);
     WorkerStart start {request.task,
                        request.run,
                        std::move(request.payload),
-                       placement->startDeadline,
+                       deadline,
                        std::move(request.checkpoint),
                        std::move(request.ticket),
                        now + startTimeout};
     context_.callWorker({id, worker->entry->address, token_, std::move(start)}, startTimeout,
-                        [this, term = term_, target = worker->callTarget(), task = request.task,
+                        [this, term = term_, target = worker->callTarget(now), task = request.task,
                          run = request.run](const WorkerReply &reply) {
                             if (term == term_)
                                 onStart(target, task, run, reply);
@@ -318,14 +330,16 @@
     CellWorker *worker = findWorker(target.worker);
     if (!worker)
         return;
-    updateFromReply(*worker, target, reply);
+    const ReplySource source = updateFromReply(*worker, target, reply);
     Placement *placement = worker->find(task, run);
     if (!placement)
         return;
-    placement->startAnswered = true;
+    placement->startAnsweredAt = context_.now();
     switch (reply.outcome) {
     case WorkerOutcome::Done:
-        if (!placement->confirmedAt)
+        if (source == ReplySource::Present)
+            placement->isOnPresentIncarnation = true;
+        if (!placement->confirmedAt && source != ReplySource::Other)
             placement->confirmedAt = reply.clock.value_or(worker->estimatedClock(context_.now()));
         handlers_.started(*worker, task, run);
         return;
@@ -375,7 +389,7 @@
     context_.callWorker({worker.id(), worker.entry ? worker.entry->address : Address(), token_,
                          WorkerStop {task, run}},
                         stopTimeout,
-                        [this, term = term_, target = worker.callTarget(), task,
+                        [this, term = term_, target = worker.callTarget(context_.now()), task,
                          run](const WorkerReply &reply) {
                             if (term == term_)
                                 onStop(target, task, run, reply);
@@ -388,12 +402,12 @@
     CellWorker *worker = findWorker(target.worker);
     if (!worker)
         return;
-    const bool isCurrent = updateFromReply(*worker, target, reply);
+    const ReplySource source = updateFromReply(*worker, target, reply);
     Placement *placement = worker->find(task, run);
     if (!placement)
         return;
     placement->stopInFlight = false;
-    if (isCurrent && reply.outcome == WorkerOutcome::Done && reply.clock)
+    if (source != ReplySource::Other && reply.outcome == WorkerOutcome::Done && reply.clock)
         placement->stopAcceptedAt = reply.clock;
 }
 
@@ -462,12 +476,12 @@
                  worker.id().value(), worker.placements.size(), worker.unansweredCalls);
     std::vector<Placement> expired = worker.expiredPlacements;
     std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(expired),
-                 [](const Placement &placement) { return placement.startSent; });
+                 wasSent);
     const CompletionNumber highest = worker.highestCompletion;
     const std::set<CompletionNumber> unrecorded = worker.unrecordedCompletions;
     // A crashed worker may return under another id, so its next incarnation may never show here.
     if (!worker.isListed) {
-        reportCrash(worker);
+        reportCrash(worker, wasSent);
         expired.clear();
     }
     resetWorker(worker, worker.incarnation);
@@ -511,13 +525,13 @@
     }
     if (worker.isStateRead && mayRenew && isAnswering)
         heartbeat.wait = heartbeatWait;
-    context_.callWorker(
-            {worker.id(), worker.entry->address, token_, heartbeat},
-            heartbeat.wait + heartbeatMargin,
-            [this, term = term_, target = worker.callTarget()](const WorkerReply &reply) {
-                if (term == term_)
-                    onHeartbeatReply(target, reply);
-            });
+    context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat},
+                        heartbeat.wait + heartbeatMargin,
+                        [this, term = term_,
+                         target = worker.callTarget(context_.now())](const WorkerReply &reply) {
+                            if (term == term_)
+                                onHeartbeatReply(target, reply);
+                        });
 }
 
 /// The lease of a worker that has announced when it leaves lasts little longer, as its runs count
@@ -537,43 +551,55 @@
     CellWorker *worker = findWorker(target.worker);
     if (!worker)
         return;
-    worker->heartbeatInFlight = false;
-    worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
-    const bool isCurrent = updateFromReply(*worker, target, reply);
-    if (reply.outcome != WorkerOutcome::Done || !isCurrent) {
-        worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
+    // After a restart the next heartbeat does not wait for the reply to this one.
+    const bool isLatest = target.incarnation == worker->incarnation;
+    if (isLatest) {
+        worker->heartbeatInFlight = false;
+        worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
+    }
+    const ReplySource source = updateFromReply(*worker, target, reply);
+    if (reply.outcome != WorkerOutcome::Done || source == ReplySource::Other) {
+        if (isLatest)
+            worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
         return;
     }
-    handleLists(*worker, reply);
+    if (source == ReplySource::Present)
+        worker->setSeenAt(target.sentAt);
+    handleLists(*worker, target, reply);
+    if (!isLatest)
+        return;
     if (worker->unrecordedCompletions.empty())
         scheduleHeartbeat(*worker);
     else
         worker->nextHeartbeat = context_.now() + unrecordedHeartbeatInterval;
 }
 
-bool WorkerFleet::updateFromReply(CellWorker &worker, const CallTarget &target,
-                                  const WorkerReply &reply)
+ReplySource WorkerFleet::updateFromReply(CellWorker &worker, const CallTarget &target,
+                                         const WorkerReply &reply)
 {
     if (reply.outcome == WorkerOutcome::Fenced) {
         handlers_.fenced();
-        return false;
+        return ReplySource::Other;
     }
     const bool isUnreachable = reply.outcome == WorkerOutcome::Unanswered
             || reply.outcome == WorkerOutcome::NotSent
             || reply.outcome == WorkerOutcome::Misdirected;
     if (isUnreachable) {
+        if (target.incarnation != worker.incarnation)
+            return ReplySource::Other;
         if (++worker.unansweredCalls == 1 && !worker.placements.empty())
             logUnreachable(worker, reply.outcome);
         worker.avoidUntil = context_.now() + unansweredBackoff;
-        return false;
+        return ReplySource::Other;
     }
-    if (!worker.isCurrent(target, reply)) {
+    const ReplySource source = worker.sourceOf(target, reply, context_.now());
+    if (source == ReplySource::Other) {
         context_.log("event=worker_reply_ignored worker={} incarnation={} reply_incarnation={} "
                      "reply_clock_ms={}",
                      worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
                      reply.incarnation.value_or(WorkerIncarnation()).value(),
                      reply.clock.value_or(WorkerTime()).count());
-        return false;
+        return ReplySource::Other;
     }
     if (worker.unansweredCalls > 0 && !worker.placements.empty()) {
         context_.log("event=worker_reachable worker={} unanswered_calls={} runs={}",
@@ -586,12 +612,12 @@
     if (reply.incarnation && reply.incarnation == worker.incarnation)
         worker.expiredPlacements.clear();
     if (!reply.clock)
-        return true;
+        return source;
     // An earlier holder may have renewed the lease by its full length just before.
     if (!worker.hasClock())
         worker.extendLeaseBound(*reply.clock + WorkerTime(context_.settings().workerLease.count()));
     worker.updateClock(*reply.clock, context_.now());
-    return true;
+    return source;
 }
 
 /// The runs on an unreachable worker are not started elsewhere before its lease has expired.
@@ -614,24 +640,59 @@
         context_.log("event=worker_restarted worker={} incarnation={} previous={} runs={}",
                      worker.id().value(), incarnation->value(), worker.incarnation->value(),
                      worker.placements.size());
-        reportCrash(worker);
-        resetWorker(worker, incarnation);
+        restartWorker(worker, incarnation);
         return;
     }
     worker.incarnation = incarnation;
 }
 
-void WorkerFleet::reportCrash(CellWorker &worker)
+/// A start that is not proved to have reached the earlier incarnation may have reached the new one,
+/// as its reply does not name the incarnation.
+void WorkerFleet::restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
+{
+    const Milliseconds lease = context_.settings().workerLease;
+    const TimePoint leaseEnd = context_.now() + startTimeout + lease + lease / clockDriftDivisor
+            + Milliseconds(startWindow.count());
+    const std::optional<WorkerIncarnation> earlier = worker.incarnation;
+    reportCrash(worker, [](const Placement &placement) {
+        return placement.startSent && !mayBeOnNextIncarnation(placement);
+    });
+    const std::vector<Placement> placements = std::exchange(worker.placements, {});
+    worker.startIncarnation(newIncarnation);
+    for (const Placement &placement : placements) {
+        if (mayBeOnNextIncarnation(placement))
+            worker.carryOver(placement, earlier, leaseEnd);
+    }
+    for (const Placement &placement : placements) {
+        if (!mayBeOnNextIncarnation(placement))
+            handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
+    }
+    worker.heartbeatInFlight = false;
+    scheduleHeartbeat(worker);
+}
+
+void WorkerFleet::reportCrash(CellWorker &worker,
+                              const std::function<bool(const Placement &)> &isLost)
 {
     std::vector<Placement> lost = std::exchange(worker.expiredPlacements, {});
     std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(lost),
-                 [](const Placement &placement) { return placement.startSent; });
+                 isLost);
     worker.restartedAt = context_.now();
     worker.jobsAtRestart.clear();
     for (const Placement &placement : lost)
         worker.jobsAtRestart.insert(placement.task.job);
-    if (!lost.empty() && worker.drainedIncarnation != worker.incarnation)
-        handlers_.crashed(worker, lost);
+    for (const Placement &placement : worker.placements) {
+        if (placement.startSent)
+            worker.jobsAtRestart.insert(placement.task.job);
+    }
+    reportCrash(worker, worker.incarnation, lost);
+}
+
+void WorkerFleet::reportCrash(CellWorker &worker, std::optional<WorkerIncarnation> incarnation,
+                              const std::vector<Placement> &lost)
+{
+    if (!lost.empty() && worker.drainedIncarnation != incarnation)
+        handlers_.crashed(worker, incarnation, lost);
 }
 
 void WorkerFleet::resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
@@ -642,12 +703,13 @@
         handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
 }
 
-void WorkerFleet::handleLists(CellWorker &worker, const WorkerReply &reply)
+void WorkerFleet::handleLists(CellWorker &worker, const CallTarget &target,
+                              const WorkerReply &reply)
 {
     handleCompletions(worker, reply);
     handleRunningTasks(worker, reply);
     if (reply.completed.size() < maxCompletionsPerReply) {
-        removeAbsentPlacements(worker, reply);
+        removeAbsentPlacements(worker, target, reply);
         worker.isStateRead = true;
     }
 }
@@ -671,6 +733,8 @@
         Placement *placement = worker.find(running.task, running.run);
         if (placement) {
             placement->confirmedAt = reply.clock;
+            placement->isOnPresentIncarnation = true;
+            placement->sentToIncarnation.reset();
             handlers_.progressed(worker, running);
             continue;
         }
@@ -683,7 +747,8 @@
         discovered.need = need.value_or(Resources());
         discovered.confirmedAt = reply.clock;
         discovered.startSent = true;
-        discovered.startAnswered = true;
+        discovered.startAnsweredAt = context_.now();
+        discovered.isOnPresentIncarnation = true;
         worker.placements.push_back(discovered);
         if (!need)
             stop(worker.id(), running.task, running.run);
@@ -696,30 +761,39 @@
     }
 }
 
-bool WorkerFleet::isAbsent(const Placement &placement, WorkerTime clock) const
+bool WorkerFleet::isAbsent(const Placement &placement, TimePoint requestedAt, WorkerTime clock)
 {
     if (placement.confirmedAt)
         return clock > *placement.confirmedAt;
     if (placement.stopAcceptedAt)
         return clock > *placement.stopAcceptedAt;
-    return placement.startAnswered && clock > placement.startDeadline;
+    if (!placement.startAnsweredAt)
+        return false;
+    if (placement.startDeadline)
+        return clock > *placement.startDeadline;
+    // An unanswered start, which is being stopped, may still be carried out.
+    return !placement.stopRequested && *placement.startAnsweredAt <= requestedAt;
 }
 
-void WorkerFleet::removeAbsentPlacements(CellWorker &worker, const WorkerReply &reply)
+void WorkerFleet::removeAbsentPlacements(CellWorker &worker, const CallTarget &target,
+                                         const WorkerReply &reply)
 {
     if (!reply.clock)
         return;
-    std::vector<std::pair<TaskKey, RunNumber>> absent;
+    std::vector<Placement> absent;
     for (const Placement &placement : worker.placements) {
         const bool isListed = std::any_of(
                 reply.running.begin(), reply.running.end(), [&](const RunningTask &running) {
                     return running.run == placement.run && running.task == placement.task;
                 });
-        if (!isListed && isAbsent(placement, *reply.clock))
-            absent.emplace_back(placement.task, placement.run);
+        if (!isListed && isAbsent(placement, target.sentAt, *reply.clock))
+            absent.push_back(placement);
+    }
+    for (const Placement &placement : absent) {
+        if (placement.sentToIncarnation)
+            reportCrash(worker, placement.sentToIncarnation, {placement});
+        removePlacement(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
     }
-    for (const auto &[task, run] : absent)
-        removePlacement(worker, task, run, WorkerOutcome::Unanswered);
 }
 
 void WorkerFleet::removePlacement(CellWorker &worker, const TaskKey &task, RunNumber run,
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -25,9 +25,11 @@
         /// The run is not on the worker and can no longer start there.
         std::function<void(const CellWorker &, const TaskKey &, RunNumber, WorkerOutcome)>
                 notOnWorker;
-        /// The worker's process ended without notice under these runs. Called before the runs are
-        /// reported as not on the worker, while it has the incarnation that ended.
-        std::function<void(const CellWorker &, const std::vector<Placement> &)> crashed;
+        /// The worker's incarnation ended without notice under these runs. Called before the runs
+        /// are reported as not on the worker.
+        std::function<void(const CellWorker &, std::optional<WorkerIncarnation>,
+                           const std::vector<Placement> &)>
+                crashed;
         /// A start received no reply; the run may exist.
         std::function<void(const TaskKey &, RunNumber)> startUnanswered;
         /// A worker has seen the fencing token of a later holder.
@@ -104,11 +106,14 @@
     void scheduleHeartbeat(CellWorker &worker);
     WorkerTime renewedLeaseEnd(const CellWorker &worker) const;
     void onHeartbeatReply(const CallTarget &target, const WorkerReply &reply);
-    void handleLists(CellWorker &worker, const WorkerReply &reply);
+    void handleLists(CellWorker &worker, const CallTarget &target, const WorkerReply &reply);
     void handleCompletions(CellWorker &worker, const WorkerReply &reply);
     void handleRunningTasks(CellWorker &worker, const WorkerReply &reply);
-    void removeAbsentPlacements(CellWorker &worker, const WorkerReply &reply);
-    bool isAbsent(const Placement &placement, WorkerTime clock) const;
+    void removeAbsentPlacements(CellWorker &worker, const CallTarget &target,
+                                const WorkerReply &reply);
+    /// Whether a list without the run, requested at \a requestedAt and made at \a clock, shows that
+    /// the run is not on the worker and cannot start there.
+    static bool isAbsent(const Placement &placement, TimePoint requestedAt, WorkerTime clock);
     void onStart(const CallTarget &target, const TaskKey &task, RunNumber run,
                  const WorkerReply &reply);
     void onStop(const CallTarget &target, const TaskKey &task, RunNumber run,
@@ -120,11 +125,19 @@
     /// Discards what is known about the worker, after its restart or the expiry of its lease, and
     /// reports that its runs are not on it any more.
     void resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
-    void reportCrash(CellWorker &worker);
+    /// Discards what is known about the earlier incarnation, except the runs whose starts may have
+    /// reached the new one.
+    void restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
+    /// Reports that the incarnation ended under the \a lost runs, unless it was draining.
+    void reportCrash(CellWorker &worker, std::optional<WorkerIncarnation> incarnation,
+                     const std::vector<Placement> &lost);
+    /// Reports the crash of the present incarnation under the runs there that are \a lost, and
+    /// under those that have expired with its lease.
+    void reportCrash(CellWorker &worker, const std::function<bool(const Placement &)> &isLost);
     void updateIncarnation(CellWorker &worker, std::optional<WorkerIncarnation> incarnation);
-    /// Updates the state of the worker from the reply; returns whether the reply shows the state of
-    /// its present incarnation.
-    bool updateFromReply(CellWorker &worker, const CallTarget &target, const WorkerReply &reply);
+    /// Updates the state of the worker from the reply, unless another incarnation has sent it.
+    ReplySource updateFromReply(CellWorker &worker, const CallTarget &target,
+                                const WorkerReply &reply);
     void logCapacity(const CellWorker &worker, const Resources &capacity);
     void logUnreachable(const CellWorker &worker, WorkerOutcome outcome);
     void expireLease(CellWorker &worker);
--- a/Tests/Cell/WorkerRestartTest.cpp
+++ b/Tests/Cell/WorkerRestartTest.cpp
@@ -11,6 +11,17 @@
 {
     CPPUNIT_TEST_SUITE(WorkerRestartTest);
     CPPUNIT_TEST(list_ofTheEarlierIncarnation_acknowledgesNothingOfTheNextOne);
+    CPPUNIT_TEST(start_acceptedByTheNextIncarnationBeforeItsEntryIsRead_keepsRunning);
+    CPPUNIT_TEST(start_acceptedByANextIncarnationThatIsFirstSeenInItsList_keepsRunning);
+    CPPUNIT_TEST(start_whoseReplyArrivesAfterTheNextIncarnationsEntry_keepsRunning);
+    CPPUNIT_TEST(start_whoseReplyIsLostOnTheNextIncarnation_isStoppedBeforeTheTaskRunsElsewhere);
+    CPPUNIT_TEST(start_arrivingAfterTheNextIncarnationsList_neverRunsTwice);
+    CPPUNIT_TEST(run_completedByTheNextIncarnationBeforeItsEntryIsRead_isNotStartedAgain);
+    CPPUNIT_TEST(start_lostWithTheEarlierIncarnation_startsAgainInTime);
+    CPPUNIT_TEST(start_sentBeforeTwoRestarts_neverRunsTwice);
+    CPPUNIT_TEST(start_sentBeforeARestartOfAnUnreachableWorker_runsElsewhereAfterItsLease);
+    CPPUNIT_TEST(stop_acceptedByTheEarlierIncarnation_isSentToTheNextOne);
+    CPPUNIT_TEST(holder_replacedAfterARestart_startsNothingTwice);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -34,8 +45,165 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("later")));
     }
 
+    /// Guards against a task that runs on the new incarnation and elsewhere at the same time.
+    void start_acceptedByTheNextIncarnationBeforeItsEntryIsRead_keepsRunning()
+    {
+        start(2);
+        restartUnnoticed();
+        submit("a", longTask);
+        CPPUNIT_ASSERT(startsOnTheFirstWorker("a"));
+        simulation_->advance(Milliseconds(50));
+        simulation_->publishWorker(0);
+        assertRunsOnce("a");
+    }
+
+    /// Guards against a run that is stopped, as its worker's restart was counted as a crash under
+    /// it.
+    void start_acceptedByANextIncarnationThatIsFirstSeenInItsList_keepsRunning()
+    {
+        start(2);
+        restartUnnoticed();
+        submit("a", longTask);
+        CPPUNIT_ASSERT(startsOnTheFirstWorker("a"));
+        assertRunsOnce("a");
+    }
+
+    /// Guards against a reply that finds no placement, as the entry has arrived before it.
+    void start_whoseReplyArrivesAfterTheNextIncarnationsEntry_keepsRunning()
+    {
+        start(2);
+        restartUnnoticed();
+        delayReplies<WorkerStart>(Milliseconds(300));
+        submit("a", longTask);
+        CPPUNIT_ASSERT(startsOnTheFirstWorker("a"));
+        simulation_->publishWorker(0);
+        assertRunsOnce("a");
+    }
+
+    /// Guards against a run of the next incarnation that is taken for lost.
+    void start_whoseReplyIsLostOnTheNextIncarnation_isStoppedBeforeTheTaskRunsElsewhere()
+    {
+        start(2);
+        restartUnnoticed();
+        lose<WorkerStart>(CellSimulation::Delivery::AnswerLost, 1);
+        submit("a", longTask);
+        CPPUNIT_ASSERT(startsOnTheFirstWorker("a"));
+        simulation_->publishWorker(0);
+        simulation_->advance(Milliseconds(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+        CPPUNIT_ASSERT(advanceUntil([&] { return isCompleted("a"); }));
+    }
+
+    /// Guards against a start that is carried out late, after the list that lacks its run.
+    void start_arrivingAfterTheNextIncarnationsList_neverRunsTwice()
+    {
+        for (std::int64_t delay = 50; delay <= 650; delay += 50) {
+            start(2);
+            delayCalls<WorkerStart>(Milliseconds(delay), 1);
+            submit("a", longTask);
+            restartUnnoticed();
+            simulation_->publishWorker(0);
+            assertRunsOnce("a");
+        }
+    }
+
+    /// Guards against the loss of an end that the next incarnation lists.
+    void run_completedByTheNextIncarnationBeforeItsEntryIsRead_isNotStartedAgain()
+    {
+        start(2);
+        restartUnnoticed();
+        submit("a", Milliseconds(250));
+        simulation_->advance(Milliseconds(1200));
+        simulation_->publishWorker(0);
+        CPPUNIT_ASSERT(advanceUntil([&] { return isCompleted("a"); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+    }
+
+    /// Guards against a task that waits for the worker's lease, although its run is known to be
+    /// lost.
+    void start_lostWithTheEarlierIncarnation_startsAgainInTime()
+    {
+        start(2);
+        lose<WorkerStart>(CellSimulation::Delivery::Lost, 1);
+        submit("a", longTask);
+        simulation_->advance(Milliseconds(100));
+        simulation_->restartWorker(0);
+        CPPUNIT_ASSERT(
+                simulation_->advanceUntil([&] { return hasStarted("a"); }, Milliseconds(3000)));
+    }
+
+    /// Guards against state of the incarnation in between.
+    void start_sentBeforeTwoRestarts_neverRunsTwice()
+    {
+        start(2);
+        restartUnnoticed();
+        delayReplies<WorkerStart>(Milliseconds(500));
+        submit("a", longTask);
+        CPPUNIT_ASSERT(startsOnTheFirstWorker("a"));
+        simulation_->publishWorker(0);
+        simulation_->advance(Milliseconds(20));
+        restartUnnoticed();
+        simulation_->advance(Milliseconds(20));
+        simulation_->publishWorker(0);
+        simulation_->advance(Milliseconds(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+        CPPUNIT_ASSERT(advanceUntil([&] { return isCompleted("a"); }));
+    }
+
+    /// Guards against a task that waits for ever for a worker that registers but never answers.
+    void start_sentBeforeARestartOfAnUnreachableWorker_runsElsewhereAfterItsLease()
+    {
+        start(2);
+        restartUnnoticed();
+        submit("a", longTask);
+        CPPUNIT_ASSERT(startsOnTheFirstWorker("a"));
+        const WorkerId first = simulation_->starts().front().worker;
+        simulation_->workerDelivery = [=](const InstanceId &, const WorkerRequest &request) {
+            return request.worker == first ? CellSimulation::Delivery::Lost
+                                           : CellSimulation::Delivery::Delivered;
+        };
+        simulation_->publishWorker(0);
+        CPPUNIT_ASSERT(advanceUntil([&] { return simulation_->startsOf(JobId("a")) == 2; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    /// Guards against a start that reaches the next incarnation after the earlier one refused it.
+    void stop_acceptedByTheEarlierIncarnation_isSentToTheNextOne()
+    {
+        start(2);
+        lose<WorkerStart>(CellSimulation::Delivery::Lost, 1);
+        submit("a", longTask);
+        std::set<WorkerId> stopped;
+        simulation_->workerDelivery = [&](const InstanceId &, const WorkerRequest &request) {
+            if (std::holds_alternative<WorkerStop>(request.command))
+                stopped.insert(request.worker);
+            return CellSimulation::Delivery::Delivered;
+        };
+        CPPUNIT_ASSERT(advanceUntil([&] { return !stopped.empty(); }));
+        simulation_->advance(Milliseconds(5));
+        stopped.clear();
+        restartUnnoticed();
+        simulation_->publishWorker(0);
+        CPPUNIT_ASSERT(advanceUntil([&] { return isCompleted("a"); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), stopped.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    /// Guards against a new holder that doesn't know which incarnation has the run.
+    void holder_replacedAfterARestart_startsNothingTwice()
+    {
+        start(2);
+        restartUnnoticed();
+        submit("a", longTask);
+        CPPUNIT_ASSERT(startsOnTheFirstWorker("a"));
+        simulation_->publishWorker(0);
+        simulation_->kill(*simulation_->holder());
+        assertRunsOnce("a");
+    }
+
 private:
     static constexpr Milliseconds limit {20'000};
+    static constexpr Milliseconds longTask {4000};
 
     void start(std::size_t workers)
     {
@@ -63,6 +231,45 @@
         CPPUNIT_ASSERT(advanceUntil(
                 [&] { return simulation_->stateOf(0, JobId(id)) == JobState::Completed; }));
     }
+    bool isCompleted(const std::string &id)
+    {
+        return simulation_->stateOf(1, JobId(id)) == JobState::Completed;
+    }
+    /// The process of the first worker restarts behind a partition, so that calls in flight stay
+    /// unanswered, and its entry is outdated.
+    void restartUnnoticed()
+    {
+        simulation_->worker(0).resetsConnections = false;
+        simulation_->worker(0).restart(simulation_->now());
+    }
+    bool startsOnTheFirstWorker(const std::string &id)
+    {
+        return advanceUntil([&] { return hasStarted(id); })
+                && simulation_->starts().front().worker == simulation_->worker(0).entry.id;
+    }
+    void assertRunsOnce(const std::string &id)
+    {
+        CPPUNIT_ASSERT(advanceUntil([&] { return isCompleted(id); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId(id)));
+    }
+    template<class Command>
+    void lose(CellSimulation::Delivery delivery, int count)
+    {
+        simulation_->workerDelivery
+                = [=, left = count](const InstanceId &, const WorkerRequest &request) mutable {
+                      return std::holds_alternative<Command>(request.command) && left-- > 0
+                              ? delivery
+                              : CellSimulation::Delivery::Delivered;
+                  };
+    }
+    template<class Command>
+    void delayCalls(Milliseconds delay, int count)
+    {
+        simulation_->workerDelay = [=, left = count](const WorkerRequest &request) mutable {
+            return std::holds_alternative<Command>(request.command) && left-- > 0 ? delay
+                                                                                  : Milliseconds();
+        };
+    }
     bool hasStarted(const std::string &id) const { return simulation_->startsOf(JobId(id)) > 0; }
     template<class Command>
     void delayReplies(Milliseconds delay)
