Pass bounds on in the platform's unit and convert them once

Cause: the template appended zeros to bounds in seconds, and the reader took 120.5000 for 120 ms. The time from SIGTERM to SIGKILL had the same fault; an infinite or undefined number passed all checks.

Change: a bound may be given in seconds or milliseconds and is converted once, rounded so that it is kept: leases and lifetimes up, the grace time down. Numbers out of range, other types and a bound in both units are refused with key, value and remedy; so is a processor share out of range. Keys of an earlier template are still read.

--- a/Source/Command/CellSettingsReader.cpp
+++ b/Source/Command/CellSettingsReader.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 
 namespace caraway {
 
@@ -14,6 +15,7 @@
 
 using cell::Address;
 using cell::CellSettings;
+using TomlNode = toml::node_view<const toml::node>;
 
 struct AddressKey
 {
@@ -22,9 +24,24 @@
     bool required = true;
 };
 
-struct DurationKey
+enum class DurationUnit {
+    Milliseconds,
+    Seconds,
+};
+
+/// How a fraction of a millisecond is rounded; the one that keeps the bound.
+enum class Rounding {
+    Up,
+    Down,
+};
+
+/// A bound, with a key for each unit in which it may be given.
+struct DurationBound
 {
     std::string_view name;
+    Rounding rounding;
+    Milliseconds minimum;
+    Milliseconds maximum;
     Milliseconds CellSettings::*member;
 };
 
@@ -34,12 +51,21 @@
         {"store", &CellSettings::store},     {"approvals", &CellSettings::approvals, false},
 };
 
-constexpr DurationKey durationKeys[] = {
-        {"worker_lease_ms", &CellSettings::workerLease},
-        {"result_lifetime_ms", &CellSettings::resultLifetime},
-        {"stop_grace_ms", &CellSettings::stopGrace},
+constexpr Milliseconds second {1000};
+constexpr Milliseconds hour = second * 3600;
+constexpr Milliseconds month = hour * 720;
+
+// A lease counts as expired and a result is removed rather late than early; the process ends rather
+// early than late.
+constexpr DurationBound durationBounds[] = {
+        {"worker_lease", Rounding::Up, Milliseconds(100), hour, &CellSettings::workerLease},
+        {"result_lifetime", Rounding::Up, second, month, &CellSettings::resultLifetime},
+        {"stop_grace", Rounding::Down, Milliseconds(100), hour, &CellSettings::stopGrace},
 };
 
+constexpr double millicoresPerProcessor = 1000;
+constexpr double maxProcessors = 1024;
+
 /// An InvalidSettings error that states \a file, \a key, \a problem and the remedy.
 auto invalidKey(const std::string &file, std::string_view key, std::string_view problem)
 {
@@ -47,6 +73,14 @@
                 fmt::format("{}: {} {}. Correct the key and start again.", file, key, problem));
 }
 
+/// The value as the file states it.
+std::string textOf(const TomlNode &node)
+{
+    std::ostringstream text;
+    text << node;
+    return text.str();
+}
+
 Result<Address> parseAddress(const std::string &text, const std::string &file, std::string_view key)
 {
     const std::size_t colon = text.rfind(':');
@@ -84,29 +118,57 @@
 Result<void> readProcessors(const toml::table &table, const std::string &file,
                             CellSettings &settings)
 {
-    constexpr double millicoresPerProcessor = 1000;
     const auto node = table["instance"]["processor_share"];
     if (!node)
         return {};
     const std::optional<double> value = node.value<double>();
-    if (!value || !(*value > 0))
+    if (!value || !(*value >= 1 / millicoresPerProcessor && *value <= maxProcessors)) {
         return invalidKey(file, "instance.processor_share",
-                          "is not a positive number of processors");
+                          fmt::format("is {}, not a number of processors from {} to {}",
+                                      textOf(node), 1 / millicoresPerProcessor, maxProcessors));
+    }
     settings.processors = Millicores(std::llround(*value * millicoresPerProcessor));
     return {};
 }
 
+Result<Milliseconds> toMilliseconds(const TomlNode &node, const std::string &file,
+                                    const std::string &key, DurationUnit unit,
+                                    const DurationBound &bound)
+{
+    const bool isInSeconds = unit == DurationUnit::Seconds;
+    const double perUnit = isInSeconds ? static_cast<double>(second.count()) : 1;
+    const auto minimum = static_cast<double>(bound.minimum.count()) / perUnit;
+    const auto maximum = static_cast<double>(bound.maximum.count()) / perUnit;
+    const std::optional<double> value = node.value<double>();
+    if (!value || !(*value >= minimum && *value <= maximum)) {
+        return invalidKey(file, key,
+                          fmt::format("is {}, not a number of {} from {} to {}", textOf(node),
+                                      isInSeconds ? "seconds" : "milliseconds", minimum, maximum));
+    }
+    const double exact = *value * perUnit;
+    return Milliseconds(static_cast<std::int64_t>(
+            bound.rounding == Rounding::Up ? std::ceil(exact) : std::floor(exact)));
+}
+
 Result<void> readBounds(const toml::table &table, const std::string &file, CellSettings &settings)
 {
-    for (const DurationKey &key : durationKeys) {
-        const auto node = table["bounds"][key.name];
-        if (!node)
+    for (const DurationBound &bound : durationBounds) {
+        const std::string inSeconds = fmt::format("{}_s", bound.name);
+        const std::string inMilliseconds = fmt::format("{}_ms", bound.name);
+        const auto seconds = table["bounds"][inSeconds];
+        const auto milliseconds = table["bounds"][inMilliseconds];
+        if (seconds && milliseconds) {
+            return invalidKey(file, fmt::format("bounds.{}", inSeconds),
+                              fmt::format("is given as well as bounds.{}", inMilliseconds));
+        }
+        if (!seconds && !milliseconds)
             continue;
-        const std::optional<double> value = node.value<double>();
-        if (!value || *value <= 0)
-            return invalidKey(file, fmt::format("bounds.{}", key.name),
-                              "is not a positive number of milliseconds");
-        settings.*key.member = Milliseconds(static_cast<std::int64_t>(*value));
+        const std::string key = fmt::format("bounds.{}", seconds ? inSeconds : inMilliseconds);
+        BOOST_LEAF_AUTO(duration,
+                        toMilliseconds(seconds ? seconds : milliseconds, file, key,
+                                       seconds ? DurationUnit::Seconds : DurationUnit::Milliseconds,
+                                       bound));
+        settings.*bound.member = duration;
     }
     return {};
 }
