End a former holder's renewals of leases 4.7 s sooner

Cause: two terms added up in the next holder's wait, the time for which a holder without the store renews leases (7 s from the claim) and the longest lease after that.

A lease ends at an absolute time, so the next holder waits for 2.3 s and a lease.

--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -54,8 +54,10 @@
     void setWorker(const WorkerEntry &entry) { fleet_.setEntry(entry); }
     void removeWorker(const WorkerId &id) { fleet_.removeEntry(id); }
 
-    /// The latest time at which an earlier holder may renew leases of workers.
+    /// The latest time at which an earlier holder may renew leases of workers by their full length.
     void setEarlierRenewalsEnd(TimePoint time) { fleet_.setEarlierRenewalsEnd(time); }
+    /// No lease of a worker is renewed beyond \a time.
+    void setLatestLeaseEnd(TimePoint time) { fleet_.setLatestLeaseEnd(time); }
 
     /// Does all periodic work that is due; tasks are started and leases extended only if
     /// \a maySchedule.
--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -81,7 +81,7 @@
     lastTick_ = now;
     if (isHolder()) {
         renewIfDue();
-        if (now - confirmedAt_ > confirmationLimit)
+        if (now - confirmedAt_ > confirmationLimit(context_.settings().workerLease))
             handle(Event::ConfirmationOverdue);
         return;
     }
@@ -127,8 +127,9 @@
 
 void HolderElection::confirm(TimePoint sentAt)
 {
+    const Milliseconds limit = confirmationLimit(context_.settings().workerLease);
     confirmedAt_ = std::max(confirmedAt_, sentAt);
-    if (sentAt >= confirmationNeededFrom_ && context_.now() - sentAt <= confirmationLimit)
+    if (sentAt >= confirmationNeededFrom_ && context_.now() - sentAt <= limit)
         handle(Event::Confirmed);
 }
 
@@ -177,8 +178,8 @@
             && holder_->processors * undersizedFactor <= context_.settings().processors;
 }
 
-/// A holder renews leases of workers for confirmationLimit after the claim of the next one at most,
-/// and none after its end.
+/// A holder was confirmed before the claim of the next one at the latest, and renews no leases
+/// after its end.
 void HolderElection::setHolder(const HolderRecord &holder)
 {
     const bool isNew = !holder_ || holder_->generation != holder.generation;
@@ -186,7 +187,7 @@
         holder_ = holder;
         return;
     }
-    const TimePoint renewalsEnd = context_.now() + confirmationLimit;
+    const TimePoint renewalsEnd = context_.now() + renewalLimit;
     formerHolder_.reset();
     if (holder_ && holder_->generation + 1 == holder.generation) {
         olderRenewalsEnd_ = earlierRenewalsEnd();
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/LeaseLimits.h"
 #include "Cell/RecordWatcher.h"
 #include "Core/Lifecycle.h"
 
@@ -75,13 +76,16 @@
     /// Send time of the latest list, or of the claim, by which the store named this process as
     /// the holder.
     TimePoint confirmedAt() const { return confirmedAt_; }
+    /// The latest time until which this process, as the holder, may renew leases of workers.
+    TimePoint latestLeaseEnd() const
+    {
+        return confirmedAt_ + renewalLimit + context_.settings().workerLease;
+    }
 
-    /// The latest time at which a holder before the known one may renew leases of workers.
+    /// The latest time at which a holder before the known one may renew leases of workers by their
+    /// full length.
     TimePoint earlierRenewalsEnd() const { return std::max(olderRenewalsEnd_, formerRenewalsEnd_); }
 
-    /// Without a confirmation for this long, a holder neither starts tasks nor renews leases.
-    static constexpr Milliseconds confirmationLimit {7000};
-
 private:
     void handle(Event event) { lifecycle_.handle(*this, event); }
     void requestLease();
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -1,5 +1,7 @@
 #include "Cell/WorkerFleet.h"
 
+#include "Cell/LeaseLimits.h"
+
 namespace caraway::cell {
 
 namespace {
@@ -17,9 +19,6 @@
 constexpr Milliseconds unrecordedHeartbeatInterval {400};
 /// A worker normally replies to a start within milliseconds.
 constexpr Milliseconds startTimeout {700};
-/// The worker refuses a start that arrives later than this after it was sent, so that its
-/// allocation can be released.
-constexpr WorkerTime startWindow {2500};
 constexpr Milliseconds stopTimeout {700};
 constexpr Milliseconds stopRetryInterval {600};
 constexpr Milliseconds unansweredBackoff {1500};
@@ -306,7 +305,7 @@
     const TimePoint now = context_.now();
     placement->startSent = true;
     placement->sentAt = worker->estimatedClock(now);
-    const WorkerTime deadline = placement->sentAt + startWindow;
+    const WorkerTime deadline = placement->sentAt + WorkerTime(startWindow.count());
     placement->startDeadline = deadline;
     worker->extendLeaseBound(deadline);
     WorkerStart start {request.task,
@@ -534,12 +533,15 @@
                         });
 }
 
-/// The lease of a worker that has announced when it leaves lasts little longer, as its runs count
-/// as running until the lease has expired if the worker is lost.
+/// Until the latest time that this holder's last confirmation allows. The lease of a worker that
+/// has announced when it leaves lasts little longer, as its runs count as running until the lease
+/// has expired if the worker is lost.
 WorkerTime WorkerFleet::renewedLeaseEnd(const CellWorker &worker) const
 {
     const WorkerTime now = worker.estimatedClock(context_.now());
-    const WorkerTime full = now + WorkerTime(context_.settings().workerLease.count());
+    const Milliseconds longest
+            = std::min(context_.settings().workerLease, latestLeaseEnd_ - context_.now());
+    const WorkerTime full = now + WorkerTime(longest.count());
     const std::optional<WorkerTime> remaining = worker.timeToLeaving(context_.now());
     if (!remaining)
         return full;
@@ -651,8 +653,8 @@
 void WorkerFleet::restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
 {
     const Milliseconds lease = context_.settings().workerLease;
-    const TimePoint leaseEnd = context_.now() + startTimeout + lease + lease / clockDriftDivisor
-            + Milliseconds(startWindow.count());
+    const TimePoint leaseEnd
+            = context_.now() + startTimeout + lease + lease / clockDriftDivisor + startWindow;
     const std::optional<WorkerIncarnation> earlier = worker.incarnation;
     reportCrash(worker, [](const Placement &placement) {
         return placement.startSent && !mayBeOnNextIncarnation(placement);
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -49,9 +49,12 @@
     WorkerFleet(CellContext &context, Handlers handlers);
 
     /// Starts a term; \a roster lists the workers that earlier holders may have used.
-    /// \a earlierRenewalsEnd is the latest time at which an earlier holder may renew leases.
+    /// \a earlierRenewalsEnd is the latest time at which an earlier holder may renew leases by
+    /// their full length.
     void startTerm(FencingToken token, const Roster &roster, TimePoint earlierRenewalsEnd);
     void setEarlierRenewalsEnd(TimePoint time) { earlierRenewalsEnd_ = time; }
+    /// No lease is renewed beyond \a time.
+    void setLatestLeaseEnd(TimePoint time) { latestLeaseEnd_ = time; }
     void endTerm();
     void setEntry(const WorkerEntry &entry);
     void removeEntry(const WorkerId &id);
@@ -160,6 +163,7 @@
     bool active_ = false;
     TimePoint termStartedAt_;
     TimePoint earlierRenewalsEnd_;
+    TimePoint latestLeaseEnd_;
     bool recovered_ = false;
     /// An unread worker of the roster may have runs of any older job.
     bool isOpenWorkerUnread_ = false;
--- a/Tests/Cell/LossSchedule.cpp
+++ b/Tests/Cell/LossSchedule.cpp
@@ -23,7 +23,7 @@
 /// The lease that a leaving worker has after its announced time.
 constexpr Milliseconds leavingLeaseBound {2500 + 50 + 150 + 50};
 /// How long an earlier holder may renew leases, and the longest lease after that (KNOWN-RED.txt).
-constexpr Milliseconds takeoverBound {7000 + 6000 + 120 + 300 + 50};
+constexpr Milliseconds takeoverBound {2300 + 6000 + 120 + 300 + 50};
 /// Until a holder has found that a worker is lost, and has stored that it is closed.
 constexpr Milliseconds closesWorkerWithin {5000};
 constexpr Milliseconds readsWorkersWithin {1000};
--- a/Tests/Cell/TakeoverBoundTest.cpp
+++ b/Tests/Cell/TakeoverBoundTest.cpp
@@ -11,6 +11,9 @@
 class TakeoverBoundTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TakeoverBoundTest);
+    CPPUNIT_TEST(holder_lostForGoodWithAWorker_othersStartItsTasksWithinTheRule);
+    CPPUNIT_TEST(holder_cutOffFromTheStoreAndItsPeers_renewsNoLeaseBeyondTheNextOnesBound);
+    CPPUNIT_TEST(store_awayForSevenSeconds_endsNoRun);
     CPPUNIT_TEST(holder_restartedAfterItWasLostWithAWorker_othersWaitOnlyForTheLease);
     CPPUNIT_TEST(holder_restartedBeforeItsWorkersLeaseEnds_startsNothingTwice);
     CPPUNIT_TEST_SUITE_END();
@@ -43,8 +46,64 @@
         simulation_->advance(Milliseconds(300));
     }
 
-    /// A holder that was killed without notice may still renew leases for 7 s, as far as the next
-    /// one knows. Its next incarnation shows that it does not.
+    /// Guards against a task that waits for a former holder's renewals as well as for the lease.
+    void holder_lostForGoodWithAWorker_othersStartItsTasksWithinTheRule()
+    {
+        for (std::size_t i = 1; i < 4; ++i) {
+            simulation_->worker(i).entry.labels = {lost, kept};
+            simulation_->publishWorker(i);
+        }
+        simulation_->kill(*simulation_->holder());
+        simulation_->removeWorker(0);
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 2; }, ruleLimit));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    /// Guards against runs of the former holder beside those of the next one.
+    void holder_cutOffFromTheStoreAndItsPeers_renewsNoLeaseBeyondTheNextOnesBound()
+    {
+        const std::size_t old = *simulation_->holder();
+        const InstanceId cutOff("entry-" + std::to_string(old));
+        simulation_->storeDelivery = [=](const InstanceId &from, const StoreRequest &) {
+            return from == cutOff ? CellSimulation::Delivery::Lost
+                                  : CellSimulation::Delivery::Delivered;
+        };
+        simulation_->peerDelivery = [=](const InstanceId &from, const PeerMessage &) {
+            return from == cutOff ? CellSimulation::Delivery::Lost
+                                  : CellSimulation::Delivery::Delivered;
+        };
+        simulation_->workerDelivery = [=, this](const InstanceId &from,
+                                                const WorkerRequest &request) {
+            const bool isLost = from != cutOff && simulation_->indexOf(request.worker) == 0;
+            return isLost ? CellSimulation::Delivery::Lost : CellSimulation::Delivery::Delivered;
+        };
+        for (std::size_t i = 1; i < 4; ++i) {
+            simulation_->worker(i).entry.labels = {lost, kept};
+            simulation_->publishWorker(i);
+        }
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 2; }, longWait));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void store_awayForSevenSeconds_endsNoRun()
+    {
+        for (std::int64_t phase = 0; phase < 1000; phase += 100) {
+            setUp();
+            simulation_->advance(Milliseconds(phase));
+            simulation_->storeDelivery = [](const InstanceId &, const StoreRequest &) {
+                return CellSimulation::Delivery::Lost;
+            };
+            simulation_->advance(Milliseconds(7000));
+            simulation_->storeDelivery = nullptr;
+            simulation_->advance(Milliseconds(5000));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+        }
+    }
+
+    /// A holder that was killed without notice may still renew leases, as far as the next one
+    /// knows. Its next incarnation shows that it does not.
     void holder_restartedAfterItWasLostWithAWorker_othersWaitOnlyForTheLease()
     {
         const std::size_t old = *simulation_->holder();
@@ -95,6 +154,9 @@
     }
 
     static constexpr Milliseconds longWait {20'000};
+    /// A task must not wait for longer after a loss: 3 s until the fleet counts as calm, 4 s of
+    /// calm, and 3 s.
+    static constexpr Milliseconds ruleLimit {10'000};
     /// The worker's lease on a clock that is two percent slow, with its margin.
     static constexpr Milliseconds longestLease {6420};
     /// The restart, the first message of the new incarnation and the use of a free worker.
