Read workers at intervals while the holder is unconfirmed

Cause: a heartbeat without a renewal does not wait on the worker, and the next one followed its reply at once. A holder without a confirmation thus called each worker as fast as it replied: 1000 heartbeats in one second to two workers in simulated time. With many workers this takes the processor time that the holder needs to be confirmed again.

Change: without a renewal the next heartbeat follows after 250 ms.

Evidence: holder_unconfirmed_readsItsWorkersAtIntervals failed before with 1000 heartbeats and allows 19.

--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -526,10 +526,10 @@
         heartbeat.wait = heartbeatWait;
     context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat},
                         heartbeat.wait + heartbeatMargin,
-                        [this, term = term_,
+                        [this, term = term_, mayRenew,
                          target = worker.callTarget(context_.now())](const WorkerReply &reply) {
                             if (term == term_)
-                                onHeartbeatReply(target, reply);
+                                onHeartbeatReply(target, mayRenew, reply);
                         });
 }
 
@@ -548,7 +548,8 @@
     return std::min(full, now + std::max(*remaining, WorkerTime()) + leavingLeaseMargin);
 }
 
-void WorkerFleet::onHeartbeatReply(const CallTarget &target, const WorkerReply &reply)
+void WorkerFleet::onHeartbeatReply(const CallTarget &target, bool mayRenew,
+                                   const WorkerReply &reply)
 {
     CellWorker *worker = findWorker(target.worker);
     if (!worker)
@@ -570,7 +571,10 @@
     handleLists(*worker, target, reply);
     if (!isLatest)
         return;
-    if (worker->unrecordedCompletions.empty())
+    // Without a renewal the worker replies without waiting.
+    if (!mayRenew)
+        worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
+    else if (worker->unrecordedCompletions.empty())
         scheduleHeartbeat(*worker);
     else
         worker->nextHeartbeat = context_.now() + unrecordedHeartbeatInterval;
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -108,7 +108,7 @@
     void sendHeartbeat(CellWorker &worker, bool mayRenew);
     void scheduleHeartbeat(CellWorker &worker);
     WorkerTime renewedLeaseEnd(const CellWorker &worker) const;
-    void onHeartbeatReply(const CallTarget &target, const WorkerReply &reply);
+    void onHeartbeatReply(const CallTarget &target, bool mayRenew, const WorkerReply &reply);
     void handleLists(CellWorker &worker, const CallTarget &target, const WorkerReply &reply);
     void handleCompletions(CellWorker &worker, const WorkerReply &reply);
     void handleRunningTasks(CellWorker &worker, const WorkerReply &reply);
--- a/Tests/Cell/LostCallsTest.cpp
+++ b/Tests/Cell/LostCallsTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(commit_withoutAnyReply_isSentAgain);
     CPPUNIT_TEST(listOfTheHolder_withoutAnyReply_isReadAgain);
     CPPUNIT_TEST(approvalRequest_withoutAnyReply_isSentAgain);
+    CPPUNIT_TEST(holder_unconfirmed_readsItsWorkersAtIntervals);
     CPPUNIT_TEST(calls_inFlightDuringAPause_areCompletedByTheirReplies);
     CPPUNIT_TEST_SUITE_END();
 
@@ -37,6 +38,23 @@
                 simulation_->advanceUntil([&] { return startsOf("a") == 1; }, longestIdleTime));
     }
 
+    /// Guards against heartbeats as fast as the workers reply while the store is away.
+    void holder_unconfirmed_readsItsWorkersAtIntervals()
+    {
+        simulation_->storeDelivery
+                = [](const InstanceId &, const StoreRequest &) { return Delivery::Lost; };
+        simulation_->advance(Milliseconds(9000));
+        CPPUNIT_ASSERT(simulation_->holder().has_value());
+        std::size_t heartbeats = 0;
+        simulation_->workerDelivery = [&](const InstanceId &, const WorkerRequest &request) {
+            heartbeats += std::holds_alternative<WorkerHeartbeat>(request.command) ? 1 : 0;
+            return Delivery::Delivered;
+        };
+        simulation_->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT_GREATER(std::size_t(0), heartbeats);
+        CPPUNIT_ASSERT_LESS(std::size_t(20), heartbeats);
+    }
+
     void heartbeat_withoutAnyReply_isSentAgain()
     {
         // Longer than a heartbeat waits, so that the next one is answered by the completion.
