Judge a call's time limit by when the tick was created

Cause: a call without a reply counts as unanswered 300 ms after its time limit, by the time at which a tick is handled. In a process that handles events late, the replies received in time were still queued behind that tick, so sound workers counted as silent and their runs were started again.

Change: a tick carries the time of its creation, and calls expire by that. All replies received before it have been handled by then.

--- a/Source/Cell/CellContext.h
+++ b/Source/Cell/CellContext.h
@@ -123,11 +123,12 @@
     }
 
     /// Completes the calls that neither a reply nor their timeout has completed, as when a full
-    /// ring has dropped it.
-    void tick()
+    /// ring has dropped it. All replies that were received before \a createdAt have been handled,
+    /// however late this process is.
+    void tick(TimePoint createdAt)
     {
-        activeTime_ = activeTime_ + std::min(now_ - lastTick_, maxTickGap);
-        lastTick_ = now_;
+        activeTime_ = activeTime_ + std::min(createdAt - lastTick_, maxTickGap);
+        lastTick_ = createdAt;
         storeCalls_.expire(activeTime_);
         workerCalls_.expire(activeTime_);
         approvalCalls_.expire(activeTime_);
@@ -203,6 +204,8 @@
     static constexpr Milliseconds replyMargin {300};
     /// A longer gap between two ticks is a pause, whose replies may be handled after the next tick.
     static constexpr Milliseconds maxTickGap {100};
+    /// How late a tick may be handled; a longer time without one is a pause.
+    static constexpr Milliseconds maxTickDelay {10'000};
 
     void recordStoreOutcome(StoreOutcome outcome)
     {
@@ -211,7 +214,11 @@
         if (wasServing != storeHealth_.isServing())
             log("event=store_{}", wasServing ? "unavailable" : "available");
     }
-    TimePoint deadlineOf(Milliseconds timeout) const { return activeTime_ + timeout + replyMargin; }
+    TimePoint deadlineOf(Milliseconds timeout) const
+    {
+        const Milliseconds sinceTick = std::clamp(now_ - lastTick_, Milliseconds(), maxTickDelay);
+        return activeTime_ + sinceTick + timeout + replyMargin;
+    }
     CallId nextCall() { return lastCall_ = lastCall_.next(); }
 
     CellSettings settings_;
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -102,9 +102,9 @@
             && context_.now() - configuration_.confirmedAt() < configurationAgeLimit;
 }
 
-void CellInstance::on(const Tick & /*tick*/)
+void CellInstance::on(const Tick &tick)
 {
-    context_.tick();
+    context_.tick(tick.createdAt);
     configuration_.tick();
     election_.tick();
     jobsAndCancelsWatcher_.tick();
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -28,6 +28,8 @@
 };
 struct Tick
 {
+    /// Events that are handled after it were received later.
+    TimePoint createdAt;
 };
 struct StopRequested
 {
--- a/Source/CellDuties/EntryProcess.h
+++ b/Source/CellDuties/EntryProcess.h
@@ -33,7 +33,7 @@
     {
         instance_.start(clock_.now(), wallTime());
         dispatchActions();
-        TickDuty ticks(events_);
+        TickDuty ticks(events_, clock_);
         while (!isStopComplete()) {
             const std::optional<DutyEvent> event = events_.take();
             if (!event)
--- a/Source/CellDuties/TickDuty.h
+++ b/Source/CellDuties/TickDuty.h
@@ -13,8 +13,9 @@
 class TickDuty
 {
 public:
-    explicit TickDuty(CellEventRing &events)
+    TickDuty(CellEventRing &events, const Clock &clock)
         : events_(events)
+        , clock_(clock)
         , timer_(thread_.context())
     {
         schedule();
@@ -32,12 +33,13 @@
         timer_.async_wait([this](boost::system::error_code error) {
             if (error)
                 return;
-            events_.offer(CellEvent(Tick {}));
+            events_.offer(CellEvent(Tick {clock_.now()}));
             schedule();
         });
     }
 
     CellEventRing &events_;
+    const Clock &clock_;
     IoThread thread_;
     boost::asio::steady_timer timer_;
 };
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -364,7 +364,7 @@
         return;
     for (std::size_t i = 0; i < instances_.size(); ++i) {
         if (!instances_[i].isPaused)
-            deliver(i, instances_[i].incarnation, Tick {});
+            deliver(i, instances_[i].incarnation, Tick {now_});
     }
 }
 
--- a/Tests/Cell/LostCallsTest.cpp
+++ b/Tests/Cell/LostCallsTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(approvalRequest_withoutAnyReply_isSentAgain);
     CPPUNIT_TEST(holder_unconfirmed_readsItsWorkersAtIntervals);
     CPPUNIT_TEST(calls_inFlightDuringAPause_areCompletedByTheirReplies);
+    CPPUNIT_TEST(call_ofALateProcess_isUnansweredOnlyAfterItsTimeLimit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -143,13 +144,36 @@
     }
 
     /// After a pause, the replies that arrived meanwhile may be handled later than the first tick.
+    /// Guards against sound workers that count as silent, as their replies are handled late.
+    void call_ofALateProcess_isUnansweredOnlyAfterItsTimeLimit()
+    {
+        const auto at = [](std::int64_t ms) { return TimePoint(Milliseconds(ms)); };
+        CellContext context({}, {});
+        int replies = 0;
+        context.setTime(at(3000), {});
+        context.tick(at(1000));
+        context.callStore(
+                StoreGet {{RecordType::Holder, {}}}, [&](const StoreReply &) { ++replies; },
+                Milliseconds(500));
+        for (std::int64_t created = 1025; created < 3500; created += 25) {
+            context.setTime(at(created + 2000), {});
+            context.tick(at(created));
+        }
+        CPPUNIT_ASSERT_EQUAL(0, replies);
+        for (std::int64_t created = 3500; created < 4000; created += 25) {
+            context.setTime(at(created + 2000), {});
+            context.tick(at(created));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, replies);
+    }
+
     void calls_inFlightDuringAPause_areCompletedByTheirReplies()
     {
         CellContext context({}, {});
         int replies = 0;
         StoreOutcome outcome = StoreOutcome::Unanswered;
         context.setTime(TimePoint(Milliseconds(1000)), {});
-        context.tick();
+        context.tick(context.now());
         context.callStore(
                 StoreGet {{RecordType::Holder, {}}},
                 [&](const StoreReply &reply) {
@@ -159,7 +183,7 @@
                 Milliseconds(500));
         const CallId call = context.takeActions().store.front().id;
         context.setTime(TimePoint(Milliseconds(60'000)), {});
-        context.tick();
+        context.tick(context.now());
         CPPUNIT_ASSERT_EQUAL(0, replies);
         context.complete(call, StoreReply {StoreOutcome::Done, {}, false, {}, {}});
         CPPUNIT_ASSERT_EQUAL(1, replies);
