Describe what tells the incarnation of a reply

Cause: sourceOf() had no description, a reader could not tell that only lists name an incarnation; resetWorker()'s still named restarts, which restartWorker() handles now.

Change: comments of two headers, no code.

--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -46,12 +46,12 @@
 };
 
 /// A worker as the holder knew it when it sent a call. The worker may start again under its id, so
-/// an earlier or a later incarnation may send the reply.
+/// another incarnation may send the reply.
 struct CallTarget
 {
     WorkerId worker;
     std::optional<WorkerIncarnation> incarnation;
-    /// The worker's clock in its last reply.
+    /// The worker's clock in its last reply before the call.
     WorkerTime clock;
     TimePoint sentAt;
 };
@@ -119,6 +119,8 @@
     std::size_t orphanedRuns = 0;
 
     CallTarget callTarget(TimePoint now) const { return {id_, incarnation, clock_, now}; }
+    /// Which incarnation has sent \a reply to a call to \a target. Only a list of runs names its
+    /// incarnation; of other replies, the target and the clock tell.
     ReplySource sourceOf(const CallTarget &target, const WorkerReply &reply, TimePoint now) const;
     /// The present incarnation was running at \a time.
     void setSeenAt(TimePoint time) { seenAt_ = std::max(seenAt_, time); }
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -125,8 +125,8 @@
     void resendStops(CellWorker &worker);
     void removePlacement(CellWorker &worker, const TaskKey &task, RunNumber run,
                          WorkerOutcome outcome);
-    /// Discards what is known about the worker, after its restart or the expiry of its lease, and
-    /// reports that its runs are not on it any more.
+    /// Discards what is known about the worker, after the expiry of its lease, and reports that its
+    /// runs are not on it any more.
     void resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
     /// Discards what is known about the earlier incarnation, except the runs whose starts may have
     /// reached the new one.
