--- a/Tests/Cell/LostCallsTest.cpp
+++ b/Tests/Cell/LostCallsTest.cpp
@@ -143,7 +143,6 @@
         CPPUNIT_ASSERT(isDropped);
     }
 
-    /// After a pause, the replies that arrived meanwhile may be handled later than the first tick.
     /// Guards against sound workers that count as silent, as their replies are handled late.
     void call_ofALateProcess_isUnansweredOnlyAfterItsTimeLimit()
     {
@@ -167,6 +166,7 @@
         CPPUNIT_ASSERT_EQUAL(1, replies);
     }
 
+    /// After a pause, the replies that arrived meanwhile may be handled later than the first tick.
     void calls_inFlightDuringAPause_areCompletedByTheirReplies()
     {
         CellContext context({}, {});
