Split WorkerFleet.cpp along its duties

Change: entries and terms stay in WorkerFleet.cpp; the roster, starts and stops, heartbeats, and incarnations have a file each. Constants that several of them need are in WorkerLimits.h (before: LeaseLimits.h), where CellWorker.cpp shares the drift of clocks. wasSent() gave way to the member itself. No other line has changed.

--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -1,11 +1,11 @@
 #include "Cell/CellWorker.h"
 
+#include "Cell/WorkerLimits.h"
+
 namespace caraway::cell {
 
 namespace {
 
-/// A worker's clock may be slow by two percent (1/50).
-constexpr std::int64_t clockDriftDivisor = 50;
 /// For the network delay of the last reply and the rounding of both clocks.
 constexpr Milliseconds leaseMargin {150};
 
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Cell/LeaseLimits.h"
 #include "Cell/RecordWatcher.h"
+#include "Cell/WorkerLimits.h"
 #include "Core/Lifecycle.h"
 
 namespace caraway::cell {
--- /dev/null
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -0,0 +1,214 @@
+#include "Cell/WorkerFleet.h"
+#include "Cell/WorkerLimits.h"
+
+namespace caraway::cell {
+
+namespace {
+
+constexpr Milliseconds heartbeatRetryInterval {250};
+/// How long a lease lasts beyond the time at which the worker may leave; more than a heartbeat
+/// waits and takes, so that it does not expire while the worker stays and answers.
+constexpr WorkerTime leavingLeaseMargin {2500};
+/// Interval of heartbeats while completions are unrecorded: the lease needs renewal, and a worker
+/// with unacknowledged completions replies without waiting.
+constexpr Milliseconds unrecordedHeartbeatInterval {400};
+/// A worker lists at most this many completions in one reply, so a full list may be incomplete.
+constexpr std::size_t maxCompletionsPerReply = 500;
+
+} // namespace
+
+void WorkerFleet::onCompletionRecorded(const WorkerId &id, WorkerIncarnation incarnation,
+                                       CompletionNumber number)
+{
+    CellWorker *worker = findWorker(id);
+    if (!worker || worker->incarnation != incarnation)
+        return;
+    worker->unrecordedCompletions.erase(number);
+    if (worker->unrecordedCompletions.empty())
+        scheduleHeartbeat(*worker);
+}
+
+void WorkerFleet::scheduleHeartbeat(CellWorker &worker)
+{
+    worker.nextHeartbeat = context_.now();
+    dueHeartbeats_.push_back(worker.id());
+}
+
+void WorkerFleet::sendDueHeartbeats(bool mayRenew)
+{
+    for (const WorkerId &id : std::exchange(dueHeartbeats_, {})) {
+        CellWorker *worker = findWorker(id);
+        if (worker && worker->entry && !worker->heartbeatInFlight
+            && context_.now() >= worker->nextHeartbeat)
+            sendHeartbeat(*worker, mayRenew);
+    }
+}
+
+void WorkerFleet::sendHeartbeat(CellWorker &worker, bool mayRenew)
+{
+    if (!worker.isListed && worker.placements.empty() && (worker.isStateRead || recovered_))
+        return;
+    worker.heartbeatInFlight = true;
+    WorkerHeartbeat heartbeat;
+    heartbeat.acknowledged = worker.highestAcknowledgeable();
+    // A renewal without a reply may still have reached the worker, so each raises the latest time
+    // at which the worker's lease may end. If renewals to an unreachable worker continued, the
+    // holder could never conclude that its runs have ended; nor those to an unhealthy one, which
+    // does not renew its lease.
+    const bool isAnswering = worker.unansweredCalls == 0 && !worker.isUnhealthy;
+    if (mayRenew && worker.hasClock() && isAnswering) {
+        heartbeat.deadline = renewedLeaseEnd(worker);
+        worker.extendLeaseBound(heartbeat.deadline);
+    }
+    if (worker.isStateRead && mayRenew && isAnswering)
+        heartbeat.wait = heartbeatWait;
+    context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat},
+                        heartbeat.wait + heartbeatMargin,
+                        [this, term = term_, mayRenew,
+                         target = worker.callTarget(context_.now())](const WorkerReply &reply) {
+                            if (term == term_)
+                                onHeartbeatReply(target, mayRenew, reply);
+                        });
+}
+
+/// Until the latest time that this holder's last confirmation allows. The lease of a worker that
+/// has announced when it leaves lasts little longer, as its runs count as running until the lease
+/// has expired if the worker is lost.
+WorkerTime WorkerFleet::renewedLeaseEnd(const CellWorker &worker) const
+{
+    const WorkerTime now = worker.estimatedClock(context_.now());
+    const Milliseconds longest
+            = std::min(context_.settings().workerLease, latestLeaseEnd_ - context_.now());
+    const WorkerTime full = now + WorkerTime(longest.count());
+    const std::optional<WorkerTime> remaining = worker.timeToLeaving(context_.now());
+    if (!remaining)
+        return full;
+    return std::min(full, now + std::max(*remaining, WorkerTime()) + leavingLeaseMargin);
+}
+
+void WorkerFleet::onHeartbeatReply(const CallTarget &target, bool mayRenew,
+                                   const WorkerReply &reply)
+{
+    CellWorker *worker = findWorker(target.worker);
+    if (!worker)
+        return;
+    // After a restart the next heartbeat does not wait for the reply to this one.
+    const bool isLatest = target.incarnation == worker->incarnation;
+    if (isLatest) {
+        worker->heartbeatInFlight = false;
+        worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
+    }
+    const ReplySource source = updateFromReply(*worker, target, reply);
+    if (reply.outcome != WorkerOutcome::Done || source == ReplySource::Other) {
+        if (isLatest)
+            worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
+        return;
+    }
+    if (source == ReplySource::Present)
+        worker->setSeenAt(target.sentAt);
+    handleLists(*worker, target, reply);
+    if (!isLatest)
+        return;
+    // Without a renewal the worker replies without waiting.
+    if (!mayRenew)
+        worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
+    else if (worker->unrecordedCompletions.empty())
+        scheduleHeartbeat(*worker);
+    else
+        worker->nextHeartbeat = context_.now() + unrecordedHeartbeatInterval;
+}
+
+void WorkerFleet::handleLists(CellWorker &worker, const CallTarget &target,
+                              const WorkerReply &reply)
+{
+    handleCompletions(worker, reply);
+    handleRunningTasks(worker, reply);
+    if (reply.completed.size() < maxCompletionsPerReply) {
+        removeAbsentPlacements(worker, target, reply);
+        worker.isStateRead = true;
+    }
+}
+
+void WorkerFleet::handleCompletions(CellWorker &worker, const WorkerReply &reply)
+{
+    for (const CompletedRun &completion : reply.completed) {
+        if (completion.number <= worker.highestCompletion)
+            continue;
+        worker.highestCompletion = completion.number;
+        if (handlers_.completed(worker, completion))
+            worker.unrecordedCompletions.insert(completion.number);
+        removePlacement(worker, completion.task, completion.run, WorkerOutcome::Done);
+    }
+}
+
+void WorkerFleet::handleRunningTasks(CellWorker &worker, const WorkerReply &reply)
+{
+    worker.orphanedRuns = 0;
+    for (const RunningTask &running : reply.running) {
+        Placement *placement = worker.find(running.task, running.run);
+        if (placement) {
+            placement->confirmedAt = reply.clock;
+            placement->isOnPresentIncarnation = true;
+            placement->sentToIncarnation.reset();
+            handlers_.progressed(worker, running);
+            continue;
+        }
+        const std::optional<Resources> need = handlers_.discovered(worker, running);
+        if (!need)
+            ++worker.orphanedRuns;
+        Placement discovered;
+        discovered.task = running.task;
+        discovered.run = running.run;
+        discovered.need = need.value_or(Resources());
+        discovered.confirmedAt = reply.clock;
+        discovered.startSent = true;
+        discovered.startAnsweredAt = context_.now();
+        discovered.isOnPresentIncarnation = true;
+        worker.placements.push_back(discovered);
+        if (!need)
+            stop(worker.id(), running.task, running.run);
+    }
+    for (const Placement &placement : worker.placements) {
+        const bool hasAllocation
+                = placement.need.processors.count() > 0 || placement.need.memory.count() > 0;
+        if (!hasAllocation && placement.stopRequested)
+            worker.orphanedRuns = std::max<std::size_t>(worker.orphanedRuns, 1);
+    }
+}
+
+bool WorkerFleet::isAbsent(const Placement &placement, TimePoint requestedAt, WorkerTime clock)
+{
+    if (placement.confirmedAt)
+        return clock > *placement.confirmedAt;
+    if (placement.stopAcceptedAt)
+        return clock > *placement.stopAcceptedAt;
+    if (!placement.startAnsweredAt)
+        return false;
+    if (placement.startDeadline)
+        return clock > *placement.startDeadline;
+    // An unanswered start, which is being stopped, may still be carried out.
+    return !placement.stopRequested && *placement.startAnsweredAt <= requestedAt;
+}
+
+void WorkerFleet::removeAbsentPlacements(CellWorker &worker, const CallTarget &target,
+                                         const WorkerReply &reply)
+{
+    if (!reply.clock)
+        return;
+    std::vector<Placement> absent;
+    for (const Placement &placement : worker.placements) {
+        const bool isListed = std::any_of(
+                reply.running.begin(), reply.running.end(), [&](const RunningTask &running) {
+                    return running.run == placement.run && running.task == placement.task;
+                });
+        if (!isListed && isAbsent(placement, target.sentAt, *reply.clock))
+            absent.push_back(placement);
+    }
+    for (const Placement &placement : absent) {
+        if (placement.sentToIncarnation)
+            reportCrash(worker, placement.sentToIncarnation, {placement});
+        removePlacement(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
+    }
+}
+
+} // namespace caraway::cell
--- /dev/null
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -0,0 +1,190 @@
+#include "Cell/WorkerFleet.h"
+#include "Cell/WorkerLimits.h"
+
+namespace caraway::cell {
+
+namespace {
+
+/// How long a removed worker is kept whose runs expired with its lease; a crashed worker normally
+/// returns within seconds.
+constexpr Milliseconds returnLimit {30'000};
+/// How long a task with several crashes waits to know whether there was another.
+constexpr Milliseconds crashEvidenceWait {10'000};
+
+/// Whether the start may reach a later incarnation of the worker than it was sent to.
+bool mayBeOnNextIncarnation(const Placement &placement)
+{
+    return placement.startSent && !placement.isOnPresentIncarnation;
+}
+
+} // namespace
+
+/// All runs on the worker have expired with its lease. The process may still run and keep its list
+/// of completions, so the completion numbers stay valid.
+void WorkerFleet::expireLease(CellWorker &worker)
+{
+    context_.log("event=worker_lease_expired worker={} runs={} unanswered_calls={}",
+                 worker.id().value(), worker.placements.size(), worker.unansweredCalls);
+    std::vector<Placement> expired = worker.expiredPlacements;
+    std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(expired),
+                 std::mem_fn(&Placement::startSent));
+    const CompletionNumber highest = worker.highestCompletion;
+    const std::set<CompletionNumber> unrecorded = worker.unrecordedCompletions;
+    // A crashed worker may return under another id, so its next incarnation may never show here.
+    if (!worker.isListed) {
+        reportCrash(worker, &Placement::startSent);
+        expired.clear();
+    }
+    resetWorker(worker, worker.incarnation);
+    worker.highestCompletion = highest;
+    worker.unrecordedCompletions = unrecorded;
+    worker.expiredPlacements = std::move(expired);
+    worker.leaseExpiredAt = context_.now();
+}
+
+bool WorkerFleet::mayHaveCrashedUnder(const TaskKey &task) const
+{
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto &row) {
+        const std::vector<Placement> &expired = row.second.expiredPlacements;
+        return context_.now() - row.second.leaseExpiredAt < crashEvidenceWait
+                && std::any_of(expired.begin(), expired.end(),
+                               [&](const Placement &placement) { return placement.task == task; });
+    });
+}
+
+bool WorkerFleet::awaitsReturn(const CellWorker &worker) const
+{
+    return !worker.expiredPlacements.empty()
+            && context_.now() - worker.leaseExpiredAt < returnLimit;
+}
+
+ReplySource WorkerFleet::updateFromReply(CellWorker &worker, const CallTarget &target,
+                                         const WorkerReply &reply)
+{
+    if (reply.outcome == WorkerOutcome::Fenced) {
+        handlers_.fenced();
+        return ReplySource::Other;
+    }
+    const bool isUnreachable = reply.outcome == WorkerOutcome::Unanswered
+            || reply.outcome == WorkerOutcome::NotSent
+            || reply.outcome == WorkerOutcome::Misdirected;
+    if (isUnreachable) {
+        if (target.incarnation != worker.incarnation)
+            return ReplySource::Other;
+        if (++worker.unansweredCalls == 1 && !worker.placements.empty())
+            logUnreachable(worker, reply.outcome);
+        worker.avoidUntil = context_.now() + unansweredBackoff;
+        return ReplySource::Other;
+    }
+    const ReplySource source = worker.sourceOf(target, reply, context_.now());
+    if (source == ReplySource::Other) {
+        context_.log("event=worker_reply_ignored worker={} incarnation={} reply_incarnation={} "
+                     "reply_clock_ms={}",
+                     worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
+                     reply.incarnation.value_or(WorkerIncarnation()).value(),
+                     reply.clock.value_or(WorkerTime()).count());
+        return ReplySource::Other;
+    }
+    if (worker.unansweredCalls > 0 && !worker.placements.empty()) {
+        context_.log("event=worker_reachable worker={} unanswered_calls={} runs={}",
+                     worker.id().value(), worker.unansweredCalls, worker.placements.size());
+    }
+    worker.unansweredCalls = 0;
+    worker.lastReplyAt = context_.now();
+    if (reply.incarnation)
+        updateIncarnation(worker, reply.incarnation);
+    if (reply.incarnation && reply.incarnation == worker.incarnation)
+        worker.expiredPlacements.clear();
+    if (!reply.clock)
+        return source;
+    // An earlier holder may have renewed the lease by its full length just before.
+    if (!worker.hasClock())
+        worker.extendLeaseBound(*reply.clock + WorkerTime(context_.settings().workerLease.count()));
+    worker.updateClock(*reply.clock, context_.now());
+    return source;
+}
+
+/// The runs on an unreachable worker are not started elsewhere before its lease has expired.
+void WorkerFleet::logUnreachable(const CellWorker &worker, WorkerOutcome outcome)
+{
+    const std::optional<Milliseconds> lease = worker.timeToLeaseExpiry(context_.now());
+    context_.log("event=worker_unreachable worker={} outcome={} listed={} draining={} runs={} "
+                 "lease_expires_in_ms={}",
+                 worker.id().value(), nameOf(outcome), worker.isListed,
+                 worker.entry && worker.entry->draining, worker.placements.size(),
+                 lease ? lease->count() : -1);
+}
+
+void WorkerFleet::updateIncarnation(CellWorker &worker,
+                                    std::optional<WorkerIncarnation> incarnation)
+{
+    if (worker.incarnation == incarnation)
+        return;
+    if (worker.incarnation) {
+        context_.log("event=worker_restarted worker={} incarnation={} previous={} runs={}",
+                     worker.id().value(), incarnation->value(), worker.incarnation->value(),
+                     worker.placements.size());
+        restartWorker(worker, incarnation);
+        return;
+    }
+    worker.incarnation = incarnation;
+}
+
+/// A start that is not proved to have reached the earlier incarnation may have reached the new one,
+/// as its reply does not name the incarnation.
+void WorkerFleet::restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
+{
+    const Milliseconds lease = context_.settings().workerLease;
+    const TimePoint leaseEnd
+            = context_.now() + startTimeout + lease + lease / clockDriftDivisor + startWindow;
+    const std::optional<WorkerIncarnation> earlier = worker.incarnation;
+    reportCrash(worker, [](const Placement &placement) {
+        return placement.startSent && !mayBeOnNextIncarnation(placement);
+    });
+    const std::vector<Placement> placements = std::exchange(worker.placements, {});
+    worker.startIncarnation(newIncarnation);
+    for (const Placement &placement : placements) {
+        if (mayBeOnNextIncarnation(placement))
+            worker.carryOver(placement, earlier, leaseEnd);
+    }
+    for (const Placement &placement : placements) {
+        if (!mayBeOnNextIncarnation(placement))
+            handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
+    }
+    worker.heartbeatInFlight = false;
+    scheduleHeartbeat(worker);
+}
+
+void WorkerFleet::reportCrash(CellWorker &worker,
+                              const std::function<bool(const Placement &)> &isLost)
+{
+    std::vector<Placement> lost = std::exchange(worker.expiredPlacements, {});
+    std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(lost),
+                 isLost);
+    worker.restartedAt = context_.now();
+    worker.jobsAtRestart.clear();
+    for (const Placement &placement : lost)
+        worker.jobsAtRestart.insert(placement.task.job);
+    for (const Placement &placement : worker.placements) {
+        if (placement.startSent)
+            worker.jobsAtRestart.insert(placement.task.job);
+    }
+    reportCrash(worker, worker.incarnation, lost);
+}
+
+void WorkerFleet::reportCrash(CellWorker &worker, std::optional<WorkerIncarnation> incarnation,
+                              const std::vector<Placement> &lost)
+{
+    if (!lost.empty() && worker.drainedIncarnation != incarnation)
+        handlers_.crashed(worker, incarnation, lost);
+}
+
+void WorkerFleet::resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
+{
+    const std::vector<Placement> lost = std::exchange(worker.placements, {});
+    worker.startIncarnation(newIncarnation);
+    for (const Placement &placement : lost)
+        handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
+}
+
+} // namespace caraway::cell
