Apply replies to starts and stops in one place

Cause: onStart() and onStop() repeated how a reply is applied and its placement found, and resetWorker() took an incarnation that is always the present one.

Change: applyRunReply() does the first for both; resetWorker() keeps the incarnation. Behaviour is the same.

--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -105,6 +105,14 @@
     std::vector<WorkerId> unreadWorkers() const;
 
 private:
+    /// What a reply to a start or a stop is about, and which incarnation has sent it.
+    struct RunReply
+    {
+        CellWorker *worker = nullptr;
+        Placement *placement = nullptr;
+        ReplySource source = ReplySource::Other;
+    };
+
     void sendHeartbeat(CellWorker &worker, bool mayRenew);
     void scheduleHeartbeat(CellWorker &worker);
     WorkerTime renewedLeaseEnd(const CellWorker &worker) const;
@@ -117,6 +125,10 @@
     /// Whether a list without the run, requested at \a requestedAt and made at \a clock, shows that
     /// the run is not on the worker and cannot start there.
     static bool isAbsent(const Placement &placement, TimePoint requestedAt, WorkerTime clock);
+    /// Updates the worker from a reply to a start or a stop. Nothing when the worker or the
+    /// placement is gone.
+    std::optional<RunReply> applyRunReply(const CallTarget &target, const TaskKey &task,
+                                          RunNumber run, const WorkerReply &reply);
     void onStart(const CallTarget &target, const TaskKey &task, RunNumber run,
                  const WorkerReply &reply);
     void onStop(const CallTarget &target, const TaskKey &task, RunNumber run,
@@ -127,7 +139,7 @@
                          WorkerOutcome outcome);
     /// Discards what is known about the worker, after the expiry of its lease, and reports that its
     /// runs are not on it any more.
-    void resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
+    void resetWorker(CellWorker &worker);
     /// Discards what is known about the earlier incarnation, except the runs whose starts may have
     /// reached the new one.
     void restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -35,7 +35,7 @@
         reportCrash(worker, &Placement::startSent);
         expired.clear();
     }
-    resetWorker(worker, worker.incarnation);
+    resetWorker(worker);
     worker.highestCompletion = highest;
     worker.unrecordedCompletions = unrecorded;
     worker.expiredPlacements = std::move(expired);
@@ -179,10 +179,10 @@
         handlers_.crashed(worker, incarnation, lost);
 }
 
-void WorkerFleet::resetWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
+void WorkerFleet::resetWorker(CellWorker &worker)
 {
     const std::vector<Placement> lost = std::exchange(worker.placements, {});
-    worker.startIncarnation(newIncarnation);
+    worker.startIncarnation(worker.incarnation);
     for (const Placement &placement : lost)
         handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
 }
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -74,16 +74,27 @@
                         });
 }
 
-void WorkerFleet::onStart(const CallTarget &target, const TaskKey &task, RunNumber run,
-                          const WorkerReply &reply)
+std::optional<WorkerFleet::RunReply> WorkerFleet::applyRunReply(const CallTarget &target,
+                                                                const TaskKey &task, RunNumber run,
+                                                                const WorkerReply &reply)
 {
     CellWorker *worker = findWorker(target.worker);
     if (!worker)
-        return;
+        return std::nullopt;
     const ReplySource source = updateFromReply(*worker, target, reply);
     Placement *placement = worker->find(task, run);
     if (!placement)
+        return std::nullopt;
+    return RunReply {worker, placement, source};
+}
+
+void WorkerFleet::onStart(const CallTarget &target, const TaskKey &task, RunNumber run,
+                          const WorkerReply &reply)
+{
+    const std::optional<RunReply> found = applyRunReply(target, task, run, reply);
+    if (!found)
         return;
+    const auto &[worker, placement, source] = *found;
     placement->startAnsweredAt = context_.now();
     switch (reply.outcome) {
     case WorkerOutcome::Done:
@@ -149,13 +160,10 @@
 void WorkerFleet::onStop(const CallTarget &target, const TaskKey &task, RunNumber run,
                          const WorkerReply &reply)
 {
-    CellWorker *worker = findWorker(target.worker);
-    if (!worker)
-        return;
-    const ReplySource source = updateFromReply(*worker, target, reply);
-    Placement *placement = worker->find(task, run);
-    if (!placement)
+    const std::optional<RunReply> found = applyRunReply(target, task, run, reply);
+    if (!found)
         return;
+    const auto &[worker, placement, source] = *found;
     placement->stopInFlight = false;
     if (source != ReplySource::Other && reply.outcome == WorkerOutcome::Done && reply.clock)
         placement->stopAcceptedAt = reply.clock;
