Keep a holder confirmed where workers grant short leases

No deployment in force has such leases; the setting allows 0.1 s.

Change: a start's window is at most a lease. Where leases last 2.5 s or longer nothing changes.

--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -135,8 +135,8 @@
 void WorkerFleet::restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
 {
     const Milliseconds lease = context_.settings().workerLease;
-    const TimePoint leaseEnd
-            = context_.now() + startTimeout + lease + lease / clockDriftDivisor + startWindow;
+    const TimePoint leaseEnd = context_.now() + startTimeout + lease + lease / clockDriftDivisor
+            + startWindow(lease);
     const std::optional<WorkerIncarnation> earlier = worker.incarnation;
     reportCrash(worker, [](const Placement &placement) {
         return placement.startSent && !mayBeOnNextIncarnation(placement);
--- a/Source/Cell/WorkerLimits.h
+++ b/Source/Cell/WorkerLimits.h
@@ -2,6 +2,7 @@
 
 #include "Core/Units.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace caraway::cell {
@@ -18,8 +19,12 @@
 inline constexpr std::int64_t clockDriftDivisor = 50;
 
 /// A worker refuses a start that arrives later than this after it was sent, so that its allocation
-/// can be released. The start extends the worker's lease until then.
-inline constexpr Milliseconds startWindow {2500};
+/// can be released. The start extends the worker's lease until then, but not beyond a renewal.
+constexpr Milliseconds startWindow(Milliseconds workerLease)
+{
+    constexpr Milliseconds longest {2500};
+    return std::min(longest, workerLease);
+}
 
 /// A holder renews leases of workers to at most a full lease after this time from its last
 /// confirmation. The next holder waits as much longer for workers that it cannot read, and the runs
@@ -29,7 +34,7 @@
 /// Without a confirmation for this long, a holder neither starts tasks nor renews leases.
 constexpr Milliseconds confirmationLimit(Milliseconds workerLease)
 {
-    return renewalLimit + workerLease - startWindow;
+    return renewalLimit + workerLease - startWindow(workerLease);
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -56,7 +56,8 @@
     const TimePoint now = context_.now();
     placement->startSent = true;
     placement->sentAt = worker->estimatedClock(now);
-    const WorkerTime deadline = placement->sentAt + WorkerTime(startWindow.count());
+    const WorkerTime deadline
+            = placement->sentAt + WorkerTime(startWindow(context_.settings().workerLease).count());
     placement->startDeadline = deadline;
     worker->extendLeaseBound(deadline);
     WorkerStart start {request.task,
--- a/Tests/Cell/TakeoverBoundTest.cpp
+++ b/Tests/Cell/TakeoverBoundTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(holder_lostForGoodWithAWorker_othersStartItsTasksWithinTheRule);
     CPPUNIT_TEST(holder_cutOffFromTheStoreAndItsPeers_renewsNoLeaseBeyondTheNextOnesBound);
     CPPUNIT_TEST(store_awayForSevenSeconds_endsNoRun);
+    CPPUNIT_TEST(holder_withShortWorkerLeases_isConfirmedInTime);
     CPPUNIT_TEST(holder_restartedAfterItWasLostWithAWorker_othersWaitOnlyForTheLease);
     CPPUNIT_TEST(holder_restartedBeforeItsWorkersLeaseEnds_startsNothingTwice);
     CPPUNIT_TEST_SUITE_END();
@@ -102,6 +103,15 @@
         }
     }
 
+    /// Guards against a holder that never schedules where workers grant short leases.
+    void holder_withShortWorkerLeases_isConfirmedInTime()
+    {
+        constexpr Milliseconds listInterval {700};
+        constexpr Milliseconds storeTimeout = CellContext::defaultStoreTimeout;
+        for (const std::int64_t lease : {100, 500, 1000, 2500, 6000})
+            CPPUNIT_ASSERT(confirmationLimit(Milliseconds(lease)) > listInterval + storeTimeout);
+    }
+
     /// A holder that was killed without notice may still renew leases, as far as the next one
     /// knows. Its next incarnation shows that it does not.
     void holder_restartedAfterItWasLostWithAWorker_othersWaitOnlyForTheLease()
