Log what tells the causes of a doubled task apart

Change: incarnation, generation and confirmed_ms in task_start; incarnation and number in run_completed and run_stop_requested; the new lines completion_of_unknown_job and worker_heartbeat_misdelivered; the longest time from a list to the record of a completion in the load line. CellScheduler takes the time of the confirmation and derives the end of leases from it. No decision changes.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -90,7 +90,7 @@
 void CellInstance::runSchedulingPass()
 {
     election_.renewIfDue();
-    scheduler_.setLatestLeaseEnd(election_.latestLeaseEnd());
+    scheduler_.setConfirmedAt(election_.confirmedAt());
     scheduler_.onEventsHandled(election_.maySchedule());
     if (context_.now() >= nextBroadcast_)
         broadcast();
@@ -116,7 +116,7 @@
             retry();
     }
     scheduler_.setEarlierRenewalsEnd(election_.earlierRenewalsEnd());
-    scheduler_.setLatestLeaseEnd(election_.latestLeaseEnd());
+    scheduler_.setConfirmedAt(election_.confirmedAt());
     scheduler_.tick(election_.maySchedule());
     if (context_.now() >= nextHello_)
         sendHello();
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -283,10 +283,12 @@
         option.suspects.push_back({step.key.job, task.crashes().needsIsolation(), true});
     task.assign(worker.id(), run, context_.now());
     task.handle(CellTask::Event::Placed);
-    context_.log("event=task_start job={} step={} task={} run={} worker={} config={} waited_ms={}",
+    context_.log("event=task_start job={} step={} task={} run={} worker={} incarnation={} "
+                 "generation={} confirmed_ms={} config={} waited_ms={}",
                  step.key.job.value(), step.key.step.value(), index, run.value(),
-                 worker.id().value(), configuration_.version().value(),
-                 (context_.now() - *step.readySince).count());
+                 worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
+                 generation_, (context_.now() - confirmedAt_).count(),
+                 configuration_.version().value(), (context_.now() - *step.readySince).count());
     if (!recordsStart(step, task)) {
         // A long-running task survives crashes of its workers, unless they come soon after its
         // starts, which are recorded from the first such crash on.
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -298,10 +298,19 @@
 {
     CellJob *job = nullptr;
     CellStep *step = findStep(completion.task, job);
-    if (!step)
+    if (!step) {
+        context_.log("event=completion_of_unknown_job job={} step={} task={} run={} worker={} "
+                     "incarnation={} number={} reason={} finished={}",
+                     completion.task.job.value(), completion.task.step.value(),
+                     completion.task.index.value(), completion.run.value(), worker.id().value(),
+                     worker.incarnation.value_or(WorkerIncarnation()).value(),
+                     completion.number.value(), static_cast<int>(completion.reason),
+                     finishedJobs_.contains(completion.task.job));
         return false;
+    }
     const ProgressRecorder::RecordedCompletion recorded {
-            worker.id(), worker.incarnation.value_or(WorkerIncarnation()), completion.number};
+            worker.id(), worker.incarnation.value_or(WorkerIncarnation()), completion.number,
+            context_.now()};
     passNeeded_ = true;
     // The next holder reads this completion from the worker until the store has it.
     recorder_.markChanged(job->id(), recorded);
@@ -330,11 +339,13 @@
     if (task.recordedStart && task.recordedStart->run == completion.run)
         task.recordedStart.reset();
     if (completion.reason != CompletionReason::Succeeded || !isCurrent) {
-        context_.log(
-                "event=run_completed job={} step={} task={} run={} worker={} reason={} current={}",
-                completion.task.job.value(), completion.task.step.value(),
-                completion.task.index.value(), completion.run.value(), worker.id().value(),
-                static_cast<int>(completion.reason), isCurrent);
+        context_.log("event=run_completed job={} step={} task={} run={} worker={} incarnation={} "
+                     "number={} "
+                     "reason={} current={}",
+                     completion.task.job.value(), completion.task.step.value(),
+                     completion.task.index.value(), completion.run.value(), worker.id().value(),
+                     worker.incarnation.value_or(WorkerIncarnation()).value(),
+                     completion.number.value(), static_cast<int>(completion.reason), isCurrent);
     }
 }
 
@@ -538,10 +549,12 @@
         ++usable;
     }
     context_.log("event=load workers={} usable={} free_millicores={} unreachable_millicores={} "
-                 "headroom_millicores={} approval_queue_ms={} unrecorded_jobs={}",
+                 "headroom_millicores={} approval_queue_ms={} unrecorded_jobs={} "
+                 "completions_recorded_after_ms={}",
                  fleet_.workers().size(), usable, free.count(), unreachable.count(),
                  headroom_.reservedProcessors(context_.now()).count(),
-                 approvalDispatcher_.queuedServiceTime().count(), recorder_.unrecordedJobs());
+                 approvalDispatcher_.queuedServiceTime().count(), recorder_.unrecordedJobs(),
+                 recorder_.takeLongestDelay().count());
     for (const auto &[priority, row] : rows) {
         context_.log("event=priority_load priority={} jobs={} waiting_tasks={} "
                      "waiting_millicores={} running_millicores={} approval_requests={}",
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -56,8 +56,12 @@
 
     /// The latest time at which an earlier holder may renew leases of workers by their full length.
     void setEarlierRenewalsEnd(TimePoint time) { fleet_.setEarlierRenewalsEnd(time); }
-    /// No lease of a worker is renewed beyond \a time.
-    void setLatestLeaseEnd(TimePoint time) { fleet_.setLatestLeaseEnd(time); }
+    /// When the store was last asked whether this process is the holder, and confirmed it.
+    void setConfirmedAt(TimePoint time)
+    {
+        confirmedAt_ = time;
+        fleet_.setLatestLeaseEnd(time + renewalLimit + context_.settings().workerLease);
+    }
 
     /// Does all periodic work that is due; tasks are started and leases extended only if
     /// \a maySchedule.
@@ -296,6 +300,7 @@
     Handlers handlers_;
     bool active_ = false;
     std::uint64_t generation_ = 0;
+    TimePoint confirmedAt_;
     std::uint64_t term_ = 0;
     std::unordered_map<JobId, std::unique_ptr<CellJob>> jobs_;
     /// Finished jobs whose result is in the store, with the time at which the result expires.
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -76,12 +76,6 @@
     /// Send time of the latest list, or of the claim, by which the store named this process as
     /// the holder.
     TimePoint confirmedAt() const { return confirmedAt_; }
-    /// The latest time until which this process, as the holder, may renew leases of workers.
-    TimePoint latestLeaseEnd() const
-    {
-        return confirmedAt_ + renewalLimit + context_.settings().workerLease;
-    }
-
     /// The latest time at which a holder before the known one may renew leases of workers by their
     /// full length.
     TimePoint earlierRenewalsEnd() const { return std::max(olderRenewalsEnd_, formerRenewalsEnd_); }
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -279,8 +279,10 @@
     if (batch.isIsolated)
         invalidInRow_ = 0;
     for (const ChangedJob &job : batch.jobs) {
-        for (const RecordedCompletion &completion : job.changes.completions)
+        for (const RecordedCompletion &completion : job.changes.completions) {
+            longestDelay_ = std::max(longestDelay_, context_.now() - completion.listedAt);
             handlers_.completionRecorded(completion);
+        }
         for (const TaskKey &task : job.changes.crashes)
             handlers_.crashRecorded(task);
         for (const TaskKey &task : job.changes.starts)
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace caraway::cell {
 
@@ -19,6 +20,7 @@
         WorkerId worker;
         WorkerIncarnation incarnation;
         CompletionNumber number;
+        TimePoint listedAt;
     };
     /// The record to write for a job; a result replaces all other records of the job.
     struct Snapshot
@@ -72,6 +74,9 @@
 
     /// Changed jobs that are not in a commit yet.
     std::size_t unrecordedJobs() const { return changed_.size(); }
+    /// The longest time from the list that contained a completion until it was recorded, since the
+    /// last call.
+    Milliseconds takeLongestDelay() { return std::exchange(longestDelay_, Milliseconds()); }
 
 private:
     /// Whether there is something to commit besides the deletion of expired results.
@@ -139,6 +144,7 @@
     std::optional<Roster> roster_;
     /// The commit in flight or to be retried.
     std::optional<Batch> batch_;
+    Milliseconds longestDelay_;
     bool commitInFlight_ = false;
     TimePoint nextCommit_;
 };
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -64,10 +64,12 @@
         heartbeat.wait = heartbeatWait;
     context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat},
                         heartbeat.wait + heartbeatMargin,
-                        [this, term = term_, mayRenew,
+                        [this, term = term_, mayRenew, acknowledged = heartbeat.acknowledged,
                          target = worker.callTarget(context_.now())](const WorkerReply &reply) {
-                            if (term == term_)
-                                onHeartbeatReply(target, mayRenew, reply);
+                            if (term != term_)
+                                return;
+                            logMisdelivery(target, acknowledged, reply);
+                            onHeartbeatReply(target, mayRenew, reply);
                         });
 }
 
@@ -86,6 +88,17 @@
     return std::min(full, now + std::max(*remaining, WorkerTime()) + leavingLeaseMargin);
 }
 
+void WorkerFleet::logMisdelivery(const CallTarget &target, CompletionNumber acknowledged,
+                                 const WorkerReply &reply)
+{
+    if (!target.incarnation || !reply.incarnation || target.incarnation == reply.incarnation)
+        return;
+    context_.log("event=worker_heartbeat_misdelivered worker={} incarnation={} "
+                 "reply_incarnation={} acknowledged={} listed_completions={}",
+                 target.worker.value(), target.incarnation->value(), reply.incarnation->value(),
+                 acknowledged.value(), reply.completed.size());
+}
+
 void WorkerFleet::onHeartbeatReply(const CallTarget &target, bool mayRenew,
                                    const WorkerReply &reply)
 {
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -137,8 +137,9 @@
     placement->stopRequested = true;
     if (!placement->startSent)
         return;
-    context_.log("event=run_stop_requested job={} step={} task={} run={} worker={}",
-                 task.job.value(), task.step.value(), task.index.value(), run.value(), id.value());
+    context_.log("event=run_stop_requested job={} step={} task={} run={} worker={} incarnation={}",
+                 task.job.value(), task.step.value(), task.index.value(), run.value(), id.value(),
+                 worker->incarnation.value_or(WorkerIncarnation()).value());
     sendStop(*worker, task, run);
 }
 
