--- a/Tests/Cell/JobStateTest.cpp
+++ b/Tests/Cell/JobStateTest.cpp
@@ -11,19 +11,161 @@
 {
     CPPUNIT_TEST_SUITE(JobStateTest);
     CPPUNIT_TEST(job_completedWhileAnInstanceWasPaused_isShownAsCompletedThere);
+    CPPUNIT_TEST(job_submittedAgainAfterItsEnd_isShownAsCompleted);
+    CPPUNIT_TEST(job_submittedAgainWhileItRuns_isShownAsRunning);
+    CPPUNIT_TEST(job_whoseCommitReplyWaitedUntilAfterItsEnd_isShownAsCompleted);
+    CPPUNIT_TEST(job_runningSinceBeforeAnInstanceRestarted_isShownAsRunning);
+    CPPUNIT_TEST(job_whoseEndWasLostBetweenTwoUpdates_isShownAsCompleted);
+    CPPUNIT_TEST(job_whoseStartAFormerHolderAnnouncedLate_isShownAsCompleted);
+    CPPUNIT_TEST(job_partlyDoneBeforeAllInstancesRestarted_isShownAsRunning);
+    CPPUNIT_TEST(job_pendingForLong_isReadFromTheStoreOnceByEachInstance);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void job_completedWhileAnInstanceWasPaused_isShownAsCompletedThere()
+    void setUp() override
     {
-        CellSimulation simulation(3, 4);
-        CPPUNIT_ASSERT(simulation.advanceUntil([&] { return simulation.holder().has_value(); },
-                                               Milliseconds(5000)));
-        simulation.advance(Milliseconds(1000));
-        const std::size_t paused = *simulation.holder();
-        simulation.plan = [](const TaskKey &, RunNumber) {
+        simulation_ = std::make_unique<CellSimulation>(3, 4);
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return simulation_->holder().has_value(); },
+                                                 Milliseconds(5000)));
+        simulation_->advance(Milliseconds(1000));
+        simulation_->plan = [](const TaskKey &, RunNumber) {
             return SimulatedWorker::RunPlan {Milliseconds(2000), CompletionReason::Succeeded};
         };
+    }
+
+    void job_submittedAgainAfterItsEnd_isShownAsCompleted()
+    {
+        const std::size_t restarted = otherThanHolder();
+        submitAt(*simulation_->holder());
+        simulation_->advance(Milliseconds(4000));
+        simulation_->restart(restarted);
+        simulation_->advance(Milliseconds(2000));
+        submitAt(restarted);
+        assertShown(JobState::Completed, restarted);
+    }
+
+    void job_submittedAgainWhileItRuns_isShownAsRunning()
+    {
+        simulation_->plan = lasting;
+        const std::size_t restarted = otherThanHolder();
+        submitAt(*simulation_->holder());
+        simulation_->advance(Milliseconds(1000));
+        simulation_->restart(restarted);
+        simulation_->advance(Milliseconds(2000));
+        submitAt(restarted);
+        assertShown(JobState::Running, restarted);
+    }
+
+    void job_whoseCommitReplyWaitedUntilAfterItsEnd_isShownAsCompleted()
+    {
+        const std::size_t paused = otherThanHolder();
+        simulation_->storeReplyDelay = [](const StoreRequest &request) {
+            const auto *commit = std::get_if<StoreCommit>(&request);
+            const bool isSubmission = commit && !commit->writes.empty()
+                    && commit->writes.front().key.type == RecordType::Jobs;
+            return Milliseconds(isSubmission ? 700 : 0);
+        };
+        simulation_->submit(paused, CellSimulation::job("a"));
+        simulation_->advance(Milliseconds(3));
+        simulation_->pause(paused);
+        simulation_->peerDelivery = [](const InstanceId &, const PeerMessage &message) {
+            const auto *update = std::get_if<PeerStateUpdate>(&message);
+            return update && !update->changed.empty() ? CellSimulation::Delivery::Dropped
+                                                      : CellSimulation::Delivery::Delivered;
+        };
+        simulation_->advance(Milliseconds(9000));
+        simulation_->peerDelivery = {};
+        simulation_->resume(paused);
+        simulation_->advance(Milliseconds(2000));
+        assertShown(JobState::Completed, paused);
+    }
+
+    void job_runningSinceBeforeAnInstanceRestarted_isShownAsRunning()
+    {
+        simulation_->plan = lasting;
+        const std::size_t restarted = otherThanHolder();
+        submitAt(*simulation_->holder());
+        simulation_->advance(Milliseconds(1000));
+        simulation_->restart(restarted);
+        simulation_->advance(Milliseconds(2000));
+        assertShown(JobState::Running, restarted);
+    }
+
+    void job_partlyDoneBeforeAllInstancesRestarted_isShownAsRunning()
+    {
+        simulation_->plan = [](const TaskKey &task, RunNumber) {
+            const bool isFirst = task.index == TaskIndex(0);
+            return SimulatedWorker::RunPlan {Milliseconds(isFirst ? 300 : 60'000),
+                                             CompletionReason::Succeeded};
+        };
+        CPPUNIT_ASSERT(simulation_->submitAndWait(0, CellSimulation::job("a", 2))
+                       == CallerOutcome::Accepted);
+        simulation_->advance(Milliseconds(2000));
+        for (std::size_t i = 0; i < 3; ++i)
+            simulation_->restart(i);
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return simulation_->holder().has_value(); },
+                                                 Milliseconds(10'000)));
+        simulation_->advance(Milliseconds(2000));
+        assertShown(JobState::Running, *simulation_->holder());
+        assertShown(JobState::Running, otherThanHolder());
+    }
+
+    void job_pendingForLong_isReadFromTheStoreOnceByEachInstance()
+    {
+        simulation_->plan = lasting;
+        JobSpec large = CellSimulation::job("a");
+        large.steps.front().need.processors = Millicores(1'000'000);
+        CPPUNIT_ASSERT(simulation_->submitAndWait(*simulation_->holder(), large)
+                       == CallerOutcome::Accepted);
+        simulation_->advance(Milliseconds(500));
+        int reads = 0;
+        simulation_->storeDelivery = [&](const InstanceId &, const StoreRequest &request) {
+            const auto *get = std::get_if<StoreGet>(&request);
+            reads += get && get->key.type == RecordType::Jobs ? 1 : 0;
+            return CellSimulation::Delivery::Delivered;
+        };
+        for (int i = 0; i < 10; ++i) {
+            for (std::size_t instance = 0; instance < 3; ++instance)
+                assertShown(JobState::Pending, instance);
+            simulation_->advance(Milliseconds(200));
+        }
+        CPPUNIT_ASSERT_LESSEQUAL(3, reads);
+    }
+
+    void job_whoseEndWasLostBetweenTwoUpdates_isShownAsCompleted()
+    {
+        submitAt(*simulation_->holder());
+        simulation_->advance(Milliseconds(1000));
+        simulation_->peerDelivery = [](const InstanceId &, const PeerMessage &message) {
+            const auto *update = std::get_if<PeerStateUpdate>(&message);
+            const bool isEnd = update && !update->changed.empty()
+                    && update->changed.front().state == JobState::Completed;
+            return isEnd ? CellSimulation::Delivery::Dropped : CellSimulation::Delivery::Delivered;
+        };
+        simulation_->advance(Milliseconds(4000));
+        assertShown(JobState::Completed, otherThanHolder());
+    }
+
+    void job_whoseStartAFormerHolderAnnouncedLate_isShownAsCompleted()
+    {
+        const std::size_t holder = *simulation_->holder();
+        const std::size_t other = otherThanHolder();
+        submitAt(holder);
+        simulation_->advance(Milliseconds(4000));
+        simulation_->restart(other);
+        simulation_->advance(Milliseconds(2000));
+        PeerStateUpdate outdated;
+        outdated.changed = {{JobId("a"), JobState::Running}};
+        simulation_->instance(other).handle(
+                simulation_->now(), WallTime(simulation_->now().sinceStart().count()),
+                PeerFrame {{InstanceId("former"), 1}, {"10.0.0.9", 7000}, outdated});
+        assertShown(JobState::Completed, other);
+    }
+
+    void job_completedWhileAnInstanceWasPaused_isShownAsCompletedThere()
+    {
+        CellSimulation &simulation = *simulation_;
+        const std::size_t paused = *simulation.holder();
         CPPUNIT_ASSERT(simulation.submitAndWait(paused, CellSimulation::job("a"))
                        == CallerOutcome::Accepted);
         simulation.advance(Milliseconds(300));
@@ -35,6 +177,26 @@
         simulation.advance(Milliseconds(3000));
         CPPUNIT_ASSERT(simulation.stateOf(paused, JobId("a")) == JobState::Completed);
     }
+
+private:
+    static SimulatedWorker::RunPlan lasting(const TaskKey &, RunNumber)
+    {
+        return {Milliseconds(60'000), CompletionReason::Succeeded};
+    }
+    std::size_t otherThanHolder() const { return *simulation_->holder() == 0 ? 1 : 0; }
+    void submitAt(std::size_t instance)
+    {
+        CPPUNIT_ASSERT(simulation_->submitAndWait(instance, CellSimulation::job("a"))
+                       == CallerOutcome::Accepted);
+    }
+    void assertShown(JobState expected, std::size_t instance)
+    {
+        const std::optional<JobState> state = simulation_->stateOf(instance, JobId("a"));
+        CPPUNIT_ASSERT(state.has_value());
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(expected), static_cast<int>(*state));
+    }
+
+    std::unique_ptr<CellSimulation> simulation_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobStateTest);
