Take the state of a job submitted again from its result

Callers saw `pending` for good: a POST that is repeated after the job's end, or waited at a stopped process until then, is refused by the store as a conflict, and the instance recorded the job as pending with the present time.

The reply to the conflict contains the result; its state is recorded.

job_submittedAgainAfterItsEnd_isShownAsCompleted failed before (state 0, pending; expected 2, completed) and passes. Run: JobStateTest.

--- a/Source/Cell/CallerRequestHandler.cpp
+++ b/Source/Cell/CallerRequestHandler.cpp
@@ -222,8 +222,11 @@
     for (const StoreItem &item : reply.items) {
         const bool isJob
                 = item.key.type == RecordType::Jobs || item.key.type == RecordType::Results;
-        if (isJob && item.revision != Revision())
-            stored.insert(item.key.name);
+        if (!isJob || item.revision == Revision())
+            continue;
+        stored.insert(item.key.name);
+        if (const auto *result = std::get_if<JobResult>(&item.value))
+            recordState(JobId(item.key.name), result->state);
     }
     for (const JobId &id : jobs) {
         // Not reported to the holder, which reads the job from the store: the job may have
