Ignore job states of former holders

Callers would see `running` for good after the job's end: an instance took the states of each update, also of an update by a process that is no longer the holder, and believed them as changes of the present one. An update that is handled after a pause may be that old.

The states are recorded only after the check that the sender is the holder.

job_whoseStartAFormerHolderAnnouncedLate_isShownAsCompleted failed before (state 1, running; expected 2, completed) and passes. Run: JobStateTest.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -250,13 +250,13 @@
     configuration_.onVersionAnnounced(message.configuration);
     election_.onHolderAnnounced({frame.from, frame.fromAddress, message.generation, Millicores()});
     const bool isContactNew = !isHolderContactCurrent() || message.generation != contactGeneration_;
-    for (const JobStateChange &change : message.changed)
-        callerRequests_.recordState(change.job, change.state);
     const std::optional<HolderRecord> &holder = election_.holder();
     if (!holder || holder->process != frame.from)
         return;
     if (isContactNew)
         holderContactSince_ = context_.now();
+    for (const JobStateChange &change : message.changed)
+        callerRequests_.recordState(change.job, change.state);
     contactGeneration_ = message.generation;
     holderContacted_ = true;
     lastHolderContactAt_ = context_.now();
