Bind job states to the contact in which they were received

Callers would see `pending` for good after the job's end: whether a change of a state can have been missed was decided by comparing times. The reply to a commit that waited while the process was paused counted as news of the moment at which it was handled, and so did everything handled in the millisecond in which a contact began.

Each uninterrupted contact with the holder has a number (HolderContact). A state counts only in the contact in which it was received; the reply to a commit or a read tells the state in the contact in which the call was sent. The end of a term ends the contact, and updates of an earlier term of the holder are ignored.

job_whoseCommitReplyWaitedUntilAfterItsEnd_isShownAsCompleted failed before (state 0, pending; expected 2, completed) and passes. Run: JobStateTest.

--- a/Source/Cell/CallerRequestHandler.cpp
+++ b/Source/Cell/CallerRequestHandler.cpp
@@ -103,6 +103,12 @@
     return found == known_.end() ? nullptr : &found->second;
 }
 
+bool CallerRequestHandler::isCurrent(const KnownJob &job) const
+{
+    return isFinal(job.state)
+            || (handlers_.isHolderContactCurrent() && job.contact == handlers_.holderContact());
+}
+
 void CallerRequestHandler::answer(CallerRequestId caller, CallerOutcome outcome)
 {
     CallerAnswer answer;
@@ -190,11 +196,15 @@
     }
     ++commitsInFlight_;
     context_.callStore(
-            std::move(commit), [this, jobs](const StoreReply &reply) { onCommitted(jobs, reply); },
+            std::move(commit),
+            [this, jobs, sentIn = handlers_.holderContact()](const StoreReply &reply) {
+                onCommitted(jobs, sentIn, reply);
+            },
             commitTimeout);
 }
 
-void CallerRequestHandler::onCommitted(const std::vector<JobId> &jobs, const StoreReply &reply)
+void CallerRequestHandler::onCommitted(const std::vector<JobId> &jobs, HolderContact sentIn,
+                                       const StoreReply &reply)
 {
     --commitsInFlight_;
     for (const JobId &id : jobs)
@@ -202,7 +212,7 @@
     switch (reply.outcome) {
     case StoreOutcome::Done:
         for (const JobId &id : jobs)
-            finishAccepted(id, true);
+            finishAccepted(id, true, sentIn);
         break;
     case StoreOutcome::Conflict:
         onConflict(jobs, reply);
@@ -232,7 +242,7 @@
         // Not reported to the holder, which reads the job from the store: the job may have
         // finished since it was stored.
         if (stored.contains(id.value()))
-            finishAccepted(id, false);
+            finishAccepted(id, false, HolderContact());
         else
             submissions_.at(id).commitAlone = true;
     }
@@ -248,13 +258,13 @@
     }
 }
 
-void CallerRequestHandler::finishAccepted(const JobId &id, bool isNew)
+void CallerRequestHandler::finishAccepted(const JobId &id, bool isNew, HolderContact contact)
 {
     const auto found = submissions_.find(id);
     const Submission submission = std::move(found->second);
     submissions_.erase(found);
     if (!findKnownJob(id))
-        known_[id] = {JobState::Pending, context_.now()};
+        known_[id] = {JobState::Pending, context_.now(), contact};
     context_.log("event=job_accepted job={} queue={} config={} generation={} new={}", id.value(),
                  submission.job.queue.id.value(), configuration_.version().value(),
                  submission.job.generation, isNew);
@@ -309,7 +319,7 @@
     KnownJob &known = known_[job];
     if (isFinal(known.state))
         return;
-    known = {state, context_.now()};
+    known = {state, context_.now(), handlers_.holderContact()};
 }
 
 void CallerRequestHandler::updateQueueLoads(const std::vector<QueueLoad> &loads)
@@ -322,10 +332,7 @@
 void CallerRequestHandler::read(const CallerRequest &request, const JobId &job)
 {
     const KnownJob *state = findKnownJob(job);
-    // A change may have been missed before the contact with the holder began.
-    const bool isCurrent = state && handlers_.isHolderContactCurrent()
-            && state->updatedAt >= handlers_.holderContactSince();
-    if (state && (isFinal(state->state) || isCurrent)) {
+    if (state && isCurrent(*state)) {
         answerState(request.id, state->state);
         return;
     }
@@ -335,21 +342,22 @@
 void CallerRequestHandler::readJobRecord(CallerRequestId caller, const JobId &job)
 {
     ++storeLookups_;
-    context_.callStore(StoreGet {{RecordType::Jobs, job.value()}},
-                       [this, caller, job, sentAt = context_.now()](const StoreReply &reply) {
-                           --storeLookups_;
-                           const KnownJob *state = findKnownJob(job);
-                           if (state && reply.outcome == StoreOutcome::Done)
-                               known_[job].updatedAt = std::max(state->updatedAt, sentAt);
-                           if (reply.outcome == StoreOutcome::Done)
-                               answerState(caller, state ? state->state : JobState::Pending);
-                           else if (reply.outcome == StoreOutcome::NotFound)
-                               readResult(caller, job);
-                           else if (state)
-                               answerState(caller, state->state);
-                           else
-                               answer(caller, CallerOutcome::NotReady);
-                       });
+    context_.callStore(
+            StoreGet {{RecordType::Jobs, job.value()}},
+            [this, caller, job, sentIn = handlers_.holderContact()](const StoreReply &reply) {
+                --storeLookups_;
+                const KnownJob *state = findKnownJob(job);
+                if (state && reply.outcome == StoreOutcome::Done)
+                    known_[job].contact = std::max(state->contact, sentIn);
+                if (reply.outcome == StoreOutcome::Done)
+                    answerState(caller, state ? state->state : JobState::Pending);
+                else if (reply.outcome == StoreOutcome::NotFound)
+                    readResult(caller, job);
+                else if (state)
+                    answerState(caller, state->state);
+                else
+                    answer(caller, CallerOutcome::NotReady);
+            });
 }
 
 /// The job has no job record, so it has finished or was never accepted.
--- a/Source/Cell/CallerRequestHandler.h
+++ b/Source/Cell/CallerRequestHandler.h
@@ -6,6 +6,10 @@
 
 namespace caraway::cell {
 
+/// Rises each time changes of job states may have been missed. States that were received in one
+/// contact with the holder are current while it lasts.
+using HolderContact = NumberId<struct HolderContactTag>;
+
 /// Handles callers' requests on any instance: stores accepted jobs and cancellations, and answers
 /// with job states and counts. Jobs are accepted and cancelled by commits to the store alone, so
 /// that both work without a holder.
@@ -22,8 +26,8 @@
         std::function<std::uint64_t()> generation;
         /// Whether the job states and pending-job counts known here are current.
         std::function<bool()> isHolderContactCurrent;
-        /// Since when this instance has received all changes of states, while the contact lasts.
-        std::function<TimePoint()> holderContactSince;
+        /// The present contact with the holder, or the last one.
+        std::function<HolderContact()> holderContact;
     };
 
     CallerRequestHandler(CellContext &context, const ConfigurationCache &configuration,
@@ -48,6 +52,8 @@
     {
         JobState state = JobState::Pending;
         TimePoint updatedAt;
+        /// In which the state was received; 0 if it may be outdated.
+        HolderContact contact;
     };
     struct Submission
     {
@@ -75,10 +81,11 @@
     void submit(const CallerRequest &request, const SubmitJob &submit, const Queue &queue);
     void flush();
     void commit(const std::vector<JobId> &jobs);
-    void onCommitted(const std::vector<JobId> &jobs, const StoreReply &reply);
+    void onCommitted(const std::vector<JobId> &jobs, HolderContact sentIn, const StoreReply &reply);
     void onConflict(const std::vector<JobId> &jobs, const StoreReply &reply);
     void retryLater(const std::vector<JobId> &jobs, bool mayBeStored);
-    void finishAccepted(const JobId &job, bool isNew);
+    /// The job was stored during \a contact if it is new.
+    void finishAccepted(const JobId &job, bool isNew, HolderContact contact);
     void abandon(const JobId &job);
 
     void read(const CallerRequest &request, const JobId &job);
@@ -94,6 +101,8 @@
     void answer(CallerRequestId caller, CallerOutcome outcome);
     void answerState(CallerRequestId caller, JobState state);
     const KnownJob *findKnownJob(const JobId &job) const;
+    /// Whether no change of the state can have been missed since it was received.
+    bool isCurrent(const KnownJob &job) const;
 
     CellContext &context_;
     const ConfigurationCache &configuration_;
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -67,7 +67,7 @@
         return election_.holder() ? election_.holder()->generation : 0;
     };
     handlers.isHolderContactCurrent = [this] { return isHolderContactCurrent(); };
-    handlers.holderContactSince = [this] { return holderContactSince_; };
+    handlers.holderContact = [this] { return holderContact_; };
     return handlers;
 }
 
@@ -251,10 +251,10 @@
     election_.onHolderAnnounced({frame.from, frame.fromAddress, message.generation, Millicores()});
     const bool isContactNew = !isHolderContactCurrent() || message.generation != contactGeneration_;
     const std::optional<HolderRecord> &holder = election_.holder();
-    if (!holder || holder->process != frame.from)
+    if (!holder || holder->process != frame.from || holder->generation != message.generation)
         return;
     if (isContactNew)
-        holderContactSince_ = context_.now();
+        holderContact_ = holderContact_.next();
     for (const JobStateChange &change : message.changed)
         callerRequests_.recordState(change.job, change.state);
     contactGeneration_ = message.generation;
@@ -339,6 +339,7 @@
     jobsAndCancelsWatcher_.stop();
     workerWatcher_.stop();
     scheduler_.endTerm();
+    holderContacted_ = false;
 }
 
 void CellInstance::retryLater(std::function<void()> part)
@@ -494,7 +495,7 @@
                           progress == loaded.progress.end() ? JobProgress() : progress->second);
     }
     nextLoadBroadcast_ = context_.now();
-    holderContactSince_ = context_.now();
+    holderContact_ = holderContact_.next();
     election_.onLoaded();
     loadResults(termChanges_, std::nullopt);
 }
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -150,8 +150,7 @@
     TimePoint nextLoadBroadcast_;
     TimePoint nextHello_;
     TimePoint lastHolderContactAt_;
-    /// Since when this instance has had contact with this holder, or has been the holder.
-    TimePoint holderContactSince_;
+    HolderContact holderContact_;
     std::uint64_t contactGeneration_ = 0;
     bool holderContacted_ = false;
     bool stopping_ = false;
