Ask the holder for the state of a job whose start was missed

Callers saw `pending` for as long as a job ran, at each instance that had not received the job's start: after its own restart, and at all instances after a restart of all, as a job whose progress is loaded was never reported as started. A job that has a record and no known state was made up as pending.

The holder answers from the jobs that it schedules. Another instance that finds a record of a job whose state it has not received in the present contact relays the read to the holder, answers by its reply and keeps that for the contact; without a reply within 400 ms it answers with the last known state. A job that has started is not shown as pending again. Ended jobs are found in the store first, without the holder.

--- a/Source/Cell/CallerRequestHandler.cpp
+++ b/Source/Cell/CallerRequestHandler.cpp
@@ -97,18 +97,6 @@
     relay(answer);
 }
 
-const CallerRequestHandler::KnownJob *CallerRequestHandler::findKnownJob(const JobId &job) const
-{
-    const auto found = known_.find(job);
-    return found == known_.end() ? nullptr : &found->second;
-}
-
-bool CallerRequestHandler::isCurrent(const KnownJob &job) const
-{
-    return isFinal(job.state)
-            || (handlers_.isHolderContactCurrent() && job.contact == handlers_.holderContact());
-}
-
 void CallerRequestHandler::answer(CallerRequestId caller, CallerOutcome outcome)
 {
     CallerAnswer answer;
@@ -314,14 +302,6 @@
     });
 }
 
-void CallerRequestHandler::recordState(const JobId &job, JobState state)
-{
-    KnownJob &known = known_[job];
-    if (isFinal(known.state))
-        return;
-    known = {state, context_.now(), handlers_.holderContact()};
-}
-
 void CallerRequestHandler::updateQueueLoads(const std::vector<QueueLoad> &loads)
 {
     queuedJobs_.clear();
@@ -329,59 +309,6 @@
         queuedJobs_[load.queue] = load.queuedJobs;
 }
 
-void CallerRequestHandler::read(const CallerRequest &request, const JobId &job)
-{
-    const KnownJob *state = findKnownJob(job);
-    if (state && isCurrent(*state)) {
-        answerState(request.id, state->state);
-        return;
-    }
-    readJobRecord(request.id, job);
-}
-
-void CallerRequestHandler::readJobRecord(CallerRequestId caller, const JobId &job)
-{
-    ++storeLookups_;
-    context_.callStore(
-            StoreGet {{RecordType::Jobs, job.value()}},
-            [this, caller, job, sentIn = handlers_.holderContact()](const StoreReply &reply) {
-                --storeLookups_;
-                const KnownJob *state = findKnownJob(job);
-                if (state && reply.outcome == StoreOutcome::Done)
-                    known_[job].contact = std::max(state->contact, sentIn);
-                if (reply.outcome == StoreOutcome::Done)
-                    answerState(caller, state ? state->state : JobState::Pending);
-                else if (reply.outcome == StoreOutcome::NotFound)
-                    readResult(caller, job);
-                else if (state)
-                    answerState(caller, state->state);
-                else
-                    answer(caller, CallerOutcome::NotReady);
-            });
-}
-
-/// The job has no job record, so it has finished or was never accepted.
-void CallerRequestHandler::readResult(CallerRequestId caller, const JobId &job)
-{
-    ++storeLookups_;
-    context_.callStore(StoreGet {{RecordType::Results, job.value()}},
-                       [this, caller, job](const StoreReply &reply) {
-                           --storeLookups_;
-                           const JobResult *result = nullptr;
-                           if (!reply.items.empty())
-                               result = std::get_if<JobResult>(&reply.items.front().value);
-                           if (reply.outcome == StoreOutcome::Done && result) {
-                               recordState(job, result->state);
-                               answerState(caller, result->state);
-                           } else if (reply.outcome == StoreOutcome::NotFound) {
-                               context_.log("event=unknown_job job={}", job.value());
-                               answer(caller, CallerOutcome::UnknownJob);
-                           } else {
-                               answer(caller, CallerOutcome::NotReady);
-                           }
-                       });
-}
-
 void CallerRequestHandler::cancel(const CallerRequest &request, const JobId &job,
                                   const Queue &queue)
 {
--- a/Source/Cell/CallerRequestHandler.h
+++ b/Source/Cell/CallerRequestHandler.h
@@ -26,6 +26,11 @@
         std::function<std::uint64_t()> generation;
         /// Whether the job states and pending-job counts known here are current.
         std::function<bool()> isHolderContactCurrent;
+        /// The state of an unfinished job, if this instance is the holder and schedules the job.
+        std::function<std::optional<JobState>(const JobId &)> stateAtHolder;
+        /// Asks the holder to handle a request for a job's state; onHolderAnswered() follows.
+        /// Returns false if this instance is the holder or has no contact with it.
+        std::function<bool(const CallerRequest &)> askHolder;
         /// The present contact with the holder, or the last one.
         std::function<HolderContact()> holderContact;
     };
@@ -37,12 +42,18 @@
     using RelayHandler = std::function<void(CallerAnswer)>;
     /// Handles a request that another instance relayed; \a relay receives the answer.
     void handleRelayed(CallerRequest request, RelayHandler relay);
+    /// Ends a request that was passed to askHolder(); without \a answer when the holder has not
+    /// answered in time.
+    void onHolderAnswered(CallerRequestId caller, const std::optional<CallerAnswer> &answer);
     /// Records a job's state as reported by the holder.
     void recordState(const JobId &job, JobState state);
     /// Replaces the counts of pending jobs.
     void updateQueueLoads(const std::vector<QueueLoad> &loads);
     void tick();
-    std::size_t openRequests() const { return submissions_.size() + storeLookups_; }
+    std::size_t openRequests() const
+    {
+        return submissions_.size() + storeLookups_ + holderQueries_.size();
+    }
 
 private:
     /// Above all request ids that a listener assigns.
@@ -70,6 +81,12 @@
         /// Earliest time of the next commit.
         TimePoint retryAt;
     };
+    /// A request for the state of a job that the holder was asked for.
+    struct HolderQuery
+    {
+        JobId job;
+        HolderContact askedIn;
+    };
     struct Cancellation
     {
         CallerRequestId caller;
@@ -89,7 +106,14 @@
     void abandon(const JobId &job);
 
     void read(const CallerRequest &request, const JobId &job);
-    void readJobRecord(CallerRequestId caller, const JobId &job);
+    void readJobRecord(const CallerRequest &request, const JobId &job);
+    /// The job has a record, so it has not ended.
+    void onJobRecordRead(const CallerRequest &request, const JobId &job);
+    /// Records the holder's answer that a job had \a state during \a contact.
+    void confirmState(const JobId &job, JobState state, HolderContact contact);
+    /// The job's state if no change of it can have been missed.
+    std::optional<JobState> currentState(const JobId &job) const;
+    JobState lastKnownState(const JobId &job) const;
     void readResult(CallerRequestId caller, const JobId &job);
     void cancel(const CallerRequest &request, const JobId &job, const Queue &queue);
     void cancelStored(const Cancellation &cancellation);
@@ -111,6 +135,7 @@
     /// Pending jobs of each queue, as last reported by the holder.
     std::map<QueueId, std::int64_t> queuedJobs_;
     std::map<JobId, Submission> submissions_;
+    std::map<CallerRequestId, HolderQuery> holderQueries_;
     std::deque<Cancellation> cancelRetries_;
     std::size_t commitsInFlight_ = 0;
     /// Store calls for reads and cancellations, in flight or due for a retry.
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -27,6 +27,8 @@
 /// A relayed request is answered within this time, unless the store does not serve the other
 /// instance either.
 constexpr Milliseconds relayTimeout {1200};
+/// A caller that asks for a state does not wait longer for a holder that may be paused.
+constexpr Milliseconds stateQueryTimeout {400};
 
 } // namespace
 
@@ -67,6 +69,8 @@
         return election_.holder() ? election_.holder()->generation : 0;
     };
     handlers.isHolderContactCurrent = [this] { return isHolderContactCurrent(); };
+    handlers.stateAtHolder = [this](const JobId &job) { return scheduler_.stateOf(job); };
+    handlers.askHolder = [this](const CallerRequest &request) { return askHolder(request); };
     handlers.holderContact = [this] { return holderContact_; };
     return handlers;
 }
@@ -145,11 +149,22 @@
     }
     context_.log("event=request_relayed request={} path={} to={}:{}", request.id.value(),
                  request.path, relay->host, relay->port);
-    const bool changesJobs = !std::holds_alternative<ReadJob>(request.body);
-    relayed_[request.id] = {*relay, context_.now() + relayTimeout, changesJobs};
+    const bool isRead = std::holds_alternative<ReadJob>(request.body);
+    relayed_[request.id]
+            = {*relay, context_.now() + relayTimeout, isRead ? RelayKind::Read : RelayKind::Change};
     context_.send(*relay, PeerCallerRequest {request});
 }
 
+bool CellInstance::askHolder(const CallerRequest &request)
+{
+    const std::optional<Address> holder = holderAddress();
+    if (!holder || !isHolderContactCurrent())
+        return false;
+    relayed_[request.id] = {*holder, context_.now() + stateQueryTimeout, RelayKind::StateQuery};
+    context_.send(*holder, PeerCallerRequest {request});
+    return true;
+}
+
 void CellInstance::onMessage(const PeerFrame &frame, const PeerCallerRequest &message)
 {
     callerRequests_.handleRelayed(
@@ -162,7 +177,14 @@
 
 void CellInstance::onMessage(const PeerFrame & /*frame*/, const PeerCallerAnswer &message)
 {
-    if (relayed_.erase(message.answer.id) > 0)
+    const auto found = relayed_.find(message.answer.id);
+    if (found == relayed_.end())
+        return;
+    const RelayKind kind = found->second.kind;
+    relayed_.erase(found);
+    if (kind == RelayKind::StateQuery)
+        callerRequests_.onHolderAnswered(message.answer.id, message.answer);
+    else
         context_.answer(message.answer);
 }
 
@@ -176,10 +198,15 @@
         }
         CallerAnswer answer;
         answer.id = relayed->first;
+        const RelayKind kind = relayed->second.kind;
+        relayed = relayed_.erase(relayed);
+        if (kind == RelayKind::StateQuery) {
+            callerRequests_.onHolderAnswered(answer.id, std::nullopt);
+            continue;
+        }
         answer.outcome
-                = relayed->second.changesJobs ? CallerOutcome::Unknown : CallerOutcome::NotReady;
+                = kind == RelayKind::Change ? CallerOutcome::Unknown : CallerOutcome::NotReady;
         context_.answer(answer);
-        relayed = relayed_.erase(relayed);
     }
 }
 
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -83,6 +83,8 @@
     /// The instance that can answer this request while the store does not serve this one; none if
     /// it is to be handled here.
     std::optional<Address> relayFor(const CallerRequest &request) const;
+    /// Relays a request for a job's state whose answer is for callerRequests_.
+    bool askHolder(const CallerRequest &request);
     void expireRelayedRequests();
     void startTerm();
     void endTerm();
@@ -135,12 +137,18 @@
     std::optional<Loading> loading_;
     /// Rises when a term starts or ends, so that replies to calls of an earlier term are dropped.
     std::uint64_t termChanges_ = 0;
+    enum class RelayKind {
+        Read,
+        Change,
+        /// Answered by callerRequests_, by the state that the other instance answers with.
+        StateQuery,
+    };
     /// A caller's request that was relayed to another instance.
     struct RelayedRequest
     {
         Address to;
         TimePoint deadline;
-        bool changesJobs = false;
+        RelayKind kind = RelayKind::Read;
     };
     std::map<CallerRequestId, RelayedRequest> relayed_;
     /// Time of the last contact with each peer.
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -232,6 +232,15 @@
     handlers_.stateChanged(id, state);
 }
 
+std::optional<JobState> CellScheduler::stateOf(const JobId &id) const
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return std::nullopt;
+    // The job has not ended until its result is stored.
+    return found->second->hasStarted() ? JobState::Running : JobState::Pending;
+}
+
 void CellScheduler::markStarted(CellJob &job)
 {
     if (job.markStarted())
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -72,6 +72,8 @@
 
     ApprovalDispatcher &approvalDispatcher() { return approvalDispatcher_; }
     std::vector<QueueLoad> queueLoads() const;
+    /// The state of an unfinished job that this holder schedules.
+    std::optional<JobState> stateOf(const JobId &id) const;
     std::size_t jobCount() const { return jobs_.size(); }
 
 private:
