Notice lost state updates of the holder

Callers would see `running` for good after the job's end: an instance that was paused loses updates when its connection breaks, and the ones that still waited for it and the next ones over a new connection look like one contact. Nothing showed that an update was missing.

A holder numbers its updates. One whose number does not follow that of the last begins a new contact, so that states received before are looked up again. The updates of an earlier release have no number, so each begins a new contact.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -276,7 +276,8 @@
 {
     configuration_.onVersionAnnounced(message.configuration);
     election_.onHolderAnnounced({frame.from, frame.fromAddress, message.generation, Millicores()});
-    const bool isContactNew = !isHolderContactCurrent() || message.generation != contactGeneration_;
+    const bool isContactNew = !isHolderContactCurrent() || message.generation != contactGeneration_
+            || message.number != lastUpdate_.next();
     const std::optional<HolderRecord> &holder = election_.holder();
     if (!holder || holder->process != frame.from || holder->generation != message.generation)
         return;
@@ -285,6 +286,7 @@
     for (const JobStateChange &change : message.changed)
         callerRequests_.recordState(change.job, change.state);
     contactGeneration_ = message.generation;
+    lastUpdate_ = message.number;
     holderContacted_ = true;
     lastHolderContactAt_ = context_.now();
     if (!message.queues.empty())
@@ -331,6 +333,7 @@
                        broadcastIntervalPerPeer * static_cast<std::int64_t>(peers_.size()));
     PeerStateUpdate update;
     update.generation = election_.generation();
+    update.number = lastBroadcast_ = lastBroadcast_.next();
     update.configuration = configuration_.version();
     update.changed = std::exchange(changedStates_, {});
     if (areLoadsDue) {
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -160,6 +160,10 @@
     TimePoint lastHolderContactAt_;
     HolderContact holderContact_;
     std::uint64_t contactGeneration_ = 0;
+    /// The last update received from the holder.
+    StateUpdateNumber lastUpdate_;
+    /// The last update sent as the holder.
+    StateUpdateNumber lastBroadcast_;
     bool holderContacted_ = false;
     bool stopping_ = false;
 };
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -53,11 +53,16 @@
     Milliseconds expectedWait;
 };
 
+/// Rises by one with each state update of a holder.
+using StateUpdateNumber = NumberId<struct StateUpdateNumberTag>;
+
 /// From the holder to every instance, at short intervals: changed job states, and at longer
 /// intervals the loads of all queues.
 struct PeerStateUpdate
 {
     std::uint64_t generation = 0;
+    /// One more than that of the holder's previous update, so that the loss of one is noticed.
+    StateUpdateNumber number;
     ConfigurationVersion configuration;
     std::vector<JobStateChange> changed;
     std::vector<QueueLoad> queues;
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -480,7 +480,7 @@
                 Json::array({load.queue.value(), load.queuedJobs, load.expectedWait.count()}));
     }
     return Json::array({message.generation, message.configuration.value(), std::move(changed),
-                        std::move(queues)});
+                        std::move(queues), message.number.value()});
 }
 
 Json encode(const PeerCallerRequest &message)
@@ -568,6 +568,9 @@
         message.queues.push_back({decodeName<QueueId>(row.at(0)), row.at(1).get<std::int64_t>(),
                                   decodeQuantity<Milliseconds>(row.at(2))});
     }
+    // Earlier releases do not number their updates.
+    if (json.size() > 4)
+        message.number = decodeNumber<StateUpdateNumber>(json.at(4));
     return message;
 }
 
--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -550,6 +550,7 @@
     {
         PeerStateUpdate update;
         update.generation = 3;
+        update.number = StateUpdateNumber(7);
         update.changed = {{JobId(id_), JobState::Failed}};
         update.queues = {{QueueId("q"), 5, Milliseconds(9)}};
         CallerRequest submit;
