Test ends of jobs that a new holder has not read

A worker lists the end of a job that was stored after the new holder read the jobs, and that the former holder, cut off from the store but told of the job by a peer, has started. The holder lets the worker discard the end as that of an unknown job, reads the job by its next list, and starts the task again. Callers see a task that runs twice after it has succeeded.

--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -65,6 +65,8 @@
     /// Ends the members of a gang that run here, as a member has ended elsewhere.
     void breakGang(TimePoint now, const cell::StepKey &step, cell::RunNumber run);
     const std::vector<Run> &running() const { return running_; }
+    /// The number of completions that it still lists.
+    std::size_t unacknowledged() const { return completed_.size(); }
     cell::WorkerTime clock(TimePoint now) const;
 
 private:
