Keep ends of unknown jobs until the store shows the job

CellScheduler::onRunCompleted() needed no record where it did not know the job. A holder does not know a job that was stored after it read the jobs; a former holder that is still told of new jobs by peers starts such jobs until the workers are read.

UnknownJobs now keeps these ends unrecorded, which keeps the heartbeats going. A job in the list, or one that arrives by the watch or a peer meanwhile, is added and its ends are applied; ends of a job that a list lacks which was requested after the job was seen need no record. The list is requested again while the store does not answer. Finished jobs that the holder knows need no list.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -268,9 +268,10 @@
                            });
 }
 
-void CellScheduler::logEnd(const CellWorker &worker, const TaskKey &key, RunNumber run)
+void CellScheduler::logEnd(const WorkerId &worker, std::optional<WorkerIncarnation> incarnation,
+                           const TaskKey &key, RunNumber run)
 {
-    startLog_.addEnd({key, run, worker.id(), worker.incarnation.value_or(WorkerIncarnation())});
+    startLog_.addEnd({key, run, worker, incarnation.value_or(WorkerIncarnation())});
 }
 
 bool CellScheduler::awaitsCrashEvidence(const CellStep &step, std::size_t index) const
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -39,7 +39,11 @@
     , election_(context_, {[this] { startTerm(); }, [this] { endTerm(); }})
     , jobsAndCancelsWatcher_(context_, RecordType::JobsAndCancels, jobsAndCancelsIntervals,
                              {[this](const StoreItem &item) { onJobOrCancel(item); },
-                              [](const RecordKey &) {}, [this](TimePoint) { checkLoaded(); }})
+                              [](const RecordKey &) {},
+                              [this](TimePoint sentAt) {
+                                  checkLoaded();
+                                  scheduler_.onJobsListed(sentAt);
+                              }})
     , workerWatcher_(context_, RecordType::Workers, workerIntervals,
                      {[this](const StoreItem &item) { onWorkerItem(item); },
                       [this](const RecordKey &key) { removeWorker(WorkerId(key.name)); },
@@ -107,6 +111,8 @@
     context_.tick(tick.createdAt);
     configuration_.tick();
     election_.tick();
+    if (scheduler_.isJobListDue())
+        jobsAndCancelsWatcher_.relistSoon();
     jobsAndCancelsWatcher_.tick();
     workerWatcher_.tick();
     callerRequests_.tick();
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -102,6 +102,7 @@
     jobs_.clear();
     finishedJobs_.clear();
     cancellations_.clear();
+    unknownJobs_.clear();
     jobsWithCrashes_.clear();
     openStarts_.clear();
     startLog_.endTerm();
@@ -171,6 +172,7 @@
         finish(addedJob, JobState::Completed);
     else if (cancellations_.contains(id))
         finish(addedJob, JobState::Cancelled);
+    applyListed(id);
 }
 
 void CellScheduler::addStoredResult(const JobId &id, const JobResult &result)
@@ -296,39 +298,37 @@
 
 bool CellScheduler::onRunCompleted(const CellWorker &worker, const CompletedRun &completion)
 {
-    CellJob *job = nullptr;
-    CellStep *step = findStep(completion.task, job);
-    if (!step) {
-        context_.log("event=completion_of_unknown_job job={} step={} task={} run={} worker={} "
-                     "incarnation={} number={} reason={} finished={}",
-                     completion.task.job.value(), completion.task.step.value(),
-                     completion.task.index.value(), completion.run.value(), worker.id().value(),
-                     worker.incarnation.value_or(WorkerIncarnation()).value(),
-                     completion.number.value(), static_cast<int>(completion.reason),
-                     finishedJobs_.contains(completion.task.job));
-        return false;
-    }
-    const ProgressRecorder::RecordedCompletion recorded {
+    const ProgressRecorder::RecordedCompletion source {
             worker.id(), worker.incarnation.value_or(WorkerIncarnation()), completion.number,
             context_.now()};
+    CellJob *job = nullptr;
+    CellStep *step = findStep(completion.task, job);
+    if (!step)
+        return keepUnknown(source, completion);
+    recordCompletion(source, completion, *job, *step);
+    return true;
+}
+
+void CellScheduler::recordCompletion(const ProgressRecorder::RecordedCompletion &source,
+                                     const CompletedRun &completion, CellJob &job, CellStep &step)
+{
     passNeeded_ = true;
     // The next holder reads this completion from the worker until the store has it.
-    recorder_.markChanged(job->id(), recorded);
-    if (!isFinal(job->state()))
-        applyCompletion(worker, completion, *job, *step);
-    return true;
+    recorder_.markChanged(job.id(), source);
+    if (!isFinal(job.state()))
+        applyCompletion(source, completion, job, step);
 }
 
-void CellScheduler::applyCompletion(const CellWorker &worker, const CompletedRun &completion,
-                                    CellJob &job, CellStep &step)
+void CellScheduler::applyCompletion(const ProgressRecorder::RecordedCompletion &source,
+                                    const CompletedRun &completion, CellJob &job, CellStep &step)
 {
     CellTask &task = step.tasks[completion.task.index.value()];
-    const bool isCurrent = findRun(completion.task, completion.run, worker.id()) != nullptr;
+    const bool isCurrent = findRun(completion.task, completion.run, source.worker) != nullptr;
     const bool isWaiting
             = task.isIn(CellTask::State::Waiting) || task.isIn(CellTask::State::Unrecorded);
     updateCheckpoint(step, task, completion);
     if (completion.reason != CompletionReason::Succeeded && !task.isFinished())
-        logEnd(worker, completion.task, completion.run);
+        logEnd(source.worker, source.incarnation, completion.task, completion.run);
     if (completion.reason == CompletionReason::Failed && !task.isFinished())
         recordFailure(job, step, task, completion);
     if (completion.reason == CompletionReason::Succeeded && (isCurrent || isWaiting)
@@ -343,9 +343,9 @@
                      "number={} "
                      "reason={} current={}",
                      completion.task.job.value(), completion.task.step.value(),
-                     completion.task.index.value(), completion.run.value(), worker.id().value(),
-                     worker.incarnation.value_or(WorkerIncarnation()).value(),
-                     completion.number.value(), static_cast<int>(completion.reason), isCurrent);
+                     completion.task.index.value(), completion.run.value(), source.worker.value(),
+                     source.incarnation.value(), completion.number.value(),
+                     static_cast<int>(completion.reason), isCurrent);
     }
 }
 
@@ -409,7 +409,7 @@
         step->approvals.clearDecision(worker.number());
     // A worker that was reset may have crashed under the run.
     if (outcome != WorkerOutcome::Unanswered || worker.isStateRead)
-        logEnd(worker, key, run);
+        logEnd(worker.id(), worker.incarnation, key, run);
     task->recordedStart.reset();
     task->handle(CellTask::Event::Ended);
     if (step->spec.gang)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -9,6 +9,7 @@
 #include "Cell/Policy/WorkerChoice.h"
 #include "Cell/ProgressRecorder.h"
 #include "Cell/StartLog.h"
+#include "Cell/UnknownJobs.h"
 #include "Cell/WorkerFleet.h"
 
 #include <unordered_set>
@@ -51,6 +52,11 @@
     void cancelJob(const JobId &job);
     /// Records that a job finished in an earlier term, with \a result in the store.
     void addStoredResult(const JobId &id, const JobResult &result);
+    /// Whether the stored jobs have to be listed, as workers list jobs that were not added. True
+    /// once for each list.
+    bool isJobListDue() { return active_ && unknownJobs_.isListDue(context_.now()); }
+    /// All jobs were added that are in a list whose first request was sent at \a sentAt.
+    void onJobsListed(TimePoint sentAt);
     void setWorker(const WorkerEntry &entry) { fleet_.setEntry(entry); }
     void removeWorker(const WorkerId &id) { fleet_.removeEntry(id); }
 
@@ -180,8 +186,18 @@
     std::optional<Resources> onDiscovered(const CellWorker &worker, const RunningTask &running);
     void onListed(const CellWorker &worker, const RunningTask &running);
     bool onRunCompleted(const CellWorker &worker, const CompletedRun &completion);
-    void applyCompletion(const CellWorker &worker, const CompletedRun &completion, CellJob &job,
-                         CellStep &step);
+    void recordCompletion(const ProgressRecorder::RecordedCompletion &source,
+                          const CompletedRun &completion, CellJob &job, CellStep &step);
+    void applyCompletion(const ProgressRecorder::RecordedCompletion &source,
+                         const CompletedRun &completion, CellJob &job, CellStep &step);
+    /// Keeps the completion until it is known whether its job is stored; returns false when it
+    /// needs no record.
+    bool keepUnknown(const ProgressRecorder::RecordedCompletion &source,
+                     const CompletedRun &completion);
+    /// Applies what workers listed of the job before it was added.
+    void applyListed(const JobId &id);
+    /// Lets the worker discard a completion that needs no record.
+    void discardCompletion(const ProgressRecorder::RecordedCompletion &source);
     void onRunNotOnWorker(const CellWorker &worker, const TaskKey &key, RunNumber run,
                           WorkerOutcome outcome);
     void onWorkerCrashed(const CellWorker &worker, WorkerIncarnation incarnation,
@@ -202,7 +218,8 @@
     /// Whether the start log has to keep the start.
     bool isStartNeeded(const LoggedStart &start);
     /// Logs that the run ended, or cannot start, and not with a crash of the worker.
-    void logEnd(const CellWorker &worker, const TaskKey &key, RunNumber run);
+    void logEnd(const WorkerId &worker, std::optional<WorkerIncarnation> incarnation,
+                const TaskKey &key, RunNumber run);
     /// Counts the crash for the tasks of \a lost runs and fails the jobs that are given up for it.
     void countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost,
                       CrashEvidence evidence);
@@ -306,6 +323,7 @@
     /// Finished jobs whose result is in the store, with the time at which the result expires.
     std::unordered_map<JobId, TimePoint> finishedJobs_;
     std::set<JobId> cancellations_;
+    UnknownJobs unknownJobs_;
     /// Jobs with tasks under which workers have crashed.
     std::set<JobId> jobsWithCrashes_;
     StartLog startLog_;
