Test runs of jobs that a new holder has not read

A new holder stops a run that a worker lists of a job which was stored after the holder read the jobs. It reads the job later and starts the task elsewhere, also while the first run is still being stopped: callers see two runs of a task at once, of which the first ends as stopped.

A run of a job that is not stored is stopped, before as well as after a fix. That a former holder does not start a job which was accepted in a later term (CellScheduler::isStartable) had no test; it passes.

--- a/Tests/Cell/UnknownJobTest.cpp
+++ b/Tests/Cell/UnknownJobTest.cpp
@@ -14,6 +14,10 @@
     CPPUNIT_TEST(completion_ofAJobThatTheHolderHasNotRead_isRecorded);
     CPPUNIT_TEST(completion_whileTheStoreListsNoJobs_isRecordedOnceItDoes);
     CPPUNIT_TEST(completion_ofAJobThatIsNotStored_isDiscarded);
+    CPPUNIT_TEST(run_ofAJobThatTheHolderHasNotRead_isKept);
+    CPPUNIT_TEST(run_ofAJobThatIsReadLater_hasNoSecondRunBesideIt);
+    CPPUNIT_TEST(run_ofAJobThatIsNotStored_isStopped);
+    CPPUNIT_TEST(holder_readingAJobOfALaterTerm_doesNotStartIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +63,67 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(job_));
     }
 
+    void run_ofAJobThatTheHolderHasNotRead_isKept()
+    {
+        duration_ = Milliseconds(3000);
+        startUnderTheFormerHolder();
+        CPPUNIT_ASSERT(isCompleted(longWait));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(job_));
+    }
+
+    /// Guards against two runs of a task at once while the first is being stopped.
+    void run_ofAJobThatIsReadLater_hasNoSecondRunBesideIt()
+    {
+        duration_ = Milliseconds(3000);
+        for (std::size_t i = 0; i < 2; ++i)
+            simulation_->worker(i).stopDuration = Milliseconds(900);
+        startUnderTheFormerHolder();
+        simulation_->advance(callDelay);
+        areJobsWatched_ = true;
+        CPPUNIT_ASSERT(isCompleted(longWait));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    void run_ofAJobThatIsNotStored_isStopped()
+    {
+        duration_ = longWait;
+        startUnderTheFormerHolder();
+        simulation_->store().remove({RecordType::Jobs, job_.value()});
+        simulation_->advance(Milliseconds(2000));
+        const CellSimulation::ObservedRun &run = simulation_->starts().front();
+        CPPUNIT_ASSERT(run.completedAt && run.reason == CompletionReason::Stopped);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), unacknowledgedCompletions());
+    }
+
+    /// Guards against two runs at once, of the former holder and of the next one.
+    void holder_readingAJobOfALaterTerm_doesNotStartIt()
+    {
+        duration_ = Milliseconds(2000);
+        simulation_->storeDelivery = [this](const InstanceId &from, const StoreRequest &request) {
+            const bool isCall = !std::holds_alternative<StoreList>(request)
+                    && !std::holds_alternative<StoreWatch>(request);
+            const bool isCutOff = isCall || reads(request, RecordType::Holder);
+            return from == idOf(former_) && isCutOff ? Delivery::Dropped : Delivery::Delivered;
+        };
+        simulation_->peerDelivery = [this](const InstanceId &from, const PeerMessage &) {
+            return from == idOf(former_) ? Delivery::Delivered : Delivery::Lost;
+        };
+        simulation_->workerDelivery = [this](const InstanceId &from, const WorkerRequest &request) {
+            const std::size_t reachable = from == idOf(former_) ? 0 : 1;
+            return simulation_->indexOf(request.worker) == reachable ? Delivery::Delivered
+                                                                     : Delivery::Lost;
+        };
+        const auto claimant
+                = [this] { return simulation_->instance(next_).isHolder() ? next_ : accepting_; };
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->instance(claimant()).isHolder(); }, longWait));
+        simulation_->advance(Milliseconds(500));
+        CPPUNIT_ASSERT(simulation_->submitAndWait(claimant(), CellSimulation::job(job_.value()))
+                       == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(isCompleted(longWait));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
 private:
     using Delivery = CellSimulation::Delivery;
 
