Test reads that the holder does not answer

A read at an instance that restarted is answered within 500 ms when the relayed request is lost, and by the holder's state afterwards.

--- a/Tests/Cell/JobStateTest.cpp
+++ b/Tests/Cell/JobStateTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(job_whoseStartAFormerHolderAnnouncedLate_isShownAsCompleted);
     CPPUNIT_TEST(job_partlyDoneBeforeAllInstancesRestarted_isShownAsRunning);
     CPPUNIT_TEST(job_pendingForLong_isReadFromTheStoreOnceByEachInstance);
+    CPPUNIT_TEST(read_unansweredByTheHolder_isAnsweredWithoutIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,6 +133,26 @@
         CPPUNIT_ASSERT_LESSEQUAL(3, reads);
     }
 
+    void read_unansweredByTheHolder_isAnsweredWithoutIt()
+    {
+        simulation_->plan = lasting;
+        const std::size_t restarted = otherThanHolder();
+        submitAt(*simulation_->holder());
+        simulation_->advance(Milliseconds(1000));
+        simulation_->restart(restarted);
+        simulation_->advance(Milliseconds(2000));
+        simulation_->peerDelivery = [](const InstanceId &, const PeerMessage &message) {
+            return std::holds_alternative<PeerCallerRequest>(message)
+                    ? CellSimulation::Delivery::Dropped
+                    : CellSimulation::Delivery::Delivered;
+        };
+        const TimePoint sentAt = simulation_->now();
+        CPPUNIT_ASSERT(simulation_->stateOf(restarted, JobId("a")).has_value());
+        CPPUNIT_ASSERT_LESS(std::int64_t(500), (simulation_->now() - sentAt).count());
+        simulation_->peerDelivery = {};
+        assertShown(JobState::Running, restarted);
+    }
+
     void job_whoseEndWasLostBetweenTwoUpdates_isShownAsCompleted()
     {
         submitAt(*simulation_->holder());
