Keep runs of unknown jobs until the store shows the job

CellScheduler::onDiscovered() had each run stopped whose job it did not know. It now leaves such a run open (RunDecision, Placement::isUndecided): the run keeps its lease, the worker receives no starts as for other orphaned runs, and UnknownJobs holds the run together with the ends. When the job is added, its task takes the run over; when a later list of the stored jobs lacks it, the run is stopped. Runs of finished jobs that the holder knows are stopped at once, as before. Runs of jobs whose results the holder has not read yet are stopped after that list, not at once.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -249,23 +249,26 @@
     markStarted(*findJob(key.job));
 }
 
-std::optional<Resources> CellScheduler::onDiscovered(const CellWorker &worker,
+WorkerFleet::RunDecision CellScheduler::onDiscovered(const CellWorker &worker,
                                                      const RunningTask &running)
 {
     CellJob *job = nullptr;
     CellStep *step = findStep(running.task, job);
-    if (!step || isFinal(job->state()))
-        return std::nullopt;
+    if (!step)
+        return decideUnknown(worker, running);
+    if (isFinal(job->state()))
+        return {};
+    const WorkerFleet::RunDecision kept {WorkerFleet::RunDecision::Kind::Keep,
+                                         step->spec.allocation()};
     CellTask &task = step->tasks[running.task.index.value()];
-    const bool isCurrent = findRun(running.task, running.run, worker.id()) != nullptr;
-    if (isCurrent)
-        return step->spec.allocation();
+    if (findRun(running.task, running.run, worker.id()))
+        return kept;
     if (!task.isIn(CellTask::State::Waiting))
-        return std::nullopt;
+        return {};
     task.assign(worker.id(), running.run, context_.now());
     task.handle(CellTask::Event::Listed);
     markStarted(*job);
-    return step->spec.allocation();
+    return kept;
 }
 
 void CellScheduler::onListed(const CellWorker &worker, const RunningTask &running)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -183,7 +183,7 @@
     const Queue &queueOf(const CellJob &job) const;
 
     void onStarted(const CellWorker &worker, const TaskKey &key, RunNumber run);
-    std::optional<Resources> onDiscovered(const CellWorker &worker, const RunningTask &running);
+    WorkerFleet::RunDecision onDiscovered(const CellWorker &worker, const RunningTask &running);
     void onListed(const CellWorker &worker, const RunningTask &running);
     bool onRunCompleted(const CellWorker &worker, const CompletedRun &completion);
     void recordCompletion(const ProgressRecorder::RecordedCompletion &source,
@@ -194,6 +194,8 @@
     /// needs no record.
     bool keepUnknown(const ProgressRecorder::RecordedCompletion &source,
                      const CompletedRun &completion);
+    /// Leaves it open whether the run is kept until it is known whether its job is stored.
+    WorkerFleet::RunDecision decideUnknown(const CellWorker &worker, const RunningTask &running);
     /// Applies what workers listed of the job before it was added.
     void applyListed(const JobId &id);
     /// Lets the worker discard a completion that needs no record.
--- a/Source/Cell/CellUnknownJobs.cpp
+++ b/Source/Cell/CellUnknownJobs.cpp
@@ -18,22 +18,45 @@
     return true;
 }
 
+WorkerFleet::RunDecision CellScheduler::decideUnknown(const CellWorker &worker,
+                                                      const RunningTask &running)
+{
+    const JobId &id = running.task.job;
+    const bool isFinished = finishedJobs_.contains(id);
+    context_.log("event=run_of_unknown_job job={} step={} task={} run={} worker={} finished={}",
+                 id.value(), running.task.step.value(), running.task.index.value(),
+                 running.run.value(), worker.id().value(), isFinished);
+    if (isFinished || findJob(id))
+        return {};
+    unknownJobs_.add({worker.id(), running}, context_.now());
+    return {WorkerFleet::RunDecision::Kind::Later};
+}
+
 void CellScheduler::applyListed(const JobId &id)
 {
-    for (const UnknownJobs::Completion &listed : unknownJobs_.take(id).completions) {
+    const UnknownJobs::Listed listed = unknownJobs_.take(id);
+    for (const auto &[worker, running] : listed.runs) {
+        if (fleet_.isUndecided(worker, running.task, running.run)) {
+            fleet_.decide(worker, running.task, running.run,
+                          onDiscovered(*fleet_.worker(worker), running));
+        }
+    }
+    for (const UnknownJobs::Completion &completion : listed.completions) {
         CellJob *job = nullptr;
-        if (CellStep *step = findStep(listed.run.task, job))
-            recordCompletion(listed.source, listed.run, *job, *step);
+        if (CellStep *step = findStep(completion.run.task, job))
+            recordCompletion(completion.source, completion.run, *job, *step);
         else
-            discardCompletion(listed.source);
+            discardCompletion(completion.source);
     }
 }
 
 void CellScheduler::onJobsListed(TimePoint sentAt)
 {
     for (const auto &[id, listed] : unknownJobs_.takeListedBefore(sentAt)) {
-        context_.log("event=unknown_job_not_stored job={} completions={}", id.value(),
-                     listed.completions.size());
+        context_.log("event=unknown_job_not_stored job={} completions={} runs={}", id.value(),
+                     listed.completions.size(), listed.runs.size());
+        for (const auto &[worker, running] : listed.runs)
+            fleet_.decide(worker, running.task, running.run, {});
         for (const UnknownJobs::Completion &completion : listed.completions)
             discardCompletion(completion.source);
     }
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -86,6 +86,17 @@
     return nullptr;
 }
 
+void CellWorker::countOrphanedRuns()
+{
+    const auto isOrphaned = [](const Placement &placement) {
+        const bool hasAllocation
+                = placement.need.processors.count() > 0 || placement.need.memory.count() > 0;
+        return placement.isUndecided || (!hasAllocation && placement.stopRequested);
+    };
+    orphanedRuns = static_cast<std::size_t>(
+            std::count_if(placements.begin(), placements.end(), isOrphaned));
+}
+
 Resources CellWorker::freeResources() const
 {
     Resources free = entry ? entry->capacity : Resources();
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -32,6 +32,8 @@
     /// The incarnation that ended after the start had been sent, without a proof that the start had
     /// reached it, so that the next incarnation may have the run.
     std::optional<WorkerIncarnation> sentToIncarnation;
+    /// The run's job is not known, so it is open whether the run is kept and what it needs.
+    bool isUndecided = false;
     bool stopRequested = false;
     bool stopInFlight = false;
     /// The time, on the worker's clock, at which it accepted a stop of the run.
@@ -114,8 +116,8 @@
     /// When a restart was noticed last, and the jobs that had runs there.
     std::optional<TimePoint> restartedAt;
     std::set<JobId> jobsAtRestart;
-    /// Runs that belong to no unfinished job. They are being stopped, and the resources that they
-    /// use are unknown.
+    /// Runs that belong to no known unfinished job. They are undecided or being stopped, and the
+    /// resources that they use are unknown.
     std::size_t orphanedRuns = 0;
 
     CallTarget callTarget(TimePoint now) const { return {id_, incarnation, clock_, now}; }
@@ -141,6 +143,7 @@
 
     bool hasRunsOf(const JobId &job) const;
     Placement *find(const TaskKey &task, RunNumber run);
+    void countOrphanedRuns();
     Resources freeResources() const;
     /// The highest completion number up to which all completions are recorded.
     CompletionNumber highestAcknowledgeable() const;
--- a/Source/Cell/UnknownJobs.cpp
+++ b/Source/Cell/UnknownJobs.cpp
@@ -14,6 +14,11 @@
     listedOf(completion.run.task.job, now).completions.push_back(std::move(completion));
 }
 
+void UnknownJobs::add(Run run, TimePoint now)
+{
+    listedOf(run.running.task.job, now).runs.push_back(std::move(run));
+}
+
 UnknownJobs::Listed &UnknownJobs::listedOf(const JobId &job, TimePoint now)
 {
     const auto [position, isNew] = jobs_.try_emplace(job);
--- a/Source/Cell/UnknownJobs.h
+++ b/Source/Cell/UnknownJobs.h
@@ -18,15 +18,23 @@
         ProgressRecorder::RecordedCompletion source;
         CompletedRun run;
     };
+    struct Run
+    {
+        WorkerId worker;
+        RunningTask running;
+    };
     /// All that was listed of one job, in the order of the lists.
     struct Listed
     {
         /// When the job was listed first; it was stored before that.
         TimePoint since;
         std::vector<Completion> completions;
+        /// Those that have ended since included.
+        std::vector<Run> runs;
     };
 
     void add(Completion completion, TimePoint now);
+    void add(Run run, TimePoint now);
     /// Removes and returns what was listed of the job.
     Listed take(const JobId &job);
     /// Removes and returns the jobs that were listed before \a time.
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -13,12 +13,25 @@
 class WorkerFleet
 {
 public:
+    /// What is done with a run that a worker lists and the fleet has not placed.
+    struct RunDecision
+    {
+        enum class Kind {
+            Keep,
+            Stop,
+            /// Open until decide() is called.
+            Later,
+        };
+
+        Kind kind = Kind::Stop;
+        /// The resources to allocate to a run that is kept.
+        Resources need = {};
+    };
     struct Handlers
     {
         std::function<void(const CellWorker &, const TaskKey &, RunNumber)> started;
-        /// A worker lists a run that the fleet has not placed. Returns the resources to allocate to
-        /// it, or nothing when the run has to be stopped.
-        std::function<std::optional<Resources>(const CellWorker &, const RunningTask &)> discovered;
+        /// A worker lists a run that the fleet has not placed.
+        std::function<RunDecision(const CellWorker &, const RunningTask &)> discovered;
         std::function<void(const CellWorker &, const RunningTask &)> progressed;
         /// Returns true when the completion has to be recorded before the worker may discard it.
         std::function<bool(const CellWorker &, const CompletedRun &)> completed;
@@ -78,6 +91,10 @@
     /// Whether a reserved start may still be sent to the worker.
     bool mayReceive(const WorkerId &worker) const;
     void stop(const WorkerId &worker, const TaskKey &task, RunNumber run);
+    /// Whether decide() has to be called for the run.
+    bool isUndecided(const WorkerId &worker, const TaskKey &task, RunNumber run);
+    void decide(const WorkerId &worker, const TaskKey &task, RunNumber run,
+                const RunDecision &decision);
     /// The completion is in the store, so the worker may discard it.
     void onCompletionRecorded(const WorkerId &worker, WorkerIncarnation incarnation,
                               CompletionNumber number);
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -156,7 +156,6 @@
 
 void WorkerFleet::handleRunningTasks(CellWorker &worker, const WorkerReply &reply)
 {
-    worker.orphanedRuns = 0;
     for (const RunningTask &running : reply.running) {
         Placement *placement = worker.find(running.task, running.run);
         if (placement) {
@@ -166,27 +165,19 @@
             handlers_.progressed(worker, running);
             continue;
         }
-        const std::optional<Resources> need = handlers_.discovered(worker, running);
-        if (!need)
-            ++worker.orphanedRuns;
+        const RunDecision decision = handlers_.discovered(worker, running);
         Placement discovered;
         discovered.task = running.task;
         discovered.run = running.run;
-        discovered.need = need.value_or(Resources());
+        discovered.isUndecided = true;
         discovered.confirmedAt = reply.clock;
         discovered.startSent = true;
         discovered.startAnsweredAt = context_.now();
         discovered.isOnPresentIncarnation = true;
         worker.placements.push_back(discovered);
-        if (!need)
-            stop(worker.id(), running.task, running.run);
-    }
-    for (const Placement &placement : worker.placements) {
-        const bool hasAllocation
-                = placement.need.processors.count() > 0 || placement.need.memory.count() > 0;
-        if (!hasAllocation && placement.stopRequested)
-            worker.orphanedRuns = std::max<std::size_t>(worker.orphanedRuns, 1);
+        decide(worker.id(), running.task, running.run, decision);
     }
+    worker.countOrphanedRuns();
 }
 
 bool WorkerFleet::isAbsent(const Placement &placement, TimePoint requestedAt, WorkerTime clock)
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -143,6 +143,27 @@
     sendStop(*worker, task, run);
 }
 
+bool WorkerFleet::isUndecided(const WorkerId &id, const TaskKey &task, RunNumber run)
+{
+    CellWorker *worker = findWorker(id);
+    const Placement *placement = worker ? worker->find(task, run) : nullptr;
+    return placement && placement->isUndecided;
+}
+
+void WorkerFleet::decide(const WorkerId &id, const TaskKey &task, RunNumber run,
+                         const RunDecision &decision)
+{
+    if (decision.kind == RunDecision::Kind::Later || !isUndecided(id, task, run))
+        return;
+    CellWorker *worker = findWorker(id);
+    Placement *placement = worker->find(task, run);
+    placement->isUndecided = false;
+    placement->need = decision.need;
+    if (decision.kind == RunDecision::Kind::Stop)
+        stop(id, task, run);
+    worker->countOrphanedRuns();
+}
+
 void WorkerFleet::sendStop(CellWorker &worker, const TaskKey &task, RunNumber run)
 {
     if (Placement *placement = worker.find(task, run)) {
