Test a job that is announced after its result has expired

An instance that is paused, or whose link stalls, for longer than results are kept tells the holder of a job that has finished and whose result has expired. The holder adds the job anew, without its progress, and its tasks run again.

--- a/Tests/Cell/UnknownJobTest.cpp
+++ b/Tests/Cell/UnknownJobTest.cpp
@@ -6,8 +6,8 @@
 
 using namespace cell;
 
-/// Jobs that the former holder starts after the next one has read the jobs, and before it reads the
-/// workers.
+/// Jobs that the holder does not know: those that the former holder starts after the next one has
+/// read the jobs, and before it reads the workers.
 class UnknownJobTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(UnknownJobTest);
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(run_ofAJobThatIsReadLater_hasNoSecondRunBesideIt);
     CPPUNIT_TEST(run_ofAJobThatIsNotStored_isStopped);
     CPPUNIT_TEST(holder_readingAJobOfALaterTerm_doesNotStartIt);
+    CPPUNIT_TEST(job_announcedAfterItsResultHasExpired_isNotAddedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,6 +125,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
+    /// Guards against a second run of a job whose instance was paused before it told the holder.
+    void job_announcedAfterItsResultHasExpired_isNotAddedAgain()
+    {
+        std::optional<PeerJobAccepted> announced;
+        simulation_->peerDelivery = [&](const InstanceId &, const PeerMessage &message) {
+            const auto *accepted = std::get_if<PeerJobAccepted>(&message);
+            if (!accepted)
+                return Delivery::Delivered;
+            announced = *accepted;
+            return Delivery::Lost;
+        };
+        CPPUNIT_ASSERT(simulation_->submitAndWait(accepting_, CellSimulation::job(job_.value()))
+                       == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(isCompleted(longWait));
+        simulation_->advance(CellSettings().resultLifetime * 2);
+        CPPUNIT_ASSERT(announced && !isCompleted(Milliseconds()));
+        simulation_->instance(former_).handle(
+                simulation_->now(), WallTime(simulation_->now().sinceStart().count()),
+                PeerFrame {ProcessId {idOf(accepting_), 1}, {}, *announced});
+        simulation_->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(job_));
+    }
+
 private:
     using Delivery = CellSimulation::Delivery;
 
