Ignore jobs that are announced long after they were accepted

CellScheduler::addNewJob() now ignores a job that was accepted half a result's lifetime ago or earlier. A job that is still stored is added from its record, which the watch delivers in any case. The half is for wall clocks that differ or jump.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -148,7 +148,11 @@
 {
     // Finished jobs of this generation are recorded in finishedJobs_; jobs of other generations are
     // added only from their records in the store.
-    if (job.generation == generation_)
+    const Milliseconds age((context_.wallTime() - job.acceptedAt).count());
+    // The result may have expired since; a job that is still stored is read by the watch. The wall
+    // clock may have jumped.
+    const bool mayHaveExpired = age >= context_.settings().resultLifetime / 2;
+    if (job.generation == generation_ && !mayHaveExpired)
         addJob(job, {});
 }
 
--- a/Tests/Cell/UnknownJobTest.cpp
+++ b/Tests/Cell/UnknownJobTest.cpp
@@ -7,7 +7,7 @@
 using namespace cell;
 
 /// Jobs that the holder does not know: those that the former holder starts after the next one has
-/// read the jobs, and before it reads the workers.
+/// read the jobs, and before it reads the workers, and those that have finished long ago.
 class UnknownJobTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(UnknownJobTest);
