Soak: take the holder from the latest open term

Now the open term with the highest generation counts, and a start of the process ends its own. Also mends a lint warning in SoakAudit.

--- a/Tests/Soak/SoakAudit.cpp
+++ b/Tests/Soak/SoakAudit.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 SoakAudit::SoakAudit(const SoakJournal &journal, std::vector<SoakJob> jobs,
-                     std::vector<SoakAnswer> unfinished)
+                     const std::vector<SoakAnswer> &unfinished)
     : disturbances_(journal.disturbances())
 {
     for (SoakRun &run : journal.runs())
--- a/Tests/Soak/SoakAudit.h
+++ b/Tests/Soak/SoakAudit.h
@@ -17,7 +17,7 @@
 public:
     /// \a unfinished: what instances show of accepted jobs, in the end, other than `completed`.
     SoakAudit(const SoakJournal &journal, std::vector<SoakJob> jobs,
-              std::vector<SoakAnswer> unfinished);
+              const std::vector<SoakAnswer> &unfinished);
 
     /// All findings; a task or a job is named once for each rule.
     std::vector<SoakFinding> findings() const;
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -59,6 +59,8 @@
 
 void SoakInstance::start()
 {
+    openTerm();
+    openTerm_.reset();
     process_ = std::make_unique<ChildProcess>(
             std::vector<std::string> {CARAWAYMOUNT_PATH, "entry", settingsFile()}, logFile());
 }
@@ -83,18 +85,19 @@
     return response && response->status == 200;
 }
 
-bool SoakInstance::isHolder()
+std::optional<std::uint64_t> SoakInstance::openTerm()
 {
     if (!log_.is_open())
         log_.open(logFile());
     log_.clear();
     for (std::string line; std::getline(log_, line);) {
+        const std::string field = " generation=";
         if (line.find("event=term_started") != std::string::npos)
-            isHolder_ = true;
+            openTerm_ = std::stoull(line.substr(line.find(field) + field.size()));
         if (line.find("event=term_ended") != std::string::npos)
-            isHolder_ = false;
+            openTerm_.reset();
     }
-    return isHolder_ && isRunning();
+    return openTerm_;
 }
 
 SoakFleet::SoakFleet(const SoakFleetOptions &options, SoakJournal &journal)
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -32,8 +32,8 @@
     void signal(int number);
     bool isRunning() { return process_ && process_->isRunning(); }
     bool isReady() const;
-    /// Whether the log shows a term that has not ended.
-    bool isHolder();
+    /// The generation of the term that the log shows as not ended.
+    std::optional<std::uint64_t> openTerm();
 
 private:
     void writeSettings(int storePort) const;
@@ -45,7 +45,7 @@
     int readinessPort_;
     std::unique_ptr<ChildProcess> process_;
     std::ifstream log_;
-    bool isHolder_ = false;
+    std::optional<std::uint64_t> openTerm_;
 };
 
 /// Entry processes with the stand-ins of the store and of the workers.
--- a/Tests/Soak/SoakTroubles.cpp
+++ b/Tests/Soak/SoakTroubles.cpp
@@ -158,8 +158,8 @@
                                                   : choices.away + Milliseconds(10);
     const Milliseconds length = choices.kind == 't' ? shutdownBound + away : away;
     if (!claim(name, length,
-               fmt::format("instance: {} for {} ms, holder {}", choices.kind, away.count(),
-                           instance.isHolder())))
+               fmt::format("instance: {} for {} ms{}", choices.kind, away.count(),
+                           instance.openTerm() ? ", with an open term" : "")))
         return;
     const auto end = [this, name](Milliseconds time) {
         at(time + recovery, [this, name] { release(name); });
@@ -242,9 +242,10 @@
 std::size_t SoakTroubles::pickInstance(const Choices &choices)
 {
     auto &instances = fleet_.instances();
-    const auto holder = std::ranges::find_if(
-            instances, [](const auto &instance) { return instance->isHolder(); });
-    if (choices.isHolderPreferred && holder != instances.end())
+    // Only the latest of the open terms is in force.
+    const auto holder = std::ranges::max_element(
+            instances, {}, [](const auto &instance) { return instance->openTerm(); });
+    if (choices.isHolderPreferred && (*holder)->openTerm())
         return static_cast<std::size_t>(holder - instances.begin());
     return choices.target % instances.size();
 }
