--- a/Tests/Soak/SoakAudit.cpp
+++ b/Tests/Soak/SoakAudit.cpp
@@ -49,8 +49,11 @@
         checkJob(job);
     for (const SoakAnswer &answer : journal.answers())
         checkAnswer(answer);
+    std::map<JobName, std::vector<SoakAnswer>> unfinishedJobs;
     for (const SoakAnswer &answer : unfinished)
-        checkUnfinished(answer);
+        unfinishedJobs[answer.job].push_back(answer);
+    for (const auto &[job, answers] : unfinishedJobs)
+        checkUnfinished(job, answers);
 }
 
 std::vector<SoakFinding> SoakAudit::findings() const
@@ -128,10 +131,12 @@
         add("LOST", fmt::format("{}; accepted at {}", describe(answer), job.acceptedAt->count()));
 }
 
-void SoakAudit::checkUnfinished(const SoakAnswer &answer)
+void SoakAudit::checkUnfinished(const JobName &job, const std::vector<SoakAnswer> &answers)
 {
-    std::string text = describe(answer) + ":";
-    for (const SoakTaskId &task : jobs_.at(answer.job).tasks) {
+    std::string text = job.value() + " is not shown as completed in the end:";
+    for (const SoakAnswer &answer : answers)
+        text += fmt::format(" {} {} at {};", answer.status, answer.state, answer.instance.value());
+    for (const SoakTaskId &task : jobs_.at(job).tasks) {
         text += " " + task.value();
         for (const SoakRun &run : runs_[task])
             text += " " + describe(run);
--- a/Tests/Soak/SoakAudit.h
+++ b/Tests/Soak/SoakAudit.h
@@ -29,7 +29,8 @@
     void checkStartsAfterDone(const Runs &runs);
     void checkJob(const SoakJob &job);
     void checkAnswer(const SoakAnswer &answer);
-    void checkUnfinished(const SoakAnswer &answer);
+    /// \a answers are those of all instances for one job.
+    void checkUnfinished(const JobName &job, const std::vector<SoakAnswer> &answers);
     /// Whether \a target was disturbed in the span, or shortly before it.
     bool isDisturbed(const std::string &target, Milliseconds from, Milliseconds to) const;
     bool isDoneBy(const SoakTaskId &task, Milliseconds time) const;
