Soak: longer pauses, and late orders that outlive a restart

Three quarters of the pauses were shorter than 1.3 s, so that few ended a term; they are now 0.3 to 6 s, all as likely.

--- a/Tests/Soak/SoakTroubles.cpp
+++ b/Tests/Soak/SoakTroubles.cpp
@@ -60,6 +60,7 @@
     choices.before = Milliseconds(pick(0, 600));
     choices.away = Milliseconds(choices.isLong ? pick(500, 6000) : pick(20, 500));
     choices.after = Milliseconds(pick(0, 700));
+    choices.pause = Milliseconds(pick(300, 6000));
     constexpr std::array<std::int64_t, 4> steps {0, 0, 3000, 20'000};
     choices.stepBack = Milliseconds(steps[static_cast<std::size_t>(pick(0, 3))]);
     choices.option = random_();
@@ -86,7 +87,7 @@
 
 void SoakTroubles::begin(const Choices &choices)
 {
-    constexpr std::string_view workerKinds = "rcxd";
+    constexpr std::string_view workerKinds = "rcxde";
     constexpr std::string_view instanceKinds = "ktzh";
     if (workerKinds.find(choices.kind) != workerKinds.npos)
         troubleWorkers(choices);
@@ -104,9 +105,9 @@
         if (!claim(worker.id().value(), length, fmt::format("worker: {}", choices.kind)))
             continue;
         if (choices.kind == 'd') {
-            worker.setOrderDelay(choices.away);
+            worker.setOrderDelay(choices.away, false);
             at(soakNow() + length, [this, &worker] {
-                worker.setOrderDelay(Milliseconds(0));
+                worker.setOrderDelay(Milliseconds(0), false);
                 release(worker.id().value());
             });
         } else if (choices.kind == 'x') {
@@ -134,6 +135,10 @@
         worker.setCut(true, choices.flag);
         time += choices.before;
     }
+    if (choices.kind == 'e') {
+        worker.setOrderDelay(choices.before + choices.away + choices.after, true);
+        time += choices.before;
+    }
     at(time, [this, &worker, isEntryRemoved = choices.option % 3 == 0] {
         worker.crash();
         if (isEntryRemoved)
@@ -141,9 +146,10 @@
     });
     time += choices.away;
     at(time, [&worker, stepBack = choices.stepBack] { worker.restart(stepBack); });
-    if (isCut)
+    if (choices.kind != 'c')
         time += choices.after;
     at(time, [this, &worker, isCut] {
+        worker.setOrderDelay(Milliseconds(0), false);
         if (isCut)
             worker.setCut(false, false);
         release(worker.id().value());
@@ -154,8 +160,7 @@
 {
     SoakInstance &instance = *fleet_.instances()[pickInstance(choices)];
     const std::string name = instance.id().value();
-    const Milliseconds away = choices.kind == 'z' ? choices.away * 2 + Milliseconds(200)
-                                                  : choices.away + Milliseconds(10);
+    const Milliseconds away = choices.kind == 'z' ? choices.pause : choices.away + Milliseconds(10);
     const Milliseconds length = choices.kind == 't' ? shutdownBound + away : away;
     if (!claim(name, length,
                fmt::format("instance: {} for {} ms{}", choices.kind, away.count(),
--- a/Tests/Soak/SoakTroubles.h
+++ b/Tests/Soak/SoakTroubles.h
@@ -12,14 +12,14 @@
 ///
 /// r, c  workers crash and start again under their ids; r: cut off from all meanwhile
 /// x     workers are cut off
-/// d     workers carry out orders late
+/// d, e  workers carry out orders late; e: after they have started again under their ids
 /// k, t  an instance ends (SIGKILL, SIGTERM) and starts again
 /// z, h  an instance is stopped for a while; is told to read its settings again
 /// p, l, s, f  the store is down, loses answers, answers late, refuses one instance
 class SoakTroubles
 {
 public:
-    static constexpr const char *allKinds = "rcxdktzhplsf";
+    static constexpr const char *allKinds = "rcxdektzhplsf";
 
     SoakTroubles(SoakFleet &fleet, SoakJournal &journal, std::uint64_t seed, std::string kinds);
 
@@ -39,6 +39,7 @@
         Milliseconds before;
         Milliseconds away;
         Milliseconds after;
+        Milliseconds pause;
         Milliseconds stepBack;
         std::uint64_t option = 0;
     };
--- a/Tests/Soak/SoakWorker.cpp
+++ b/Tests/Soak/SoakWorker.cpp
@@ -84,10 +84,11 @@
     isStoreCut_ = isCut && alsoStore;
 }
 
-void SoakWorker::setOrderDelay(Milliseconds delay)
+void SoakWorker::setOrderDelay(Milliseconds delay, bool outlivesRestart)
 {
     const std::lock_guard lock(mutex_);
     orderDelay_ = delay;
+    doOrdersOutliveRestart_ = outlivesRestart;
 }
 
 void SoakWorker::begin(Milliseconds stepBack)
@@ -183,9 +184,12 @@
     std::unique_lock lock(mutex_);
     const std::int64_t life = life_;
     const bool isLate = orderDelay_ > Milliseconds(0);
-    if (isLate)
-        changed_.wait_for(lock, toChrono(orderDelay_), [&] { return isClosing_ || life_ != life; });
-    if (!isUp_ || life_ != life)
+    const bool outlivesRestart = doOrdersOutliveRestart_;
+    if (isLate) {
+        changed_.wait_for(lock, toChrono(orderDelay_),
+                          [&] { return isClosing_ || (life_ != life && !outlivesRestart); });
+    }
+    if (!isUp_ || (life_ != life && !outlivesRestart))
         return {0, "", true};
     if (request.expectInstance != id_.value())
         return {421};
--- a/Tests/Soak/SoakWorker.h
+++ b/Tests/Soak/SoakWorker.h
@@ -33,7 +33,8 @@
     /// Cuts the worker off from all instances, and also from the store if \a alsoStore.
     void setCut(bool isCut, bool alsoStore);
     /// Orders are carried out \a delay after they arrive, and get no answer; 0 for at once.
-    void setOrderDelay(Milliseconds delay);
+    /// \a outlivesRestart: also if the process has started again meanwhile.
+    void setOrderDelay(Milliseconds delay, bool outlivesRestart);
 
 private:
     using RunKey = std::pair<SoakTaskId, SoakRunNumber>;
@@ -80,6 +81,7 @@
     bool isUp_ = false;
     bool isStoreCut_ = false;
     Milliseconds orderDelay_;
+    bool doOrdersOutliveRestart_ = false;
     /// Rises with each start of the process.
     std::int64_t life_ = 0;
     SoakIncarnation incarnation_;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -21,7 +21,8 @@
   --instances=N    Number of entry instances [default: 3].
   --workers=N      Number of workers [default: 8].
   --kinds=LETTERS  Kinds of trouble, each as likely as it is often named; "none" for none. Workers:
-                   r restarted behind a cut, c restarted, x cut off, d late orders. Instances:
+                   r restarted behind a cut, c restarted, x cut off, d late orders, e late orders
+                   that the next incarnation carries out (not by default). Instances:
                    k killed, t SIGTERM, z stopped for a while, h SIGHUP. Store: p down, l answers
                    lost, s slow, f refuses one instance [default: rcxdktzhplsf].
   --folder=PATH    Settings, logs and journal [default: soak-logs].
