Show relayed requests that expire although they were answered

A caller whose request was accepted by another instance in time is told that the outcome is unknown, if this process is late and handles a tick first.

--- a/Tests/Cell/LostCallsTest.cpp
+++ b/Tests/Cell/LostCallsTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(holder_unconfirmed_readsItsWorkersAtIntervals);
     CPPUNIT_TEST(calls_inFlightDuringAPause_areCompletedByTheirReplies);
     CPPUNIT_TEST(call_ofALateProcess_isUnansweredOnlyAfterItsTimeLimit);
+    CPPUNIT_TEST(relayedRequest_answeredWhileTheProcessIsLate_hasItsOutcome);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,31 @@
         CPPUNIT_ASSERT_LESS(std::size_t(20), heartbeats);
     }
 
+    void relayedRequest_answeredWhileTheProcessIsLate_hasItsOutcome()
+    {
+        const std::size_t relaying = *simulation_->holder() == 0 ? 1 : 0;
+        const InstanceId id("entry-" + std::to_string(relaying));
+        simulation_->storeDelivery = [id](const InstanceId &instance, const StoreRequest &) {
+            return instance == id ? Delivery::Lost : Delivery::Delivered;
+        };
+        simulation_->advance(Milliseconds(8000));
+        const CallerRequestId request = simulation_->submit(relaying, CellSimulation::job("a"));
+        simulation_->advance(Milliseconds(2));
+        CPPUNIT_ASSERT(simulation_->log.find("event=request_relayed") != std::string::npos);
+        simulation_->pause(relaying);
+        const TimePoint pausedAt = simulation_->now();
+        simulation_->advance(Milliseconds(2000));
+        simulation_->instance(relaying).handle(simulation_->now(),
+                                               WallTime(simulation_->now().sinceStart().count()),
+                                               Tick {pausedAt});
+        simulation_->resume(relaying);
+        simulation_->advance(Milliseconds(100));
+        const std::optional<CallerAnswer> answer = simulation_->answerOf(request);
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(CallerOutcome::Accepted),
+                             static_cast<int>(answer->outcome));
+    }
+
     void heartbeat_withoutAnyReply_isSentAgain()
     {
         // Longer than a heartbeat waits, so that the next one is answered by the completion.
