Expire relayed requests by the time up to which answers were handled

Callers were told that the outcome of a request is unknown although another instance had accepted it in time: after a pause the deadline was compared with the time at which a tick was handled, with the answer queued behind it.

As calls do, relayed requests expire by the time at which the tick was created.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -114,7 +114,7 @@
     jobsAndCancelsWatcher_.tick();
     workerWatcher_.tick();
     callerRequests_.tick();
-    expireRelayedRequests();
+    expireRelayedRequests(tick.createdAt);
     if (loading_) {
         for (const std::function<void()> &retry : std::exchange(loading_->retries, {}))
             retry();
@@ -189,10 +189,10 @@
 }
 
 /// An unanswered relayed request may have been executed, so the outcome of a change is unknown.
-void CellInstance::expireRelayedRequests()
+void CellInstance::expireRelayedRequests(TimePoint time)
 {
     for (auto relayed = relayed_.begin(); relayed != relayed_.end();) {
-        if (context_.now() < relayed->second.deadline) {
+        if (time < relayed->second.deadline) {
             ++relayed;
             continue;
         }
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -85,7 +85,9 @@
     std::optional<Address> relayFor(const CallerRequest &request) const;
     /// Relays a request for a job's state whose answer is for callerRequests_.
     bool askHolder(const CallerRequest &request);
-    void expireRelayedRequests();
+    /// Answers the relayed requests whose deadline was before \a time; answers received before then
+    /// have been handled.
+    void expireRelayedRequests(TimePoint time);
     void startTerm();
     void endTerm();
     void loadProgress(std::uint64_t term, const std::optional<RecordKey> &after);
