Test a holder that resumes after a takeover, before its next tick

The simulation delivered the events of a paused instance together with the first event after the pause, usually a tick, and no scheduling pass ran before it. A kernel may deliver them first; now resume() does.

Seen on the code before: the resumed former holder sends 1 start, 1 renewal and 1 stop (expected 0 each) in the three tests of FormerHolderTest, 3 of 3 fail. Only this fixture was run, in a test program linked from the objects of this build.

--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -186,17 +186,28 @@
     instance.cellInstance.reset();
 }
 
+void CellSimulation::resume(std::size_t index)
+{
+    Instance &instance = instances_.at(index);
+    instance.isPaused = false;
+    if (instance.cellInstance)
+        handle(index, std::exchange(instance.pendingEvents, {}));
+}
+
 void CellSimulation::deliver(std::size_t index, std::uint64_t incarnation, const CellEvent &event)
 {
     Instance &instance = instances_.at(index);
     if (!instance.cellInstance || instance.incarnation != incarnation)
         return;
-    if (instance.isPaused) {
+    if (instance.isPaused)
         instance.pendingEvents.push_back(event);
-        return;
-    }
-    std::vector<CellEvent> events = std::exchange(instance.pendingEvents, {});
-    events.push_back(event);
+    else
+        handle(index, {event});
+}
+
+void CellSimulation::handle(std::size_t index, const std::vector<CellEvent> &events)
+{
+    Instance &instance = instances_.at(index);
     const Stopwatch stopwatch;
     for (const CellEvent &next : events)
         instance.cellInstance->handle(now_, WallTime(now_.sinceStart().count()), next);
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -117,7 +117,8 @@
     void kill(std::size_t instance);
     void restart(std::size_t instance);
     void pause(std::size_t index) { instances_.at(index).isPaused = true; }
-    void resume(std::size_t index) { instances_.at(index).isPaused = false; }
+    /// The events that waited during the pause are handled before the next tick.
+    void resume(std::size_t index);
     bool isRunning(std::size_t index) const
     {
         return instances_.at(index).cellInstance && !instances_.at(index).isPaused;
@@ -170,6 +171,8 @@
     cell::CellSettings settingsOf(std::size_t index) const;
     void schedule(Milliseconds delay, std::function<void()> action);
     void deliver(std::size_t instance, std::uint64_t incarnation, const cell::CellEvent &event);
+    /// Handles the events as one batch.
+    void handle(std::size_t instance, const std::vector<cell::CellEvent> &events);
     void execute(std::size_t instance, const cell::CellActions &actions);
     void call(std::size_t instance, const cell::StoreCall &call);
     void call(std::size_t instance, const cell::WorkerCall &call);
--- /dev/null
+++ b/Tests/Cell/FormerHolderTest.cpp
@@ -0,0 +1,110 @@
+#include "Cell/CellSimulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace caraway::tests {
+
+using namespace cell;
+
+/// A holder that does not know yet that another instance has taken over.
+class FormerHolderTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FormerHolderTest);
+    CPPUNIT_TEST(holder_resumedWithAWaitingJob_startsNothing);
+    CPPUNIT_TEST(holder_resumedWithWaitingReplies_renewsAndAcknowledgesNothing);
+    CPPUNIT_TEST(holder_resumedWithAWaitingCancellation_stopsNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        simulation_ = std::make_unique<CellSimulation>(3, 2);
+        simulation_->plan = [](const TaskKey &, RunNumber) {
+            return SimulatedWorker::RunPlan {Milliseconds(4000), CompletionReason::Succeeded};
+        };
+        CPPUNIT_ASSERT(advanceUntil([&] { return simulation_->holder().has_value(); }));
+        simulation_->advance(Milliseconds(2000));
+        old_ = *simulation_->holder();
+        other_ = old_ == 0 ? 1 : 0;
+    }
+
+    /// Guards against starts by events that waited while the process was paused.
+    void holder_resumedWithAWaitingJob_startsNothing()
+    {
+        simulation_->pause(old_);
+        accept("a");
+        resumeAfterTakeover();
+        CPPUNIT_ASSERT_EQUAL(0, starts_);
+    }
+
+    /// Guards against leases and ends that a former holder still decides about.
+    void holder_resumedWithWaitingReplies_renewsAndAcknowledgesNothing()
+    {
+        accept("a");
+        simulation_->advance(Milliseconds(3800));
+        simulation_->pause(old_);
+        resumeAfterTakeover();
+        CPPUNIT_ASSERT_EQUAL(0, renewals_);
+        CPPUNIT_ASSERT_EQUAL(0, acknowledgements_);
+    }
+
+    /// Guards against the stop of a run that belongs to the next holder.
+    void holder_resumedWithAWaitingCancellation_stopsNothing()
+    {
+        accept("a");
+        simulation_->advance(Milliseconds(200));
+        simulation_->pause(old_);
+        simulation_->cancel(other_, JobId("a"));
+        resumeAfterTakeover();
+        CPPUNIT_ASSERT_EQUAL(0, stops_);
+    }
+
+private:
+    InstanceId nameOfTheOldHolder() const { return InstanceId("entry-" + std::to_string(old_)); }
+    bool advanceUntil(const std::function<bool()> &condition)
+    {
+        return simulation_->advanceUntil(condition, Milliseconds(20'000));
+    }
+    void accept(const std::string &id)
+    {
+        CPPUNIT_ASSERT(simulation_->submitAndWait(other_, CellSimulation::job(id))
+                       == CallerOutcome::Accepted);
+    }
+    void resumeAfterTakeover()
+    {
+        CPPUNIT_ASSERT(advanceUntil([&] { return simulation_->holder().has_value(); }));
+        simulation_->advance(Milliseconds(1000));
+        countCallsOfTheOldHolder();
+        simulation_->resume(old_);
+        simulation_->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT(!simulation_->instance(old_).isHolder());
+    }
+    void countCallsOfTheOldHolder()
+    {
+        simulation_->workerDelivery = [this](const InstanceId &from, const WorkerRequest &call) {
+            if (from == nameOfTheOldHolder())
+                count(call);
+            return CellSimulation::Delivery::Delivered;
+        };
+    }
+    void count(const WorkerRequest &call)
+    {
+        const auto *heartbeat = std::get_if<WorkerHeartbeat>(&call.command);
+        starts_ += std::holds_alternative<WorkerStart>(call.command) ? 1 : 0;
+        stops_ += std::holds_alternative<WorkerStop>(call.command) ? 1 : 0;
+        renewals_ += heartbeat && heartbeat->deadline != WorkerTime() ? 1 : 0;
+        acknowledgements_ += heartbeat && heartbeat->acknowledged != CompletionNumber() ? 1 : 0;
+    }
+
+    std::unique_ptr<CellSimulation> simulation_;
+    std::size_t old_ = 0;
+    std::size_t other_ = 0;
+    int starts_ = 0;
+    int stops_ = 0;
+    int renewals_ = 0;
+    int acknowledgements_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FormerHolderTest);
+
+} // namespace caraway::tests
