Judge the holder's permission by the clock at each event

Callers would see a task run twice, or a run end early: a holder whose process had been paused until another had taken over still started and stopped runs, renewed leases and acknowledged ends, by the events that had waited. Cause: only a tick noticed the pause and an old confirmation, and events and the scheduling pass that come before the tick took the permission from the chart's state.

Now each event and each scheduling pass notices a pause first, and maySchedule() compares the time of the last confirmation with the clock and with the pause. This also covers a pause while the records are being read. A holder without permission acknowledges no ends and sends no stops; they are sent once it is confirmed.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -35,7 +35,7 @@
     , configuration_(context_)
     , scheduler_(context_, configuration_,
                  {[this](const JobId &job, JobState state) { onStateChanged(job, state); },
-                  [this] { election_.onSuperseded(); }})
+                  [this] { election_.onSuperseded(); }, [this] { return election_.maySchedule(); }})
     , election_(context_, {[this] { startTerm(); }, [this] { endTerm(); }})
     , jobsAndCancelsWatcher_(context_, RecordType::JobsAndCancels, jobsAndCancelsIntervals,
                              {[this](const StoreItem &item) { onJobOrCancel(item); },
@@ -83,12 +83,19 @@
 
 void CellInstance::handle(TimePoint now, WallTime wallTime, const CellEvent &event)
 {
-    context_.setTime(now, wallTime);
+    setTime(now, wallTime);
     std::visit([this](const auto &body) { on(body); }, event);
 }
 
-void CellInstance::runSchedulingPass()
+void CellInstance::setTime(TimePoint now, WallTime wallTime)
+{
+    context_.setTime(now, wallTime);
+    election_.noticePause();
+}
+
+void CellInstance::runSchedulingPass(TimePoint now, WallTime wallTime)
 {
+    setTime(now, wallTime);
     election_.renewIfDue();
     scheduler_.setConfirmedAt(election_.confirmedAt());
     scheduler_.onEventsHandled(election_.maySchedule());
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -49,7 +49,7 @@
     void handle(TimePoint now, WallTime wallTime, const CellEvent &event);
     /// Runs a scheduling pass and sends state updates that are due. To be called after each batch
     /// of events.
-    void runSchedulingPass();
+    void runSchedulingPass(TimePoint now, WallTime wallTime);
     CellActions takeActions() { return context_.takeActions(); }
 
     /// Whether new callers should be directed to this instance.
@@ -108,6 +108,9 @@
     /// Address of the holder; none if it is unknown or this process.
     std::optional<Address> holderAddress() const;
 
+    /// Sets the time by which the decisions judge what they may still do.
+    void setTime(TimePoint now, WallTime wallTime);
+
     CellContext context_;
     ConfigurationCache configuration_;
     CellScheduler scheduler_;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -48,6 +48,7 @@
     handlers.startUnanswered
             = [this](const TaskKey &key, RunNumber run) { onStartUnanswered(key, run); };
     handlers.fenced = [this] { handlers_.superseded(); };
+    handlers.mayStop = [this] { return handlers_.maySchedule(); };
     return handlers;
 }
 
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -36,6 +36,8 @@
         std::function<void(const JobId &, JobState)> stateChanged;
         /// Another holder has taken over.
         std::function<void()> superseded;
+        /// Whether this process is confirmed as the holder at the time of the present event.
+        std::function<bool()> maySchedule;
     };
 
     CellScheduler(CellContext &context, const ConfigurationCache &configuration, Handlers handlers);
--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -29,7 +29,7 @@
 /// holder has been known for undersizedHolderDelay.
 constexpr std::int64_t undersizedFactor = 2;
 constexpr Milliseconds undersizedHolderDelay {3000};
-/// A longer gap between two ticks means that the process was paused.
+/// A longer gap between two events means that the process was paused.
 constexpr Milliseconds processPauseLimit {1000};
 
 } // namespace
@@ -64,24 +64,16 @@
 
 void HolderElection::start()
 {
-    leaseMissingSince_ = context_.now();
+    leaseMissingSince_ = lastEventAt_ = context_.now();
     watcher_.start();
 }
 
 void HolderElection::tick()
 {
     watcher_.tick();
-    const TimePoint now = context_.now();
-    if (now - lastTick_ > processPauseLimit && isHolder()) {
-        context_.log("event=process_paused paused_ms={}", (now - lastTick_).count());
-        confirmationNeededFrom_ = now;
-        watcher_.relistSoon();
-        handle(Event::ConfirmationOverdue);
-    }
-    lastTick_ = now;
     if (isHolder()) {
         renewIfDue();
-        if (now - confirmedAt_ > confirmationLimit(context_.settings().workerLease))
+        if (!isConfirmed())
             handle(Event::ConfirmationOverdue);
         return;
     }
@@ -89,6 +81,26 @@
         handle(Event::ClaimDue);
 }
 
+void HolderElection::noticePause()
+{
+    const TimePoint now = context_.now();
+    const Milliseconds paused = now - std::exchange(lastEventAt_, now);
+    if (paused <= processPauseLimit)
+        return;
+    if (isHolder())
+        context_.log("event=process_paused paused_ms={}", paused.count());
+    withdrawConfirmation(now);
+}
+
+void HolderElection::withdrawConfirmation(TimePoint neededFrom)
+{
+    confirmationNeededFrom_ = neededFrom;
+    if (!isHolder())
+        return;
+    watcher_.relistSoon();
+    handle(Event::ConfirmationOverdue);
+}
+
 void HolderElection::onItem(const StoreItem &item)
 {
     if (item.key.type == RecordType::HolderLease) {
@@ -127,12 +139,17 @@
 
 void HolderElection::confirm(TimePoint sentAt)
 {
-    const Milliseconds limit = confirmationLimit(context_.settings().workerLease);
     confirmedAt_ = std::max(confirmedAt_, sentAt);
-    if (sentAt >= confirmationNeededFrom_ && context_.now() - sentAt <= limit)
+    if (isConfirmed())
         handle(Event::Confirmed);
 }
 
+bool HolderElection::isConfirmed() const
+{
+    const Milliseconds limit = confirmationLimit(context_.settings().workerLease);
+    return confirmedAt_ >= confirmationNeededFrom_ && context_.now() - confirmedAt_ <= limit;
+}
+
 bool HolderElection::hasHolderExited() const
 {
     if (!holder_)
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -45,6 +45,9 @@
 
     void start();
     void tick();
+    /// Withdraws the confirmation after a pause of the process. To be called before each event and
+    /// each scheduling pass, as events that waited during a pause come before the next tick.
+    void noticePause();
     void onLoaded() { handle(Event::Loaded); }
     /// A commit failed on its precondition on the holder record.
     void onSuperseded() { watcher_.relistSoon(); }
@@ -64,9 +67,9 @@
     void renewIfDue();
 
     bool isHolder() const { return lifecycle_.isIn(State::Holder); }
-    /// Whether this process is the holder, has read its records and is confirmed, so that it may
-    /// start tasks.
-    bool maySchedule() const { return lifecycle_.isIn(State::Scheduling); }
+    /// Whether this process is the holder, has read its records and is confirmed at the time of
+    /// the present event, so that it may start tasks, stop them and renew leases.
+    bool maySchedule() const { return lifecycle_.isIn(State::Scheduling) && isConfirmed(); }
     const std::optional<HolderRecord> &holder() const { return holder_; }
     /// Fencing token of this process's term, higher than that of every earlier holder.
     FencingToken token() const { return FencingToken(termRevision_.value()); }
@@ -101,6 +104,9 @@
     /// Delay of the claim while no holder is known.
     Milliseconds firstClaimDelay() const;
     void confirm(TimePoint sentAt);
+    bool isConfirmed() const;
+    /// Only lists that are requested at \a neededFrom or later confirm the holder.
+    void withdrawConfirmation(TimePoint neededFrom);
     void onRenewed(const StoreReply &reply);
     void restoreLease();
     void writeLeaseRecord(LeaseId lease);
@@ -132,7 +138,7 @@
     /// A list requested before this time does not confirm the holder, because the process was
     /// paused after the request.
     TimePoint confirmationNeededFrom_;
-    TimePoint lastTick_;
+    TimePoint lastEventAt_;
     TimePoint nextRenewal_;
     bool restoring_ = false;
     TimePoint nextClaim_;
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -143,7 +143,8 @@
     for (auto &[id, worker] : workers_) {
         if (worker.entry && !worker.heartbeatInFlight && context_.now() >= worker.nextHeartbeat)
             sendHeartbeat(worker, mayRenew);
-        resendStops(worker);
+        if (mayRenew)
+            resendStops(worker);
         if (!worker.placements.empty() && worker.isLeaseExpired(context_.now()))
             expireLease(worker);
     }
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -34,6 +34,8 @@
         std::function<void(const TaskKey &, RunNumber)> startUnanswered;
         /// A worker has seen the fencing token of a later holder.
         std::function<void()> fenced;
+        /// Whether runs may be stopped now; otherwise stops are sent when leases may be renewed.
+        std::function<bool()> mayStop;
     };
     struct StartRequest
     {
@@ -81,7 +83,8 @@
     /// The completion is in the store, so the worker may discard it.
     void onCompletionRecorded(const WorkerId &worker, WorkerIncarnation incarnation,
                               CompletionNumber number);
-    /// Sends the calls that are due. Leases are renewed only while \a mayRenew.
+    /// Sends the calls that are due. Leases are renewed, completions acknowledged and runs stopped
+    /// only while \a mayRenew.
     void tick(bool mayRenew);
     /// Sends the next heartbeat to workers that have replied, or whose completions were recorded,
     /// since the last call.
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -50,7 +50,8 @@
         return;
     worker.heartbeatInFlight = true;
     WorkerHeartbeat heartbeat;
-    heartbeat.acknowledged = worker.highestAcknowledgeable();
+    if (mayRenew)
+        heartbeat.acknowledged = worker.highestAcknowledgeable();
     // A renewal without a reply may still have reached the worker, so each raises the latest time
     // at which the worker's lease may end. If renewals to an unreachable worker continued, the
     // holder could never conclude that its runs have ended; nor those to an unhealthy one, which
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -140,7 +140,8 @@
     context_.log("event=run_stop_requested job={} step={} task={} run={} worker={} incarnation={}",
                  task.job.value(), task.step.value(), task.index.value(), run.value(), id.value(),
                  worker->incarnation.value_or(WorkerIncarnation()).value());
-    sendStop(*worker, task, run);
+    if (handlers_.mayStop())
+        sendStop(*worker, task, run);
 }
 
 void WorkerFleet::sendStop(CellWorker &worker, const TaskKey &task, RunNumber run)
--- a/Source/CellDuties/EntryProcess.h
+++ b/Source/CellDuties/EntryProcess.h
@@ -74,7 +74,7 @@
             handle(*next);
             ++handled;
         }
-        instance_.runSchedulingPass();
+        instance_.runSchedulingPass(clock_.now(), wallTime());
         dispatchActions();
         metrics_.observeDecision(stopwatch.seconds());
         metrics_.countEvents(handled);
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -209,9 +209,10 @@
 {
     Instance &instance = instances_.at(index);
     const Stopwatch stopwatch;
+    const WallTime wallTime(now_.sinceStart().count());
     for (const CellEvent &next : events)
-        instance.cellInstance->handle(now_, WallTime(now_.sinceStart().count()), next);
-    instance.cellInstance->runSchedulingPass();
+        instance.cellInstance->handle(now_, wallTime, next);
+    instance.cellInstance->runSchedulingPass(now_, wallTime);
     instance.processorSeconds += stopwatch.seconds();
     execute(index, instance.cellInstance->takeActions());
 }
