Test former holders that a worker fences, or that a restarted worker does not

Two tests with a holder that the store does not answer: one gets replies that show a later token; the other reaches only a worker that has started again after the next holder had read it, and so has seen no token.

--- a/Tests/Cell/FormerHolderTest.cpp
+++ b/Tests/Cell/FormerHolderTest.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(holder_resumedWithAWaitingJob_startsNothing);
     CPPUNIT_TEST(holder_resumedWithWaitingReplies_renewsAndAcknowledgesNothing);
     CPPUNIT_TEST(holder_resumedWithAWaitingCancellation_stopsNothing);
+    CPPUNIT_TEST(holder_thatAWorkerHasFenced_startsNothing);
+    CPPUNIT_TEST(holder_readingAWorkerThatRestartedAfterTheNextHoldersRead_startsNothingThere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,8 +61,79 @@
         CPPUNIT_ASSERT_EQUAL(0, stops_);
     }
 
+    /// Guards against starts on workers that the next holder has not reached yet.
+    void holder_thatAWorkerHasFenced_startsNothing()
+    {
+        refuseStarts();
+        accept("a");
+        cutFromTheStore();
+        simulation_->advance(Milliseconds(3200));
+        CPPUNIT_ASSERT(simulation_->instance(old_).isHolder());
+        countCallsOfTheOldHolder(CellSimulation::Delivery::Refused);
+        simulation_->advance(Milliseconds(1800));
+        CPPUNIT_ASSERT_EQUAL(0, starts_);
+    }
+
+    /// Guards against a task that runs twice, on an incarnation without a token and elsewhere.
+    void holder_readingAWorkerThatRestartedAfterTheNextHoldersRead_startsNothingThere()
+    {
+        refuseStarts();
+        accept("a");
+        cutFromTheStore();
+        const InstanceId old = nameOfTheOldHolder();
+        const WorkerId restarted = simulation_->worker(0).entry.id;
+        bool hasRestarted = false;
+        simulation_->workerDelivery = [&](const InstanceId &from, const WorkerRequest &call) {
+            const bool isStart = std::holds_alternative<WorkerStart>(call.command);
+            const bool isOnRestarted = hasRestarted && call.worker == restarted;
+            const bool isReached = (from == old) == isOnRestarted;
+            if (isReached && (hasRestarted || !isStart))
+                return CellSimulation::Delivery::Delivered;
+            return isStart ? CellSimulation::Delivery::Refused : CellSimulation::Delivery::Dropped;
+        };
+        simulation_->advance(Milliseconds(2000));
+        CPPUNIT_ASSERT(simulation_->instance(old_).isHolder());
+        hasRestarted = true;
+        simulation_->worker(0).resetsConnections = false;
+        simulation_->restartWorker(0);
+        simulation_->advance(Milliseconds(3000));
+        const auto &starts = simulation_->starts();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0),
+                             std::count_if(starts.begin(), starts.end(), [&](const auto &start) {
+                                 return start.worker == restarted;
+                             }));
+    }
+
 private:
     InstanceId nameOfTheOldHolder() const { return InstanceId("entry-" + std::to_string(old_)); }
+    /// The workers refuse starts, so that jobs wait.
+    void refuseStarts()
+    {
+        simulation_->workerDelivery = [](const InstanceId &, const WorkerRequest &call) {
+            return std::holds_alternative<WorkerStart>(call.command)
+                    ? CellSimulation::Delivery::Refused
+                    : CellSimulation::Delivery::Delivered;
+        };
+    }
+    /// The store answers the old holder only with the entries of workers, and no instance tells it
+    /// of the next holder.
+    void cutFromTheStore()
+    {
+        simulation_->storeDelivery = [old = nameOfTheOldHolder()](const InstanceId &from,
+                                                                  const StoreRequest &request) {
+            const auto *list = std::get_if<StoreList>(&request);
+            const auto *watch = std::get_if<StoreWatch>(&request);
+            const bool isOfWorkers = (list && list->type == RecordType::Workers)
+                    || (watch && watch->type == RecordType::Workers);
+            return from != old || isOfWorkers ? CellSimulation::Delivery::Delivered
+                                              : CellSimulation::Delivery::Lost;
+        };
+        simulation_->peerDelivery = [](const InstanceId &, const PeerMessage &message) {
+            return std::holds_alternative<PeerStateUpdate>(message)
+                    ? CellSimulation::Delivery::Lost
+                    : CellSimulation::Delivery::Delivered;
+        };
+    }
     bool advanceUntil(const std::function<bool()> &condition)
     {
         return simulation_->advanceUntil(condition, Milliseconds(20'000));
@@ -79,12 +152,15 @@
         simulation_->advance(Milliseconds(1000));
         CPPUNIT_ASSERT(!simulation_->instance(old_).isHolder());
     }
-    void countCallsOfTheOldHolder()
+    void countCallsOfTheOldHolder(CellSimulation::Delivery ofStarts
+                                  = CellSimulation::Delivery::Delivered)
     {
-        simulation_->workerDelivery = [this](const InstanceId &from, const WorkerRequest &call) {
+        simulation_->workerDelivery = [=, this](const InstanceId &from, const WorkerRequest &call) {
             if (from == nameOfTheOldHolder())
                 count(call);
-            return CellSimulation::Delivery::Delivered;
+            return std::holds_alternative<WorkerStart>(call.command)
+                    ? ofStarts
+                    : CellSimulation::Delivery::Delivered;
         };
     }
     void count(const WorkerRequest &call)
