End the holder's permission when a worker or the store shows a later holder

Callers would see a task run twice: a reply with a later fencing token only made the watcher list the holder record again. While the store did not answer this instance, it went on starting tasks until its last confirmation was too old, on workers that the next holder had not reached. A commit that fails on the holder record was treated the same.

Now both withdraw the confirmation, as a pause does: only a list that is requested later confirms the holder.

Failed before: 4 starts after the fenced reply in holder_thatAWorkerHasFenced_startsNothing, 0 expected; passes now.

--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -92,6 +92,12 @@
     withdrawConfirmation(now);
 }
 
+void HolderElection::onSuperseded()
+{
+    // A list sent in the same millisecond may have been sent before.
+    withdrawConfirmation(context_.now() + Milliseconds(1));
+}
+
 void HolderElection::withdrawConfirmation(TimePoint neededFrom)
 {
     confirmationNeededFrom_ = neededFrom;
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -49,8 +49,9 @@
     /// each scheduling pass, as events that waited during a pause come before the next tick.
     void noticePause();
     void onLoaded() { handle(Event::Loaded); }
-    /// A commit failed on its precondition on the holder record.
-    void onSuperseded() { watcher_.relistSoon(); }
+    /// A commit failed on its precondition on the holder record, or a worker has seen a later
+    /// token. Only a list that is sent later can confirm the holder.
+    void onSuperseded();
     /// \a peer refused a connection. If it is the holder's address, the holder's process has
     /// exited.
     void onPeerRefused(const Address &peer);
