Start tasks only on incarnations that were read before a confirmation

Callers would see a task run twice: a former holder that reaches the workers, but not the store, started tasks on a worker that had started again after the next holder had read it, as that incarnation had seen no token.

Now a worker receives starts only if its present incarnation was first read before the holder's latest confirmation was requested. Each later holder then claims after that, so it reads the worker, or waits for its lease, before it starts older jobs. While workers wait for this, the holder record is listed at the next tick, one list at a time and not while the store serves nothing. No event costs more with a larger fleet: the latest first read is kept as one time. In an outage of the store, workers that were read before it stay usable, also after their lease has expired; others wait for its end.

Failed before: 1 start on the restarted worker in holder_readingAWorkerThatRestartedAfterTheNextHoldersRead_startsNothingThere, 0 expected; passes now.

Run: the whole folder Cell, 187 tests; only the three known failures.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -113,6 +113,8 @@
 {
     context_.tick(tick.createdAt);
     configuration_.tick();
+    if (scheduler_.awaitsConfirmation())
+        election_.confirmSoon();
     election_.tick();
     jobsAndCancelsWatcher_.tick();
     workerWatcher_.tick();
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -45,6 +45,7 @@
     void startTerm(Term term);
     void endTerm();
     bool isActive() const { return active_; }
+    bool awaitsConfirmation() const { return fleet_.awaitsConfirmation(); }
 
     /// Adds a job read from the store; ignored when the job was added before or has finished.
     void addJob(const AcceptedJob &job, const JobProgress &progress);
@@ -61,7 +62,9 @@
     /// When the store was last asked whether this process is the holder, and confirmed it.
     void setConfirmedAt(TimePoint time)
     {
+        passNeeded_ = passNeeded_ || (time > confirmedAt_ && fleet_.awaitsConfirmation());
         confirmedAt_ = time;
+        fleet_.setConfirmedAt(time);
         fleet_.setLatestLeaseEnd(time + renewalLimit + context_.settings().workerLease);
     }
 
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -103,6 +103,8 @@
 
 void CellWorker::startIncarnation(std::optional<WorkerIncarnation> newIncarnation)
 {
+    if (incarnation != newIncarnation)
+        firstReadAt.reset();
     incarnation = newIncarnation;
     isStateRead = false;
     highestCompletion = {};
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -89,6 +89,8 @@
     /// Whether all its running tasks and completions were read under the current fencing token and
     /// in its current incarnation.
     bool isStateRead = false;
+    /// When the present incarnation was first read under the current fencing token.
+    std::optional<TimePoint> firstReadAt;
     bool heartbeatInFlight = false;
     TimePoint nextHeartbeat;
     /// Whether the worker reported itself unhealthy at the last heartbeat, and did not renew its
--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -81,6 +81,13 @@
         handle(Event::ClaimDue);
 }
 
+void HolderElection::confirmSoon()
+{
+    // Otherwise lists are retried at the interval for an outage.
+    if (context_.storeHealth().isServing())
+        watcher_.relistSoon();
+}
+
 void HolderElection::noticePause()
 {
     const TimePoint now = context_.now();
--- a/Source/Cell/HolderElection.h
+++ b/Source/Cell/HolderElection.h
@@ -49,6 +49,8 @@
     /// each scheduling pass, as events that waited during a pause come before the next tick.
     void noticePause();
     void onLoaded() { handle(Event::Loaded); }
+    /// Has the holder record listed at the next tick, unless the store serves nothing.
+    void confirmSoon();
     /// A commit failed on its precondition on the holder record, or a worker has seen a later
     /// token. Only a list that is sent later can confirm the holder.
     void onSuperseded();
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -36,6 +36,7 @@
     workers_.clear();
     dueHeartbeats_.clear();
     nextNumber_ = {};
+    latestFirstRead_ = {};
 }
 
 CellWorker &WorkerFleet::findOrAdd(const WorkerId &id)
@@ -132,8 +133,8 @@
             && worker.entry->incarnation != WorkerIncarnation()
             && worker.entry->incarnation < *worker.incarnation;
     return worker.isListed && !isEntryOutdated && worker.isStateRead && worker.isInRoster
-            && !worker.closedWithJobs && !worker.entry->draining && worker.orphanedRuns == 0
-            && context_.now() >= worker.avoidUntil;
+            && isConfirmedSinceRead(worker) && !worker.closedWithJobs && !worker.entry->draining
+            && worker.orphanedRuns == 0 && context_.now() >= worker.avoidUntil;
 }
 
 void WorkerFleet::tick(bool mayRenew)
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -57,6 +57,10 @@
     void setEarlierRenewalsEnd(TimePoint time) { earlierRenewalsEnd_ = time; }
     /// No lease is renewed beyond \a time.
     void setLatestLeaseEnd(TimePoint time) { latestLeaseEnd_ = time; }
+    /// When the store was last asked whether this process is the holder, and confirmed it.
+    void setConfirmedAt(TimePoint time) { confirmedAt_ = time; }
+    /// Whether workers wait for a later confirmation before they receive work.
+    bool awaitsConfirmation() const { return active_ && latestFirstRead_ >= confirmedAt_; }
     void endTerm();
     void setEntry(const WorkerEntry &entry);
     void removeEntry(const WorkerId &id);
@@ -167,6 +171,12 @@
     void checkRecovery();
     bool belongsInRoster(const CellWorker &worker) const;
     bool isSilent(const CellWorker &worker) const;
+    /// Whether the holder was confirmed after it had read the worker's incarnation. Each later
+    /// holder then reads the worker, or waits for its lease, before it starts older jobs.
+    bool isConfirmedSinceRead(const CellWorker &worker) const
+    {
+        return worker.firstReadAt && confirmedAt_ > *worker.firstReadAt;
+    }
     bool shouldBeClosed(const CellWorker &worker) const;
     CellWorker *findWorker(const WorkerId &id);
     CellWorker &findOrAdd(const WorkerId &id);
@@ -182,6 +192,9 @@
     TimePoint termStartedAt_;
     TimePoint earlierRenewalsEnd_;
     TimePoint latestLeaseEnd_;
+    TimePoint confirmedAt_;
+    /// The latest firstReadAt of all workers in this term.
+    TimePoint latestFirstRead_;
     bool recovered_ = false;
     /// An unread worker of the roster may have runs of any older job.
     bool isOpenWorkerUnread_ = false;
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -140,6 +140,8 @@
     if (reply.completed.size() < maxCompletionsPerReply) {
         removeAbsentPlacements(worker, target, reply);
         worker.isStateRead = true;
+        if (!worker.firstReadAt)
+            worker.firstReadAt = latestFirstRead_ = context_.now();
     }
 }
 
