Log when a worker or a commit shows a later holder

So that an operator sees why a holder starts nothing until its next confirmation, and whether one worker with an odd token causes it.

--- a/Source/Cell/HolderElection.cpp
+++ b/Source/Cell/HolderElection.cpp
@@ -101,6 +101,10 @@
 
 void HolderElection::onSuperseded()
 {
+    if (maySchedule()) {
+        context_.log("event=later_holder_shown generation={} confirmed_ms={}", generation_,
+                     (context_.now() - confirmedAt_).count());
+    }
     // A list sent in the same millisecond may have been sent before.
     withdrawConfirmation(context_.now() + Milliseconds(1));
 }
