--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -37,6 +37,8 @@
         std::function<void(const JobId &, JobState)> stateChanged;
         /// Another holder has taken over.
         std::function<void()> superseded;
+        /// Whether this process is confirmed as the holder at the time of the present event.
+        std::function<bool()> maySchedule;
     };
 
     CellScheduler(CellContext &context, const ConfigurationCache &configuration, Handlers handlers);
@@ -44,6 +46,7 @@
     void startTerm(Term term);
     void endTerm();
     bool isActive() const { return active_; }
+    bool awaitsConfirmation() const { return fleet_.awaitsConfirmation(); }
 
     /// Adds a job read from the store; ignored when the job was added before or has finished.
     void addJob(const AcceptedJob &job, const JobProgress &progress);
@@ -65,7 +68,9 @@
     /// When the store was last asked whether this process is the holder, and confirmed it.
     void setConfirmedAt(TimePoint time)
     {
+        passNeeded_ = passNeeded_ || (time > confirmedAt_ && fleet_.awaitsConfirmation());
         confirmedAt_ = time;
+        fleet_.setConfirmedAt(time);
         fleet_.setLatestLeaseEnd(time + renewalLimit + context_.settings().workerLease);
     }
 
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -47,6 +47,8 @@
         std::function<void(const TaskKey &, RunNumber)> startUnanswered;
         /// A worker has seen the fencing token of a later holder.
         std::function<void()> fenced;
+        /// Whether runs may be stopped now; otherwise stops are sent when leases may be renewed.
+        std::function<bool()> mayStop;
     };
     struct StartRequest
     {
@@ -68,6 +70,10 @@
     void setEarlierRenewalsEnd(TimePoint time) { earlierRenewalsEnd_ = time; }
     /// No lease is renewed beyond \a time.
     void setLatestLeaseEnd(TimePoint time) { latestLeaseEnd_ = time; }
+    /// When the store was last asked whether this process is the holder, and confirmed it.
+    void setConfirmedAt(TimePoint time) { confirmedAt_ = time; }
+    /// Whether workers wait for a later confirmation before they receive work.
+    bool awaitsConfirmation() const { return active_ && latestFirstRead_ >= confirmedAt_; }
     void endTerm();
     void setEntry(const WorkerEntry &entry);
     void removeEntry(const WorkerId &id);
@@ -98,7 +104,8 @@
     /// The completion is in the store, so the worker may discard it.
     void onCompletionRecorded(const WorkerId &worker, WorkerIncarnation incarnation,
                               CompletionNumber number);
-    /// Sends the calls that are due. Leases are renewed only while \a mayRenew.
+    /// Sends the calls that are due. Leases are renewed, completions acknowledged and runs stopped
+    /// only while \a mayRenew.
     void tick(bool mayRenew);
     /// Sends the next heartbeat to workers that have replied, or whose completions were recorded,
     /// since the last call.
@@ -181,6 +188,12 @@
     void checkRecovery();
     bool belongsInRoster(const CellWorker &worker) const;
     bool isSilent(const CellWorker &worker) const;
+    /// Whether the holder was confirmed after it had read the worker's incarnation. Each later
+    /// holder then reads the worker, or waits for its lease, before it starts older jobs.
+    bool isConfirmedSinceRead(const CellWorker &worker) const
+    {
+        return worker.firstReadAt && confirmedAt_ > *worker.firstReadAt;
+    }
     bool shouldBeClosed(const CellWorker &worker) const;
     CellWorker *findWorker(const WorkerId &id);
     CellWorker &findOrAdd(const WorkerId &id);
@@ -196,6 +209,9 @@
     TimePoint termStartedAt_;
     TimePoint earlierRenewalsEnd_;
     TimePoint latestLeaseEnd_;
+    TimePoint confirmedAt_;
+    /// The latest firstReadAt of all workers in this term.
+    TimePoint latestFirstRead_;
     bool recovered_ = false;
     /// An unread worker of the roster may have runs of any older job.
     bool isOpenWorkerUnread_ = false;
