Test that calls change nothing at another incarnation

A worker may start again under its id, and a call names the id only. Two tests show in simulated time what callers see when a call meant for one incarnation is carried out by the next one:

- A heartbeat with the numbers of the earlier incarnation makes the next one forget an end that no list contained.
The task starts again: 2 starts, 1 expected.
- A start that arrives late is within its deadline on the clock of the next incarnation, which has seen neither the stop nor a token: 1 pair of runs at once, 0 expected.

--- a/Tests/Cell/WorkerRestartTest.cpp
+++ b/Tests/Cell/WorkerRestartTest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(start_sentBeforeARestartOfAnUnreachableWorker_runsElsewhereAfterItsLease);
     CPPUNIT_TEST(stop_acceptedByTheEarlierIncarnation_isSentToTheNextOne);
     CPPUNIT_TEST(holder_replacedAfterARestart_startsNothingTwice);
+    CPPUNIT_TEST(end_ofTheNextIncarnation_isNotAcknowledgedByANumberOfTheEarlierOne);
+    CPPUNIT_TEST(start_arrivingAtTheNextIncarnationAfterItsStop_neverRunsTwice);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,6 +203,34 @@
         assertRunsOnce("a");
     }
 
+    /// Guards against an end that a worker forgets unread, so that its task runs again.
+    void end_ofTheNextIncarnation_isNotAcknowledgedByANumberOfTheEarlierOne()
+    {
+        start(1);
+        for (int i = 0; i < 6; ++i)
+            complete("earlier" + std::to_string(i));
+        restartUnnoticed();
+        submit("a", Milliseconds(50));
+        simulation_->advance(Milliseconds(3000));
+        simulation_->publishWorker(0);
+        assertRunsOnce("a");
+    }
+
+    /// Guards against a late start whose deadline another incarnation takes for one of its clock.
+    void start_arrivingAtTheNextIncarnationAfterItsStop_neverRunsTwice()
+    {
+        start(2);
+        delayCalls<WorkerStart>(Milliseconds(2000), 1);
+        submit("a", longTask);
+        simulation_->advance(Milliseconds(1200));
+        restartUnnoticed();
+        simulation_->publishWorker(0);
+        CPPUNIT_ASSERT(advanceUntil([&] { return isCompleted("a"); }));
+        simulation_->advance(Milliseconds(4000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+    }
+
 private:
     static constexpr Milliseconds limit {20'000};
     static constexpr Milliseconds longTask {4000};
