Send a call only to the incarnation that it is meant for

Callers saw a task run twice after a worker had started again under its id: a heartbeat acknowledged ends of the new incarnation by numbers of the earlier one, and a late start passed the check of its deadline on the new incarnation's clock.

Cause: a call named the worker, not its incarnation, and a new connection leads to whichever process listens at the address.

Change: a WorkerRequest names the incarnation that may carry it out, once one is known. WorkersDuty writes such a call only on a connection on which this incarnation has identified itself; a connection is bound to its process. A new connection first carries a list that acknowledges and renews nothing. If another incarnation answers, the call ends unsent as OtherIncarnation, and the fleet reads the new one at once, also when its start time is lower. An identification that is not answered ends the call as NotSent. notAfter is checked when the start is written, after connecting and identifying. AsyncHttpClient keeps a ServerIdentity with each pooled connection and identifies each new connection once. worker_calls_total{call="identify"} counts these reads.

The simulated worker refuses calls for another incarnation; the earlier tests of WorkerRestartTest, whose scenarios are calls that the next incarnation carries out, keep them by an option of the simulated worker, with the same assertions.

--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -14,6 +14,8 @@
 {
     CallId id;
     WorkerReply reply;
+    /// Whether the worker identified itself on a new connection before the call.
+    bool isIdentified = false;
 };
 struct ApprovalReplied
 {
--- a/Source/Cell/WorkerCalls.h
+++ b/Source/Cell/WorkerCalls.h
@@ -46,6 +46,8 @@
     Address address;
     FencingToken token;
     std::variant<WorkerStart, WorkerStop, WorkerHeartbeat> command;
+    /// The only incarnation that may carry out the call; nothing while none is known.
+    std::optional<WorkerIncarnation> incarnation = std::nullopt;
 };
 
 enum class WorkerOutcome {
@@ -63,6 +65,8 @@
     Invalid,
     /// The worker reports itself unhealthy and did not carry out the call.
     Unhealthy,
+    /// The call was never sent, as the reply names another incarnation than the intended one.
+    OtherIncarnation,
     /// The call was never sent.
     NotSent,
     /// No reply was received: the call may have been, or may still be, carried out.
@@ -91,6 +95,8 @@
         return "invalid";
     case WorkerOutcome::Unhealthy:
         return "unhealthy";
+    case WorkerOutcome::OtherIncarnation:
+        return "other_incarnation";
     case WorkerOutcome::NotSent:
         return "not_sent";
     case WorkerOutcome::Unanswered:
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -62,7 +62,7 @@
     }
     if (worker.isStateRead && mayRenew && isAnswering)
         heartbeat.wait = heartbeatWait;
-    context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat},
+    context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat, worker.incarnation},
                         heartbeat.wait + heartbeatMargin,
                         [this, term = term_, mayRenew, acknowledged = heartbeat.acknowledged,
                          target = worker.callTarget(context_.now())](const WorkerReply &reply) {
@@ -113,7 +113,8 @@
     }
     const ReplySource source = updateFromReply(*worker, target, reply);
     if (reply.outcome != WorkerOutcome::Done || source == ReplySource::Other) {
-        if (isLatest)
+        // A reply of another incarnation has scheduled a heartbeat to it.
+        if (isLatest && target.incarnation == worker->incarnation)
             worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
         return;
     }
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -65,6 +65,13 @@
         handlers_.fenced();
         return ReplySource::Other;
     }
+    if (reply.outcome == WorkerOutcome::OtherIncarnation) {
+        // The reply was requested after the holder had learned of the incarnation that it called,
+        // so the one that has replied is a later one, whatever its start time.
+        if (reply.incarnation && target.incarnation == worker.incarnation)
+            updateIncarnation(worker, reply.incarnation);
+        return ReplySource::Other;
+    }
     const bool isUnreachable = reply.outcome == WorkerOutcome::Unanswered
             || reply.outcome == WorkerOutcome::NotSent
             || reply.outcome == WorkerOutcome::Misdirected;
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -67,7 +67,8 @@
                        std::move(request.checkpoint),
                        std::move(request.ticket),
                        now + startTimeout};
-    context_.callWorker({id, worker->entry->address, token_, std::move(start)}, startTimeout,
+    context_.callWorker({id, worker->entry->address, token_, std::move(start), worker->incarnation},
+                        startTimeout,
                         [this, term = term_, target = worker->callTarget(now), task = request.task,
                          run = request.run](const WorkerReply &reply) {
                             if (term == term_)
@@ -150,7 +151,7 @@
         placement->nextStopAttempt = context_.now() + stopRetryInterval;
     }
     context_.callWorker({worker.id(), worker.entry ? worker.entry->address : Address(), token_,
-                         WorkerStop {task, run}},
+                         WorkerStop {task, run}, worker.incarnation},
                         stopTimeout,
                         [this, term = term_, target = worker.callTarget(context_.now()), task,
                          run](const WorkerReply &reply) {
--- a/Source/CellDuties/AsyncHttpClient.cpp
+++ b/Source/CellDuties/AsyncHttpClient.cpp
@@ -39,13 +39,14 @@
     {
     }
 
-    void start(HttpRequest &&request, Milliseconds timeout, ResponseHandler handler)
+    void start(HttpCall &&call, std::optional<HttpIdentification> &&identification)
     {
-        prepare(std::move(request));
-        handler_ = std::move(handler);
-        stream_.expires_after(std::chrono::milliseconds(timeout.count()));
+        call_ = std::move(call);
+        if (identification && identity_ != identification->expected)
+            identification_ = std::move(identification);
+        stream_.expires_after(std::chrono::milliseconds(call_.timeout.count()));
         if (connected_) {
-            write();
+            send();
             return;
         }
         boost::system::error_code error;
@@ -60,6 +61,7 @@
                               });
     }
 
+    const std::optional<ServerIdentity> &identity() const { return identity_; }
     /// Whether the server has closed the connection or sent unsolicited data.
     bool isStale()
     {
@@ -98,11 +100,24 @@
         const int timeout = tcpUserTimeoutMs;
         ::setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
                      sizeof timeout);
-        write();
+        send();
+    }
+
+    void send()
+    {
+        if (identification_) {
+            write(identification_->request());
+            return;
+        }
+        if (call_.notAfter && client_.clock_.now() > *call_.notAfter)
+            finish(HttpOutcome::NotSent);
+        else
+            write(std::move(call_.request));
     }
 
-    void write()
+    void write(HttpRequest &&request)
     {
+        prepare(std::move(request));
         http::async_write(
                 stream_, request_,
                 [self = shared_from_this()](boost::system::error_code error, std::size_t) {
@@ -136,15 +151,41 @@
         // The other idle connections to a server that did not answer are probably broken too.
         if (outcome == HttpOutcome::Unanswered)
             client_.idle_.erase(to_);
+        if (identification_) {
+            finishIdentification(std::move(response), keepAlive);
+            return;
+        }
+        const HttpCall::Handler handler = std::exchange(call_.handler, nullptr);
+        if (const std::optional<ServerIdentity> identity = handler(std::move(response)))
+            identity_ = identity;
+        release(keepAlive);
+    }
+
+    void finishIdentification(HttpResponse &&response, bool keepAlive)
+    {
+        const HttpIdentification identification = *std::exchange(identification_, std::nullopt);
+        identity_ = identification.handler(std::move(response));
+        if (identity_)
+            client_.dropIdleOfOthers(to_, *identity_);
+        if (identity_ != identification.expected) {
+            call_ = {};
+            release(keepAlive);
+        } else if (keepAlive) {
+            send();
+        } else {
+            finish(HttpOutcome::NotSent);
+        }
+    }
+
+    void release(bool keepAlive)
+    {
         stream_.expires_never();
-        const ResponseHandler handler = std::exchange(handler_, nullptr);
         if (keepAlive) {
             client_.returnIdle(to_, shared_from_this());
-        } else {
-            boost::system::error_code ignored;
-            stream_.socket().close(ignored);
+            return;
         }
-        handler(std::move(response));
+        boost::system::error_code ignored;
+        stream_.socket().close(ignored);
     }
 
     AsyncHttpClient &client_;
@@ -153,7 +194,10 @@
     beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
-    ResponseHandler handler_;
+    HttpCall call_;
+    /// Set until the server has identified itself, if the call needs it.
+    std::optional<HttpIdentification> identification_;
+    std::optional<ServerIdentity> identity_;
     bool connected_ = false;
 };
 
@@ -168,27 +212,54 @@
 void AsyncHttpClient::call(const Address &to, HttpRequest request, Milliseconds timeout,
                            ResponseHandler handler)
 {
-    std::shared_ptr<Connection> connection = takeIdle(to);
+    call(to,
+         HttpCall {std::move(request), timeout, std::nullopt,
+                   [handler = std::move(handler)](
+                           HttpResponse &&response) -> std::optional<ServerIdentity> {
+                       handler(std::move(response));
+                       return std::nullopt;
+                   }});
+}
+
+void AsyncHttpClient::call(const Address &to, HttpCall call,
+                           std::optional<HttpIdentification> identification)
+{
+    std::shared_ptr<Connection> connection
+            = takeIdle(to, identification ? std::optional(identification->expected) : std::nullopt);
     if (!connection)
         connection = std::make_shared<Connection>(*this, to);
-    connection->start(std::move(request), timeout, std::move(handler));
+    connection->start(std::move(call), std::move(identification));
 }
 
-std::shared_ptr<AsyncHttpClient::Connection> AsyncHttpClient::takeIdle(const Address &to)
+std::shared_ptr<AsyncHttpClient::Connection>
+AsyncHttpClient::takeIdle(const Address &to, std::optional<ServerIdentity> expected)
 {
     const auto found = idle_.find(to);
     if (found == idle_.end())
         return nullptr;
     std::vector<IdleConnection> &idle = found->second;
-    while (!idle.empty()) {
-        const IdleConnection last = std::move(idle.back());
-        idle.pop_back();
+    for (std::size_t i = idle.size(); i > 0; --i) {
+        if (expected && idle[i - 1].connection->identity() != expected)
+            continue;
+        const IdleConnection last = std::move(idle[i - 1]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
         if (clock_.now() - last.idleSince <= maxIdleTime && !last.connection->isStale())
             return last.connection;
     }
     return nullptr;
 }
 
+void AsyncHttpClient::dropIdleOfOthers(const Address &to, ServerIdentity present)
+{
+    const auto found = idle_.find(to);
+    if (found == idle_.end())
+        return;
+    std::erase_if(found->second, [&](const IdleConnection &entry) {
+        const std::optional<ServerIdentity> &identity = entry.connection->identity();
+        return identity && identity != present;
+    });
+}
+
 void AsyncHttpClient::returnIdle(const Address &to, std::shared_ptr<Connection> connection)
 {
     std::vector<IdleConnection> &idle = idle_[to];
--- a/Source/CellDuties/AsyncHttpClient.h
+++ b/Source/CellDuties/AsyncHttpClient.h
@@ -3,12 +3,46 @@
 #include "CellDuties/HttpMessages.h"
 #include "CellDuties/IoThread.h"
 #include "Core/Clock.h"
+#include "Core/Ids.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace caraway::cell {
 
+/// The server process at the other end of a connection, as it has identified itself. Processes at
+/// one address have different identities.
+using ServerIdentity = NumberId<struct ServerIdentityTag>;
+
+/// A request to one server and the conditions of sending it.
+struct HttpCall
+{
+    using Handler = std::function<std::optional<ServerIdentity>(HttpResponse &&)>;
+
+    HttpRequest request;
+    /// For the connection, its identification and the response together.
+    Milliseconds timeout;
+    /// The request is not sent after this time; nothing when it may always be sent.
+    std::optional<TimePoint> notAfter;
+    /// Called with the response or the failure. Returns the identity that the response contains;
+    /// nothing when it contains none.
+    Handler handler;
+};
+
+/// Restricts a call to connections to one server process. A connection that has not been identified
+/// carries a request of its own first.
+struct HttpIdentification
+{
+    ServerIdentity expected;
+    /// Returns the request by which the server identifies itself, and which changes nothing there.
+    std::function<HttpRequest()> request;
+    /// Called with the response to that request, or with the failure. The call itself is sent if
+    /// this returns the expected identity. Otherwise its handler is not called.
+    HttpCall::Handler handler;
+};
+
 /// Makes concurrent HTTP calls from one thread over pooled connections. All members but the
 /// constructor must be called on that thread.
 class AsyncHttpClient
@@ -22,6 +56,10 @@
     /// Sends \a request to \a to and calls \a handler with the response or the failure.
     void call(const Address &to, HttpRequest request, Milliseconds timeout,
               ResponseHandler handler);
+    /// Sends \a call to \a to, on a connection to the expected process if there is an
+    /// \a identification.
+    void call(const Address &to, HttpCall call,
+              std::optional<HttpIdentification> identification = std::nullopt);
     std::uint64_t connectionsOpened() const { return connectionsOpened_; }
 
 private:
@@ -32,7 +70,10 @@
         TimePoint idleSince;
     };
 
-    std::shared_ptr<Connection> takeIdle(const Address &to);
+    /// Returns an idle connection to the \a expected process, or to any when there is none.
+    std::shared_ptr<Connection> takeIdle(const Address &to, std::optional<ServerIdentity> expected);
+    /// Closes the idle connections to processes that ran at the address before \a present.
+    void dropIdleOfOthers(const Address &to, ServerIdentity present);
     void returnIdle(const Address &to, std::shared_ptr<Connection> connection);
 
     IoThread &thread_;
--- a/Source/CellDuties/CellMetrics.cpp
+++ b/Source/CellDuties/CellMetrics.cpp
@@ -33,9 +33,11 @@
         metrics_.observe({Metric::PeerFramesSent, static_cast<double>(message.to.size()), {}});
 }
 
-void CellMetrics::countReply(const WorkerReply &reply)
+void CellMetrics::countReply(const WorkerReplied &replied)
 {
-    metrics_.observe({Metric::WorkerReplies, 1, std::string(nameOf(reply.outcome))});
+    metrics_.observe({Metric::WorkerReplies, 1, std::string(nameOf(replied.reply.outcome))});
+    if (replied.isIdentified)
+        metrics_.observe({Metric::WorkerCalls, 1, "identify"});
 }
 
 void CellMetrics::countEvents(std::size_t events)
--- a/Source/CellDuties/CellMetrics.h
+++ b/Source/CellDuties/CellMetrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Cell/CellContext.h"
+#include "Cell/CellInstance.h"
 #include "Core/Stopwatch.h"
 #include "Duties/Metrics.h"
 
@@ -17,7 +17,7 @@
         metrics_.observe({Metric::DecisionSeconds, seconds, {}});
     }
     void countEvents(std::size_t events);
-    void countReply(const WorkerReply &reply);
+    void countReply(const WorkerReplied &replied);
     std::string render() const { return metrics_.render(); }
 
 private:
--- a/Source/CellDuties/EntryProcess.h
+++ b/Source/CellDuties/EntryProcess.h
@@ -92,7 +92,7 @@
             callers_.beginStop();
         }
         if (const auto *replied = std::get_if<WorkerReplied>(&body))
-            metrics_.countReply(replied->reply);
+            metrics_.countReply(*replied);
         instance_.handle(clock_.now(), wallTime(), body);
     }
 
--- a/Source/CellDuties/OutboundDuties.h
+++ b/Source/CellDuties/OutboundDuties.h
@@ -59,7 +59,6 @@
 public:
     WorkersDuty(CellEventRing &events, const Clock &clock, const CellSettings &settings)
         : events_(events)
-        , clock_(clock)
         , approvals_(settings.approvals)
         , client_(thread_, clock)
         , calls_(thread_, outboundRingCapacity, [this](Call &&call) { send(std::move(call)); })
@@ -72,7 +71,7 @@
     {
         const CallId id = call.id;
         if (!calls_.offer(std::move(call)))
-            reply(id, WorkerReply {WorkerOutcome::NotSent, {}, {}, {}, {}});
+            reply(id, notSent());
     }
     void offer(ApprovalCall call)
     {
@@ -84,9 +83,16 @@
 private:
     using Call = std::variant<WorkerCall, ApprovalCall>;
 
-    void reply(CallId id, WorkerReply reply)
+    static WorkerReply notSent()
     {
-        events_.offer(CellEvent(WorkerReplied {id, std::move(reply)}));
+        WorkerReply reply;
+        reply.outcome = WorkerOutcome::NotSent;
+        return reply;
+    }
+
+    void reply(CallId id, WorkerReply reply, bool isIdentified = false)
+    {
+        events_.offer(CellEvent(WorkerReplied {id, std::move(reply), isIdentified}));
     }
 
     void send(Call &&call)
@@ -97,21 +103,79 @@
             send(std::get<ApprovalCall>(call));
     }
 
+    /// A call in flight.
+    struct Pending
+    {
+        CallId id;
+        WorkerRequest request;
+        bool isIdentified = false;
+    };
+
     void send(WorkerCall &&call)
     {
+        HttpCall http;
+        http.request = protocol_.encodeWorker(call.request);
+        http.timeout = call.timeout;
         // A process that was paused after the decision must not send an outdated start.
-        const auto *start = std::get_if<WorkerStart>(&call.request.command);
-        if (start && clock_.now() > start->notAfter) {
-            reply(call.id, WorkerReply {WorkerOutcome::NotSent, {}, {}, {}, {}});
-            return;
-        }
-        HttpRequest encoded = protocol_.encodeWorker(call.request);
-        const Address to = call.request.address;
-        client_.call(
-                to, std::move(encoded), call.timeout,
-                [this, id = call.id, request = std::move(call.request)](HttpResponse &&response) {
-                    reply(id, protocol_.decodeWorker(request, std::move(response)));
-                });
+        if (const auto *start = std::get_if<WorkerStart>(&call.request.command))
+            http.notAfter = start->notAfter;
+        const auto pending
+                = std::make_shared<Pending>(Pending {call.id, std::move(call.request), false});
+        http.handler = [this, pending](HttpResponse &&response) {
+            WorkerReply received = protocol_.decodeWorker(pending->request, std::move(response));
+            const std::optional<ServerIdentity> identity = identityOf(received.incarnation);
+            reply(pending->id, std::move(received), pending->isIdentified);
+            return identity;
+        };
+        const Address &to = pending->request.address;
+        if (pending->request.incarnation)
+            client_.call(to, std::move(http), identificationFor(pending));
+        else
+            client_.call(to, std::move(http));
+    }
+
+    static std::optional<ServerIdentity> identityOf(std::optional<WorkerIncarnation> incarnation)
+    {
+        return incarnation ? std::optional(ServerIdentity(incarnation->value())) : std::nullopt;
+    }
+
+    HttpIdentification identificationFor(const std::shared_ptr<Pending> &pending)
+    {
+        return {*identityOf(pending->request.incarnation),
+                [this, pending] { return protocol_.encodeWorker(readOf(pending->request)); },
+                [this, pending](HttpResponse &&response) {
+                    return onIdentified(*pending, std::move(response));
+                }};
+    }
+
+    /// Returns a request that reads the worker's state and changes nothing.
+    static WorkerRequest readOf(const WorkerRequest &request)
+    {
+        return {request.worker, request.address, request.token, WorkerHeartbeat {}};
+    }
+
+    /// Returns the identity of the process that has answered, and completes the call when this is
+    /// not the intended one. A worker that does not name its incarnation is taken for the intended
+    /// one.
+    std::optional<ServerIdentity> onIdentified(Pending &pending, HttpResponse &&response)
+    {
+        const bool isSent = response.outcome != HttpOutcome::NotSent;
+        WorkerReply read = protocol_.decodeWorker(readOf(pending.request), std::move(response));
+        const std::optional<WorkerIncarnation> intended = pending.request.incarnation;
+        pending.isIdentified = isSent;
+        if (read.outcome == WorkerOutcome::Done
+            && read.incarnation.value_or(*intended) == *intended)
+            return identityOf(intended);
+        if (read.outcome == WorkerOutcome::Done)
+            read.outcome = WorkerOutcome::OtherIncarnation;
+        else if (read.outcome == WorkerOutcome::Unanswered)
+            read.outcome = WorkerOutcome::NotSent;
+        // The lists answer no request of the decisions.
+        read.running.clear();
+        read.completed.clear();
+        const std::optional<ServerIdentity> identity = identityOf(read.incarnation);
+        reply(pending.id, std::move(read), isSent);
+        return identity == identityOf(intended) ? std::nullopt : identity;
     }
 
     void send(const ApprovalCall &call)
@@ -124,7 +188,6 @@
     }
 
     CellEventRing &events_;
-    const Clock &clock_;
     Address approvals_;
     Protocol protocol_;
     IoThread thread_;
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -93,6 +93,13 @@
         return;
     }
     token_ = request.token;
+    if (!executesCallsForOthers
+        && request.incarnation.value_or(entry.incarnation) != entry.incarnation) {
+        answer.outcome = WorkerOutcome::OtherIncarnation;
+        answer.incarnation = entry.incarnation;
+        reply(answer);
+        return;
+    }
     if (const auto *command = std::get_if<WorkerStart>(&request.command)) {
         reply(start(now, *command));
         return;
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -44,6 +44,9 @@
     std::function<void(const SimulatedWorker &)> onCrashed;
     std::function<void(const SimulatedWorker &)> onReturned;
 
+    /// Whether it carries out calls that are meant for another incarnation.
+    bool executesCallsForOthers = false;
+
     void handle(TimePoint now, const cell::WorkerRequest &request, const Reply &reply);
     void tick(TimePoint now);
     /// Checkpoints of the runs that end for a reason.
--- a/Tests/Cell/WorkerRestartTest.cpp
+++ b/Tests/Cell/WorkerRestartTest.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(holder_replacedAfterARestart_startsNothingTwice);
     CPPUNIT_TEST(end_ofTheNextIncarnation_isNotAcknowledgedByANumberOfTheEarlierOne);
     CPPUNIT_TEST(start_arrivingAtTheNextIncarnationAfterItsStop_neverRunsTwice);
+    CPPUNIT_TEST(start_meantForAnIncarnationWithALaterStartTime_isNotExecuted);
+    CPPUNIT_TEST(restart_seenByARefusedCall_isReadWithoutDelay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,7 +208,7 @@
     /// Guards against an end that a worker forgets unread, so that its task runs again.
     void end_ofTheNextIncarnation_isNotAcknowledgedByANumberOfTheEarlierOne()
     {
-        start(1);
+        startWithIdentifiedCalls(1);
         for (int i = 0; i < 6; ++i)
             complete("earlier" + std::to_string(i));
         restartUnnoticed();
@@ -219,7 +221,7 @@
     /// Guards against a late start whose deadline another incarnation takes for one of its clock.
     void start_arrivingAtTheNextIncarnationAfterItsStop_neverRunsTwice()
     {
-        start(2);
+        startWithIdentifiedCalls(2);
         delayCalls<WorkerStart>(Milliseconds(2000), 1);
         submit("a", longTask);
         simulation_->advance(Milliseconds(1200));
@@ -231,11 +233,49 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
     }
 
+    /// Guards against calls to a worker whose time of day has stepped back before its restart.
+    void start_meantForAnIncarnationWithALaterStartTime_isNotExecuted()
+    {
+        startWithIdentifiedCalls(1);
+        simulation_->worker(0).entry.incarnation = WorkerIncarnation(10);
+        simulation_->restartWorker(0);
+        simulation_->advance(Milliseconds(1000));
+        for (int i = 0; i < 6; ++i)
+            complete("earlier" + std::to_string(i));
+        restartUnnoticed();
+        simulation_->worker(0).entry.incarnation = WorkerIncarnation(5);
+        submit("a", Milliseconds(50));
+        simulation_->advance(Milliseconds(100));
+        simulation_->publishWorker(0);
+        assertRunsOnce("a");
+    }
+
+    /// Guards against a restart that shows only when a heartbeat has timed out.
+    void restart_seenByARefusedCall_isReadWithoutDelay()
+    {
+        startWithIdentifiedCalls(1);
+        complete("earlier");
+        restartUnnoticed();
+        submit("a", longTask);
+        simulation_->advance(Milliseconds(50));
+        simulation_->publishWorker(0);
+        CPPUNIT_ASSERT(
+                simulation_->advanceUntil([&] { return hasStarted("a"); }, Milliseconds(1000)));
+        assertRunsOnce("a");
+    }
+
 private:
     static constexpr Milliseconds limit {20'000};
     static constexpr Milliseconds longTask {4000};
 
+    /// Workers that carry out calls for other incarnations, as when they name none.
     void start(std::size_t workers)
+    {
+        startWithIdentifiedCalls(workers);
+        for (std::size_t i = 0; i < workers; ++i)
+            simulation_->worker(i).executesCallsForOthers = true;
+    }
+    void startWithIdentifiedCalls(std::size_t workers)
     {
         simulation_ = std::make_unique<CellSimulation>(3, workers);
         durations_.clear();
