--- a/Tests/Cell/FormerHolderTest.cpp
+++ b/Tests/Cell/FormerHolderTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(holder_resumedWithAWaitingCancellation_stopsNothing);
     CPPUNIT_TEST(holder_thatAWorkerHasFenced_startsNothing);
     CPPUNIT_TEST(holder_readingAWorkerThatRestartedAfterTheNextHoldersRead_startsNothingThere);
+    CPPUNIT_TEST(holder_withAWorkerThatHasAForeignToken_startsJobsInTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +105,22 @@
                              }));
     }
 
+    /// Guards against a worker whose refusals hold back the starts on all others.
+    void holder_withAWorkerThatHasAForeignToken_startsJobsInTime()
+    {
+        SimulatedWorker &odd = simulation_->worker(0);
+        const WorkerStop stop {TaskKey {JobId("foreign"), {}, {}, {}}, RunNumber(1)};
+        odd.handle(simulation_->now(), {odd.entry.id, {}, FencingToken(1'000'000), stop},
+                   [](const WorkerReply &) {});
+        simulation_->advance(Milliseconds(4000));
+        for (int i = 0; i < 6; ++i) {
+            const std::string id = "a" + std::to_string(i);
+            accept(id);
+            simulation_->advance(Milliseconds(100));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId(id)));
+        }
+    }
+
 private:
     InstanceId nameOfTheOldHolder() const { return InstanceId("entry-" + std::to_string(old_)); }
     /// The workers refuse starts, so that jobs wait.
