Avoid a worker for a while after it refused a call for a later token

Callers would wait longer for starts on all workers while one worker has a token that is higher than the holder's, as another writer may leave it: each start there was refused, ended the permission until the next list, and was tried again on the same worker.

Now the worker receives no new work for 1.5 s after the refusal, as after a call without an answer.

Failed before: holder_withAWorkerThatHasAForeignToken_startsJobsInTime, 0 of 1 starts after 100 ms; passes now.

--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -62,6 +62,8 @@
                                          const WorkerReply &reply)
 {
     if (reply.outcome == WorkerOutcome::Fenced) {
+        // If the holder is confirmed after all, this worker's token is odd.
+        worker.avoidUntil = context_.now() + unansweredBackoff;
         handlers_.fenced();
         return ReplySource::Other;
     }
