--- a/Tests/Platform/WorkerIncarnationCallTest.cpp
+++ b/Tests/Platform/WorkerIncarnationCallTest.cpp
@@ -233,7 +233,7 @@
         duty_->offer(WorkerCall {CallId(++lastCall_), std::move(request), timeout});
         const std::optional<DutyEvent> event = events_->take();
         CPPUNIT_ASSERT(event);
-        const auto replied = std::get<WorkerReplied>(std::get<CellEvent>(*event));
+        auto replied = std::get<WorkerReplied>(std::get<CellEvent>(*event));
         CPPUNIT_ASSERT(replied.id == CallId(lastCall_));
         return replied;
     }
