Tell replies of peers to an earlier process of the instance apart

A caller could be shown the state of another caller's job, or be told that a job was accepted that was not: an instance numbers the requests that it relays to peers from 1 in each process, and a peer's late answer goes to whichever process listens at the address.

The numbers of relayed requests and of approval requests start at a number that only this incarnation uses. A relayed request keeps the caller's own id.

job_readThroughARestart_isNotShownByAnAnswerToTheEarlierProcess failed before (state 2, completed; expected 1, running) and passes.

--- a/Source/Cell/ApprovalDispatcher.cpp
+++ b/Source/Cell/ApprovalDispatcher.cpp
@@ -30,6 +30,7 @@
 
 ApprovalDispatcher::ApprovalDispatcher(CellContext &context)
     : context_(context)
+    , lastNumber_(numberBeforeFirst(context.self()))
 {
 }
 
--- a/Source/Cell/ApprovalDispatcher.h
+++ b/Source/Cell/ApprovalDispatcher.h
@@ -77,7 +77,7 @@
 
     CellContext &context_;
     std::map<Address, InstanceState> instances_;
-    std::uint64_t lastNumber_ = 0;
+    std::uint64_t lastNumber_;
     std::map<std::uint64_t, Request> requests_;
     /// Requests that were not sent yet, by priority.
     std::map<std::int64_t, QueuedRequests> queue_;
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -51,6 +51,7 @@
                       [this](const RecordKey &key) { removeWorker(WorkerId(key.name)); },
                       [this](TimePoint) { checkLoaded(); }})
     , callerRequests_(context_, configuration_, callerRequestHandlers())
+    , lastRelay_(numberBeforeFirst(context_.self()))
 {
 }
 
@@ -165,9 +166,16 @@
     context_.log("event=request_relayed request={} path={} to={}:{}", request.id.value(),
                  request.path, relay->host, relay->port);
     const bool isRead = std::holds_alternative<ReadJob>(request.body);
-    relayed_[request.id]
-            = {*relay, context_.now() + relayTimeout, isRead ? RelayKind::Read : RelayKind::Change};
-    context_.send(*relay, PeerCallerRequest {request});
+    sendRelayed(request,
+                {request.id, *relay, context_.now() + relayTimeout,
+                 isRead ? RelayKind::Read : RelayKind::Change});
+}
+
+void CellInstance::sendRelayed(CallerRequest request, const RelayedRequest &relayed)
+{
+    request.id = lastRelay_ = lastRelay_.next();
+    relayed_[request.id] = relayed;
+    context_.send(relayed.to, PeerCallerRequest {std::move(request)});
 }
 
 bool CellInstance::askHolder(const CallerRequest &request)
@@ -175,8 +183,8 @@
     const std::optional<Address> holder = holderAddress();
     if (!holder || !isHolderContactCurrent())
         return false;
-    relayed_[request.id] = {*holder, context_.now() + stateQueryTimeout, RelayKind::StateQuery};
-    context_.send(*holder, PeerCallerRequest {request});
+    sendRelayed(request,
+                {request.id, *holder, context_.now() + stateQueryTimeout, RelayKind::StateQuery});
     return true;
 }
 
@@ -195,12 +203,14 @@
     const auto found = relayed_.find(message.answer.id);
     if (found == relayed_.end())
         return;
-    const RelayKind kind = found->second.kind;
+    const RelayedRequest relayed = found->second;
     relayed_.erase(found);
-    if (kind == RelayKind::StateQuery)
-        callerRequests_.onHolderAnswered(message.answer.id, message.answer);
+    CallerAnswer answer = message.answer;
+    answer.id = relayed.caller;
+    if (relayed.kind == RelayKind::StateQuery)
+        callerRequests_.onHolderAnswered(answer.id, answer);
     else
-        context_.answer(message.answer);
+        context_.answer(answer);
 }
 
 /// An unanswered relayed request may have been executed, so the outcome of a change is unknown.
@@ -212,7 +222,7 @@
             continue;
         }
         CallerAnswer answer;
-        answer.id = relayed->first;
+        answer.id = relayed->second.caller;
         const RelayKind kind = relayed->second.kind;
         relayed = relayed_.erase(relayed);
         if (kind == RelayKind::StateQuery) {
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -85,6 +85,8 @@
     /// The instance that can answer this request while the store does not serve this one; none if
     /// it is to be handled here.
     std::optional<Address> relayFor(const CallerRequest &request) const;
+    struct RelayedRequest;
+    void sendRelayed(CallerRequest request, const RelayedRequest &relayed);
     /// Relays a request for a job's state whose answer is for callerRequests_.
     bool askHolder(const CallerRequest &request);
     /// Answers the relayed requests whose deadline was before \a time; answers received before then
@@ -153,11 +155,14 @@
     /// A caller's request that was relayed to another instance.
     struct RelayedRequest
     {
+        CallerRequestId caller;
         Address to;
         TimePoint deadline;
         RelayKind kind = RelayKind::Read;
     };
+    /// By the number under which the other instance answers.
     std::map<CallerRequestId, RelayedRequest> relayed_;
+    CallerRequestId lastRelay_;
     /// Time of the last contact with each peer.
     std::map<Address, TimePoint> peers_;
     std::vector<JobStateChange> changedStates_;
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -83,6 +83,14 @@
         = std::variant<PeerHello, PeerJobAccepted, PeerJobCancelled, PeerApprovalRequest,
                        PeerApprovalReply, PeerStateUpdate, PeerCallerRequest, PeerCallerAnswer>;
 
+/// The number before an instance's first request to a peer. No process at the same address has used
+/// the numbers after it, so that a reply to an earlier process is not taken for one to this one.
+constexpr std::uint64_t numberBeforeFirst(const ProcessId &process)
+{
+    constexpr std::uint64_t numbersPerIncarnation = 1024;
+    return process.incarnation * numbersPerIncarnation;
+}
+
 struct PeerFrame
 {
     ProcessId from;
--- a/Tests/Cell/JobStateTest.cpp
+++ b/Tests/Cell/JobStateTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(job_partlyDoneBeforeAllInstancesRestarted_isShownAsRunning);
     CPPUNIT_TEST(job_pendingForLong_isReadFromTheStoreOnceByEachInstance);
     CPPUNIT_TEST(read_unansweredByTheHolder_isAnsweredWithoutIt);
+    CPPUNIT_TEST(job_readThroughARestart_isNotShownByAnAnswerToTheEarlierProcess);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,12 +200,51 @@
         CPPUNIT_ASSERT(simulation.stateOf(paused, JobId("a")) == JobState::Completed);
     }
 
+    /// Guards against an answer that is taken for one to a request of the restarted process.
+    void job_readThroughARestart_isNotShownByAnAnswerToTheEarlierProcess()
+    {
+        simulation_->plan = lasting;
+        const std::size_t asking = otherThanHolder();
+        submitAt(*simulation_->holder());
+        simulation_->advance(Milliseconds(1000));
+        std::vector<CallerRequestId> numbers;
+        simulation_->peerDelivery = [&numbers](const InstanceId &, const PeerMessage &message) {
+            const auto *question = std::get_if<PeerCallerRequest>(&message);
+            if (!question)
+                return CellSimulation::Delivery::Delivered;
+            numbers.push_back(question->request.id);
+            return CellSimulation::Delivery::Dropped;
+        };
+        for (int process = 0; process < 2; ++process) {
+            simulation_->restart(asking);
+            simulation_->advance(Milliseconds(2000));
+            handleAt(asking,
+                     CallerRequest {CallerRequestId(1), "host", "/q/a", ReadJob {JobId("a")},
+                                    std::nullopt});
+            simulation_->advance(Milliseconds(100));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), numbers.size());
+        CallerAnswer answer;
+        answer.id = numbers.front();
+        answer.outcome = CallerOutcome::State;
+        answer.state = JobState::Completed;
+        handleAt(asking, PeerFrame {{}, {}, PeerCallerAnswer {answer}});
+        simulation_->peerDelivery = {};
+        simulation_->advance(Milliseconds(1000));
+        assertShown(JobState::Running, asking);
+    }
+
 private:
     static SimulatedWorker::RunPlan lasting(const TaskKey &, RunNumber)
     {
         return {Milliseconds(60'000), CompletionReason::Succeeded};
     }
     std::size_t otherThanHolder() const { return *simulation_->holder() == 0 ? 1 : 0; }
+    void handleAt(std::size_t instance, const CellEvent &event)
+    {
+        const TimePoint now = simulation_->now();
+        simulation_->instance(instance).handle(now, WallTime(now.sinceStart().count()), event);
+    }
     void submitAt(std::size_t instance)
     {
         CPPUNIT_ASSERT(simulation_->submitAndWait(instance, CellSimulation::job("a"))
