Ignore entries and replies of an incarnation that has ended

Callers would see a task run twice: where the time of day was set back, a worker starts again with a lower start time. A refused call shows the new incarnation, but a late entry or list of the former one has the higher start time, counted as another restart, and the runs of the new one as lost.

CellWorker keeps the incarnations with later start times that a reply of another one has shown to have ended. Their replies change nothing, and an entry of one makes the worker unusable until the present one's is read.

entry_ofAnEndedIncarnationWithALaterStartTime_losesNoRun failed before (2 starts, 1 expected) and passes.

--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -18,6 +18,8 @@
     // An earlier incarnation has ended before the store or a reply shows the present one, so it
     // does not answer a call that was sent later.
     if (reply.incarnation) {
+        if (hasEnded(*reply.incarnation))
+            return ReplySource::Other;
         const bool isEarlier = incarnation && *reply.incarnation < *incarnation;
         return isEarlier && !isSameTarget ? ReplySource::Other : ReplySource::Present;
     }
@@ -112,6 +114,13 @@
             : CompletionNumber(unrecordedCompletions.begin()->value() - 1);
 }
 
+void CellWorker::endIncarnation(WorkerIncarnation next)
+{
+    if (incarnation)
+        endedIncarnations.insert(*incarnation);
+    std::erase_if(endedIncarnations, [&](WorkerIncarnation ended) { return ended <= next; });
+}
+
 void CellWorker::startIncarnation(std::optional<WorkerIncarnation> newIncarnation)
 {
     if (incarnation != newIncarnation)
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -105,6 +105,9 @@
     /// answer.
     TimePoint avoidUntil;
     std::optional<WorkerIncarnation> incarnation;
+    /// Incarnations with later start times than the present one that are known to have ended, as
+    /// the time of day has been set back.
+    std::set<WorkerIncarnation> endedIncarnations;
     CompletionNumber highestCompletion;
     /// Completions that were processed and are not in the store yet.
     std::set<CompletionNumber> unrecordedCompletions;
@@ -149,6 +152,9 @@
     Resources freeResources() const;
     /// The highest completion number up to which all completions are recorded.
     CompletionNumber highestAcknowledgeable() const;
+    bool hasEnded(WorkerIncarnation other) const { return endedIncarnations.contains(other); }
+    /// The process at the worker's address is \a next, so the present incarnation has ended.
+    void endIncarnation(WorkerIncarnation next);
     /// Discards all state of the earlier incarnation.
     void startIncarnation(std::optional<WorkerIncarnation> newIncarnation);
     /// Keeps the allocation of a run that may be on the present incarnation, although its start was
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -85,7 +85,8 @@
     worker.isListed = true;
     if (entry.draining)
         worker.drainedIncarnation = entry.incarnation;
-    if (!worker.incarnation || entry.incarnation <= *worker.incarnation)
+    if (!worker.incarnation || entry.incarnation <= *worker.incarnation
+        || worker.hasEnded(entry.incarnation))
         return;
     const auto latestStart
             = static_cast<std::uint64_t>((context_.wallTime() + maxClockDifference).count());
@@ -131,7 +132,8 @@
     // An entry without a start time tells nothing about this.
     const bool isEntryOutdated = worker.isListed && worker.incarnation
             && worker.entry->incarnation != WorkerIncarnation()
-            && worker.entry->incarnation < *worker.incarnation;
+            && (worker.entry->incarnation < *worker.incarnation
+                || worker.hasEnded(worker.entry->incarnation));
     return worker.isListed && !isEntryOutdated && worker.isStateRead && worker.isInRoster
             && isConfirmedSinceRead(worker) && !worker.closedWithJobs && !worker.entry->draining
             && worker.orphanedRuns == 0 && context_.now() >= worker.avoidUntil;
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -70,8 +70,10 @@
     if (reply.outcome == WorkerOutcome::OtherIncarnation) {
         // The reply was requested after the holder had learned of the incarnation that it called,
         // so the one that has replied is a later one, whatever its start time.
-        if (reply.incarnation && target.incarnation == worker.incarnation)
+        if (reply.incarnation && target.incarnation == worker.incarnation) {
+            worker.endIncarnation(*reply.incarnation);
             updateIncarnation(worker, reply.incarnation);
+        }
         return ReplySource::Other;
     }
     const bool isUnreachable = reply.outcome == WorkerOutcome::Unanswered
--- a/Tests/Cell/WorkerRestartTest.cpp
+++ b/Tests/Cell/WorkerRestartTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(end_ofTheNextIncarnation_isNotAcknowledgedByANumberOfTheEarlierOne);
     CPPUNIT_TEST(start_arrivingAtTheNextIncarnationAfterItsStop_neverRunsTwice);
     CPPUNIT_TEST(start_meantForAnIncarnationWithALaterStartTime_isNotExecuted);
+    CPPUNIT_TEST(entry_ofAnEndedIncarnationWithALaterStartTime_losesNoRun);
     CPPUNIT_TEST(restart_seenByARefusedCall_isReadWithoutDelay);
     CPPUNIT_TEST_SUITE_END();
 
@@ -250,6 +251,27 @@
         assertRunsOnce("a");
     }
 
+    /// Guards against the loss of a run by a late entry of an incarnation that has ended.
+    void entry_ofAnEndedIncarnationWithALaterStartTime_losesNoRun()
+    {
+        startWithIdentifiedCalls(2);
+        simulation_->worker(0).entry.incarnation = WorkerIncarnation(10);
+        simulation_->restartWorker(0);
+        simulation_->advance(Milliseconds(1000));
+        const WorkerEntry ended = simulation_->worker(0).entry;
+        restartUnnoticed();
+        simulation_->worker(0).entry.incarnation = WorkerIncarnation(5);
+        simulation_->advance(Milliseconds(4000));
+        simulation_->publishWorker(0);
+        simulation_->advance(Milliseconds(500));
+        submit("a", longTask);
+        CPPUNIT_ASSERT(startsOnTheFirstWorker("a"));
+        simulation_->store().put({RecordType::Workers, ended.id.value()}, ended);
+        simulation_->advance(Milliseconds(500));
+        simulation_->publishWorker(0);
+        assertRunsOnce("a");
+    }
+
     /// Guards against a restart that shows only when a heartbeat has timed out.
     void restart_seenByARefusedCall_isReadWithoutDelay()
     {
