Log a misdelivered heartbeat only when it was carried out

worker_heartbeat_misdelivered also stood for calls that were not sent because another incarnation answered (OtherIncarnation), although docs/OPERATIONS.md says that the worker has forgotten ends. The line now needs a carried-out call. A split format string is joined. No decision changes.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -357,8 +357,7 @@
         task.recordedStart.reset();
     if (completion.reason != CompletionReason::Succeeded || !isCurrent) {
         context_.log("event=run_completed job={} step={} task={} run={} worker={} incarnation={} "
-                     "number={} "
-                     "reason={} current={}",
+                     "number={} reason={} current={}",
                      completion.task.job.value(), completion.task.step.value(),
                      completion.task.index.value(), completion.run.value(), source.worker.value(),
                      source.incarnation.value(), completion.number.value(),
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -92,7 +92,8 @@
 void WorkerFleet::logMisdelivery(const CallTarget &target, CompletionNumber acknowledged,
                                  const WorkerReply &reply)
 {
-    if (!target.incarnation || !reply.incarnation || target.incarnation == reply.incarnation)
+    if (reply.outcome != WorkerOutcome::Done || !target.incarnation || !reply.incarnation
+        || target.incarnation == reply.incarnation)
         return;
     context_.log("event=worker_heartbeat_misdelivered worker={} incarnation={} "
                  "reply_incarnation={} acknowledged={} listed_completions={}",
