Drop the states that a term has not announced when it ends

Callers saw `running` for good after the job's end: a state that a holder had not announced when its term ended stayed queued, and the same process announced it in its next term, as news of that term.

The queue is emptied at the end of a term; instances look states up again in their contact with the next holder.

job_whoseStartAnEarlierTermHadNotAnnounced_isShownAsCompleted failed before (state 1, running; expected 2, completed) and passes.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -395,6 +395,7 @@
     workerWatcher_.stop();
     scheduler_.endTerm();
     holderContacted_ = false;
+    changedStates_.clear();
 }
 
 void CellInstance::retryLater(std::function<void()> part)
--- a/Tests/Cell/JobStateTest.cpp
+++ b/Tests/Cell/JobStateTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(job_pendingForLong_isReadFromTheStoreOnceByEachInstance);
     CPPUNIT_TEST(read_unansweredByTheHolder_isAnsweredWithoutIt);
     CPPUNIT_TEST(job_readThroughARestart_isNotShownByAnAnswerToTheEarlierProcess);
+    CPPUNIT_TEST(job_whoseStartAnEarlierTermHadNotAnnounced_isShownAsCompleted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +235,48 @@
         assertShown(JobState::Running, asking);
     }
 
+    /// Guards against a state of an earlier term that a process announces in its next term.
+    void job_whoseStartAnEarlierTermHadNotAnnounced_isShownAsCompleted()
+    {
+        const std::size_t first = *simulation_->holder();
+        CPPUNIT_ASSERT(simulation_->submitAndWait(first, CellSimulation::job("b"))
+                       == CallerOutcome::Accepted);
+        const auto hasStarted
+                = [&](const std::string &id) { return simulation_->startsOf(JobId(id)) > 0; };
+        const Milliseconds limit(1000);
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return hasStarted("b"); }, limit));
+        simulation_->advance(Milliseconds(5));
+        submitAt(first);
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return hasStarted("a"); }, limit));
+        simulation_->advance(Milliseconds(5));
+        PeerStateUpdate announcement;
+        announcement.generation = 1;
+        handleAt(first, PeerFrame {{}, {}, announcement});
+        simulation_->storeDelivery = [first](const InstanceId &id, const StoreRequest &) {
+            return id == InstanceId(fmt::format("entry-{}", first))
+                    ? CellSimulation::Delivery::Lost
+                    : CellSimulation::Delivery::Delivered;
+        };
+        simulation_->advance(Milliseconds(6000));
+        simulation_->storeDelivery = {};
+        simulation_->advance(Milliseconds(3000));
+        const std::size_t second = simulation_->holder().value_or(first);
+        CPPUNIT_ASSERT(second != first);
+        const std::size_t asking = 3 - first - second;
+        simulation_->processors[asking] = Millicores(100);
+        simulation_->restart(asking);
+        simulation_->advance(Milliseconds(2000));
+        simulation_->kill(second);
+        for (int i = 0; i < 5; ++i) {
+            // Known to the next holder before it announces its first states.
+            handleAt(first,
+                     PeerFrame {{}, {fmt::format("10.0.0.{}", asking + 1), 7000}, PeerHello {}});
+            simulation_->advance(Milliseconds(1000));
+        }
+        CPPUNIT_ASSERT(simulation_->holder() == first);
+        assertShown(JobState::Completed, asking);
+    }
+
 private:
     static SimulatedWorker::RunPlan lasting(const TaskKey &, RunNumber)
     {
