Log why steps wait, runs under crashes, and requests open at the end

Change: event=step_waits for up to six steps each 4 s that have been ready for 5 s, with approvals, tickets, room and open requests; listed_for_ms in worker_crashed_under_run; open_requests in event=stop. The lines of the load move to CellDiagnostics.cpp. No decision changes.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -194,6 +194,7 @@
     const Milliseconds serviceTime = settings.perRequest
             + Milliseconds(settings.perWorkerMicroseconds * count / microsecondsPerMillisecond);
     approvals.hasOpenRequest = true;
+    approvals.requestedAt = context_.now();
     ApprovalRequest request {candidate.step->key, workers};
     approvalDispatcher_.queueRequest(
             std::move(request), serviceTime, candidate.queue->priority,
--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -30,7 +30,7 @@
         CellJob *job = nullptr;
         const CellStep *step = findStep(placement.task, job);
         if (step && countsAsCrash(*step, placement))
-            runs.push_back({placement.task, placement.run});
+            runs.push_back({placement.task, placement.run, placement.listedFor()});
     }
     countCrashes({worker.id(), incarnation}, runs, evidenceOf(worker, lost));
 }
@@ -86,10 +86,10 @@
     jobsWithCrashes_.insert(key.job);
     recorder_.markCrash(key);
     context_.log("event=worker_crashed_under_run job={} step={} task={} run={} worker={} "
-                 "incarnation={} crashes={} unexplained={}",
+                 "incarnation={} crashes={} unexplained={} listed_for_ms={}",
                  key.job.value(), key.step.value(), key.index.value(), lost.run.value(),
                  crash.worker.value(), crash.incarnation.value(), task.crashes().count(),
-                 task.crashes().unexplained());
+                 task.crashes().unexplained(), lost.listedFor ? lost.listedFor->count() : -1);
     return true;
 }
 
@@ -212,7 +212,7 @@
         if (outcome == OpenStartOutcome::Unknown)
             return false;
         if (outcome == OpenStartOutcome::Crashed)
-            crashes[{start.worker, start.incarnation}].push_back({start.task, start.run});
+            crashes[{start.worker, start.incarnation}].push_back({start.task, start.run, {}});
         CellJob *job = nullptr;
         CellStep *step = findStep(start.task, job);
         CellTask *task = step ? &step->tasks[start.task.index.value()] : nullptr;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -7,6 +7,7 @@
 /// Interval of periodic checks, such as for gangs that lost a member.
 constexpr Milliseconds maintenanceInterval {100};
 constexpr Milliseconds loadLogInterval {1000};
+constexpr Milliseconds waitingLogInterval {4000};
 
 } // namespace
 
@@ -502,6 +503,10 @@
             nextLoadLog_ = context_.now() + loadLogInterval;
             logLoad();
         }
+        if (context_.now() >= nextWaitingLog_) {
+            nextWaitingLog_ = context_.now() + waitingLogInterval;
+            logWaitingSteps();
+        }
         if (fleet_.isRecovered())
             repairGangs();
         if (maySchedule)
@@ -524,61 +529,6 @@
     recorder_.tick();
 }
 
-/// Logs the free capacity, the capacity that runs on unreachable workers hold, and the waiting and
-/// running work of each priority.
-void CellScheduler::logLoad()
-{
-    struct Row
-    {
-        std::size_t jobs = 0;
-        std::size_t waitingTasks = 0;
-        Millicores waiting;
-        Millicores running;
-        std::size_t approvalRequests = 0;
-    };
-    std::map<std::int64_t, Row> rows;
-    for (const auto &[id, job] : jobs_) {
-        Row &row = rows[queueOf(*job).priority];
-        ++row.jobs;
-        for (const CellStep &step : job->steps()) {
-            const std::size_t onWorkers = step.countTasks(CellTask::State::OnWorker);
-            row.running += step.spec.need.processors * static_cast<std::int64_t>(onWorkers);
-            if (!isStartable(*job, step))
-                continue;
-            const std::size_t waiting = step.countTasks(CellTask::State::Waiting);
-            row.waitingTasks += waiting;
-            row.waiting += step.spec.need.processors * static_cast<std::int64_t>(waiting);
-            row.approvalRequests += step.approvals.hasOpenRequest ? 1 : 0;
-        }
-    }
-    Millicores free;
-    Millicores unreachable;
-    std::size_t usable = 0;
-    for (const auto &[id, worker] : fleet_.workers()) {
-        if (worker.unansweredCalls > 0) {
-            for (const Placement &placement : worker.placements)
-                unreachable += placement.need.processors;
-        }
-        if (!fleet_.isUsable(worker))
-            continue;
-        free += std::max(worker.freeResources().processors, Millicores());
-        ++usable;
-    }
-    context_.log("event=load workers={} usable={} free_millicores={} unreachable_millicores={} "
-                 "headroom_millicores={} approval_queue_ms={} unrecorded_jobs={} "
-                 "completions_recorded_after_ms={}",
-                 fleet_.workers().size(), usable, free.count(), unreachable.count(),
-                 headroom_.reservedProcessors(context_.now()).count(),
-                 approvalDispatcher_.queuedServiceTime().count(), recorder_.unrecordedJobs(),
-                 recorder_.takeLongestDelay().count());
-    for (const auto &[priority, row] : rows) {
-        context_.log("event=priority_load priority={} jobs={} waiting_tasks={} "
-                     "waiting_millicores={} running_millicores={} approval_requests={}",
-                     priority, row.jobs, row.waitingTasks, row.waiting.count(), row.running.count(),
-                     row.approvalRequests);
-    }
-}
-
 std::vector<QueueLoad> CellScheduler::queueLoads() const
 {
     std::map<QueueId, QueueLoad> loads;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -114,6 +114,9 @@
     {
         TaskKey task;
         RunNumber run;
+        /// How long after its start the worker last listed the run; nothing when it never did, or
+        /// an earlier holder started it.
+        std::optional<WorkerTime> listedFor;
     };
     /// A run of a task under which workers have crashed.
     struct SuspectRun
@@ -269,6 +272,8 @@
     void updateRoster();
     void expireResults();
     void logLoad();
+    void logWaitingSteps();
+    void logWaitingStep(const StartCandidate &candidate) const;
 
     void runSchedulingPass();
     std::vector<StartCandidate> startCandidates();
@@ -356,6 +361,7 @@
     TimePoint nextPass_;
     TimePoint nextMaintenance_;
     TimePoint nextLoadLog_;
+    TimePoint nextWaitingLog_;
     WorkerFleet fleet_;
     ProgressRecorder recorder_;
     ApprovalDispatcher approvalDispatcher_;
--- a/Source/Cell/StepApprovals.h
+++ b/Source/Cell/StepApprovals.h
@@ -30,6 +30,8 @@
 
     /// An approval request for the step is queued or in flight.
     bool hasOpenRequest = false;
+    /// When the latest approval request was queued.
+    TimePoint requestedAt;
     /// No approval request is queued before then.
     TimePoint nextRequestAt;
 
--- a/Source/CellDuties/EntryProcess.h
+++ b/Source/CellDuties/EntryProcess.h
@@ -40,7 +40,7 @@
                 break;
             handleBatch(*event);
         }
-        log_.offer("event=stop");
+        log_.offer(fmt::format("event=stop open_requests={}", callers_.requestsInFlight()));
     }
 
     /// Starts a graceful stop. Called from any thread.
