Send a recorded start only on the record of its own run

Cause: the commit that records a start named the task only. When the start was not sent, as its worker had restarted, the record of that run let the next run of the task start before its own record was stored.

Change: the recorder names the run.

Measured: RecordedStartTest failed before (the run that started was 3, the recorded one 2) and passes now.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -158,10 +158,10 @@
                        [](const CellTask &member) { return !member.crashes().isEmpty(); });
 }
 
-void CellScheduler::onStartRecorded(const TaskKey &key)
+void CellScheduler::onStartRecorded(const TaskKey &key, RunNumber run)
 {
     const auto start = unsentStarts_.find(key);
-    if (start != unsentStarts_.end())
+    if (start != unsentStarts_.end() && start->second.request.run == run)
         start->second.isRecorded = true;
 }
 
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -304,7 +304,7 @@
     fleet_.reserve(worker.id(), request);
     const TaskKey key = request.task;
     unsentStarts_.insert_or_assign(key, RecordedFirst {worker.id(), std::move(request)});
-    recorder_.markStart(key);
+    recorder_.markStart(key, run);
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -68,7 +68,8 @@
         fleet_.onCompletionRecorded(completion.worker, completion.incarnation, completion.number);
     };
     handlers.crashRecorded = [this](const TaskKey &key) { onCrashRecorded(key); };
-    handlers.startRecorded = [this](const TaskKey &key) { onStartRecorded(key); };
+    handlers.startRecorded
+            = [this](const TaskKey &key, RunNumber run) { onStartRecorded(key, run); };
     handlers.resultRecorded
             = [this](const JobId &id, JobState state) { onResultRecorded(id, state); };
     handlers.rosterRecorded = [this](const Roster &roster) {
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -215,7 +215,7 @@
     void onWorkerCrashed(const CellWorker &worker, WorkerIncarnation incarnation,
                          const std::vector<Placement> &lost);
     void onCrashRecorded(const TaskKey &key);
-    void onStartRecorded(const TaskKey &key);
+    void onStartRecorded(const TaskKey &key, RunNumber run);
     /// Sends the starts that were recorded, and discards those that were stopped meanwhile or whose
     /// worker may no longer be used.
     void sendRecordedStarts(bool maySchedule);
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -78,10 +78,10 @@
         changesOf(task.job).crashes.push_back(task);
 }
 
-void ProgressRecorder::markStart(const TaskKey &task)
+void ProgressRecorder::markStart(const TaskKey &task, RunNumber run)
 {
     if (active_)
-        changesOf(task.job).starts.push_back(task);
+        changesOf(task.job).starts.emplace_back(task, run);
 }
 
 ProgressRecorder::Changes &ProgressRecorder::changesOf(const JobId &job)
@@ -285,8 +285,8 @@
         }
         for (const TaskKey &task : job.changes.crashes)
             handlers_.crashRecorded(task);
-        for (const TaskKey &task : job.changes.starts)
-            handlers_.startRecorded(task);
+        for (const auto &[task, run] : job.changes.starts)
+            handlers_.startRecorded(task, run);
     }
     for (const auto &[job, state] : batch.results)
         handlers_.resultRecorded(job, state);
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -42,7 +42,7 @@
         std::function<bool()> isStartLogDue;
         std::function<void(const RecordedCompletion &)> completionRecorded;
         std::function<void(const TaskKey &)> crashRecorded;
-        std::function<void(const TaskKey &)> startRecorded;
+        std::function<void(const TaskKey &, RunNumber)> startRecorded;
         std::function<void(const JobId &, JobState)> resultRecorded;
         std::function<void(const Roster &)> rosterRecorded;
         /// Another holder has taken over the cell.
@@ -64,8 +64,8 @@
     /// Schedules a write of the state of the task's job, which contains another crash of a worker
     /// under the task.
     void markCrash(const TaskKey &task);
-    /// Schedules a write of the state of the task's job, which contains a start of the task.
-    void markStart(const TaskKey &task);
+    /// Schedules a write of the state of the task's job, which contains the start of \a run.
+    void markStart(const TaskKey &task, RunNumber run);
     /// Schedules the deletion of the result of \a job.
     void markExpired(const JobId &job);
     void markRoster(Roster roster);
@@ -91,7 +91,7 @@
     {
         std::vector<RecordedCompletion> completions;
         std::vector<TaskKey> crashes;
-        std::vector<TaskKey> starts;
+        std::vector<std::pair<TaskKey, RunNumber>> starts;
     };
     struct ChangedJob
     {
--- /dev/null
+++ b/Tests/Cell/RecordedStartTest.cpp
@@ -0,0 +1,76 @@
+#include "Cell/CellSimulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace caraway::tests {
+
+using namespace cell;
+
+/// Starts that are recorded before they are sent, of tasks under which workers have crashed.
+class RecordedStartTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RecordedStartTest);
+    CPPUNIT_TEST(start_afterAnUnsentOneOfItsTask_waitsForItsOwnRecord);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a start that is sent on the record of another run.
+    void start_afterAnUnsentOneOfItsTask_waitsForItsOwnRecord()
+    {
+        CellSimulation simulation(3, 4);
+        std::vector<std::pair<RunNumber, RunNumber>> startedAndRecorded;
+        simulation.plan = [&](const TaskKey &, RunNumber run) {
+            startedAndRecorded.emplace_back(run, recordedRun(simulation));
+            const bool isFirst = startedAndRecorded.size() == 1;
+            return SimulatedWorker::RunPlan {Milliseconds(3000), CompletionReason::Succeeded,
+                                             isFirst ? std::optional(Milliseconds(200))
+                                                     : std::nullopt};
+        };
+        bool isStartInCommit = false;
+        simulation.storeReplyDelay = [&](const StoreRequest &request) {
+            const bool isFirst = !isStartInCommit && recordsAStart(request);
+            isStartInCommit = isStartInCommit || isFirst;
+            return Milliseconds(isFirst ? 900 : 0);
+        };
+        CPPUNIT_ASSERT(
+                simulation.advanceUntil([&] { return simulation.holder().has_value(); }, longWait));
+        simulation.advance(Milliseconds(1000));
+        simulation.submitAndWait(*simulation.holder(), CellSimulation::job("a"));
+        CPPUNIT_ASSERT(simulation.advanceUntil([&] { return isStartInCommit; }, longWait));
+        for (std::size_t worker = 0; worker < 4; ++worker) {
+            simulation.crashWorker(worker);
+            simulation.restartWorker(worker);
+        }
+        CPPUNIT_ASSERT(
+                simulation.advanceUntil([&] { return startedAndRecorded.size() == 2; }, longWait));
+        CPPUNIT_ASSERT_EQUAL(startedAndRecorded.back().first.value(),
+                             startedAndRecorded.back().second.value());
+    }
+
+private:
+    static constexpr Milliseconds longWait {20'000};
+
+    static RunNumber recordedRun(CellSimulation &simulation)
+    {
+        const RecordValue *value = simulation.store().find({RecordType::Progress, "a"});
+        const auto *progress = value ? std::get_if<JobProgress>(value) : nullptr;
+        if (!progress || progress->steps.front().starts.empty())
+            return {};
+        return progress->steps.front().starts.begin()->second.run;
+    }
+    static bool recordsAStart(const StoreRequest &request)
+    {
+        const auto *commit = std::get_if<StoreCommit>(&request);
+        return commit
+                && std::any_of(commit->writes.begin(), commit->writes.end(),
+                               [](const StoreWrite &write) {
+                                   const auto *progress = std::get_if<JobProgress>(&write.value);
+                                   return progress && !progress->steps.empty()
+                                           && !progress->steps.front().starts.empty();
+                               });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RecordedStartTest);
+
+} // namespace caraway::tests
