Bind approvals to the incarnation of the worker

Callers saw a job that never started (LOST): when all workers that had denied a step had started again since, perhaps as a permitted kind, nobody was asked again. A start with a ticket of the earlier incarnation was refused, and a gang was stopped for it.

Cause: decisions are kept by WorkerNumber, and the number stayed over a restart; an answer that was requested before the restart was applied to the next incarnation.

Change: each later incarnation gets a new number, and an answer counts for the numbers that were asked for.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -195,17 +195,22 @@
             + Milliseconds(settings.perWorkerMicroseconds * count / microsecondsPerMillisecond);
     approvals.hasOpenRequest = true;
     approvals.requestedAt = context_.now();
-    ApprovalRequest request {candidate.step->key, workers};
+    RequestedWorkers requested;
+    for (const WorkerId &id : workers) {
+        if (const CellWorker *worker = fleet_.worker(id))
+            requested.emplace(id, worker->number());
+    }
+    ApprovalRequest request {candidate.step->key, std::move(workers)};
     approvalDispatcher_.queueRequest(
             std::move(request), serviceTime, candidate.queue->priority,
-            [this, term = term_, key = candidate.step->key, requested = std::move(workers),
+            [this, term = term_, key = candidate.step->key, requested = std::move(requested),
              validity = settings.ticketValidity](const ApprovalReply &reply) {
                 if (term == term_ && active_)
                     onApprovalReply(key, requested, validity, reply);
             });
 }
 
-void CellScheduler::onApprovalReply(const StepKey &key, const std::vector<WorkerId> &requested,
+void CellScheduler::onApprovalReply(const StepKey &key, const RequestedWorkers &requested,
                                     Milliseconds validity, const ApprovalReply &reply)
 {
     CellJob *job = findJob(key.job);
@@ -222,14 +227,13 @@
     passNeeded_ = true;
     if (!reply.answered)
         return;
-    for (const WorkerId &id : requested) {
-        if (const CellWorker *worker = fleet_.worker(id))
-            step->approvals.deny(worker->number());
-    }
+    for (const auto &[id, number] : requested)
+        step->approvals.deny(number);
     const TimePoint validUntil = context_.now() + validity - ticketMargin;
     for (const Approval &approval : reply.approved) {
-        if (const CellWorker *worker = fleet_.worker(approval.worker))
-            step->approvals.approve(worker->number(), {approval.ticket, validUntil});
+        const auto found = requested.find(approval.worker);
+        if (found != requested.end())
+            step->approvals.approve(found->second, {approval.ticket, validUntil});
     }
     const double approvedShare = static_cast<double>(reply.approved.size())
             / static_cast<double>(std::max<std::size_t>(requested.size(), 1));
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -155,6 +155,8 @@
             return neededShare > other.neededShare;
         }
     };
+    /// The workers of an approval request and the numbers that they had then.
+    using RequestedWorkers = std::map<WorkerId, WorkerNumber>;
     /// How many members of a gang an approved worker can run.
     struct GangCapacity
     {
@@ -323,7 +325,7 @@
                                                  std::vector<UndecidedWorker> undecided,
                                                  double needed);
     double &approvalRateOf(const QueueId &queue);
-    void onApprovalReply(const StepKey &key, const std::vector<WorkerId> &requested,
+    void onApprovalReply(const StepKey &key, const RequestedWorkers &requested,
                          Milliseconds validity, const ApprovalReply &reply);
 
     CellContext &context_;
--- a/Source/Cell/CellTypes.h
+++ b/Source/Cell/CellTypes.h
@@ -31,7 +31,7 @@
 using FencingToken = NumberId<struct FencingTokenTag>;
 /// Number of a completed run on a worker, from 1 since the start of its process.
 using CompletionNumber = NumberId<struct CompletionNumberTag>;
-/// Number that a holder assigns to a worker, from 0 in the order in which they were added.
+/// Number that a holder assigns to a worker, and anew to each later incarnation, from 0.
 using WorkerNumber = NumberId<struct WorkerNumberTag>;
 /// A lease in the store.
 using LeaseId = NumberId<struct LeaseIdTag>;
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -80,6 +80,7 @@
 
     const WorkerId &id() const { return id_; }
     WorkerNumber number() const { return number_; }
+    void setNumber(WorkerNumber number) { number_ = number; }
     /// The latest list entry; kept after the worker is removed from the list, because runs may
     /// still be on it.
     std::optional<WorkerEntry> entry;
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -44,9 +44,7 @@
     const auto found = workers_.find(id);
     if (found != workers_.end())
         return found->second;
-    const WorkerNumber number = nextNumber_;
-    nextNumber_ = nextNumber_.next();
-    return workers_.emplace(id, CellWorker(id, number)).first->second;
+    return workers_.emplace(id, CellWorker(id, takeNumber())).first->second;
 }
 
 const CellWorker *WorkerFleet::worker(const WorkerId &id) const
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -197,6 +197,7 @@
     bool shouldBeClosed(const CellWorker &worker) const;
     CellWorker *findWorker(const WorkerId &id);
     CellWorker &findOrAdd(const WorkerId &id);
+    WorkerNumber takeNumber() { return std::exchange(nextNumber_, nextNumber_.next()); }
 
     CellContext &context_;
     Handlers handlers_;
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -154,6 +154,8 @@
     });
     const std::vector<Placement> placements = std::exchange(worker.placements, {});
     worker.startIncarnation(newIncarnation);
+    // It may be of another kind, and no ticket of the earlier one is valid.
+    worker.setNumber(takeNumber());
     for (const Placement &placement : placements) {
         if (mayBeOnNextIncarnation(placement))
             worker.carryOver(placement, earlier, leaseEnd);
