Answer from a holder's own jobs only while it is confirmed

Callers saw a job as running that had completed under the next holder, at an instance that had been paused and did not know that it had been replaced.

Cause: stateOf() and the states of the present contact were used whenever the process believed to be the holder.

Change: both need the confirmation that starts need; without it the store is asked.

Measured: FormerHolderTest:: holder_resumedAfterAJobHasCompleted_doesNotShowItAsRunning failed before (running, completed expected) and passes now.

--- a/Source/Cell/CallerReads.cpp
+++ b/Source/Cell/CallerReads.cpp
@@ -13,7 +13,7 @@
 bool CallerRequestHandler::isCurrent(const KnownJob &job) const
 {
     return isFinal(job.state)
-            || (handlers_.isHolderContactCurrent() && job.contact == handlers_.holderContact());
+            || (handlers_.areStatesCurrent() && job.contact == handlers_.holderContact());
 }
 
 std::optional<JobState> CallerRequestHandler::currentState(const JobId &job) const
--- a/Source/Cell/CallerRequestHandler.h
+++ b/Source/Cell/CallerRequestHandler.h
@@ -26,6 +26,9 @@
         std::function<std::uint64_t()> generation;
         /// Whether the job states and pending-job counts known here are current.
         std::function<bool()> isHolderContactCurrent;
+        /// Whether the states received in the present contact count; those of a holder count only
+        /// while it is confirmed.
+        std::function<bool()> areStatesCurrent;
         /// The state of an unfinished job, if this instance is the holder and schedules the job.
         std::function<std::optional<JobState>(const JobId &)> stateAtHolder;
         /// Asks the holder to handle a request for a job's state; onHolderAnswered() follows.
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -74,7 +74,12 @@
         return election_.holder() ? election_.holder()->generation : 0;
     };
     handlers.isHolderContactCurrent = [this] { return isHolderContactCurrent(); };
-    handlers.stateAtHolder = [this](const JobId &job) { return scheduler_.stateOf(job); };
+    handlers.areStatesCurrent = [this] {
+        return election_.isHolder() ? election_.maySchedule() : isHolderContactCurrent();
+    };
+    handlers.stateAtHolder = [this](const JobId &job) {
+        return election_.maySchedule() ? scheduler_.stateOf(job) : std::nullopt;
+    };
     handlers.askHolder = [this](const CallerRequest &request) { return askHolder(request); };
     handlers.holderContact = [this] { return holderContact_; };
     return handlers;
--- a/Tests/Cell/FormerHolderTest.cpp
+++ b/Tests/Cell/FormerHolderTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(holder_thatAWorkerHasFenced_startsNothing);
     CPPUNIT_TEST(holder_readingAWorkerThatRestartedAfterTheNextHoldersRead_startsNothingThere);
     CPPUNIT_TEST(holder_withAWorkerThatHasAForeignToken_startsJobsInTime);
+    CPPUNIT_TEST(holder_resumedAfterAJobHasCompleted_doesNotShowItAsRunning);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +122,24 @@
         }
     }
 
+    /// Guards against a state that goes back, at an instance that does not know that it was
+    /// replaced.
+    void holder_resumedAfterAJobHasCompleted_doesNotShowItAsRunning()
+    {
+        accept("a");
+        simulation_->advance(Milliseconds(1000));
+        simulation_->pause(old_);
+        CPPUNIT_ASSERT(advanceUntil(
+                [&] { return simulation_->stateOf(other_, JobId("a")) == JobState::Completed; }));
+        const CallerRequestId waiting = simulation_->read(old_, JobId("a"));
+        simulation_->advance(Milliseconds(100));
+        simulation_->resume(old_);
+        simulation_->advance(Milliseconds(500));
+        const std::optional<CallerAnswer> answer = simulation_->answerOf(waiting);
+        CPPUNIT_ASSERT(answer && answer->outcome == CallerOutcome::State);
+        CPPUNIT_ASSERT(answer->state == JobState::Completed);
+    }
+
 private:
     InstanceId nameOfTheOldHolder() const { return InstanceId("entry-" + std::to_string(old_)); }
     /// The workers refuse starts, so that jobs wait.
