Give stops and heartbeats a latest time of sending

Cause: only starts had one. A stop or a renewal that was decided before a pause of the process was written after it, by a holder that may have been replaced.

Change: notAfter belongs to the call and holds for all commands.

Measured: two tests of WorkerIncarnationCallTest; the calls had no such time before, so they did not compile. testPlatform passes.

--- a/Source/Cell/WorkerCalls.h
+++ b/Source/Cell/WorkerCalls.h
@@ -18,8 +18,6 @@
     std::string checkpoint;
     /// The policy service's approval of this worker for the step; empty when none is needed.
     std::string ticket;
-    /// The call is discarded if it has not been sent by this time.
-    TimePoint notAfter;
 };
 
 /// Requests the stop of a run on a worker. The worker refuses a later start of the same run.
@@ -48,6 +46,9 @@
     std::variant<WorkerStart, WorkerStop, WorkerHeartbeat> command;
     /// The only incarnation that may carry out the call; nothing while none is known.
     std::optional<WorkerIncarnation> incarnation = std::nullopt;
+    /// The call is not sent after this time, as its decision is outdated then; nothing when it may
+    /// always be sent.
+    std::optional<TimePoint> notAfter = std::nullopt;
 };
 
 enum class WorkerOutcome {
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -63,8 +63,10 @@
     }
     if (worker.isStateRead && mayRenew && isAnswering)
         heartbeat.wait = heartbeatWait;
-    context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat, worker.incarnation},
-                        heartbeat.wait + heartbeatMargin,
+    const Milliseconds timeout = heartbeat.wait + heartbeatMargin;
+    context_.callWorker({worker.id(), worker.entry->address, token_, heartbeat, worker.incarnation,
+                         context_.now() + timeout},
+                        timeout,
                         [this, term = term_, mayRenew, acknowledged = heartbeat.acknowledged,
                          target = worker.callTarget(context_.now())](const WorkerReply &reply) {
                             if (term != term_)
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -65,9 +65,9 @@
                        std::move(request.payload),
                        deadline,
                        std::move(request.checkpoint),
-                       std::move(request.ticket),
-                       now + startTimeout};
-    context_.callWorker({id, worker->entry->address, token_, std::move(start), worker->incarnation},
+                       std::move(request.ticket)};
+    context_.callWorker({id, worker->entry->address, token_, std::move(start), worker->incarnation,
+                         now + startTimeout},
                         startTimeout,
                         [this, term = term_, target = worker->callTarget(now), task = request.task,
                          run = request.run](const WorkerReply &reply) {
@@ -173,7 +173,7 @@
         placement->nextStopAttempt = context_.now() + stopRetryInterval;
     }
     context_.callWorker({worker.id(), worker.entry ? worker.entry->address : Address(), token_,
-                         WorkerStop {task, run}, worker.incarnation},
+                         WorkerStop {task, run}, worker.incarnation, context_.now() + stopTimeout},
                         stopTimeout,
                         [this, term = term_, target = worker.callTarget(context_.now()), task,
                          run](const WorkerReply &reply) {
--- a/Source/CellDuties/OutboundDuties.h
+++ b/Source/CellDuties/OutboundDuties.h
@@ -116,9 +116,8 @@
         HttpCall http;
         http.request = protocol_.encodeWorker(call.request);
         http.timeout = call.timeout;
-        // A process that was paused after the decision must not send an outdated start.
-        if (const auto *start = std::get_if<WorkerStart>(&call.request.command))
-            http.notAfter = start->notAfter;
+        // A process that was paused after the decision must not send an outdated call.
+        http.notAfter = call.request.notAfter;
         const auto pending
                 = std::make_shared<Pending>(Pending {call.id, std::move(call.request), false});
         http.handler = [this, pending](HttpResponse &&response) {
--- a/Tests/Platform/WorkerIncarnationCallTest.cpp
+++ b/Tests/Platform/WorkerIncarnationCallTest.cpp
@@ -100,6 +100,8 @@
     CPPUNIT_TEST(calls_overOneConnection_identifyItOnce);
     CPPUNIT_TEST(call_afterAFirstRead_identifiesNothingAgain);
     CPPUNIT_TEST(start_outdatedWhileItsConnectionIsIdentified_isNotSent);
+    CPPUNIT_TEST(stop_outdatedWhileItsConnectionIsIdentified_isNotSent);
+    CPPUNIT_TEST(heartbeat_outdatedWhileItsConnectionIsIdentified_renewsNothing);
     CPPUNIT_TEST(start_toAWorkerWithoutStartTime_isSent);
     CPPUNIT_TEST(start_toAnUnhealthyWorker_isNotSentAndReportsIt);
     CPPUNIT_TEST(start_withoutAnAnswerToItsIdentification_isNotSent);
@@ -188,12 +190,30 @@
     void start_outdatedWhileItsConnectionIsIdentified_isNotSent()
     {
         run({.born = 7, .listDelay = Milliseconds(300)});
-        WorkerStart outdated = start();
-        outdated.notAfter = clock_.now() + Milliseconds(100);
-        assertOutcome(WorkerOutcome::NotSent, call(outdated, 7));
+        assertOutcome(WorkerOutcome::NotSent, call(start(), 7, Milliseconds(100)));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), worker_->requestsFor(runStart_));
     }
 
+    void stop_outdatedWhileItsConnectionIsIdentified_isNotSent()
+    {
+        run({.born = 7, .listDelay = Milliseconds(300)});
+        const WorkerStop stop {start().task, start().run};
+        assertOutcome(WorkerOutcome::NotSent, call(stop, 7, Milliseconds(100)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), worker_->requests().size());
+    }
+
+    /// Guards against a lease that a holder renews after it may have been replaced.
+    void heartbeat_outdatedWhileItsConnectionIsIdentified_renewsNothing()
+    {
+        run({.born = 7, .listDelay = Milliseconds(300)});
+        WorkerHeartbeat heartbeat;
+        heartbeat.deadline = WorkerTime(5000);
+        assertOutcome(WorkerOutcome::NotSent, call(heartbeat, 7, Milliseconds(100)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), worker_->requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"ackedThrough":0,"fencingToken":3})"),
+                             worker_->requests().front().body);
+    }
+
     void start_toAWorkerWithoutStartTime_isSent()
     {
         run({});
@@ -225,11 +245,13 @@
     }
 
     WorkerReplied call(decltype(WorkerRequest::command) command,
-                       std::optional<std::uint64_t> incarnation)
+                       std::optional<std::uint64_t> incarnation,
+                       Milliseconds sendWithin = Milliseconds(60'000))
     {
         WorkerRequest request {WorkerId("w-1"), address_, FencingToken(3), std::move(command)};
         if (incarnation)
             request.incarnation = WorkerIncarnation(*incarnation);
+        request.notAfter = clock_.now() + sendWithin;
         duty_->offer(WorkerCall {CallId(++lastCall_), std::move(request), timeout});
         const std::optional<DutyEvent> event = events_->take();
         CPPUNIT_ASSERT(event);
@@ -238,13 +260,12 @@
         return replied;
     }
 
-    WorkerStart start() const
+    static WorkerStart start()
     {
         WorkerStart start;
         start.task = {JobId("5c0e7a21d94b36f8"), Occurrence(0), StepIndex(0), TaskIndex(0)};
         start.run = RunNumber(1);
         start.deadline = WorkerTime(486'000);
-        start.notAfter = clock_.now() + Milliseconds(60'000);
         return start;
     }
 
