Accept a success that is listed while the task runs elsewhere

Callers waited for a job whose task had succeeded: its worker had been cut off, and listed the end when the task had started elsewhere after the lease.

Cause: applyCompletion() recorded such an end and dropped it, as another run was the current one.

Change: a success counts whichever run is current, and the current run, of a gang with all its members, is stopped.

Measured: two of three tests of LateCompletionTest failed before (running, completed expected); all pass now.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -350,11 +350,17 @@
         logEnd(source.worker, source.incarnation, completion.task, completion.run);
     if (completion.reason == CompletionReason::Failed && !task.isFinished())
         recordFailure(job, step, task, completion);
-    if (completion.reason == CompletionReason::Succeeded && (isCurrent || isWaiting)
-        && !step.spec.longRunning)
+    const bool succeeds = completion.reason == CompletionReason::Succeeded && !step.spec.longRunning
+            && !task.isFinished();
+    if (succeeds) {
+        if (isCurrent)
+            updateMeanDuration(job, task);
+        else if (!isWaiting)
+            stopRuns(step, task);
         onTaskSucceeded(job, step, task, completion.run);
-    else if (isCurrent)
+    } else if (isCurrent) {
         task.handle(CellTask::Event::Ended);
+    }
     if (task.recordedStart && task.recordedStart->run == completion.run)
         task.recordedStart.reset();
     if (completion.reason != CompletionReason::Succeeded || !isCurrent) {
@@ -396,7 +402,6 @@
 void CellScheduler::onTaskSucceeded(CellJob &job, CellStep &step, CellTask &task, RunNumber run)
 {
     markStarted(job);
-    updateMeanDuration(job, task);
     for (CellTask &member : step.tasks) {
         const bool succeeds = &member == &task || (step.spec.gang && !member.isFinished());
         if (succeeds && member.handle(CellTask::Event::Succeeded))
@@ -434,6 +439,16 @@
         stopGang(*step, run);
 }
 
+void CellScheduler::stopRuns(CellStep &step, CellTask &task)
+{
+    if (step.spec.gang) {
+        stopGang(step, task.run());
+        return;
+    }
+    const auto index = static_cast<std::size_t>(&task - step.tasks.data());
+    fleet_.stop(task.worker(), step.taskKey(index), task.run());
+}
+
 void CellScheduler::stopGang(CellStep &step, RunNumber run)
 {
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -261,6 +261,8 @@
                        const CompletedRun &completion);
     void updateCheckpoint(CellStep &step, CellTask &task, const CompletedRun &completion);
     void stopGang(CellStep &step, RunNumber run);
+    /// Stops the current run of the task, of a gang with all its members.
+    void stopRuns(CellStep &step, CellTask &task);
     void repairGangs();
     void evacuateLeavingWorkers();
     bool completesBefore(const CellJob &job, const CellStep &step, const CellTask &task,
