Keep results for their lifetime whatever the time of day

Callers were told that an accepted job does not exist (410, LOST), once its result had been removed early: after half of its lifetime in the next term.

Cause: a new holder judged the age of a result by its own time of day and by that of the former holder. Where one of them had stepped, the result seemed to have expired. Instances that had restarted since had no state of their own.

Change: a new holder keeps each result for a full lifetime from when it reads it. Results of terms that end sooner are read again, so more of them are stored where holders change faster than results expire.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -569,8 +569,8 @@
                            if (term != termChanges_ || reply.outcome != StoreOutcome::Done)
                                return;
                            for (const StoreItem &item : reply.items) {
-                               if (const auto *result = std::get_if<JobResult>(&item.value))
-                                   scheduler_.addStoredResult(JobId(item.key.name), *result);
+                               if (std::holds_alternative<JobResult>(item.value))
+                                   scheduler_.addStoredResult(JobId(item.key.name));
                            }
                            if (reply.hasMore && !reply.items.empty())
                                loadResults(term, reply.items.back().key);
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -182,15 +182,11 @@
     applyListed(id);
 }
 
-void CellScheduler::addStoredResult(const JobId &id, const JobResult &result)
+void CellScheduler::addStoredResult(const JobId &id)
 {
-    const Milliseconds age((context_.wallTime() - result.endedAt).count());
-    const Milliseconds lifetime = context_.settings().resultLifetime;
-    // The wall clock may have jumped, so each result is kept for at least half of its lifetime.
-    const Milliseconds remaining
-            = age < Milliseconds() ? lifetime : std::max(lifetime - age, lifetime / 2);
+    // Its age is unknown, as the times of day of two instances may differ by any amount.
     if (active_)
-        finishedJobs_.try_emplace(id, context_.now() + remaining);
+        finishedJobs_.try_emplace(id, context_.now() + context_.settings().resultLifetime);
 }
 
 void CellScheduler::cancelJob(const JobId &id)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -53,8 +53,8 @@
     /// Adds a job that an instance reports as just accepted and stored.
     void addNewJob(const AcceptedJob &job);
     void cancelJob(const JobId &job);
-    /// Records that a job finished in an earlier term, with \a result in the store.
-    void addStoredResult(const JobId &id, const JobResult &result);
+    /// Records that a job finished in an earlier term, with its result in the store.
+    void addStoredResult(const JobId &id);
     /// Whether the stored jobs have to be listed, as workers list jobs that were not added. True
     /// once for each list.
     bool isJobListDue() { return active_ && unknownJobs_.isListDue(context_.now()); }
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -162,6 +162,13 @@
     return static_cast<std::size_t>(found - workers_.begin());
 }
 
+WallTime CellSimulation::wallTimeOf(std::size_t index) const
+{
+    const auto lead = timeOfDayLeads.find(index);
+    const Milliseconds offset = lead == timeOfDayLeads.end() ? Milliseconds() : lead->second;
+    return WallTime((now_.sinceStart() + offset).count());
+}
+
 void CellSimulation::schedule(Milliseconds delay, std::function<void()> action)
 {
     events_.push({now_ + delay, ++lastEventNumber_, std::move(action)});
@@ -175,7 +182,7 @@
     instance.pendingEvents.clear();
     instance.cellInstance = std::make_unique<CellInstance>(
             settingsOf(index), ProcessId {instance.id, instance.incarnation});
-    instance.cellInstance->start(now_, WallTime(now_.sinceStart().count()));
+    instance.cellInstance->start(now_, wallTimeOf(index));
     execute(index, instance.cellInstance->takeActions());
 }
 
@@ -209,7 +216,7 @@
 {
     Instance &instance = instances_.at(index);
     const Stopwatch stopwatch;
-    const WallTime wallTime(now_.sinceStart().count());
+    const WallTime wallTime = wallTimeOf(index);
     for (const CellEvent &next : events)
         instance.cellInstance->handle(now_, wallTime, next);
     instance.cellInstance->runSchedulingPass(now_, wallTime);
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -76,6 +76,8 @@
     void publishConfiguration();
     /// Processors of an instance by its index; takes effect at its next start.
     std::map<std::size_t, Millicores> processors;
+    /// By how much the time of day of an instance is ahead, by its index.
+    std::map<std::size_t, Milliseconds> timeOfDayLeads;
     void publishWorkers();
     void publishWorker(std::size_t worker);
     /// The worker announces in its entry that it leaves after \a remaining at the earliest.
@@ -169,6 +171,7 @@
     };
 
     cell::CellSettings settingsOf(std::size_t index) const;
+    cell::WallTime wallTimeOf(std::size_t index) const;
     void schedule(Milliseconds delay, std::function<void()> action);
     void deliver(std::size_t instance, std::uint64_t incarnation, const cell::CellEvent &event);
     /// Handles the events as one batch.
