Give a job up only after five crashes of its workers

Cause: the evidence for a task that crashes its workers was judged from a few crashes and from what else failed within 3 s. Waves of crashes and losses of power give sound tasks the same evidence.

Change: five crashes, whatever else failed. Whether another job explains a crash, which worker was shared and what failed at the same time do not matter any more, and their bookkeeping is gone.

Tests: SoundTaskTest failed before (four of four). Two checks of the old rule are replaced: task_withAnExplainedCrash_isGivenUpWithinTheBudget by task_withCrashes_isGivenUpWithinTheBudget, with the same bound, as no crash is explained any more; and job_whoseHolderIsLostWithAWorkerThatDoesNotReturn_countsItsCrash expects five starts in place of three, the new limit: a crash that is not counted gives six.

--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -235,16 +235,11 @@
     void logEnd(const WorkerId &worker, std::optional<WorkerIncarnation> incarnation,
                 const TaskKey &key, RunNumber run);
     /// Counts the crash for the tasks of \a lost runs and fails the jobs that are given up for it.
-    void countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost,
-                      CrashEvidence evidence);
+    void countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost);
     /// Returns false when the crash was counted before or the task needs no further run.
     bool countCrash(const WorkerCrash &crash, const LostRun &lost);
-    void giveUpIfDue(const TaskKey &key, CrashEvidence evidence);
-    CrashEvidence evidenceOf(const CellWorker &worker, const std::vector<Placement> &lost) const;
-    /// How many other workers that had no runs of the job are silent or have restarted lately.
-    std::size_t unrelatedFailures(const CellWorker &crashed, const JobId &job) const;
+    void giveUpIfDue(const TaskKey &key);
     static bool countsAsCrash(const CellStep &step, const Placement &placement);
-    void giveUp(CellJob &job, const TaskKey &key, const CrashHistory &crashes);
     void collectSuspects();
     /// Whether the worker receives no runs of the job while a suspect of another job is on
     /// probation there.
--- a/Source/Cell/CellTask.h
+++ b/Source/Cell/CellTask.h
@@ -52,7 +52,6 @@
     bool addCrash(const WorkerCrash &crash);
     void onCrashRecorded();
     void restoreCrashes(const std::set<WorkerCrash> &crashes) { crashes_ = CrashHistory(crashes); }
-    void explainCrash(const WorkerCrash &crash) { crashes_.explain(crash); }
     const CrashHistory &crashes() const { return crashes_; }
 
     const WorkerId &worker() const { return worker_; }
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -72,13 +72,6 @@
     return remaining && (*remaining < Milliseconds() || (clockAt_ && leaseBound_ <= clock_));
 }
 
-bool CellWorker::hasRunsOf(const JobId &job) const
-{
-    const auto isOfJob = [&](const Placement &placement) { return placement.task.job == job; };
-    return std::any_of(placements.begin(), placements.end(), isOfJob)
-            || std::any_of(expiredPlacements.begin(), expiredPlacements.end(), isOfJob);
-}
-
 Placement *CellWorker::find(const TaskKey &task, RunNumber run)
 {
     for (Placement &placement : placements) {
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -119,9 +119,6 @@
     TimePoint leaseExpiredAt;
     /// The incarnation that announced that it drains, so that its end is no crash.
     std::optional<WorkerIncarnation> drainedIncarnation;
-    /// When a restart was noticed last, and the jobs that had runs there.
-    std::optional<TimePoint> restartedAt;
-    std::set<JobId> jobsAtRestart;
     /// Runs that belong to no known unfinished job. They are undecided or being stopped, and the
     /// resources that they use are unknown.
     std::size_t orphanedRuns = 0;
@@ -147,7 +144,6 @@
     /// Time until isLeaseExpired(), negative afterwards; nothing while it is unknown.
     std::optional<Milliseconds> timeToLeaseExpiry(TimePoint now) const;
 
-    bool hasRunsOf(const JobId &job) const;
     Placement *find(const TaskKey &task, RunNumber run);
     void countOrphanedRuns();
     Resources freeResources() const;
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -174,14 +174,6 @@
     std::vector<Placement> lost = std::exchange(worker.expiredPlacements, {});
     std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(lost),
                  isLost);
-    worker.restartedAt = context_.now();
-    worker.jobsAtRestart.clear();
-    for (const Placement &placement : lost)
-        worker.jobsAtRestart.insert(placement.task.job);
-    for (const Placement &placement : worker.placements) {
-        if (placement.startSent)
-            worker.jobsAtRestart.insert(placement.task.job);
-    }
     reportCrash(worker, worker.incarnation, lost);
 }
 
