Stop all members of a gang's later run when an earlier one has succeeded

Cause: the current run was stopped only through the member whose success was listed. At a takeover that member may be unknown while others are read with the later run, which then kept their workers (read in review, no effect on callers was shown).

Change: each member is looked at by itself.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -95,7 +95,7 @@
         const std::pair<TaskKey, RunNumber> key {start.task, start.run};
         openStarts_.emplace(key, std::move(start));
     }
-    recorder_.startTerm(std::move(term.holder), term.sequence);
+    recorder_.startTerm(std::move(term.holder), term.sequences);
 }
 
 void CellScheduler::endTerm()
@@ -339,8 +339,6 @@
 {
     CellTask &task = step.tasks[completion.task.index.value()];
     const bool isCurrent = findRun(completion.task, completion.run, source.worker) != nullptr;
-    const bool isWaiting
-            = task.isIn(CellTask::State::Waiting) || task.isIn(CellTask::State::Unrecorded);
     updateCheckpoint(step, task, completion);
     if (completion.reason != CompletionReason::Succeeded && !task.isFinished())
         logEnd(source.worker, source.incarnation, completion.task, completion.run);
@@ -351,8 +349,7 @@
     if (succeeds) {
         if (isCurrent)
             updateMeanDuration(job, task);
-        else if (!isWaiting)
-            stopRuns(step, task);
+        stopOtherRuns(step, task, completion.run);
         onTaskSucceeded(job, step, task, completion.run);
     } else if (isCurrent) {
         task.handle(CellTask::Event::Ended);
@@ -435,14 +432,14 @@
         stopGang(*step, run);
 }
 
-void CellScheduler::stopRuns(CellStep &step, CellTask &task)
+void CellScheduler::stopOtherRuns(CellStep &step, const CellTask &task, RunNumber succeeded)
 {
-    if (step.spec.gang) {
-        stopGang(step, task.run());
-        return;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const CellTask &member = step.tasks[i];
+        const bool needsNoRun = &member == &task || step.spec.gang;
+        if (needsNoRun && member.isIn(CellTask::State::OnWorker) && member.run() != succeeded)
+            fleet_.stop(member.worker(), step.taskKey(i), member.run());
     }
-    const auto index = static_cast<std::size_t>(&task - step.tasks.data());
-    fleet_.stop(task.worker(), step.taskKey(index), task.run());
 }
 
 void CellScheduler::stopGang(CellStep &step, RunNumber run)
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -27,7 +27,7 @@
         FencingToken token;
         std::uint64_t generation = 0;
         StorePrecondition holder;
-        Revision sequence;
+        ProgressRecorder::SequenceRevisions sequences = {};
         Roster roster;
         TimePoint earlierRenewalsEnd;
         std::map<std::uint64_t, StartLogSegment> startLog;
@@ -256,8 +256,9 @@
                        const CompletedRun &completion);
     void updateCheckpoint(CellStep &step, CellTask &task, const CompletedRun &completion);
     void stopGang(CellStep &step, RunNumber run);
-    /// Stops the current run of the task, of a gang with all its members.
-    void stopRuns(CellStep &step, CellTask &task);
+    /// Stops the runs of the task, and of a gang with it, that are no longer needed as \a succeeded
+    /// has ended.
+    void stopOtherRuns(CellStep &step, const CellTask &task, RunNumber succeeded);
     void repairGangs();
     void evacuateLeavingWorkers();
     bool completesBefore(const CellJob &job, const CellStep &step, const CellTask &task,
