Keep several commits of the holder in flight

Callers of the large site saw results up to half a minute late or never (SHORT, class annual-compile), and the workers listed the ends all that while.

Cause: one commit was in flight at a time, with 7 to 27 jobs, and the next one followed when the reply was handled. Workers list each end every 400 ms until it is recorded, so the lists grow with the backlog and take the processor that starts and replies need.

Change: six sequences of commits, each with a record of its own that makes a late commit fail and tells the outcome of an unanswered one. A job is in one commit at a time. The roster, the start log and expired results stay in the first sequence; the others are used only while enough changed jobs are in no commit, so a small fleet commits as before.

--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -388,7 +388,8 @@
     workerWatcher_.start();
     loadProgress(termChanges_, std::nullopt);
     loadStartLog(termChanges_, std::nullopt);
-    loadSequence(termChanges_);
+    for (std::size_t i = 0; i < ProgressRecorder::sequences; ++i)
+        loadSequence(termChanges_, i);
     loadRoster(termChanges_);
 }
 
@@ -466,22 +467,28 @@
     loading_->startLog.insert_or_assign(position, *segment);
 }
 
-void CellInstance::loadSequence(std::uint64_t term)
+void CellInstance::loadSequence(std::uint64_t term, std::size_t sequence)
 {
-    context_.callStore(StoreGet {{RecordType::CommitSequence, {}}},
-                       [this, term](const StoreReply &reply) {
+    context_.callStore(StoreGet {ProgressRecorder::sequenceKey(sequence)},
+                       [this, term, sequence](const StoreReply &reply) {
                            if (term != termChanges_ || !loading_)
                                return;
                            if (reply.outcome == StoreOutcome::Done)
-                               loading_->sequence = reply.items.front().revision;
+                               loading_->sequences[sequence] = reply.items.front().revision;
                            else if (reply.outcome == StoreOutcome::NotFound)
-                               loading_->sequence = Revision();
+                               loading_->sequences[sequence] = Revision();
                            else
-                               retryLater([this, term] { loadSequence(term); });
+                               retryLater([this, term, sequence] { loadSequence(term, sequence); });
                            checkLoaded();
                        });
 }
 
+bool CellInstance::areSequencesRead() const
+{
+    return std::all_of(loading_->sequences.begin(), loading_->sequences.end(),
+                       [](const auto &revision) { return revision.has_value(); });
+}
+
 void CellInstance::loadRoster(std::uint64_t term)
 {
     context_.callStore(StoreGet {{RecordType::Roster, {}}}, [this, term](const StoreReply &reply) {
@@ -532,7 +539,7 @@
 
 void CellInstance::checkLoaded()
 {
-    if (!loading_ || !loading_->progressRead || !loading_->startLogRead || !loading_->sequence
+    if (!loading_ || !loading_->progressRead || !loading_->startLogRead || !areSequencesRead()
         || !loading_->roster || !jobsAndCancelsWatcher_.isListed() || !workerWatcher_.isListed()) {
         return;
     }
@@ -543,8 +550,11 @@
                  election_.generation(), loaded.jobs.size(), loaded.progress.size(),
                  loaded.workers.size(), loaded.roster->workers.size(),
                  loaded.roster->closed.size());
+    ProgressRecorder::SequenceRevisions sequences;
+    for (std::size_t i = 0; i < sequences.size(); ++i)
+        sequences[i] = *loaded.sequences[i];
     scheduler_.startTerm({election_.token(), election_.generation(), election_.holderPrecondition(),
-                          *loaded.sequence, *loaded.roster, election_.earlierRenewalsEnd(),
+                          sequences, *loaded.roster, election_.earlierRenewalsEnd(),
                           loaded.startLog});
     for (const auto &[id, entry] : loaded.workers)
         scheduler_.setWorker(entry);
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -97,7 +97,8 @@
     void loadProgress(std::uint64_t term, const std::optional<RecordKey> &after);
     void loadStartLog(std::uint64_t term, const std::optional<RecordKey> &after);
     void addStartLogSegment(const StoreItem &item);
-    void loadSequence(std::uint64_t term);
+    void loadSequence(std::uint64_t term, std::size_t sequence);
+    bool areSequencesRead() const;
     void loadRoster(std::uint64_t term);
     void loadClosedWorkers(std::uint64_t term, const StoreItem &rosterItem);
     /// Reads the results that earlier holders stored, so that they are removed when their lifetime
@@ -135,7 +136,7 @@
         std::vector<JobId> cancels;
         /// By id, as entries change and are removed while the rest is loaded.
         std::map<WorkerId, WorkerEntry> workers;
-        std::optional<Revision> sequence;
+        std::array<std::optional<Revision>, ProgressRecorder::sequences> sequences;
         std::optional<Roster> roster;
         /// By position in the log.
         std::map<std::uint64_t, StartLogSegment> startLog;
--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -1,15 +1,12 @@
 #include "Cell/ProgressRecorder.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace caraway::cell {
 
 namespace {
 
-/// Limit of the store for preconditions, writes and deletions in one commit.
-constexpr std::size_t maxEntries = 32;
-/// A result writes one record and deletes up to three.
-constexpr std::size_t entriesPerJob = 4;
 /// Expired results are deleted along with other commits, or in a commit of their own when there are
 /// at least this many or after a while.
 constexpr std::size_t minExpired = 20;
@@ -17,8 +14,6 @@
 /// Tasks often complete at nearly the same time; the interval lets one commit record them all.
 constexpr Milliseconds commitInterval {30};
 constexpr Milliseconds invalidRetryInterval {1000};
-/// Jobs that fill a commit; with that many changed, the next commit follows at once.
-constexpr std::size_t jobsPerCommit = (maxEntries - 2) / entriesPerJob;
 /// Entries of a commit that results leave to the progress of other jobs: workers keep the
 /// completions until they are recorded.
 constexpr std::size_t progressEntries = 8;
@@ -31,12 +26,20 @@
 {
 }
 
-void ProgressRecorder::startTerm(StorePrecondition holder, Revision sequence)
+RecordKey ProgressRecorder::sequenceKey(std::size_t sequence)
+{
+    if (sequence == 0)
+        return {RecordType::CommitSequence, {}};
+    return {RecordType::FurtherSequences, std::to_string(sequence)};
+}
+
+void ProgressRecorder::startTerm(StorePrecondition holder, const SequenceRevisions &revisions)
 {
     endTerm();
     active_ = true;
     holderPrecondition_ = std::move(holder);
-    sequence_ = sequence;
+    for (std::size_t i = 0; i < sequences; ++i)
+        sequences_[i].revision = revisions[i];
 }
 
 void ProgressRecorder::endTerm()
@@ -51,8 +54,12 @@
     invalidInRow_ = 0;
     expired_.clear();
     roster_.reset();
-    batch_.reset();
-    commitInFlight_ = false;
+    committing_.clear();
+    changedInFlight_ = 0;
+    for (std::size_t i = 0; i < sequences; ++i) {
+        sequences_[i] = {};
+        sequences_[i].key = sequenceKey(i);
+    }
 }
 
 void ProgressRecorder::markChanged(const JobId &job, std::optional<RecordedCompletion> completion)
@@ -91,8 +98,10 @@
     if (isolated != isolated_.end())
         return isolated->changes;
     const auto [position, isNew] = changed_.try_emplace(job);
-    if (isNew)
+    if (isNew) {
         jobOrder_.push_back(job);
+        changedInFlight_ += committing_.contains(job) ? 1 : 0;
+    }
     return position->second;
 }
 
@@ -111,32 +120,58 @@
         roster_ = std::move(roster);
 }
 
+bool ProgressRecorder::isFirstDue() const
+{
+    const bool areExpiredDue = expired_.size() >= minExpired
+            || (!expired_.empty() && context_.now() - expiredSince_ >= maxExpiredDelay);
+    const bool hasWork = hasChanges() || isIsolatedDue() || areExpiredDue;
+    return hasWork && (context_.now() >= nextCommit_ || isFull());
+}
+
+/// Begins at most one commit, as the next call follows soon.
 void ProgressRecorder::tick()
 {
-    const bool isCommitDue
-            = context_.now() >= nextCommit_ || (!batch_ && changed_.size() >= jobsPerCommit);
-    if (!active_ || commitInFlight_ || !isCommitDue)
+    if (!active_)
         return;
-    if (!batch_) {
-        const bool areExpiredDue = expired_.size() >= minExpired
-                || (!expired_.empty() && context_.now() - expiredSince_ >= maxExpiredDelay);
-        if (!hasChanges() && !isIsolatedDue() && !areExpiredDue)
-            return;
-        batch_ = Batch {};
-        fill(*batch_);
+    for (std::size_t i = 0; i < sequences; ++i) {
+        const Sequence &sequence = sequences_[i];
+        if (sequence.batch && !sequence.isInFlight && context_.now() >= sequence.nextAttempt)
+            send(i);
     }
-    send();
+    if (!sequences_.front().batch) {
+        if (isFirstDue()) {
+            fillFirst(begin(sequences_.front()));
+            send(0);
+        }
+        return;
+    }
+    const auto idle = std::find_if(sequences_.begin(), sequences_.end(),
+                                   [](const Sequence &sequence) { return !sequence.batch; });
+    if (idle == sequences_.end() || !isFull())
+        return;
+    Batch &batch = begin(*idle);
+    addJobs(batch, finishedOrder_, maxEntries - progressEntries);
+    addJobs(batch, jobOrder_, maxEntries);
+    addJobs(batch, finishedOrder_, maxEntries);
+    send(static_cast<std::size_t>(idle - sequences_.begin()));
 }
 
-void ProgressRecorder::fill(Batch &batch)
+ProgressRecorder::Batch &ProgressRecorder::begin(Sequence &sequence)
 {
+    Batch &batch = sequence.batch.emplace();
     batch.number = ++lastNumber_;
     StoreCommit &commit = batch.commit;
     commit.preconditions.push_back(holderPrecondition_);
-    commit.require({RecordType::CommitSequence, {}}, sequence_);
-    commit.write({RecordType::CommitSequence, {}},
-                 CommitSequenceRecord {context_.self(), batch.number});
-    batch.isIsolated = isIsolatedDue() && (!wasIsolated_ || !hasChanges());
+    commit.require(sequence.key, sequence.revision);
+    commit.write(sequence.key, CommitSequenceRecord {context_.self(), batch.number});
+    return batch;
+}
+
+void ProgressRecorder::fillFirst(Batch &batch)
+{
+    StoreCommit &commit = batch.commit;
+    batch.isIsolated = isIsolatedDue() && (!wasIsolated_ || !hasChanges())
+            && !committing_.contains(isolated_.front().id);
     wasIsolated_ = batch.isIsolated;
     if (batch.isIsolated) {
         addJob(batch, std::move(isolated_.front()));
@@ -162,19 +197,27 @@
 
 void ProgressRecorder::addJobs(Batch &batch, std::deque<JobId> &order, std::size_t limit)
 {
+    std::vector<JobId> later;
     while (!order.empty() && batch.commit.entries() + entriesPerJob <= limit) {
-        auto changed = changed_.extract(order.front());
+        JobId id = std::move(order.front());
         order.pop_front();
+        if (committing_.contains(id)) {
+            later.push_back(std::move(id));
+            continue;
+        }
+        auto changed = changed_.extract(id);
         if (changed)
             addJob(batch, {std::move(changed.key()), std::move(changed.mapped())});
     }
+    order.insert(order.begin(), later.begin(), later.end());
 }
 
-void ProgressRecorder::addJob(Batch &batch, ChangedJob job) const
+void ProgressRecorder::addJob(Batch &batch, ChangedJob job)
 {
     StoreCommit &commit = batch.commit;
     const JobId id = job.id;
     const std::string &name = id.value();
+    committing_.insert(id);
     batch.jobs.push_back(std::move(job));
     const std::optional<Snapshot> snapshot = handlers_.snapshot(id);
     if (!snapshot)
@@ -193,43 +236,52 @@
     batch.results.emplace_back(id, result.state);
 }
 
-void ProgressRecorder::send()
+void ProgressRecorder::send(std::size_t sequence)
 {
-    commitInFlight_ = true;
+    sequences_[sequence].isInFlight = true;
     nextCommit_ = context_.now() + commitInterval;
-    context_.callStore(batch_->commit, [this, term = term_](const StoreReply &reply) {
-        if (term == term_)
-            onReply(reply);
-    });
+    context_.callStore(sequences_[sequence].batch->commit,
+                       [this, sequence, term = term_](const StoreReply &reply) {
+                           if (term == term_)
+                               onReply(sequences_[sequence], reply);
+                       });
 }
 
-void ProgressRecorder::onReply(const StoreReply &reply)
+void ProgressRecorder::onReply(Sequence &sequence, const StoreReply &reply)
 {
-    commitInFlight_ = false;
+    sequence.isInFlight = false;
     switch (reply.outcome) {
     case StoreOutcome::Done:
-        onCommitted(reply.revision);
+        onCommitted(sequence, reply.revision);
         return;
     case StoreOutcome::Conflict:
-        onConflict(reply);
+        onConflict(sequence, reply);
         return;
     case StoreOutcome::Invalid:
-        isolateJobs();
+        isolateJobs(sequence);
         return;
     default:
         // The same commit is retried; the precondition on the sequence lets it take effect only
         // once.
-        nextCommit_ = context_.now() + context_.storeHealth().retryDelay();
-        context_.log("event=commit_retried number={} outcome={}", batch_->number,
+        sequence.nextAttempt = context_.now() + context_.storeHealth().retryDelay();
+        context_.log("event=commit_retried number={} outcome={}", sequence.batch->number,
                      static_cast<int>(reply.outcome));
     }
 }
 
+void ProgressRecorder::release(const Batch &batch)
+{
+    for (const ChangedJob &job : batch.jobs) {
+        committing_.erase(job.id);
+        changedInFlight_ -= changed_.contains(job.id) ? 1 : 0;
+    }
+}
+
 /// A commit of one job that is refused as invalid is tried again, as the job changes later.
-void ProgressRecorder::isolateJobs()
+void ProgressRecorder::isolateJobs(Sequence &sequence)
 {
-    Batch batch = std::move(*batch_);
-    batch_.reset();
+    Batch batch = std::move(*sequence.batch);
+    sequence.batch.reset();
     context_.log("event=commit_invalid number={} jobs={} first_job={} entries={}", batch.number,
                  batch.jobs.size(),
                  batch.jobs.empty() ? std::string() : batch.jobs.front().id.value(),
@@ -238,44 +290,47 @@
         nextCommit_ = context_.now() + invalidRetryInterval;
     if (batch.isIsolated && ++invalidInRow_ > isolated_.size())
         nextIsolated_ = context_.now() + invalidRetryInterval;
+    release(batch);
     for (ChangedJob &job : batch.jobs)
         isolated_.push_back(std::move(job));
     if (batch.roster && !roster_)
         roster_ = std::move(batch.roster);
 }
 
-void ProgressRecorder::onConflict(const StoreReply &reply)
+void ProgressRecorder::onConflict(Sequence &sequence, const StoreReply &reply)
 {
-    Revision sequence = sequence_;
+    Revision stored = sequence.revision;
     for (const StoreItem &item : reply.items) {
         if (item.key.type == RecordType::Holder && item.revision != holderPrecondition_.revision) {
             handlers_.superseded();
             return;
         }
         const auto *record = std::get_if<CommitSequenceRecord>(&item.value);
-        if (record && record->process == context_.self() && record->number == batch_->number) {
-            onCommitted(item.revision);
+        if (record && record->process == context_.self()
+            && record->number == sequence.batch->number) {
+            onCommitted(sequence, item.revision);
             return;
         }
-        if (item.key.type == RecordType::CommitSequence)
-            sequence = item.revision;
+        if (item.key == sequence.key)
+            stored = item.revision;
     }
     // The holder record is unchanged, so only a commit of this term can have advanced the sequence.
-    context_.log("event=commit_conflict number={} sequence={} stored_sequence={}", batch_->number,
-                 sequence_.value(), sequence.value());
-    sequence_ = sequence;
-    for (StorePrecondition &precondition : batch_->commit.preconditions) {
-        if (precondition.key.type == RecordType::CommitSequence)
-            precondition.revision = sequence;
+    context_.log("event=commit_conflict number={} sequence={} stored_sequence={}",
+                 sequence.batch->number, sequence.revision.value(), stored.value());
+    sequence.revision = stored;
+    for (StorePrecondition &precondition : sequence.batch->commit.preconditions) {
+        if (precondition.key == sequence.key)
+            precondition.revision = stored;
     }
-    nextCommit_ = context_.now() + context_.storeHealth().retryDelay();
+    sequence.nextAttempt = context_.now() + context_.storeHealth().retryDelay();
 }
 
-void ProgressRecorder::onCommitted(Revision revision)
+void ProgressRecorder::onCommitted(Sequence &sequence, Revision revision)
 {
-    sequence_ = revision;
-    const Batch batch = std::move(*batch_);
-    batch_.reset();
+    sequence.revision = revision;
+    const Batch batch = std::move(*sequence.batch);
+    sequence.batch.reset();
+    release(batch);
     if (batch.isIsolated)
         invalidInRow_ = 0;
     for (const ChangedJob &job : batch.jobs) {
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -2,8 +2,10 @@
 
 #include "Cell/CellContext.h"
 
+#include <array>
 #include <deque>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace caraway::cell {
@@ -49,11 +51,17 @@
         std::function<void()> superseded;
     };
 
+    /// How many commits may be in flight, each in a sequence of its own.
+    static constexpr std::size_t sequences = 6;
+    /// The revisions of the sequences' records.
+    using SequenceRevisions = std::array<Revision, sequences>;
+    static RecordKey sequenceKey(std::size_t sequence);
+
     ProgressRecorder(CellContext &context, Handlers handlers);
 
-    /// Starts a term. Every commit requires the holder record to match \a holder and the commit
-    /// sequence to be at \a sequence or at the revision of the previous commit.
-    void startTerm(StorePrecondition holder, Revision sequence);
+    /// Starts a term. Every commit requires the holder record to match \a holder and its sequence
+    /// to be at the given revision or at that of the previous commit.
+    void startTerm(StorePrecondition holder, const SequenceRevisions &revisions);
     void endTerm();
     /// Schedules a write of the job's state. \a completion is the completion that changed it, if
     /// any.
@@ -79,6 +87,13 @@
     Milliseconds takeLongestDelay() { return std::exchange(longestDelay_, Milliseconds()); }
 
 private:
+    /// Limit of the store for preconditions, writes and deletions in one commit.
+    static constexpr std::size_t maxEntries = 32;
+    /// A result writes one record and deletes up to three.
+    static constexpr std::size_t entriesPerJob = 4;
+    /// Jobs that fill a commit; with that many changed, the next commit follows at once.
+    static constexpr std::size_t jobsPerCommit = (maxEntries - 2) / entriesPerJob;
+
     /// Whether there is something to commit besides the deletion of expired results.
     bool hasChanges() const
     {
@@ -108,23 +123,40 @@
         std::uint64_t number = 0;
     };
 
+    /// Commits that follow each other; those of different sequences may overtake each other, and
+    /// contain different jobs.
+    struct Sequence
+    {
+        RecordKey key;
+        Revision revision;
+        /// The commit in flight or to be retried.
+        std::optional<Batch> batch;
+        bool isInFlight = false;
+        TimePoint nextAttempt;
+    };
+
     Changes &changesOf(const JobId &job);
-    void fill(Batch &batch);
+    bool isFirstDue() const;
+    /// Whether the changed jobs that are in no commit fill another one.
+    bool isFull() const { return changed_.size() - changedInFlight_ >= jobsPerCommit; }
+    Batch &begin(Sequence &sequence);
+    void fillFirst(Batch &batch);
     /// Adds changed jobs in the order of \a order until the commit has \a limit entries.
     void addJobs(Batch &batch, std::deque<JobId> &order, std::size_t limit);
-    void addJob(Batch &batch, ChangedJob job) const;
-    void isolateJobs();
-    void send();
-    void onReply(const StoreReply &reply);
-    void onConflict(const StoreReply &reply);
-    void onCommitted(Revision revision);
+    void addJob(Batch &batch, ChangedJob job);
+    /// The jobs of the batch may be added to another one.
+    void release(const Batch &batch);
+    void isolateJobs(Sequence &sequence);
+    void send(std::size_t sequence);
+    void onReply(Sequence &sequence, const StoreReply &reply);
+    void onConflict(Sequence &sequence, const StoreReply &reply);
+    void onCommitted(Sequence &sequence, Revision revision);
 
     CellContext &context_;
     Handlers handlers_;
     std::uint64_t term_ = 0;
     bool active_ = false;
     StorePrecondition holderPrecondition_;
-    Revision sequence_;
     std::uint64_t lastNumber_ = 0;
     /// The keys of changed_ in the order of their first change, and jobs recorded since.
     std::deque<JobId> jobOrder_;
@@ -142,10 +174,13 @@
     /// When the first of expired_ was added.
     TimePoint expiredSince_;
     std::optional<Roster> roster_;
-    /// The commit in flight or to be retried.
-    std::optional<Batch> batch_;
+    /// All but the first one contain jobs only, and are used while there are enough of these.
+    std::array<Sequence, sequences> sequences_;
+    /// Jobs in the commits that are in flight or to be retried.
+    std::set<JobId> committing_;
+    /// Those of committing_ that have changed again.
+    std::size_t changedInFlight_ = 0;
     Milliseconds longestDelay_;
-    bool commitInFlight_ = false;
     TimePoint nextCommit_;
 };
 
--- a/Source/Cell/Records.h
+++ b/Source/Cell/Records.h
@@ -16,6 +16,8 @@
     HolderLease,
     /// Numbers the holder's commits, so that a commit that reaches the store late fails.
     CommitSequence,
+    /// The same for the holder's further sequences of commits, by their number from 1.
+    FurtherSequences,
     /// The worker roster: workers on which the holder may have started runs.
     Roster,
     /// Workers of the roster that receive no starts; valid if it has the revision of the roster.
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -614,6 +614,7 @@
     case RecordType::HolderLease:
         return decodeHolder(json);
     case RecordType::CommitSequence:
+    case RecordType::FurtherSequences:
         return CommitSequenceRecord {decodeProcess(json.at(0)), json.at(1).get<std::uint64_t>()};
     case RecordType::Roster:
         return decodeRoster(json);
