Soak: gangs, approvals, failing runs, full workers and losses of power

Cause: Tests/Soak played independent tasks on idle workers only.

The audit also checks the order of steps, the attempts of a task, gangs, and jobs that are shown as failed without cause.

--- /dev/null
+++ b/Tests/Soak/SoakAdvice.cpp
@@ -0,0 +1,66 @@
+#include "Soak/SoakAdvice.h"
+
+#include <fmt/format.h>
+
+namespace caraway::tests {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t percent = 100;
+constexpr std::size_t permittedPercent = 65;
+
+} // namespace
+
+SoakAdvice::SoakAdvice(int instances)
+{
+    for (int i = 0; i < instances; ++i)
+        turns_.push_back(std::make_unique<std::mutex>());
+}
+
+SoakResponse SoakAdvice::handle(std::size_t instance, const SoakRequest &request)
+{
+    const std::lock_guard turn(*turns_.at(instance));
+    soakSleep(decisionTime);
+    const Json body = Json::parse(request.body);
+    const std::string step = body.at("step");
+    Json approved = Json::array();
+    const std::lock_guard lock(mutex_);
+    for (const std::string worker : body.at("workers")) {
+        if (!isPermitted(step, worker) || !lives_.contains(worker))
+            continue;
+        const std::string ticket = fmt::format("ticket-{}", ++lastTicket_);
+        tickets_[ticket] = {subjectOf(step, worker), soakNow() + validity};
+        approved.push_back({worker, ticket});
+    }
+    return {200, Json {{"approved", approved}}.dump()};
+}
+
+void SoakAdvice::setLife(const WorkerId &worker, SoakIncarnation incarnation)
+{
+    const std::lock_guard lock(mutex_);
+    lives_[worker.value()] = incarnation;
+}
+
+bool SoakAdvice::isValid(const std::string &ticket, const std::string &step,
+                         const WorkerId &worker) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = tickets_.find(ticket);
+    return found != tickets_.end() && found->second.first == subjectOf(step, worker.value())
+            && soakNow() <= found->second.second;
+}
+
+bool SoakAdvice::isPermitted(const std::string &step, const std::string &worker)
+{
+    return std::hash<std::string>()(step + "/" + worker) % percent < permittedPercent;
+}
+
+std::string SoakAdvice::subjectOf(const std::string &step, const std::string &worker) const
+{
+    const auto life = lives_.find(worker);
+    return fmt::format("{} {} {}", step, worker, life == lives_.end() ? 0 : life->second.value());
+}
+
+} // namespace caraway::tests
--- a/Tests/Soak/SoakAudit.cpp
+++ b/Tests/Soak/SoakAudit.cpp
@@ -1,5 +1,7 @@
 #include "Soak/SoakAudit.h"
 
+#include "Soak/SoakClients.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -45,8 +47,12 @@
         checkOverlaps(runs);
         checkStartsAfterDone(runs);
     }
-    for (const auto &[name, job] : jobs_)
+    for (const auto &[name, job] : jobs_) {
         checkJob(job);
+        checkOrder(job);
+        checkAttempts(job);
+        checkGangs(job);
+    }
     for (const SoakAnswer &answer : journal.answers())
         checkAnswer(answer);
     std::map<JobName, std::vector<SoakAnswer>> unfinishedJobs;
@@ -117,10 +123,13 @@
     const SoakJob &job = jobs_.at(answer.job);
     if (answer.state == "completed") {
         for (const SoakTaskId &task : job.tasks) {
-            if (!isDoneBy(task, answer.receivedAt))
+            if (!isDoneBy(job, task, answer.receivedAt))
                 add("MIXED", describe(answer) + ", but not done: " + task.value());
         }
     }
+    if (answer.state == "failed" && job.finalState != "failed"
+        && wronglyFailed_.insert(job.name).second)
+        add("LOST", describe(answer) + ", but no task has failed as often as it may");
     if (isDisturbed(answer.instance.value(), answer.sentAt, answer.receivedAt)
         || isDisturbed("store", answer.sentAt, answer.receivedAt))
         return;
@@ -152,12 +161,81 @@
     });
 }
 
-bool SoakAudit::isDoneBy(const SoakTaskId &task, Milliseconds time) const
+void SoakAudit::checkOrder(const SoakJob &job)
 {
-    const auto runs = runs_.find(task);
-    return runs != runs_.end() && std::ranges::any_of(runs->second, [&](const SoakRun &run) {
-               return run.how == "done" && run.endedAt && *run.endedAt <= time;
-           });
+    for (const SoakTaskId &task : job.tasks) {
+        const auto runs = runs_.find(task);
+        if (runs == runs_.end() || soakStepOf(task) == 0)
+            continue;
+        for (const SoakTaskId &earlier : job.tasks) {
+            if (soakStepOf(earlier) + 1 == soakStepOf(task)
+                && !isDoneBy(job, earlier, runs->second.front().startedAt))
+                add("ORDER",
+                    fmt::format("{} before the end of {}: {}", task.value(), earlier.value(),
+                                describe(runs->second.front())));
+        }
+    }
+}
+
+void SoakAudit::checkAttempts(const SoakJob &job)
+{
+    std::map<std::string, std::vector<Milliseconds>> failures;
+    const auto unitOf = [&](const SoakTaskId &task) {
+        return job.gangs.at(soakStepOf(task)) ? soakStepNameOf(task) : task.value();
+    };
+    for (const SoakTaskId &task : job.tasks) {
+        for (const SoakRun &run : runs_[task]) {
+            if (run.how == "failed" && run.notedAt)
+                failures[unitOf(task)].push_back(*run.endedAt);
+        }
+    }
+    for (const SoakTaskId &task : job.tasks) {
+        std::vector<Milliseconds> &ends = failures[unitOf(task)];
+        std::ranges::sort(ends);
+        if (static_cast<std::int64_t>(ends.size()) < SoakClients::maxAttempts)
+            continue;
+        const Milliseconds last = ends[SoakClients::maxAttempts - 1];
+        for (const SoakRun &run : runs_[task]) {
+            if (run.startedAt > last)
+                add("BUDGET", task.value() + " starts again: " + describe(run));
+        }
+    }
+}
+
+void SoakAudit::checkGangs(const SoakJob &job)
+{
+    for (const SoakTaskId &task : job.tasks) {
+        if (!job.gangs.at(soakStepOf(task)))
+            continue;
+        for (const SoakRun &run : runs_[task]) {
+            if (run.how != "done" || !run.notedAt)
+                continue;
+            for (const SoakTaskId &member : job.tasks) {
+                if (member == task || soakStepOf(member) != soakStepOf(task))
+                    continue;
+                for (const SoakRun &later : runs_[member]) {
+                    if (later.startedAt > *run.endedAt)
+                        add("TWICE",
+                            fmt::format(
+                                    "{}: started after the end of its gang by {} as done: {} {}",
+                                    member.value(), task.value(), describe(run), describe(later)));
+                }
+            }
+        }
+    }
+}
+
+bool SoakAudit::isDoneBy(const SoakJob &job, const SoakTaskId &task, Milliseconds time) const
+{
+    const bool isGang = job.gangs.at(soakStepOf(task));
+    return std::ranges::any_of(job.tasks, [&](const SoakTaskId &other) {
+        const bool stands = other == task || (isGang && soakStepOf(other) == soakStepOf(task));
+        const auto runs = runs_.find(other);
+        return stands && runs != runs_.end()
+                && std::ranges::any_of(runs->second, [&](const SoakRun &run) {
+                       return run.how == "done" && run.endedAt && *run.endedAt <= time;
+                   });
+    });
 }
 
 void SoakAudit::add(const std::string &rule, std::string text)
--- a/Tests/Soak/SoakAudit.h
+++ b/Tests/Soak/SoakAudit.h
@@ -2,6 +2,8 @@
 
 #include "Soak/SoakJournal.h"
 
+#include <set>
+
 namespace caraway::tests {
 
 /// A broken rule, with what a trace needs.
@@ -28,18 +30,24 @@
     void checkOverlaps(const Runs &runs);
     void checkStartsAfterDone(const Runs &runs);
     void checkJob(const SoakJob &job);
+    void checkOrder(const SoakJob &job);
+    void checkAttempts(const SoakJob &job);
+    void checkGangs(const SoakJob &job);
     void checkAnswer(const SoakAnswer &answer);
     /// \a answers are those of all instances for one job.
     void checkUnfinished(const JobName &job, const std::vector<SoakAnswer> &answers);
     /// Whether \a target was disturbed in the span, or shortly before it.
     bool isDisturbed(const std::string &target, Milliseconds from, Milliseconds to) const;
-    bool isDoneBy(const SoakTaskId &task, Milliseconds time) const;
+    /// Whether the task had ended as done by then; of a gang one such end stands for all members.
+    bool isDoneBy(const SoakJob &job, const SoakTaskId &task, Milliseconds time) const;
     void add(const std::string &rule, std::string text);
 
     std::map<SoakTaskId, Runs> runs_;
     std::map<JobName, SoakJob> jobs_;
     std::vector<SoakDisturbance> disturbances_;
     std::vector<SoakFinding> findings_;
+    /// Jobs that were shown as failed without cause.
+    std::set<JobName> wronglyFailed_;
 };
 
 } // namespace caraway::tests
--- a/Tests/Soak/SoakClients.cpp
+++ b/Tests/Soak/SoakClients.cpp
@@ -4,6 +4,7 @@
 #include <httplib.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
 
 namespace caraway::tests {
@@ -12,7 +13,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t clients = 6;
 constexpr Milliseconds deadline {3000};
 /// After its deadline a request counts as not answered.
 constexpr Milliseconds patience {4000};
@@ -21,23 +21,23 @@
 constexpr int attempts = 10;
 /// Jobs that are repeated, cancelled or asked for.
 constexpr std::size_t recentJobs = 60;
+/// Failures of a job's runs that no run survives.
+constexpr std::int64_t always = 1'000'000;
 
 std::int64_t pick(std::mt19937_64 &random, std::int64_t low, std::int64_t high)
 {
     return std::uniform_int_distribution<std::int64_t>(low, high)(random);
 }
 
-bool isFinished(const SoakAnswer &answer)
-{
-    return answer.state == "completed";
-}
-
 } // namespace
 
-SoakClients::SoakClients(std::vector<SoakFront> fronts, SoakJournal &journal, std::uint64_t seed)
+SoakClients::SoakClients(std::vector<SoakFront> fronts, SoakJournal &journal, std::uint64_t seed,
+                         std::size_t clients, bool isMixed)
     : fronts_(std::move(fronts))
     , journal_(journal)
     , seed_(seed)
+    , clients_(clients)
+    , isMixed_(isMixed)
     , namePrefix_(static_cast<std::uint64_t>(soakUnixMs()) & 0xffffffff)
 {
 }
@@ -49,8 +49,8 @@
 
 void SoakClients::start()
 {
-    for (std::size_t i = 0; i < clients; ++i)
-        threads_.emplace_back([this, i] { runClient(seed_ * clients + i); });
+    for (std::size_t i = 0; i < clients_; ++i)
+        threads_.emplace_back([this, i] { runClient(seed_ * clients_ + i); });
 }
 
 void SoakClients::stop()
@@ -78,9 +78,10 @@
         last.clear();
         for (auto entry = open.begin(); entry != open.end();) {
             const SoakAnswer answer = call(connections, entry->second, "GET", all[entry->first]);
-            if (!isFinished(answer))
+            const bool isFinished = answer.state == all[entry->first].finalState;
+            if (!isFinished)
                 last.push_back(answer);
-            entry = isFinished(answer) ? open.erase(entry) : std::next(entry);
+            entry = isFinished ? open.erase(entry) : std::next(entry);
         }
         if (open.empty() || soakNow() > until)
             return last;
@@ -131,7 +132,7 @@
 {
     httplib::Request request;
     request.method = method;
-    request.path = "/queue/" + job.name.value();
+    request.path = "/" + job.queue + "/" + job.name.value();
     request.set_header("Host", host);
     request.set_header("Deadline-Ms", std::to_string(deadline.count()));
     if (method == "POST") {
@@ -208,24 +209,62 @@
         call(connections, front, "GET", jobAt(*index));
 }
 
-SoakJob SoakClients::makeJob(std::mt19937_64 &random)
+SoakJobPlan SoakClients::planPlain(std::mt19937_64 &random, std::vector<std::int64_t> &counts)
 {
-    const std::int64_t work
-            = pick(random, 0, 3) == 0 ? pick(random, 1500, 4000) : pick(random, 100, 800);
-    const auto makeStep = [&](std::int64_t count) {
-        return Json {{"count", count}, {"cpu", 1000}, {"memMb", 128}, {"estimateMs", work}};
-    };
-    std::vector<std::int64_t> counts {pick(random, 1, 4)};
-    Json steps = Json::array({makeStep(counts.front())});
-    if (pick(random, 0, 2) == 0) {
+    SoakJobPlan plan;
+    plan.work = Milliseconds(pick(random, 0, 3) == 0 ? pick(random, 1500, 4000)
+                                                     : pick(random, 100, 800));
+    counts.push_back(pick(random, 1, 4));
+    if (pick(random, 0, 2) == 0)
         counts.push_back(pick(random, 1, 2));
-        steps.push_back(makeStep(counts.back()));
-        steps.back()["after"] = {0};
+    plan.steps.resize(counts.size(), {0, 1000});
+    return plan;
+}
+
+SoakJobPlan SoakClients::planMixed(std::mt19937_64 &random, std::vector<std::int64_t> &counts,
+                                   std::string &queue)
+{
+    constexpr std::array queues {"urgent", "queue", "queue", "batch"};
+    SoakJobPlan plan;
+    queue = queues[static_cast<std::size_t>(pick(random, 0, 3))];
+    plan.needsTicket = queue == "batch";
+    plan.work = Milliseconds(queue == "urgent" ? pick(random, 100, 500) : pick(random, 300, 2500));
+    const std::int64_t outcome = pick(random, 0, 99);
+    plan.failures = outcome < 3 ? always : outcome < 15 ? pick(random, 1, 2) : 0;
+    const std::int64_t steps = pick(random, 1, 3);
+    for (std::int64_t step = 0; step < steps; ++step) {
+        const bool isGang = pick(random, 0, 3) == 0;
+        counts.push_back(isGang ? pick(random, 2, 8) : pick(random, 1, 10));
+        plan.steps.push_back({isGang ? counts.back() : 0, pick(random, 1, 4) * 250});
     }
-    static std::atomic<std::uint64_t> lastNumber = 0;
+    return plan;
+}
+
+SoakJob SoakClients::makeJob(std::mt19937_64 &random) const
+{
     SoakJob job;
+    job.queue = "queue";
+    std::vector<std::int64_t> counts;
+    const SoakJobPlan plan
+            = isMixed_ ? planMixed(random, counts, job.queue) : planPlain(random, counts);
+    Json steps = Json::array();
+    for (std::size_t step = 0; step < counts.size(); ++step) {
+        const bool isGang = plan.steps[step].members > 0;
+        steps.push_back({{"count", counts[step]},
+                         {"cpu", plan.steps[step].millicores},
+                         {"memMb", 128},
+                         {"estimateMs", plan.work.count()}});
+        if (step > 0)
+            steps.back()["after"] = {step - 1};
+        if (isGang)
+            steps.back()["gang"] = true;
+        job.gangs.push_back(isGang);
+    }
+    static std::atomic<std::uint64_t> lastNumber = 0;
     job.name = JobName(fmt::format("{:08x}{:08x}", namePrefix_, ++lastNumber));
-    job.body = Json {{"spec", std::to_string(work)}, {"steps", steps}}.dump();
+    job.body = Json {{"spec", plan.toSpec()}, {"steps", steps}}.dump();
+    if (plan.failures >= maxAttempts)
+        job.finalState = "failed";
     for (std::size_t step = 0; step < counts.size(); ++step) {
         for (std::int64_t index = 0; index < counts[step]; ++index)
             job.tasks.emplace_back(fmt::format("{}.0.{}.{}", job.name.value(), step, index));
--- a/Tests/Soak/SoakClients.h
+++ b/Tests/Soak/SoakClients.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Soak/SoakJournal.h"
+#include "Soak/SoakWork.h"
 
 #include <nlohmann/json.hpp>
 
@@ -28,8 +29,12 @@
 {
 public:
     static constexpr const char *host = "queue.example";
+    /// Runs of a task or gang that may fail before its job does.
+    static constexpr std::int64_t maxAttempts = 4;
 
-    SoakClients(std::vector<SoakFront> fronts, SoakJournal &journal, std::uint64_t seed);
+    /// \a isMixed: jobs of several queues, with gangs, failing runs and tasks of several sizes.
+    SoakClients(std::vector<SoakFront> fronts, SoakJournal &journal, std::uint64_t seed,
+                std::size_t clients, bool isMixed);
     ~SoakClients();
 
     void start();
@@ -51,7 +56,10 @@
     void repeat(Connections &connections, std::mt19937_64 &random);
     void cancel(Connections &connections, std::mt19937_64 &random);
     void ask(Connections &connections, std::mt19937_64 &random);
-    SoakJob makeJob(std::mt19937_64 &random);
+    SoakJob makeJob(std::mt19937_64 &random) const;
+    static SoakJobPlan planPlain(std::mt19937_64 &random, std::vector<std::int64_t> &counts);
+    static SoakJobPlan planMixed(std::mt19937_64 &random, std::vector<std::int64_t> &counts,
+                                 std::string &queue);
     void noteAttempt(std::size_t index, const SoakAnswer &answer);
     std::optional<std::size_t> pickRecent(std::mt19937_64 &random) const;
     SoakJob jobAt(std::size_t index) const;
@@ -59,6 +67,8 @@
     std::vector<SoakFront> fronts_;
     SoakJournal &journal_;
     std::uint64_t seed_;
+    std::size_t clients_;
+    bool isMixed_;
     std::uint64_t namePrefix_;
     std::atomic<bool> isStopping_ = false;
     std::vector<std::thread> threads_;
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -27,18 +27,22 @@
 
 } // namespace
 
-SoakInstance::SoakInstance(InstanceId id, int storePort, std::filesystem::path folder)
+SoakInstance::SoakInstance(InstanceId id, int storePort, const SoakFleetOptions &options)
     : id_(std::move(id))
-    , folder_(std::move(folder))
+    , place_(id_)
+    , folder_(options.folder)
+    , program_(options.program)
+    , settingsTemplate_(options.settingsTemplate)
+    , storePort_(storePort)
     , callersPort_(findFreePort())
     , readinessPort_(findFreePort())
 {
-    writeSettings(storePort);
+    writeSettings();
 }
 
-void SoakInstance::writeSettings(int storePort) const
+void SoakInstance::writeSettings() const
 {
-    std::ifstream file(SOAK_TEMPLATE_PATH);
+    std::ifstream file(settingsTemplate_);
     std::string settings {std::istreambuf_iterator<char>(file), {}};
     const auto address = [](int port) { return fmt::format("127.0.0.1:{}", port); };
     replaceAll(settings, "{{ip}}:9464", address(findFreePort()));
@@ -47,8 +51,8 @@
     replaceAll(settings, "{{zone}}", "zone-a");
     replaceAll(settings, "{{listen.front}}", address(callersPort_));
     replaceAll(settings, "{{listen.ready}}", address(readinessPort_));
-    replaceAll(settings, "{{platform.address}}", address(storePort));
-    replaceAll(settings, "{{advice}}", address(storePort));
+    replaceAll(settings, "{{platform.address}}", address(storePort_));
+    replaceAll(settings, "{{advice}}", address(storePort_));
     replaceAll(settings, "{{limits.cpuShare}}", "0.25");
     replaceAll(settings, "{{bounds.maxHoldMs}}",
                std::to_string(SoakWorkerTimes::longestLease.count()));
@@ -62,7 +66,15 @@
     openTerm();
     openTerm_.reset();
     process_ = std::make_unique<ChildProcess>(
-            std::vector<std::string> {CARAWAYMOUNT_PATH, "entry", settingsFile()}, logFile());
+            std::vector<std::string> {program_, "entry", settingsFile()}, logFile());
+}
+
+void SoakInstance::replace(InstanceId id)
+{
+    log_ = {};
+    id_ = std::move(id);
+    writeSettings();
+    start();
 }
 
 void SoakInstance::kill()
@@ -100,32 +112,55 @@
     return openTerm_;
 }
 
+nlohmann::json SoakFleet::queue(const std::string &name, int priority)
+{
+    return {{"name", name},
+            {"hostname", SoakClients::host},
+            {"prefix", "/" + name + "/"},
+            {"type", "unsafe"},
+            {"timeoutMs", 3000},
+            {"targetDurationMs", 3000},
+            {"priority", priority},
+            {"service", "work"},
+            {"maxAttempts", SoakClients::maxAttempts},
+            {"stretch", 4.0}};
+}
+
 SoakFleet::SoakFleet(const SoakFleetOptions &options, SoakJournal &journal)
-    : store_(options.instances)
+    : advice_(options.instances)
+    , store_(options.instances)
 {
-    const nlohmann::json queue {{"name", "queue"},     {"hostname", SoakClients::host},
-                                {"prefix", "/queue/"}, {"type", "unsafe"},
-                                {"timeoutMs", 3000},   {"targetDurationMs", 3000},
-                                {"priority", 1},       {"service", "work"},
-                                {"maxAttempts", 4},    {"stretch", 4.0}};
-    const nlohmann::json service {{"name", "work"},       {"healthPath", "/health"},
-                                  {"maxConnections", 64}, {"protocol", "h1"},
-                                  {"tls", false},         {"rejectsOverload", false},
-                                  {"standby", false}};
+    nlohmann::json queues = nlohmann::json::array({queue("queue", 1)});
+    if (options.hasSeveralQueues) {
+        queues.push_back(queue("urgent", 0));
+        queues.push_back(queue("batch", 2));
+        queues.back()["advice"] = {{"decisionMs", SoakAdvice::decisionTime.count()},
+                                   {"perWorkerMs", 0.1},
+                                   {"validityMs", SoakAdvice::validity.count()}};
+    }
+    store_.setAdvice([this](std::size_t instance, const SoakRequest &request) {
+        return advice_.handle(instance, request);
+    });
+    const nlohmann::json service {
+            {"name", "work"},       {"healthPath", "/health"},
+            {"maxConnections", 64}, {"protocol", "h1"},
+            {"tls", false},         {"rejectsOverload", options.hasSeveralQueues},
+            {"standby", false}};
     store_.put("op/config",
                {{"version", 3},
-                {"routes", nlohmann::json::array({queue})},
+                {"routes", queues},
                 {"services", nlohmann::json::array({service})},
                 {"limits", {{"maxBodyBytes", 262'144}}}});
     std::mt19937_64 random(options.seed);
     for (int i = 0; i < options.workers; ++i) {
         workers_.push_back(std::make_unique<SoakWorker>(
-                store_, journal, WorkerId(fmt::format("i-{:08x}", 0x1a2b3c00 + i * 17)),
-                fmt::format("r1-{}", i / 2), static_cast<std::int64_t>(random() % 21)));
+                store_, journal, work_, advice_,
+                WorkerId(fmt::format("i-{:08x}", 0x1a2b3c00 + i * 17)), fmt::format("r1-{}", i / 2),
+                static_cast<std::int64_t>(random() % 21)));
     }
     for (int i = 0; i < options.instances; ++i) {
         instances_.push_back(std::make_unique<SoakInstance>(
-                InstanceId(fmt::format("edge-{}", i + 1)), store_.port(i), options.folder));
+                InstanceId(fmt::format("edge-{}", i + 1)), store_.port(i), options));
     }
 }
 
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -12,35 +12,49 @@
 {
     int instances = 3;
     int workers = 8;
+    /// Whether there are queues of several priorities, one of them with approvals.
+    bool hasSeveralQueues = false;
     std::uint64_t seed = 1;
     /// Settings, logs and the journal.
     std::filesystem::path folder;
+    /// The program of the entry instances and the template of its settings.
+    std::string program = CARAWAYMOUNT_PATH;
+    std::string settingsTemplate = SOAK_TEMPLATE_PATH;
 };
 
 /// A process of an entry instance.
 class SoakInstance
 {
 public:
-    SoakInstance(InstanceId id, int storePort, std::filesystem::path folder);
+    SoakInstance(InstanceId id, int storePort, const SoakFleetOptions &options);
 
     const InstanceId &id() const { return id_; }
+    /// The id of the first machine in this place, by which clients and troubles know it.
+    const InstanceId &place() const { return place_; }
     int callersPort() const { return callersPort_; }
     std::string logFile() const { return (folder_ / (id_.value() + ".log")).string(); }
     /// Must be called on a thread that outlives the process: it is killed when that thread ends.
     void start();
     void kill();
     void signal(int number);
+    /// Another machine takes the place of the instance, which has ended; callers reach it at the
+    /// same port.
+    void replace(InstanceId id);
     bool isRunning() { return process_ && process_->isRunning(); }
     bool isReady() const;
     /// The generation of the term that the log shows as not ended.
     std::optional<std::uint64_t> openTerm();
 
 private:
-    void writeSettings(int storePort) const;
+    void writeSettings() const;
     std::string settingsFile() const { return (folder_ / (id_.value() + ".toml")).string(); }
 
     InstanceId id_;
+    InstanceId place_;
     std::filesystem::path folder_;
+    std::string program_;
+    std::string settingsTemplate_;
+    int storePort_;
     int callersPort_;
     int readinessPort_;
     std::unique_ptr<ChildProcess> process_;
@@ -62,6 +76,10 @@
     std::vector<std::unique_ptr<SoakInstance>> &instances() { return instances_; }
 
 private:
+    static nlohmann::json queue(const std::string &name, int priority);
+
+    SoakAdvice advice_;
+    SoakWork work_;
     SoakStore store_;
     std::vector<std::unique_ptr<SoakWorker>> workers_;
     std::vector<std::unique_ptr<SoakInstance>> instances_;
--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -23,12 +23,14 @@
     std::filesystem::create_directories(folder);
     SoakJournal journal((folder / "journal.txt").string());
     journal.write(fmt::format("seed {} kinds {}", options.fleet.seed, options.kinds));
-    SoakFleet fleet(options.fleet, journal);
+    SoakFleetOptions fleetOptions = options.fleet;
+    fleetOptions.hasSeveralQueues = options.isMixed;
+    SoakFleet fleet(fleetOptions, journal);
     fleet.start();
     std::vector<SoakFront> fronts;
     for (const auto &instance : fleet.instances())
         fronts.push_back({instance->id(), instance->callersPort()});
-    SoakClients clients(fronts, journal, options.fleet.seed);
+    SoakClients clients(fronts, journal, options.fleet.seed, options.clients, options.isMixed);
     clients.start();
     SoakTroubles(fleet, journal, options.fleet.seed, options.kinds).run(options.duration);
     clients.stop();
--- a/Tests/Soak/SoakRound.h
+++ b/Tests/Soak/SoakRound.h
@@ -12,6 +12,9 @@
     /// Until all jobs must be finished after the troubles.
     Milliseconds settling {22'000};
     std::string kinds;
+    std::size_t clients = 6;
+    /// Jobs of several queues, with gangs, failing runs and tasks of several sizes.
+    bool isMixed = false;
 };
 
 struct SoakRoundResult
--- a/Tests/Soak/SoakStore.cpp
+++ b/Tests/Soak/SoakStore.cpp
@@ -117,8 +117,17 @@
     refusals_.at(static_cast<std::size_t>(instance)) = refusal;
 }
 
+void SoakStore::forgetHistory()
+{
+    const std::lock_guard lock(mutex_);
+    history_.clear();
+    forgottenTo_ = revision_;
+}
+
 SoakResponse SoakStore::handle(std::size_t instance, const SoakRequest &request)
 {
+    if (request.path == "/carawaymount/advise" && advice_)
+        return advice_(instance, request);
     std::unique_lock lock(mutex_);
     changed_.wait(lock, [this] { return !isDown_ || isClosing_; });
     switch (refusals_[instance]) {
@@ -204,6 +213,8 @@
             + std::chrono::milliseconds(std::stoll(request.query.at("waitMs")));
     Json events = Json::array();
     while (true) {
+        if (after < forgottenTo_)
+            return {410, Json {{"at", revision_}}.dump()};
         auto event = std::ranges::upper_bound(history_, after, {}, [](const Json &entry) {
             return entry.at("revision").get<std::int64_t>();
         });
--- a/Tests/Soak/SoakStore.h
+++ b/Tests/Soak/SoakStore.h
@@ -36,6 +36,11 @@
     /// Calls are carried out, but their answers are lost.
     void setLosingAnswers(bool isLosing);
     void setRefusal(int instance, SoakRefusal refusal);
+    /// Watches cannot continue from before now.
+    void forgetHistory();
+    using AdviceHandler = std::function<SoakResponse(std::size_t, const SoakRequest &)>;
+    /// The policy service listens on the same ports, and is never in trouble with the store.
+    void setAdvice(AdviceHandler advice) { advice_ = std::move(advice); }
 
 private:
     struct Item
@@ -78,6 +83,8 @@
     std::map<std::int64_t, Lease> leases_;
     std::map<std::string, Milliseconds> entryEnds_;
     std::vector<nlohmann::json> history_;
+    std::int64_t forgottenTo_ = 0;
+    AdviceHandler advice_;
     std::thread expiry_;
     std::vector<std::unique_ptr<SoakServer>> servers_;
 };
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -12,13 +12,16 @@
     CPPUNIT_TEST_SUITE(SoakTest);
     CPPUNIT_TEST(tasks_withoutTrouble_runOnceAndAreAnswered);
     CPPUNIT_TEST(tasks_whileWorkersRestartAndTheHolderPauses_runOnceAndAreAnswered);
+    CPPUNIT_TEST(gangsAndFailingTasks_whileAllLosePower_runOnceAndAreAnswered);
     CPPUNIT_TEST_SUITE_END();
 
     std::filesystem::path folder_;
 
-    void runRound(std::uint64_t seed, Milliseconds duration, const std::string &kinds)
+    void runRound(std::uint64_t seed, Milliseconds duration, const std::string &kinds,
+                  bool isMixed = false)
     {
         SoakRoundOptions options;
+        options.isMixed = isMixed;
         options.fleet.seed = seed;
         options.fleet.folder = folder_;
         options.duration = duration;
@@ -43,6 +46,12 @@
     {
         runRound(15, Milliseconds(15'000), "rrzz");
     }
+
+    /// Guards against sound jobs that are shown as failed after crashes of their workers.
+    void gangsAndFailingTasks_whileAllLosePower_runOnceAndAreAnswered()
+    {
+        runRound(413, Milliseconds(20'000), "okz", true);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakTest);
--- a/Tests/Soak/SoakTroubles.cpp
+++ b/Tests/Soak/SoakTroubles.cpp
@@ -87,12 +87,14 @@
 
 void SoakTroubles::begin(const Choices &choices)
 {
-    constexpr std::string_view workerKinds = "rcxde";
-    constexpr std::string_view instanceKinds = "ktzh";
+    constexpr std::string_view workerKinds = "rcxdew";
+    constexpr std::string_view instanceKinds = "ktzhn";
     if (workerKinds.find(choices.kind) != workerKinds.npos)
         troubleWorkers(choices);
     else if (instanceKinds.find(choices.kind) != instanceKinds.npos)
         troubleInstance(choices);
+    else if (choices.kind == 'o')
+        cutPower(choices);
     else
         troubleStore(choices);
 }
@@ -104,7 +106,9 @@
         const Milliseconds length = choices.before + choices.away + choices.after;
         if (!claim(worker.id().value(), length, fmt::format("worker: {}", choices.kind)))
             continue;
-        if (choices.kind == 'd') {
+        if (choices.kind == 'w') {
+            dismissWorker(worker, choices);
+        } else if (choices.kind == 'd') {
             worker.setOrderDelay(choices.away, false);
             at(soakNow() + length, [this, &worker] {
                 worker.setOrderDelay(Milliseconds(0), false);
@@ -118,6 +122,22 @@
     }
 }
 
+void SoakTroubles::dismissWorker(SoakWorker &worker, const Choices &choices)
+{
+    const std::string name = worker.id().value();
+    const Milliseconds remaining = choices.pause;
+    worker.announceLeaving(remaining);
+    at(soakNow() + remaining + choices.before, [this, &worker, name] {
+        worker.crash();
+        fleet_.store().remove("servers/" + name);
+    });
+    const WorkerId next(fmt::format("i-{:08x}", 0x7e000000 + ++lastReplacement_));
+    at(soakNow() + remaining + choices.before + choices.away, [this, &worker, name, next] {
+        worker.replace(next);
+        release(name);
+    });
+}
+
 void SoakTroubles::cutWorker(SoakWorker &worker, const Choices &choices)
 {
     worker.setCut(true, choices.flag);
@@ -159,7 +179,7 @@
 void SoakTroubles::troubleInstance(const Choices &choices)
 {
     SoakInstance &instance = *fleet_.instances()[pickInstance(choices)];
-    const std::string name = instance.id().value();
+    const std::string name = instance.place().value();
     const Milliseconds away = choices.kind == 'z' ? choices.pause : choices.away + Milliseconds(10);
     const Milliseconds length = choices.kind == 't' ? shutdownBound + away : away;
     if (!claim(name, length,
@@ -178,6 +198,11 @@
     case 't':
         terminate(instance, away);
         break;
+    case 'n':
+        instance.kill();
+        replaceInstance(instance, away);
+        end(soakNow() + away);
+        break;
     case 'z':
         instance.signal(SIGSTOP);
         at(soakNow() + away, [&instance] { instance.signal(SIGCONT); });
@@ -189,6 +214,37 @@
     }
 }
 
+void SoakTroubles::replaceInstance(SoakInstance &instance, Milliseconds away)
+{
+    const InstanceId next(fmt::format("edge-{}", 100 + ++lastReplacement_));
+    at(soakNow() + away, [&instance, next] { instance.replace(next); });
+}
+
+/// Instances and workers that are disturbed already are left alone.
+void SoakTroubles::cutPower(const Choices &choices)
+{
+    const Milliseconds back = soakNow() + choices.away;
+    for (const auto &instance : fleet_.instances()) {
+        const std::string name = instance->place().value();
+        if (!claim(name, choices.away, "instance: loses power"))
+            continue;
+        instance->kill();
+        at(back, [&instance = *instance] { instance.start(); });
+        at(back + recovery, [this, name] { release(name); });
+    }
+    for (std::size_t i = 0; i < fleet_.workers().size(); ++i) {
+        SoakWorker &worker = *fleet_.workers()[i];
+        const bool isHit = choices.flag || (i + choices.target) % 3 == 0;
+        if (!isHit || !claim(worker.id().value(), choices.away, "worker: loses power"))
+            continue;
+        worker.crash();
+        at(back + choices.after, [this, &worker] {
+            worker.restart(Milliseconds(0));
+            release(worker.id().value());
+        });
+    }
+}
+
 void SoakTroubles::terminate(SoakInstance &instance, Milliseconds away)
 {
     instance.signal(SIGTERM);
@@ -204,7 +260,7 @@
     }
     instance.kill();
     at(soakNow() + away, [&instance] { instance.start(); });
-    at(soakNow() + away + recovery, [this, &instance] { release(instance.id().value()); });
+    at(soakNow() + away + recovery, [this, &instance] { release(instance.place().value()); });
 }
 
 void SoakTroubles::troubleStore(const Choices &choices)
@@ -222,6 +278,10 @@
         });
     };
     switch (choices.kind) {
+    case 'g':
+        store.forgetHistory();
+        end([] {});
+        break;
     case 'p':
         store.setDown(true, choices.flag);
         end([&store] { store.setDown(false, false); });
--- a/Tests/Soak/SoakTroubles.h
+++ b/Tests/Soak/SoakTroubles.h
@@ -13,13 +13,17 @@
 /// r, c  workers crash and start again under their ids; r: cut off from all meanwhile
 /// x     workers are cut off
 /// d, e  workers carry out orders late; e: after they have started again under their ids
+/// w     workers leave as announced, and others take their place
 /// k, t  an instance ends (SIGKILL, SIGTERM) and starts again
+/// n     an instance ends for good, and another one takes its place
+/// o     all instances end at once (SIGKILL) with a part of the workers, and start again
 /// z, h  an instance is stopped for a while; is told to read its settings again
-/// p, l, s, f  the store is down, loses answers, answers late, refuses one instance
+/// p, l, s, f, g  the store is down, loses answers, answers late, refuses one instance, forgets its
+///                history
 class SoakTroubles
 {
 public:
-    static constexpr const char *allKinds = "rcxdektzhplsf";
+    static constexpr const char *allKinds = "rcxdewktzhnoplsfg";
 
     SoakTroubles(SoakFleet &fleet, SoakJournal &journal, std::uint64_t seed, std::string kinds);
 
@@ -52,6 +56,9 @@
     void troubleWorkers(const Choices &choices);
     void restartWorker(SoakWorker &worker, const Choices &choices);
     void cutWorker(SoakWorker &worker, const Choices &choices);
+    void dismissWorker(SoakWorker &worker, const Choices &choices);
+    void replaceInstance(SoakInstance &instance, Milliseconds away);
+    void cutPower(const Choices &choices);
     void troubleInstance(const Choices &choices);
     void terminate(SoakInstance &instance, Milliseconds away);
     void awaitExit(SoakInstance &instance, Milliseconds until, Milliseconds away);
@@ -68,6 +75,7 @@
     std::string kinds_;
     std::optional<Choices> repeated_;
     std::int64_t repetitions_ = 0;
+    int lastReplacement_ = 0;
     std::set<std::string> claimed_;
     std::multimap<Milliseconds, Action> actions_;
 };
--- a/Tests/Soak/SoakTypes.h
+++ b/Tests/Soak/SoakTypes.h
@@ -59,6 +59,12 @@
     JobName name;
     std::string body;
     std::vector<SoakTaskId> tasks;
+    /// Path of its queue.
+    std::string queue;
+    /// By step: whether its tasks are a gang.
+    std::vector<bool> gangs;
+    /// How it is shown when nothing is left to run.
+    std::string finalState = "completed";
     std::optional<Milliseconds> acceptedAt;
     /// Some attempt got no answer, or one that leaves open whether the job was accepted.
     bool isOpen = false;
--- a/Tests/Soak/SoakWorker.cpp
+++ b/Tests/Soak/SoakWorker.cpp
@@ -22,10 +22,12 @@
 
 } // namespace
 
-SoakWorker::SoakWorker(SoakStore &store, SoakJournal &journal, WorkerId id, std::string rack,
-                       std::int64_t slowness)
+SoakWorker::SoakWorker(SoakStore &store, SoakJournal &journal, SoakWork &work, SoakAdvice &advice,
+                       WorkerId id, std::string rack, std::int64_t slowness)
     : store_(store)
     , journal_(journal)
+    , work_(work)
+    , advice_(advice)
     , id_(std::move(id))
     , rack_(std::move(rack))
     , slowness_(slowness)
@@ -55,8 +57,10 @@
         server_.crash();
     const std::lock_guard lock(mutex_);
     isUp_ = false;
-    for (const auto &[key, active] : running_)
+    for (const auto &[key, active] : running_) {
         journal_.endRun(active.run, "crash");
+        work_.end(active.work, "crash");
+    }
     running_.clear();
     ends_.clear();
     changed_.notify_all();
@@ -73,6 +77,24 @@
     changed_.notify_all();
 }
 
+void SoakWorker::announceLeaving(Milliseconds remaining)
+{
+    const std::lock_guard lock(mutex_);
+    journal_.write(fmt::format("worker {} leaves in {} ms", id_.value(), remaining.count()));
+    leavesAt_ = soakNow() + remaining;
+    nextBeat_ = soakNow();
+    changed_.notify_all();
+}
+
+void SoakWorker::replace(WorkerId id)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        id_ = std::move(id);
+    }
+    restart(Milliseconds(0));
+}
+
 void SoakWorker::setCut(bool isCut, bool alsoStore)
 {
     journal_.write(fmt::format("worker {} is {}", id_.value(),
@@ -97,7 +119,9 @@
     incarnation_ = SoakIncarnation(
             stepBack.count() > 0 ? realTime : std::max(realTime, incarnation_.next().value()));
     ++life_;
+    advice_.setLife(id_, incarnation_);
     bornAt_ = soakNow();
+    leavesAt_.reset();
     running_.clear();
     ends_.clear();
     lastEnd_ = 0;
@@ -137,16 +161,17 @@
         std::string how;
         if (run.stopsAt && now >= *run.stopsAt)
             how = "stopped";
-        else if (now >= run.doneAt)
-            how = "done";
+        else if (const std::optional<std::string> end = work_.endOf(run.work))
+            how = *end;
         else if (hasLapsed)
             how = "lapsed";
         if (how.empty()) {
-            next = std::min({next, run.doneAt, run.stopsAt.value_or(next)});
+            next = std::min({next, work_.nextChange(run.work), run.stopsAt.value_or(next)});
             ++active;
             continue;
         }
         journal_.endRun(run.run, how);
+        work_.end(run.work, how);
         SoakRunNumber &highest = highest_[active->first.first];
         highest = std::max(highest, active->first.second);
         ends_[++lastEnd_] = {run.run, active->first, how, hasLapsed};
@@ -160,18 +185,20 @@
 {
     if (soakNow() < nextBeat_)
         return nextBeat_;
-    const Json entry {{"service", "work"},
-                      {"address", "127.0.0.1:" + std::to_string(server_.port())},
-                      {"zone", "zone-a"},
-                      {"version", "v1"},
-                      {"slots", 8},
-                      {"state", "ready"},
-                      {"coldRemainingMs", 0},
-                      {"capacity", {{"cpu", 16'000}, {"memMb", 65'536}, {"gpus", 0}}},
-                      {"labels", {"a", rack_}},
-                      {"clockMs", clock()},
-                      {"born", incarnation_.value()},
-                      {"sequence", sequence_ + 1}};
+    Json entry {{"service", "work"},
+                {"address", "127.0.0.1:" + std::to_string(server_.port())},
+                {"zone", "zone-a"},
+                {"version", "v1"},
+                {"slots", 8},
+                {"state", leavesAt_ ? "draining" : "ready"},
+                {"coldRemainingMs", 0},
+                {"capacity", {{"cpu", Times::millicores}, {"memMb", 65'536}, {"gpus", 0}}},
+                {"labels", {"a", rack_}},
+                {"clockMs", clock()},
+                {"born", incarnation_.value()},
+                {"sequence", sequence_ + 1}};
+    if (leavesAt_)
+        entry["remainingMs"] = std::max((*leavesAt_ - soakNow()).count(), std::int64_t(0));
     const bool isWritten = !isStoreCut_
             && store_.beat("servers/" + id_.value(), entry, Times::beat * missedBeats);
     sequence_ += isWritten ? 1 : 0;
@@ -221,6 +248,11 @@
     if (const auto highest = highest_.find(task);
         highest != highest_.end() && number <= highest->second)
         return refusal("old");
+    SoakJobPlan plan = SoakJobPlan::fromSpec(body.at("spec").get<std::string>());
+    if (plan.needsTicket && !advice_.isValid(body.value("ticket", ""), soakStepNameOf(task), id_))
+        return refusal("ticket");
+    if (!hasRoomFor(task, plan))
+        return refusal("room");
     SoakRun run;
     run.task = task;
     run.number = number;
@@ -228,12 +260,20 @@
     run.incarnation = incarnation_;
     run.fencingToken = fence_;
     run.isLate = isLate;
-    const Milliseconds work(std::stoll(body.at("spec").get<std::string>()));
-    running_[{task, number}] = {journal_.addRun(run), soakNow(), soakNow() + work, std::nullopt};
+    running_[{task, number}]
+            = {journal_.addRun(run), work_.begin(task, number, std::move(plan)), std::nullopt};
     changed_.notify_all();
     return {200, Json {{"clockMs", clock()}}.dump()};
 }
 
+bool SoakWorker::hasRoomFor(const SoakTaskId &task, const SoakJobPlan &plan) const
+{
+    std::int64_t needed = plan.steps.at(soakStepOf(task)).millicores;
+    for (const auto &[key, active] : running_)
+        needed += active.work.plan.steps.at(soakStepOf(key.first)).millicores;
+    return needed <= Times::millicores;
+}
+
 SoakResponse SoakWorker::stop(const Json &body)
 {
     const SoakTaskId task(body.at("task").get<std::string>());
@@ -291,8 +331,8 @@
 {
     Json rows = Json::array();
     for (const auto &[key, run] : running_) {
-        const std::int64_t total = std::max<std::int64_t>((run.doneAt - run.startedAt).count(), 1);
-        const std::int64_t passed = (soakNow() - run.startedAt).count();
+        const std::int64_t total = std::max<std::int64_t>(run.work.plan.work.count(), 1);
+        const std::int64_t passed = (soakNow() - run.work.startedAt).count();
         rows.push_back({key.first.value(), key.second.value(), "",
                         std::clamp<std::int64_t>(passed * 100 / total, 0, 99), 1000});
     }
--- a/Tests/Soak/SoakWorker.h
+++ b/Tests/Soak/SoakWorker.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Soak/SoakAdvice.h"
 #include "Soak/SoakJournal.h"
 #include "Soak/SoakServer.h"
 #include "Soak/SoakStore.h"
+#include "Soak/SoakWork.h"
 
 namespace caraway::tests {
 
@@ -13,15 +15,16 @@
     static constexpr Milliseconds beatRetry {100};
     static constexpr Milliseconds longestLease {6000};
     static constexpr Milliseconds stop {300};
+    static constexpr std::int64_t millicores = 16'000;
 };
 
-/// A worker. A job's spec is the duration of its tasks in ms.
+/// A worker. A job's spec is that of its SoakJobPlan.
 class SoakWorker
 {
 public:
     /// \a slowness: how much slower than real time its clock is, in thousandths.
-    SoakWorker(SoakStore &store, SoakJournal &journal, WorkerId id, std::string rack,
-               std::int64_t slowness);
+    SoakWorker(SoakStore &store, SoakJournal &journal, SoakWork &work, SoakAdvice &advice,
+               WorkerId id, std::string rack, std::int64_t slowness);
     ~SoakWorker();
 
     const WorkerId &id() const { return id_; }
@@ -30,6 +33,10 @@
     /// The process starts again under the same id; it knows nothing of before. The time of day went
     /// back by \a stepBack since its last start.
     void restart(Milliseconds stepBack);
+    /// The worker announces that it leaves after \a remaining at the earliest.
+    void announceLeaving(Milliseconds remaining);
+    /// Another machine takes the place of the worker, which has crashed or left.
+    void replace(WorkerId id);
     /// Cuts the worker off from all instances, and also from the store if \a alsoStore.
     void setCut(bool isCut, bool alsoStore);
     /// Orders are carried out \a delay after they arrive, and get no answer; 0 for at once.
@@ -41,8 +48,7 @@
     struct Active
     {
         std::size_t run = 0;
-        Milliseconds startedAt;
-        Milliseconds doneAt;
+        SoakWork::Run work;
         std::optional<Milliseconds> stopsAt;
     };
     struct End
@@ -67,11 +73,14 @@
     void acknowledge(std::int64_t through);
     void extendLease(const nlohmann::json &body);
     SoakResponse refusal(const char *reason) const;
+    bool hasRoomFor(const SoakTaskId &task, const SoakJobPlan &plan) const;
     nlohmann::json runningRows() const;
     nlohmann::json finishedRows() const;
 
     SoakStore &store_;
     SoakJournal &journal_;
+    SoakWork &work_;
+    SoakAdvice &advice_;
     WorkerId id_;
     std::string rack_;
     std::int64_t slowness_;
@@ -86,6 +95,7 @@
     std::int64_t life_ = 0;
     SoakIncarnation incarnation_;
     Milliseconds bornAt_;
+    std::optional<Milliseconds> leavesAt_;
     std::map<RunKey, Active> running_;
     std::map<std::int64_t, End> ends_;
     std::int64_t lastEnd_ = 0;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -13,19 +13,27 @@
         = R"(Runs entry processes under load and seeded trouble, and audits the tasks and the answers.
 
 Usage:
-  testSoak [--seed=N] [--seconds=N] [--instances=N] [--workers=N] [--kinds=LETTERS] [--folder=PATH]
+  testSoak [--seed=N] [--seconds=N] [--instances=N] [--workers=N] [--clients=N]
+           [--kinds=LETTERS] [--mixed] [--folder=PATH]
+           [--program=PATH] [--template=PATH]
 
 Options:
   --seed=N         Seed of the troubles and of the load [default: 1].
   --seconds=N      Duration of load and troubles [default: 60].
   --instances=N    Number of entry instances [default: 3].
   --workers=N      Number of workers [default: 8].
+  --clients=N      Number of clients [default: 6].
   --kinds=LETTERS  Kinds of trouble, each as likely as it is often named; "none" for none. Workers:
                    r restarted behind a cut, c restarted, x cut off, d late orders, e late orders
                    that the next incarnation carries out (not by default). Instances:
-                   k killed, t SIGTERM, z stopped for a while, h SIGHUP. Store: p down, l answers
-                   lost, s slow, f refuses one instance [default: rcxdktzhplsf].
+                   k killed, t SIGTERM, z stopped for a while, h SIGHUP, n replaced by another one,
+                   o all killed at once, with some workers. Store: p down, l answers lost, s slow,
+                   f refuses one instance, g forgets its history. Workers too: w leave as announced
+                   and are replaced [default: rcxdktzhplsf].
+  --mixed          Jobs of several queues, with gangs, approvals, failing runs and large tasks.
   --folder=PATH    Settings, logs and journal [default: soak-logs].
+  --program=PATH   Program of the entry instances, such as that of an earlier release.
+  --template=PATH  Template of its settings.
 )";
 
 } // namespace
@@ -40,8 +48,14 @@
     options.fleet.instances = static_cast<int>(arguments["--instances"].asLong());
     options.fleet.workers = static_cast<int>(arguments["--workers"].asLong());
     options.fleet.folder = arguments["--folder"].asString();
+    if (arguments["--program"])
+        options.fleet.program = arguments["--program"].asString();
+    if (arguments["--template"])
+        options.fleet.settingsTemplate = arguments["--template"].asString();
     options.duration = caraway::Milliseconds(arguments["--seconds"].asLong() * 1000);
     options.kinds = arguments["--kinds"].asString();
+    options.clients = static_cast<std::size_t>(arguments["--clients"].asLong());
+    options.isMixed = arguments["--mixed"].asBool();
     const std::string kinds = options.kinds;
     if (kinds == "none")
         options.kinds.clear();
