Remove a recorded start from the job's progress when it is refused

Cause: the start stayed in the stored progress after the worker had refused it, and the next holder counted a crash under it if that worker had restarted (found in review).

Change: the job's progress is written again.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -426,7 +426,9 @@
     // A worker that was reset may have crashed under the run.
     if (outcome != WorkerOutcome::Unanswered || worker.isStateRead)
         logEnd(worker.id(), worker.incarnation, key, run);
-    task->recordedStart.reset();
+    // Otherwise the next holder would count a later crash of the worker under it.
+    if (std::exchange(task->recordedStart, std::nullopt))
+        recorder_.markChanged(key.job);
     task->handle(CellTask::Event::Ended);
     if (step->spec.gang)
         stopGang(*step, run);
--- a/Tests/Cell/RecordedStartTest.cpp
+++ b/Tests/Cell/RecordedStartTest.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(RecordedStartTest);
     CPPUNIT_TEST(start_afterAnUnsentOneOfItsTask_waitsForItsOwnRecord);
+    CPPUNIT_TEST(start_refusedByItsWorker_isNotRecordedAnyMore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,7 +36,8 @@
         CPPUNIT_ASSERT(
                 simulation.advanceUntil([&] { return simulation.holder().has_value(); }, longWait));
         simulation.advance(Milliseconds(1000));
-        simulation.submitAndWait(*simulation.holder(), CellSimulation::job("a"));
+        CPPUNIT_ASSERT(simulation.submitAndWait(*simulation.holder(), CellSimulation::job("a"))
+                       == CallerOutcome::Accepted);
         CPPUNIT_ASSERT(simulation.advanceUntil([&] { return isStartInCommit; }, longWait));
         for (std::size_t worker = 0; worker < 4; ++worker) {
             simulation.crashWorker(worker);
@@ -47,6 +49,35 @@
                              startedAndRecorded.back().second.value());
     }
 
+    /// Guards against a crash that the next holder counts under a run that never began.
+    void start_refusedByItsWorker_isNotRecordedAnyMore()
+    {
+        CellSimulation simulation(3, 1);
+        bool isFirst = true;
+        simulation.plan = [&](const TaskKey &, RunNumber) {
+            const bool crashes = std::exchange(isFirst, false);
+            return SimulatedWorker::RunPlan {Milliseconds(3000), CompletionReason::Succeeded,
+                                             crashes ? std::optional(Milliseconds(200))
+                                                     : std::nullopt};
+        };
+        std::size_t refused = 0;
+        simulation.workerDelivery = [&](const InstanceId &, const WorkerRequest &request) {
+            if (isFirst || !std::holds_alternative<WorkerStart>(request.command))
+                return CellSimulation::Delivery::Delivered;
+            ++refused;
+            return CellSimulation::Delivery::Refused;
+        };
+        CPPUNIT_ASSERT(
+                simulation.advanceUntil([&] { return simulation.holder().has_value(); }, longWait));
+        simulation.advance(Milliseconds(1000));
+        CPPUNIT_ASSERT(simulation.submitAndWait(*simulation.holder(), CellSimulation::job("a"))
+                       == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(simulation.advanceUntil([&] { return refused == 1; }, longWait));
+        CPPUNIT_ASSERT(recordedRun(simulation) != RunNumber());
+        simulation.advance(Milliseconds(300));
+        CPPUNIT_ASSERT(recordedRun(simulation) == RunNumber());
+    }
+
 private:
     static constexpr Milliseconds longWait {20'000};
 
