--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -158,7 +158,8 @@
 
 ProgressRecorder::Batch &ProgressRecorder::begin(Sequence &sequence)
 {
-    Batch &batch = sequence.batch.emplace();
+    sequence.batch = Batch {};
+    Batch &batch = *sequence.batch;
     batch.number = ++lastNumber_;
     StoreCommit &commit = batch.commit;
     commit.preconditions.push_back(holderPrecondition_);
