Let the test of a ticket after a restart fail without its fix

Cause: step_approvedOnAWorkerThatHasRestartedSince_isApprovedThereAgain passed on the code before its fix as well: no approval was requested while the workers were full, so there was no ticket of the earlier incarnation.

Change: the workers refuse starts until they restart, so that the step holds valid tickets then. The assertions are the same.

--- a/Tests/Cell/ApprovalLifetimeTest.cpp
+++ b/Tests/Cell/ApprovalLifetimeTest.cpp
@@ -23,9 +23,7 @@
         simulation_ = std::make_unique<CellSimulation>(3, 2);
         simulation_->plan = [this](const TaskKey &task, RunNumber) {
             startedAt_.emplace(task.job, simulation_->now());
-            return SimulatedWorker::RunPlan {
-                    Milliseconds(isLong_ && task.job == JobId("first") ? 60'000 : 500),
-                    CompletionReason::Succeeded};
+            return SimulatedWorker::RunPlan {Milliseconds(500), CompletionReason::Succeeded};
         };
         for (Queue &queue : simulation_->configuration.queues)
             queue.approval = ApprovalSettings {Milliseconds(20), 100, Milliseconds(2000)};
@@ -56,10 +54,11 @@
     /// Guards against starts with the ticket of an earlier incarnation, which the worker refuses.
     void step_approvedOnAWorkerThatHasRestartedSince_isApprovedThereAgain()
     {
-        occupyWorkers();
+        refuseStarts();
         submit(CellSimulation::job("a"));
-        simulation_->advance(Milliseconds(300));
+        simulation_->advance(Milliseconds(100));
         const TimePoint restartedAt = restartWorkers();
+        simulation_->workerDelivery = nullptr;
         CPPUNIT_ASSERT(advanceUntilStarted("a"));
         CPPUNIT_ASSERT(requestedAt_.at(JobId("a")) >= restartedAt);
     }
@@ -82,23 +81,18 @@
     {
         CPPUNIT_ASSERT(simulation_->submitAndWait(0, job) == CallerOutcome::Accepted);
     }
-    void occupyWorkers()
-    {
-        submit(CellSimulation::job("first", roomFor()));
-        simulation_->advance(Milliseconds(1000));
-    }
-    /// Tasks that fit on all workers together.
-    std::int64_t roomFor() const
+    /// The workers refuse starts for the moment, so that the step waits with valid tickets.
+    void refuseStarts()
     {
-        std::int64_t room = 0;
-        for (std::size_t i = 0; i < 2; ++i)
-            room += simulation_->worker(i).entry.capacity.processors.count() / 1000;
-        return room;
+        simulation_->workerDelivery = [](const InstanceId &, const WorkerRequest &call) {
+            return std::holds_alternative<WorkerStart>(call.command)
+                    ? CellSimulation::Delivery::Refused
+                    : CellSimulation::Delivery::Delivered;
+        };
     }
     TimePoint restartWorkers()
     {
         const TimePoint now = simulation_->now();
-        isLong_ = false;
         for (std::size_t i = 0; i < 2; ++i) {
             simulation_->crashWorker(i);
             simulation_->restartWorker(i);
@@ -122,8 +116,6 @@
 
     std::unique_ptr<CellSimulation> simulation_;
     bool isApproved_ = true;
-    /// Whether runs of the job that occupies the workers last until they restart.
-    bool isLong_ = true;
     std::map<JobId, TimePoint> requestedAt_;
     std::map<JobId, TimePoint> startedAt_;
 };
