--- a/Source/Cell/ProgressRecorder.cpp
+++ b/Source/Cell/ProgressRecorder.cpp
@@ -149,10 +149,7 @@
                                    [](const Sequence &sequence) { return !sequence.batch; });
     if (idle == sequences_.end() || !isFull())
         return;
-    Batch &batch = begin(*idle);
-    addJobs(batch, finishedOrder_, maxEntries - progressEntries);
-    addJobs(batch, jobOrder_, maxEntries);
-    addJobs(batch, finishedOrder_, maxEntries);
+    addChangedJobs(begin(*idle));
     send(static_cast<std::size_t>(idle - sequences_.begin()));
 }
 
@@ -187,15 +184,20 @@
     }
     if (std::optional<StoreWrite> segment = handlers_.startLogWrite())
         commit.writes.push_back(std::move(*segment));
-    addJobs(batch, finishedOrder_, maxEntries - progressEntries);
-    addJobs(batch, jobOrder_, maxEntries);
-    addJobs(batch, finishedOrder_, maxEntries);
+    addChangedJobs(batch);
     while (!expired_.empty() && commit.entries() < maxEntries) {
         commit.deletes.push_back({RecordType::Results, expired_.front().value()});
         expired_.pop_front();
     }
 }
 
+void ProgressRecorder::addChangedJobs(Batch &batch)
+{
+    addJobs(batch, finishedOrder_, maxEntries - progressEntries);
+    addJobs(batch, jobOrder_, maxEntries);
+    addJobs(batch, finishedOrder_, maxEntries);
+}
+
 void ProgressRecorder::addJobs(Batch &batch, std::deque<JobId> &order, std::size_t limit)
 {
     std::vector<JobId> later;
--- a/Source/Cell/ProgressRecorder.h
+++ b/Source/Cell/ProgressRecorder.h
@@ -140,7 +140,10 @@
     /// Whether the changed jobs that are in no commit fill another one.
     bool isFull() const { return changed_.size() - changedInFlight_ >= jobsPerCommit; }
     Batch &begin(Sequence &sequence);
+    /// Adds what only the first sequence contains, and changed jobs.
     void fillFirst(Batch &batch);
+    /// Adds changed jobs, mostly those that have finished.
+    void addChangedJobs(Batch &batch);
     /// Adds changed jobs in the order of \a order until the commit has \a limit entries.
     void addJobs(Batch &batch, std::deque<JobId> &order, std::size_t limit);
     void addJob(Batch &batch, ChangedJob job);
--- a/Tests/Soak/SoakWork.cpp
+++ b/Tests/Soak/SoakWork.cpp
@@ -15,7 +15,7 @@
 /// Gangs change on other workers at any time.
 constexpr Milliseconds gangPollInterval {10};
 
-/// The part of the name that is \a position dots after the job's.
+/// The number behind the dot at \a position, from 1, in the name of a task.
 std::size_t numberAt(const std::string &name, int position)
 {
     std::size_t begin = 0;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -25,11 +25,11 @@
   --clients=N      Number of clients [default: 6].
   --kinds=LETTERS  Kinds of trouble, each as likely as it is often named; "none" for none. Workers:
                    r restarted behind a cut, c restarted, x cut off, d late orders, e late orders
-                   that the next incarnation carries out (not by default). Instances:
+                   that the next incarnation carries out (not by default), w leave as announced and
+                   are replaced (not by default). Instances:
                    k killed, t SIGTERM, z stopped for a while, h SIGHUP, n replaced by another one,
                    o all killed at once, with some workers. Store: p down, l answers lost, s slow,
-                   f refuses one instance, g forgets its history. Workers too: w leave as announced
-                   and are replaced [default: rcxdktzhplsf].
+                   f refuses one instance, g forgets its history [default: rcxdktzhplsf].
   --mixed          Jobs of several queues, with gangs, approvals, failing runs and large tasks.
   --folder=PATH    Settings, logs and journal [default: soak-logs].
   --program=PATH   Program of the entry instances, such as that of an earlier release.
