Report what scheduling passes cost

Each second the holder logs the passes, the candidates, the workers considered and the processor time of the passes (event=passes), and has the same as metrics.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -96,6 +96,7 @@
     std::vector<UndecidedWorker> undecided;
     std::vector<WorkerId> expired;
     std::int64_t approvedCapacity = 0;
+    pass_.report.workerChecks += pass_.options.size();
     for (const WorkerOption &option : pass_.options) {
         const WorkerNumber number = option.worker->number();
         if (step.approvals.isDenied(number) || !mayRun(option, candidate))
@@ -138,6 +139,7 @@
     std::vector<UndecidedWorker> byFreeCapacity;
     std::int64_t approvedCapacity = 0;
     std::int64_t freeCapacity = 0;
+    pass_.report.workerChecks += pass_.options.size();
     for (const WorkerOption &option : pass_.options) {
         const WorkerNumber number = option.worker->number();
         if (step.approvals.isDenied(number) || !mayRun(option, candidate))
--- a/Source/Cell/CellDiagnostics.cpp
+++ b/Source/Cell/CellDiagnostics.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-/// Logs the free capacity, the capacity that runs on unreachable workers hold, and the waiting and
-/// running work of each priority.
+/// Logs the free capacity, the capacity that runs on unreachable workers hold, the cost of the
+/// scheduling passes since the last line, and the waiting and running work of each priority.
 void CellScheduler::logLoad()
 {
     struct Row
@@ -62,6 +62,11 @@
                  headroom_.reservedProcessors(context_.now()).count(),
                  approvalDispatcher_.queuedServiceTime().count(), recorder_.unrecordedJobs(),
                  recorder_.takeLongestDelay().count());
+    const PassTotals passes = std::exchange(passTotals_, {});
+    context_.log("event=passes count={} candidates={} worker_checks={} processor_us={} "
+                 "longest_us={}",
+                 passes.passes, passes.candidates, passes.workerChecks,
+                 passes.processorTime.count(), passes.longest.count());
     for (const auto &[priority, row] : rows) {
         context_.log("event=priority_load priority={} jobs={} waiting_tasks={} "
                      "waiting_millicores={} running_millicores={} approval_requests={}",
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -28,6 +28,7 @@
                                               [](const CellTask &a, const CellTask &b) {
                                                   return a.crashes().count() < b.crashes().count();
                                               });
+    pass_.report.workerChecks += pass_.options.size();
     for (WorkerOption &option : pass_.options) {
         if (!mayRun(option, candidate) || !isApproved(option, candidate)
             || isIsolated(option, step.key.job))
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -105,14 +105,15 @@
     election_.noticePause();
 }
 
-void CellInstance::runSchedulingPass(TimePoint now, WallTime wallTime)
+std::optional<PassReport> CellInstance::runSchedulingPass(TimePoint now, WallTime wallTime)
 {
     setTime(now, wallTime);
     election_.renewIfDue();
     scheduler_.setConfirmedAt(election_.confirmedAt());
-    scheduler_.onEventsHandled(election_.maySchedule());
+    const std::optional<PassReport> report = scheduler_.onEventsHandled(election_.maySchedule());
     if (context_.now() >= nextBroadcast_)
         broadcast();
+    return report;
 }
 
 bool CellInstance::isReady() const
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -50,8 +50,13 @@
     void start(TimePoint now, WallTime wallTime);
     void handle(TimePoint now, WallTime wallTime, const CellEvent &event);
     /// Runs a scheduling pass and sends state updates that are due. To be called after each batch
-    /// of events.
-    void runSchedulingPass(TimePoint now, WallTime wallTime);
+    /// of events. Returns what the pass has looked at, and nothing when none was due.
+    std::optional<PassReport> runSchedulingPass(TimePoint now, WallTime wallTime);
+    /// The last pass ended at \a endedAt and used this much processor time.
+    void recordPassTime(TimePoint endedAt, Microseconds time)
+    {
+        scheduler_.recordPassTime(endedAt, time);
+    }
     CellActions takeActions() { return context_.takeActions(); }
 
     /// Whether new callers should be directed to this instance.
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -133,6 +133,7 @@
     // Processors that the most urgent work uses already are part of the headroom.
     Millicores unreserved
             = headroom_.reservedProcessors(context_.now()) - runningUrgentProcessors();
+    pass_.report.workerChecks += fleet_.workers().size();
     for (const auto &[id, worker] : fleet_.workers()) {
         if (!fleet_.isUsable(worker))
             continue;
@@ -156,6 +157,7 @@
     resolveOpenStarts();
     preparePass();
     const std::vector<StartCandidate> candidates = startCandidates();
+    pass_.report.candidates = candidates.size();
     for (const StartCandidate &candidate : candidates)
         startStep(candidate);
     const auto count = static_cast<std::int64_t>(candidates.size());
@@ -218,6 +220,7 @@
     WorkerOption *best = nullptr;
     double bestScore = 0;
     Millicores maxFreeProcessors;
+    pass_.report.workerChecks += pass_.options.size();
     for (WorkerOption &option : pass_.options) {
         maxFreeProcessors = std::max(maxFreeProcessors, option.free.processors);
         if (!spec.need.fitsIn(option.free) && !spec.fillsIdleTime)
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -527,17 +527,26 @@
     recorder_.tick();
 }
 
-void CellScheduler::onEventsHandled(bool maySchedule)
+std::optional<PassReport> CellScheduler::onEventsHandled(bool maySchedule)
 {
     if (!active_)
-        return;
+        return std::nullopt;
+    std::optional<PassReport> report;
     if (passNeeded_ && maySchedule && configuration_.current() && context_.now() >= nextPass_) {
         passNeeded_ = false;
         runSchedulingPass();
+        report = pass_.report;
+        passTotals_.add(*report);
     }
     sendRecordedStarts(maySchedule);
     fleet_.sendDueHeartbeats(maySchedule);
     recorder_.tick();
+    return report;
+}
+
+void CellScheduler::recordPassTime(TimePoint /*endedAt*/, Microseconds time)
+{
+    passTotals_.addTime(time);
 }
 
 std::vector<QueueLoad> CellScheduler::queueLoads() const
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -4,6 +4,7 @@
 #include "Cell/CellJob.h"
 #include "Cell/ConfigurationCache.h"
 #include "Cell/HolderElection.h"
+#include "Cell/PassReport.h"
 #include "Cell/Policy/HeadroomPolicy.h"
 #include "Cell/Policy/StartOrder.h"
 #include "Cell/Policy/WorkerChoice.h"
@@ -78,8 +79,11 @@
     /// \a maySchedule.
     void tick(bool maySchedule);
     /// To be called after a batch of events: runs a scheduling pass if one is due, and makes the
-    /// calls to workers and to the store that the events require.
-    void onEventsHandled(bool maySchedule);
+    /// calls to workers and to the store that the events require. Returns what the pass has looked
+    /// at, and nothing without a pass.
+    std::optional<PassReport> onEventsHandled(bool maySchedule);
+    /// The last pass ended at \a endedAt and used this much processor time.
+    void recordPassTime(TimePoint endedAt, Microseconds time);
 
     ApprovalDispatcher &approvalDispatcher() { return approvalDispatcher_; }
     std::vector<QueueLoad> queueLoads() const;
@@ -182,6 +186,7 @@
         Millicores uncommitted;
         /// Upper bound of the free processors of a single worker.
         Millicores maxFreeProcessors;
+        PassReport report;
     };
 
     WorkerFleet::Handlers fleetHandlers();
@@ -355,6 +360,7 @@
     std::unordered_map<QueueId, double> meanDurations_;
     Headroom headroom_;
     PassState pass_;
+    PassTotals passTotals_;
     /// Workers on which capacity was reserved for gangs, in this pass and in the one before.
     std::unordered_set<WorkerNumber> gangWorkers_;
     std::unordered_set<WorkerNumber> previousGangWorkers_;
--- /dev/null
+++ b/Source/Cell/PassReport.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Core/Units.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace caraway::cell {
+
+/// What one scheduling pass has looked at.
+struct PassReport
+{
+    /// Steps that the pass tried to start.
+    std::size_t candidates = 0;
+    /// How many workers were considered, summed over the candidates.
+    std::size_t workerChecks = 0;
+};
+
+/// Sums over the scheduling passes since the last log line.
+struct PassTotals
+{
+    std::size_t passes = 0;
+    std::size_t candidates = 0;
+    std::size_t workerChecks = 0;
+    Microseconds processorTime;
+    Microseconds longest;
+
+    void add(const PassReport &report)
+    {
+        ++passes;
+        candidates += report.candidates;
+        workerChecks += report.workerChecks;
+    }
+    void addTime(Microseconds time)
+    {
+        processorTime += time;
+        longest = std::max(longest, time);
+    }
+};
+
+} // namespace caraway::cell
--- a/Source/CellDuties/CellMetrics.cpp
+++ b/Source/CellDuties/CellMetrics.cpp
@@ -40,6 +40,17 @@
         metrics_.observe({Metric::WorkerCalls, 1, "identify"});
 }
 
+void CellMetrics::observePass(const PassReport &report, Microseconds processorTime)
+{
+    constexpr double microsecondsPerSecond = 1e6;
+    metrics_.observe({Metric::SchedulingPasses, 1, {}});
+    metrics_.observe({Metric::PassSeconds,
+                      static_cast<double>(processorTime.count()) / microsecondsPerSecond,
+                      {}});
+    metrics_.observe({Metric::PassCandidates, static_cast<double>(report.candidates), {}});
+    metrics_.observe({Metric::PassWorkerChecks, static_cast<double>(report.workerChecks), {}});
+}
+
 void CellMetrics::countEvents(std::size_t events)
 {
     metrics_.observe({Metric::EventsHandled, static_cast<double>(events), {}});
--- a/Source/CellDuties/CellMetrics.h
+++ b/Source/CellDuties/CellMetrics.h
@@ -16,6 +16,7 @@
     {
         metrics_.observe({Metric::DecisionSeconds, seconds, {}});
     }
+    void observePass(const PassReport &report, Microseconds processorTime);
     void countEvents(std::size_t events);
     void countReply(const WorkerReplied &replied);
     std::string render() const { return metrics_.render(); }
--- a/Source/CellDuties/EntryProcess.h
+++ b/Source/CellDuties/EntryProcess.h
@@ -6,6 +6,7 @@
 #include "CellDuties/LogDuty.h"
 #include "CellDuties/OutboundDuties.h"
 #include "CellDuties/TickDuty.h"
+#include "Core/ProcessorStopwatch.h"
 
 namespace caraway::cell {
 
@@ -74,12 +75,24 @@
             handle(*next);
             ++handled;
         }
-        instance_.runSchedulingPass(clock_.now(), wallTime());
+        runSchedulingPass();
         dispatchActions();
         metrics_.observeDecision(stopwatch.seconds());
         metrics_.countEvents(handled);
     }
 
+    void runSchedulingPass()
+    {
+        const ProcessorStopwatch stopwatch;
+        const std::optional<PassReport> report
+                = instance_.runSchedulingPass(clock_.now(), wallTime());
+        if (!report)
+            return;
+        const Microseconds time = stopwatch.elapsed();
+        instance_.recordPassTime(clock_.now(), time);
+        metrics_.observePass(*report, time);
+    }
+
     void handle(const DutyEvent &event)
     {
         if (const auto *request = std::get_if<MetricsRequested>(&event)) {
--- a/Source/Core/Metric.h
+++ b/Source/Core/Metric.h
@@ -25,6 +25,10 @@
     WorkerFailures,
     CallerRequests,
     WorkerReplies,
+    SchedulingPasses,
+    PassSeconds,
+    PassCandidates,
+    PassWorkerChecks,
 };
 
 /// One observation: an increment of a counter, or a value of a summary.
--- a/Source/Core/Units.h
+++ b/Source/Core/Units.h
@@ -46,6 +46,8 @@
 };
 
 using Milliseconds = Quantity<struct MillisecondsUnit>;
+/// For processor time, of which one decision takes less than a millisecond.
+using Microseconds = Quantity<struct MicrosecondsUnit>;
 /// Thousandths of a processor core.
 using Millicores = Quantity<struct MillicoresUnit>;
 using Bytes = Quantity<struct BytesUnit>;
--- a/Source/Duties/Metrics.cpp
+++ b/Source/Duties/Metrics.cpp
@@ -44,6 +44,10 @@
         {"worker_failures_total", "call", MetricType::Counter, "Worker calls without an answer."},
         {"caller_requests_total", "status", MetricType::Counter, "Requests by HTTP status."},
         {"worker_replies_total", "outcome", MetricType::Counter, "Worker calls by their outcome."},
+        {"scheduling_passes_total", "", MetricType::Counter, "Scheduling passes."},
+        {"pass_seconds", "", MetricType::Summary, "Processor time of one scheduling pass."},
+        {"pass_candidates_total", "", MetricType::Counter, "Steps that passes tried to start."},
+        {"pass_worker_checks_total", "", MetricType::Counter, "Workers that passes considered."},
 });
 
 const MetricRow &rowOf(Metric metric)
