--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -12,6 +12,10 @@
 constexpr Milliseconds storeDelay {4};
 constexpr Milliseconds tickInterval {25};
 constexpr std::int64_t workerMillicores = 8000;
+/// Bound of the events that an instance handles before a scheduling pass.
+constexpr std::size_t maxBatch = 128;
+constexpr std::int64_t microsecondsPerMillisecond = 1000;
+constexpr std::int64_t millicoresPerCore = 1000;
 /// A worker may be overloaded for this long after its capacity has shrunk.
 constexpr Milliseconds shrinkTolerance {4500};
 /// The interval of the holder's watches of the list of workers, and the delays of their calls.
@@ -206,12 +210,39 @@
     Instance &instance = instances_.at(index);
     if (!instance.cellInstance || instance.incarnation != incarnation)
         return;
-    if (instance.isPaused)
+    if (instance.isPaused || isBusy(instance))
         instance.pendingEvents.push_back(event);
     else
         handle(index, {event});
 }
 
+bool CellSimulation::isBusy(const Instance &instance) const
+{
+    return instance.busyUntil.count() > now_.sinceStart().count() * microsecondsPerMillisecond;
+}
+
+void CellSimulation::use(std::size_t index, Microseconds processorTime)
+{
+    Instance &instance = instances_.at(index);
+    const Microseconds now(now_.sinceStart().count() * microsecondsPerMillisecond);
+    const Microseconds duration
+            = processorTime * millicoresPerCore / settingsOf(index).processors.count();
+    instance.busyUntil = std::max(instance.busyUntil, now) + duration;
+}
+
+void CellSimulation::handleWaiting(std::size_t index)
+{
+    Instance &instance = instances_.at(index);
+    if (!instance.cellInstance || instance.isPaused || isBusy(instance)
+        || instance.pendingEvents.empty())
+        return;
+    const std::size_t count = std::min(instance.pendingEvents.size(), maxBatch);
+    const auto end = instance.pendingEvents.begin() + static_cast<std::ptrdiff_t>(count);
+    const std::vector<CellEvent> batch(instance.pendingEvents.begin(), end);
+    instance.pendingEvents.erase(instance.pendingEvents.begin(), end);
+    handle(index, batch);
+}
+
 void CellSimulation::handle(std::size_t index, const std::vector<CellEvent> &events)
 {
     Instance &instance = instances_.at(index);
@@ -219,9 +250,32 @@
     const WallTime wallTime = wallTimeOf(index);
     for (const CellEvent &next : events)
         instance.cellInstance->handle(now_, wallTime, next);
-    instance.cellInstance->runSchedulingPass(now_, wallTime);
+    const std::optional<PassReport> pass = instance.cellInstance->runSchedulingPass(now_, wallTime);
     instance.processorSeconds += stopwatch.seconds();
-    execute(index, instance.cellInstance->takeActions());
+    const CellActions actions = instance.cellInstance->takeActions();
+    if (!prices) {
+        execute(index, actions);
+        return;
+    }
+    constexpr std::int64_t checksPerPrice = 1000;
+    Microseconds passTime;
+    if (pass) {
+        passTime = prices->candidate * static_cast<std::int64_t>(pass->candidates)
+                + prices->thousandWorkerChecks * static_cast<std::int64_t>(pass->workerChecks)
+                        / checksPerPrice;
+    }
+    use(index,
+        passTime + prices->event * static_cast<std::int64_t>(events.size())
+                + prices->call
+                        * static_cast<std::int64_t>(actions.store.size() + actions.workers.size()));
+    const Milliseconds delay(instance.busyUntil.count() / microsecondsPerMillisecond
+                             - now_.sinceStart().count());
+    if (pass)
+        instance.cellInstance->recordPassTime(now_ + delay, passTime);
+    schedule(delay, [this, index, actions, incarnation = instance.incarnation] {
+        if (instances_[index].incarnation == incarnation)
+            execute(index, actions);
+    });
 }
 
 void CellSimulation::execute(std::size_t index, const CellActions &actions)
@@ -379,6 +433,8 @@
         events_.pop();
         action();
     }
+    for (std::size_t i = 0; i < instances_.size(); ++i)
+        handleWaiting(i);
     if (now_.sinceStart().count() % tickInterval.count() != 0)
         return;
     for (std::size_t i = 0; i < instances_.size(); ++i) {
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -45,6 +45,18 @@
         bool crashed = false;
     };
 
+    /// Processor time of what an instance does.
+    struct ProcessorPrices
+    {
+        Microseconds event;
+        /// A call to a worker or to the store.
+        Microseconds call;
+        /// A step that a scheduling pass tries to start.
+        Microseconds candidate;
+        /// A thousand workers that a scheduling pass considers.
+        Microseconds thousandWorkerChecks;
+    };
+
     CellSimulation(std::size_t instances, std::size_t workers);
     ~CellSimulation();
 
@@ -67,6 +79,10 @@
     /// request at a time for each instance.
     std::function<Milliseconds(const cell::ApprovalRequest &)> approvalDuration;
 
+    /// An instance handles events, runs passes and makes calls one after the other, and each takes
+    /// its price; nothing takes time without prices.
+    std::optional<ProcessorPrices> prices;
+
     TimePoint now() const { return now_; }
     void advance(Milliseconds duration);
     /// Advances until \a condition holds; returns false when it does not hold within \a limit.
@@ -157,6 +173,8 @@
         std::vector<cell::CellEvent> pendingEvents;
         double processorSeconds = 0;
         TimePoint approvalsBusyUntil;
+        /// The time, since the start of the simulation, until which the processor is in use.
+        Microseconds busyUntil;
     };
     struct Event
     {
@@ -176,6 +194,11 @@
     void deliver(std::size_t instance, std::uint64_t incarnation, const cell::CellEvent &event);
     /// Handles the events as one batch.
     void handle(std::size_t instance, const std::vector<cell::CellEvent> &events);
+    /// Handles the events that have waited for the processor, as many as fit in a batch.
+    void handleWaiting(std::size_t instance);
+    bool isBusy(const Instance &instance) const;
+    /// Uses the processor of an instance from now on.
+    void use(std::size_t instance, Microseconds processorTime);
     void execute(std::size_t instance, const cell::CellActions &actions);
     void call(std::size_t instance, const cell::StoreCall &call);
     void call(std::size_t instance, const cell::WorkerCall &call);
