Limit the share of the processor that scheduling passes use

The pause between two passes was made of constants, so that on a slower or busier processor passes used nearly all of it: replies of workers waited, workers counted as unreachable, and the holder did not come back after a burst. Passes are now measured, and a pass is followed by a pause that leaves two thirds of the processor to the lease, replies and recording; by a second at most.

--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -100,7 +100,7 @@
     using Choice = BestFitChoice;
     using Order = ObjectiveOrder;
     using Headroom = ArrivalHeadroom;
-    using Pacing = FixedPacing;
+    using Pacing = ProcessorSharePacing;
 
     /// A start that is sent once the store has it.
     struct RecordedFirst
--- a/Source/Cell/Policy/PassPacing.h
+++ b/Source/Cell/Policy/PassPacing.h
@@ -21,7 +21,7 @@
         } -> std::same_as<TimePoint>;
 };
 
-/// A pass begins a fixed time after the one before.
+/// The baseline: a pass begins a fixed time after the one before.
 class FixedPacing
 {
 public:
@@ -38,6 +38,46 @@
     TimePoint nextPass_;
 };
 
-static_assert(PassPacing<FixedPacing>);
+/// Passes use a limited share of the processor, however much one costs, so that a long backlog or a
+/// slow processor leaves time for the lease, the replies of workers and the recording of progress.
+class ProcessorSharePacing
+{
+public:
+    /// \a processors are those of this instance.
+    explicit ProcessorSharePacing(Millicores processors)
+        : processors_(processors)
+    {
+    }
+
+    /// A pass begins.
+    void recordStart(TimePoint startedAt) { nextPass_ = startedAt + minInterval; }
+    /// The pass has used the processor for \a time.
+    void recordTime(TimePoint endedAt, Microseconds time)
+    {
+        // The decisions have one thread, so further processors do not make a pass shorter.
+        const std::int64_t usable
+                = std::clamp<std::int64_t>(processors_.count(), 1, millicoresPerCore);
+        const std::int64_t duration = time.count() * millicoresPerCore / usable;
+        const Milliseconds pause(duration * (percent - passPercent) / passPercent
+                                 / microsecondsPerMillisecond);
+        nextPass_ = std::max(nextPass_, endedAt + std::min(pause, maxPause));
+    }
+    TimePoint nextPass() const { return nextPass_; }
+
+private:
+    static constexpr Milliseconds minInterval {15};
+    /// Work that can start does not wait longer for the next pass.
+    static constexpr Milliseconds maxPause {1000};
+    /// Share of the processor that passes may use.
+    static constexpr std::int64_t passPercent = 33;
+    static constexpr std::int64_t percent = 100;
+    static constexpr std::int64_t millicoresPerCore = 1000;
+    static constexpr std::int64_t microsecondsPerMillisecond = 1000;
+
+    Millicores processors_;
+    TimePoint nextPass_;
+};
+
+static_assert(PassPacing<FixedPacing> && PassPacing<ProcessorSharePacing>);
 
 } // namespace caraway::cell
