Name the test for room once, and forbid copies of counted tasks

Cause: whether a task fits on a worker was written twice in CellPlacement, and a copy of a task would have changed the counts of its step again (found in review). Change: hasRoom(), and CellTask can be moved only.

--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -203,6 +203,12 @@
     return limit > 0 && !option.isOvercommitted ? step.spec.allocation().timesIn(free, limit) : 0;
 }
 
+bool CellScheduler::hasRoom(const WorkerOption &option, const CellStep &step)
+{
+    const bool fits = step.spec.fillsIdleTime || step.spec.need.fitsIn(option.free);
+    return fits && fittingTasks(option, step) > 0;
+}
+
 std::vector<CellScheduler::PermittedWorker>
 CellScheduler::permittedWorkers(const StartCandidate &candidate)
 {
@@ -252,8 +258,7 @@
         return {};
     std::vector<ScoredWorker> workers;
     for (const auto &[option, hasTicket] : permittedWorkers(candidate)) {
-        const bool fits = spec.fillsIdleTime || spec.need.fitsIn(option->free);
-        if (hasTicket && fits && fittingTasks(*option, step) > 0)
+        if (hasTicket && hasRoom(*option, step))
             workers.push_back(scored(*option, candidate));
     }
     const auto fits = [&](const WorkerOption *option) { return spec.need.fitsIn(option->free); };
@@ -303,8 +308,7 @@
         }
         WorkerOption &option = *best->option;
         startTask(candidate, i, nextRun(step.tasks[i]), option);
-        const bool fits = step.spec.fillsIdleTime || step.spec.need.fitsIn(option.free);
-        if (fits && fittingTasks(option, step) > 0)
+        if (hasRoom(option, step))
             *best = scored(option, candidate);
         else
             workers.erase(best);
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -304,6 +304,8 @@
                                                           const CellTask &task, const JobId &job);
     /// How many tasks of the step fit into the worker's free capacity.
     static std::int64_t fittingTasks(const WorkerOption &option, const CellStep &step);
+    /// Whether an independent task of the step fits on the worker.
+    static bool hasRoom(const WorkerOption &option, const CellStep &step);
     void preparePass();
     /// Processors that tasks of the most urgent queues use.
     Millicores runningUrgentProcessors() const;
--- a/Source/Cell/CellTask.h
+++ b/Source/Cell/CellTask.h
@@ -41,6 +41,14 @@
         Recorded,
     };
 
+    CellTask() = default;
+    // A copy would change the counts of its step a second time.
+    CellTask(const CellTask &) = delete;
+    CellTask &operator=(const CellTask &) = delete;
+    CellTask(CellTask &&) = default;
+    CellTask &operator=(CellTask &&) = default;
+    ~CellTask() = default;
+
     static const BoundChart<CellTask> &chart();
 
     /// Handles the event; false when the state has no transition for it.
