--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 void CellScheduler::onWorkerCrashed(const CellWorker &worker, WorkerIncarnation incarnation,
-                                    const std::vector<Placement> &lost)
+                                    CrashEvidence evidence, const std::vector<Placement> &lost)
 {
     std::vector<LostRun> runs;
     for (const Placement &placement : lost) {
@@ -29,18 +29,20 @@
         if (step && countsAsCrash(*step, placement))
             runs.push_back({placement.task, placement.run, placement.listedFor()});
     }
-    countCrashes({worker.id(), incarnation}, runs);
+    countCrashes({worker.id(), incarnation}, evidence, runs);
 }
 
-void CellScheduler::countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost)
+void CellScheduler::countCrashes(const WorkerCrash &crash, CrashEvidence evidence,
+                                 const std::vector<LostRun> &lost)
 {
     for (const LostRun &run : lost) {
-        if (countCrash(crash, run))
+        if (countCrash(crash, evidence, run))
             giveUpIfDue(run.task);
     }
 }
 
-bool CellScheduler::countCrash(const WorkerCrash &crash, const LostRun &lost)
+bool CellScheduler::countCrash(const WorkerCrash &crash, CrashEvidence evidence,
+                               const LostRun &lost)
 {
     const TaskKey &key = lost.task;
     CellJob *job = nullptr;
@@ -53,10 +55,10 @@
     jobsWithCrashes_.insert(key.job);
     recorder_.markCrash(key);
     context_.log("event=worker_crashed_under_run job={} step={} task={} run={} worker={} "
-                 "incarnation={} crashes={} listed_for_ms={}",
+                 "incarnation={} crashes={} listed_for_ms={} evidence={}",
                  key.job.value(), key.step.value(), key.index.value(), lost.run.value(),
                  crash.worker.value(), crash.incarnation.value(), task.crashes().count(),
-                 lost.listedFor ? lost.listedFor->count() : -1);
+                 lost.listedFor ? lost.listedFor->count() : -1, nameOf(evidence));
     return true;
 }
 
@@ -162,7 +164,7 @@
         return true;
     });
     for (const auto &[crash, lost] : crashes)
-        countCrashes(crash, lost);
+        countCrashes(crash, CrashEvidence::StartLog, lost);
 }
 
 void CellScheduler::addRecordedStarts(const CellJob &job)
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -42,11 +42,11 @@
     handlers.notOnWorker
             = [this](const CellWorker &worker, const TaskKey &key, RunNumber run,
                      WorkerOutcome outcome) { onRunNotOnWorker(worker, key, run, outcome); };
-    handlers.crashed
-            = [this](const CellWorker &worker, std::optional<WorkerIncarnation> incarnation,
-                     const std::vector<Placement> &lost) {
-                  onWorkerCrashed(worker, incarnation.value_or(WorkerIncarnation()), lost);
-              };
+    handlers.crashed = [this](const CellWorker &worker,
+                              std::optional<WorkerIncarnation> incarnation, CrashEvidence evidence,
+                              const std::vector<Placement> &lost) {
+        onWorkerCrashed(worker, incarnation.value_or(WorkerIncarnation()), evidence, lost);
+    };
     handlers.startUnanswered
             = [this](const TaskKey &key, RunNumber run) { onStartUnanswered(key, run); };
     handlers.fenced = [this] { handlers_.superseded(); };
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -215,7 +215,7 @@
     void onRunNotOnWorker(const CellWorker &worker, const TaskKey &key, RunNumber run,
                           WorkerOutcome outcome);
     void onWorkerCrashed(const CellWorker &worker, WorkerIncarnation incarnation,
-                         const std::vector<Placement> &lost);
+                         CrashEvidence evidence, const std::vector<Placement> &lost);
     void onCrashRecorded(const TaskKey &key);
     void onStartRecorded(const TaskKey &key, RunNumber run);
     /// Sends the starts that were recorded, and discards those that were stopped meanwhile or whose
@@ -235,9 +235,10 @@
     void logEnd(const WorkerId &worker, std::optional<WorkerIncarnation> incarnation,
                 const TaskKey &key, RunNumber run);
     /// Counts the crash for the tasks of \a lost runs and fails the jobs that are given up for it.
-    void countCrashes(const WorkerCrash &crash, const std::vector<LostRun> &lost);
+    void countCrashes(const WorkerCrash &crash, CrashEvidence evidence,
+                      const std::vector<LostRun> &lost);
     /// Returns false when the crash was counted before or the task needs no further run.
-    bool countCrash(const WorkerCrash &crash, const LostRun &lost);
+    bool countCrash(const WorkerCrash &crash, CrashEvidence evidence, const LostRun &lost);
     void giveUpIfDue(const TaskKey &key);
     static bool countsAsCrash(const CellStep &step, const Placement &placement);
     void collectSuspects();
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -11,6 +11,21 @@
 
 } // namespace
 
+std::string_view nameOf(CrashEvidence evidence)
+{
+    switch (evidence) {
+    case CrashEvidence::Restarted:
+        return "restarted";
+    case CrashEvidence::EntryRemoved:
+        return "entry_removed";
+    case CrashEvidence::NotCarriedOver:
+        return "not_carried_over";
+    case CrashEvidence::StartLog:
+        break;
+    }
+    return "start_log";
+}
+
 ReplySource CellWorker::sourceOf(const CallTarget &target, const WorkerReply &reply,
                                  TimePoint now) const
 {
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -58,6 +58,20 @@
     TimePoint sentAt;
 };
 
+/// Why a worker counts as crashed under runs.
+enum class CrashEvidence {
+    /// A later incarnation of the worker is known.
+    Restarted,
+    /// The lease is over and the entry is removed.
+    EntryRemoved,
+    /// The start was sent to an earlier incarnation, and the present one does not list the run.
+    NotCarriedOver,
+    /// The start log names an earlier incarnation, or a worker that is gone.
+    StartLog,
+};
+
+std::string_view nameOf(CrashEvidence evidence);
+
 /// Which incarnation of a worker has sent a reply.
 enum class ReplySource {
     /// The present one, or a later one that the reply names.
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -121,7 +121,7 @@
                  worker->unansweredCalls);
     worker->isListed = false;
     if (!worker->expiredPlacements.empty())
-        reportCrash(*worker, &Placement::startSent);
+        reportCrash(*worker, CrashEvidence::EntryRemoved, &Placement::startSent);
 }
 
 bool WorkerFleet::isUsable(const CellWorker &worker) const
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -40,7 +40,7 @@
                 notOnWorker;
         /// The worker's incarnation ended without notice under these runs. Called before the runs
         /// are reported as not on the worker.
-        std::function<void(const CellWorker &, std::optional<WorkerIncarnation>,
+        std::function<void(const CellWorker &, std::optional<WorkerIncarnation>, CrashEvidence,
                            const std::vector<Placement> &)>
                 crashed;
         /// A start received no reply; the run may exist.
@@ -172,10 +172,11 @@
     void restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation);
     /// Reports that the incarnation ended under the \a lost runs, unless it was draining.
     void reportCrash(CellWorker &worker, std::optional<WorkerIncarnation> incarnation,
-                     const std::vector<Placement> &lost);
+                     CrashEvidence evidence, const std::vector<Placement> &lost);
     /// Reports the crash of the present incarnation under the runs there that are \a lost, and
     /// under those that have expired with its lease.
-    void reportCrash(CellWorker &worker, const std::function<bool(const Placement &)> &isLost);
+    void reportCrash(CellWorker &worker, CrashEvidence evidence,
+                     const std::function<bool(const Placement &)> &isLost);
     void updateIncarnation(CellWorker &worker, std::optional<WorkerIncarnation> incarnation);
     /// Updates the state of the worker from the reply, unless another incarnation has sent it.
     ReplySource updateFromReply(CellWorker &worker, const CallTarget &target,
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -217,7 +217,8 @@
     }
     for (const Placement &placement : absent) {
         if (placement.sentToIncarnation)
-            reportCrash(worker, placement.sentToIncarnation, {placement});
+            reportCrash(worker, placement.sentToIncarnation, CrashEvidence::NotCarriedOver,
+                        {placement});
         removePlacement(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
     }
 }
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -23,8 +23,10 @@
 /// of completions, so the completion numbers stay valid.
 void WorkerFleet::expireLease(CellWorker &worker)
 {
-    context_.log("event=worker_lease_expired worker={} runs={} unanswered_calls={}",
-                 worker.id().value(), worker.placements.size(), worker.unansweredCalls);
+    context_.log("event=worker_lease_expired worker={} incarnation={} runs={} listed={} "
+                 "unanswered_calls={}",
+                 worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
+                 worker.placements.size(), worker.isListed, worker.unansweredCalls);
     std::vector<Placement> expired = worker.expiredPlacements;
     std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(expired),
                  std::mem_fn(&Placement::startSent));
@@ -32,7 +34,7 @@
     const std::set<CompletionNumber> unrecorded = worker.unrecordedCompletions;
     // A crashed worker may return under another id, so its next incarnation may never show here.
     if (!worker.isListed) {
-        reportCrash(worker, &Placement::startSent);
+        reportCrash(worker, CrashEvidence::EntryRemoved, &Placement::startSent);
         expired.clear();
     }
     resetWorker(worker);
@@ -104,8 +106,13 @@
     worker.lastReplyAt = context_.now();
     if (reply.incarnation)
         updateIncarnation(worker, reply.incarnation);
-    if (reply.incarnation && reply.incarnation == worker.incarnation)
+    if (reply.incarnation && reply.incarnation == worker.incarnation
+        && !worker.expiredPlacements.empty()) {
+        context_.log("event=worker_returned_after_lease worker={} incarnation={} expired_runs={}",
+                     worker.id().value(), reply.incarnation->value(),
+                     worker.expiredPlacements.size());
         worker.expiredPlacements.clear();
+    }
     if (!reply.clock)
         return source;
     // An earlier holder may have renewed the lease by its full length just before.
@@ -149,7 +156,7 @@
     const TimePoint leaseEnd = context_.now() + startTimeout + lease + lease / clockDriftDivisor
             + startWindow(lease);
     const std::optional<WorkerIncarnation> earlier = worker.incarnation;
-    reportCrash(worker, [](const Placement &placement) {
+    reportCrash(worker, CrashEvidence::Restarted, [](const Placement &placement) {
         return placement.startSent && !mayBeOnNextIncarnation(placement);
     });
     const std::vector<Placement> placements = std::exchange(worker.placements, {});
@@ -168,20 +175,20 @@
     scheduleHeartbeat(worker);
 }
 
-void WorkerFleet::reportCrash(CellWorker &worker,
+void WorkerFleet::reportCrash(CellWorker &worker, CrashEvidence evidence,
                               const std::function<bool(const Placement &)> &isLost)
 {
     std::vector<Placement> lost = std::exchange(worker.expiredPlacements, {});
     std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(lost),
                  isLost);
-    reportCrash(worker, worker.incarnation, lost);
+    reportCrash(worker, worker.incarnation, evidence, lost);
 }
 
 void WorkerFleet::reportCrash(CellWorker &worker, std::optional<WorkerIncarnation> incarnation,
-                              const std::vector<Placement> &lost)
+                              CrashEvidence evidence, const std::vector<Placement> &lost)
 {
     if (!lost.empty() && worker.drainedIncarnation != incarnation)
-        handlers_.crashed(worker, incarnation, lost);
+        handlers_.crashed(worker, incarnation, evidence, lost);
 }
 
 void WorkerFleet::resetWorker(CellWorker &worker)
