--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -117,6 +117,16 @@
     publishWorker(index);
 }
 
+void CellSimulation::renameWorker(std::size_t index, const WorkerId &id)
+{
+    SimulatedWorker &worker = *workers_.at(index);
+    recordCrash(worker);
+    store_.remove({RecordType::Workers, worker.entry.id.value()});
+    worker.entry.id = id;
+    capacities_[id].change(now_, worker.entry.capacity);
+    restartWorker(index);
+}
+
 void CellSimulation::announceLeaving(std::size_t index, Milliseconds remaining)
 {
     WorkerEntry &entry = workers_.at(index)->entry;
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -110,6 +110,8 @@
     void crashWorker(std::size_t worker) { workers_.at(worker)->leave(); }
     /// Starts the worker's process again and publishes its entry.
     void restartWorker(std::size_t worker);
+    /// The worker's process ends with its runs, and starts again at its address as \a id.
+    void renameWorker(std::size_t worker, const WorkerId &id);
     std::size_t indexOf(const WorkerId &worker) const;
     /// What callers see of a worker that has crashed, until it has restarted.
     Delivery deliveryWhileDown = Delivery::Lost;
