Count a crash only when the worker's process has provably ended

Cause: a removed entry and an expired lease counted as a crash of the worker under each run there, also after a takeover, where a start on a worker that is not listed counted. The return of the same incarnation, which even lists the runs as lapsed, did not take that back; the fifth such crash gave the job up.

Now a later incarnation of the worker, or another worker at its address, in the list or by its reply, is what proves a crash. Runs that expired stay open for 30 s, and the same incarnation's reply or entry discards them.

Two tests of CrashingTaskTest asked for the opposite, that workers which never return count: jobs fail only for failed runs, and such workers may be cut off. job_whoseWorkersDoNotReturn_isNotFailedAndStartsOncePerLease takes the place of the first, bounding the starts; job_whoseWorkersReturnUnderOtherNames_ and job_whoseHolderIsLostWithAWorkerThatReturnsLate_ hold the budget where a crash is proved, the latter with exactly five starts as before.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -9,6 +9,9 @@
 /// A long-running task lives long enough to meet crashes of its workers' own; only those soon after
 /// the start of its run count.
 constexpr WorkerTime longRunningWindow {30'000};
+/// How long a new holder waits for workers that are not listed to return and show whether they have
+/// crashed.
+constexpr Milliseconds openStartLimit {30'000};
 /// Bounds how long a worker is kept for a task with several crashes.
 constexpr Milliseconds probation {3000};
 /// Each weight exceeds the sum of the following ones and of all other scores of a worker.
@@ -133,13 +136,13 @@
         || findRun(start.task, start.run, start.worker))
         return OpenStartOutcome::Settled;
     const CellWorker *worker = fleet_.worker(start.worker);
-    const bool isRead = worker && worker->incarnation;
-    // Its next incarnation may have another name.
-    const bool isGone = fleet_.isRecovered() && !isRead && !(worker && worker->isListed);
-    if (!isRead && !isGone)
-        return OpenStartOutcome::Unknown;
-    if (isGone || *worker->incarnation > start.incarnation) {
-        const bool hasDrained = worker && worker->drainedIncarnation == start.incarnation;
+    if (!worker || !worker->incarnation) {
+        const bool isGone = !(worker && worker->isListed)
+                && context_.now() - termStartedAt_ >= openStartLimit;
+        return isGone ? OpenStartOutcome::Settled : OpenStartOutcome::Unknown;
+    }
+    if (*worker->incarnation > start.incarnation) {
+        const bool hasDrained = worker->drainedIncarnation == start.incarnation;
         return hasDrained ? OpenStartOutcome::Settled : OpenStartOutcome::Crashed;
     }
     return worker->isStateRead ? OpenStartOutcome::Settled : OpenStartOutcome::Unknown;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -89,6 +89,7 @@
     ++term_;
     active_ = true;
     generation_ = term.generation;
+    termStartedAt_ = context_.now();
     pacing_ = Pacing(context_.settings().processors);
     fleet_.startTerm(term.token, term.roster, term.earlierRenewalsEnd);
     roster_ = std::move(term.roster);
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -356,6 +356,7 @@
     StartLog startLog_;
     /// Starts of earlier holders of which it is not known how their runs ended.
     std::map<std::pair<TaskKey, RunNumber>, LoggedStart> openStarts_;
+    TimePoint termStartedAt_;
     /// Starts that are sent when they are recorded.
     std::map<TaskKey, RecordedFirst> unsentStarts_;
     Roster roster_;
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -16,8 +16,8 @@
     switch (evidence) {
     case CrashEvidence::Restarted:
         return "restarted";
-    case CrashEvidence::EntryRemoved:
-        return "entry_removed";
+    case CrashEvidence::Replaced:
+        return "replaced";
     case CrashEvidence::NotCarriedOver:
         return "not_carried_over";
     case CrashEvidence::StartLog:
@@ -131,8 +131,10 @@
 
 void CellWorker::startIncarnation(std::optional<WorkerIncarnation> newIncarnation)
 {
-    if (incarnation != newIncarnation)
+    if (incarnation != newIncarnation) {
         firstReadAt.reset();
+        isReplaced = false;
+    }
     incarnation = newIncarnation;
     isStateRead = false;
     highestCompletion = {};
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -62,11 +62,11 @@
 enum class CrashEvidence {
     /// A later incarnation of the worker is known.
     Restarted,
-    /// The lease is over and the entry is removed.
-    EntryRemoved,
+    /// Another worker has started at the address.
+    Replaced,
     /// The start was sent to an earlier incarnation, and the present one does not list the run.
     NotCarriedOver,
-    /// The start log names an earlier incarnation, or a worker that is gone.
+    /// The start log names an earlier incarnation.
     StartLog,
 };
 
@@ -131,6 +131,11 @@
     /// returns, in the same incarnation or in a new one.
     std::vector<Placement> expiredPlacements;
     TimePoint leaseExpiredAt;
+    /// The time, on the worker's clock, by which they had ended; nothing when its clock was
+    /// unknown.
+    std::optional<WorkerTime> expiredLeaseEnd;
+    /// Whether another worker has started at the address, so that the process has ended.
+    bool isReplaced = false;
     /// The incarnation that announced that it drains, so that its end is no crash.
     std::optional<WorkerIncarnation> drainedIncarnation;
     /// Runs that belong to no known unfinished job. They are undecided or being stopped, and the
@@ -147,6 +152,11 @@
     bool hasClock() const { return clockAt_.has_value(); }
     /// The worker's clock at \a now, estimated from its last reply.
     WorkerTime estimatedClock(TimePoint now) const;
+    /// The latest time, on the worker's clock, at which its lease may expire.
+    std::optional<WorkerTime> leaseEnd() const
+    {
+        return clockAt_ ? std::optional(leaseBound_) : std::nullopt;
+    }
     /// The minimum time until the worker leaves, on its own clock; negative when it may have left.
     /// Nothing when it has not announced that it leaves, or its clock is unknown.
     std::optional<WorkerTime> timeToLeaving(TimePoint now) const;
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -34,6 +34,7 @@
     active_ = false;
     recovered_ = false;
     workers_.clear();
+    workersByAddress_.clear();
     dueHeartbeats_.clear();
     nextNumber_ = {};
     latestFirstRead_ = {};
@@ -81,6 +82,12 @@
         worker.entry->reportedAt = worker.estimatedClock(context_.now());
     }
     worker.isListed = true;
+    updateAddress(entry);
+    const bool outlivedLease = entry.reportedAt && worker.expiredLeaseEnd
+            && entry.incarnation == worker.incarnation
+            && *entry.reportedAt > *worker.expiredLeaseEnd;
+    if (outlivedLease)
+        discardExpiredRuns(worker);
     if (entry.draining)
         worker.drainedIncarnation = entry.incarnation;
     if (!worker.incarnation || entry.incarnation <= *worker.incarnation
@@ -120,8 +127,18 @@
                  id.value(), worker->placements.size(), worker->entry && worker->entry->draining,
                  worker->unansweredCalls);
     worker->isListed = false;
-    if (!worker->expiredPlacements.empty())
-        reportCrash(*worker, CrashEvidence::EntryRemoved, &Placement::startSent);
+}
+
+void WorkerFleet::updateAddress(const WorkerEntry &entry)
+{
+    const auto [row, isNew] = workersByAddress_.try_emplace(entry.address, entry.id);
+    if (isNew || row->second == entry.id)
+        return;
+    CellWorker *previous = findWorker(std::exchange(row->second, entry.id));
+    // Entries may be read late, so the earlier worker's may follow.
+    if (previous && previous->entry && previous->entry->address == entry.address
+        && previous->incarnation && *previous->incarnation < entry.incarnation)
+        markReplaced(*previous);
 }
 
 bool WorkerFleet::isUsable(const CellWorker &worker) const
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -182,6 +182,12 @@
     ReplySource updateFromReply(CellWorker &worker, const CallTarget &target,
                                 const WorkerReply &reply);
     void logCapacity(const CellWorker &worker, const Resources &capacity);
+    /// The expired runs ended with the lease, as the incarnation is known to have run on.
+    void discardExpiredRuns(CellWorker &worker);
+    /// Finds the worker that was at the address of \a entry before.
+    void updateAddress(const WorkerEntry &entry);
+    /// The process has ended, as another worker has started at its address.
+    void markReplaced(CellWorker &worker);
     void logUnreachable(const CellWorker &worker, WorkerOutcome outcome);
     void expireLease(CellWorker &worker);
     /// Whether the worker may still return and show that it crashed under its expired runs.
@@ -204,6 +210,8 @@
     Handlers handlers_;
     FencingToken token_;
     Workers workers_;
+    /// The worker that was last listed at an address.
+    std::map<Address, WorkerId> workersByAddress_;
     WorkerNumber nextNumber_;
     /// Counts terms, so that replies to calls of an earlier term are ignored.
     std::uint64_t term_ = 0;
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -32,16 +32,38 @@
                  std::mem_fn(&Placement::startSent));
     const CompletionNumber highest = worker.highestCompletion;
     const std::set<CompletionNumber> unrecorded = worker.unrecordedCompletions;
-    // A crashed worker may return under another id, so its next incarnation may never show here.
-    if (!worker.isListed) {
-        reportCrash(worker, CrashEvidence::EntryRemoved, &Placement::startSent);
-        expired.clear();
-    }
+    const std::optional<WorkerTime> leaseEnd = worker.leaseEnd();
     resetWorker(worker);
     worker.highestCompletion = highest;
     worker.unrecordedCompletions = unrecorded;
     worker.expiredPlacements = std::move(expired);
     worker.leaseExpiredAt = context_.now();
+    worker.expiredLeaseEnd = leaseEnd;
+    if (worker.isReplaced)
+        reportCrash(worker, CrashEvidence::Replaced, &Placement::startSent);
+}
+
+void WorkerFleet::discardExpiredRuns(CellWorker &worker)
+{
+    worker.isReplaced = false;
+    if (worker.expiredPlacements.empty())
+        return;
+    context_.log("event=worker_returned_after_lease worker={} incarnation={} expired_runs={}",
+                 worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
+                 worker.expiredPlacements.size());
+    worker.expiredPlacements.clear();
+}
+
+void WorkerFleet::markReplaced(CellWorker &worker)
+{
+    if (std::exchange(worker.isReplaced, true))
+        return;
+    context_.log("event=worker_replaced worker={} incarnation={} runs={} expired_runs={}",
+                 worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
+                 worker.placements.size(), worker.expiredPlacements.size());
+    // The present runs are not started elsewhere, nor counted, before the lease is over.
+    const std::vector<Placement> expired = std::exchange(worker.expiredPlacements, {});
+    reportCrash(worker, worker.incarnation, CrashEvidence::Replaced, expired);
 }
 
 bool WorkerFleet::mayHaveCrashedUnder(const TaskKey &task) const
@@ -84,6 +106,8 @@
     if (isUnreachable) {
         if (target.incarnation != worker.incarnation)
             return ReplySource::Other;
+        if (reply.outcome == WorkerOutcome::Misdirected)
+            markReplaced(worker);
         if (++worker.unansweredCalls == 1 && !worker.placements.empty())
             logUnreachable(worker, reply.outcome);
         worker.avoidUntil = context_.now() + unansweredBackoff;
@@ -106,13 +130,8 @@
     worker.lastReplyAt = context_.now();
     if (reply.incarnation)
         updateIncarnation(worker, reply.incarnation);
-    if (reply.incarnation && reply.incarnation == worker.incarnation
-        && !worker.expiredPlacements.empty()) {
-        context_.log("event=worker_returned_after_lease worker={} incarnation={} expired_runs={}",
-                     worker.id().value(), reply.incarnation->value(),
-                     worker.expiredPlacements.size());
-        worker.expiredPlacements.clear();
-    }
+    if (reply.incarnation && reply.incarnation == worker.incarnation)
+        discardExpiredRuns(worker);
     if (!reply.clock)
         return source;
     // An earlier holder may have renewed the lease by its full length just before.
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -69,7 +69,9 @@
                          CompletionReason reason) { recordCompletion(on, run, reason); };
         capacities_[worker->entry.id].change(now_, worker->entry.capacity);
         worker->onCrashed = [this](const SimulatedWorker &on) { recordCrash(on); };
-        worker->onReturned = [this](const SimulatedWorker &on) {
+        worker->onReturned = [this, i](const SimulatedWorker &on) {
+            if (renamesOnReturn)
+                rename(*workers_[i]);
             store_.put({RecordType::Workers, on.entry.id.value()}, on.entry);
         };
         workers_.push_back(std::move(worker));
@@ -117,16 +119,6 @@
     publishWorker(index);
 }
 
-void CellSimulation::renameWorker(std::size_t index, const WorkerId &id)
-{
-    SimulatedWorker &worker = *workers_.at(index);
-    recordCrash(worker);
-    store_.remove({RecordType::Workers, worker.entry.id.value()});
-    worker.entry.id = id;
-    capacities_[id].change(now_, worker.entry.capacity);
-    restartWorker(index);
-}
-
 void CellSimulation::announceLeaving(std::size_t index, Milliseconds remaining)
 {
     WorkerEntry &entry = workers_.at(index)->entry;
@@ -372,7 +364,13 @@
         return;
     schedule(networkDelay + delay, [this, delivery, reply, request = call.request] {
         for (const auto &worker : workers_) {
-            if (worker->entry.id == request.worker && !worker->hasLeft()) {
+            const bool isAtAddress = worker->entry.address == request.address && !worker->hasLeft();
+            if (isAtAddress && worker->entry.id != request.worker && !worker->isDown()) {
+                WorkerReply misdirected;
+                misdirected.outcome = WorkerOutcome::Misdirected;
+                if (delivery == Delivery::Delivered)
+                    reply(misdirected);
+            } else if (worker->entry.id == request.worker && !worker->hasLeft()) {
                 worker->handle(now_, request,
                                delivery == Delivery::Delivered
                                        ? reply
@@ -590,6 +588,13 @@
         store_.remove({RecordType::Workers, worker.entry.id.value()});
 }
 
+void CellSimulation::rename(SimulatedWorker &worker)
+{
+    store_.remove({RecordType::Workers, worker.entry.id.value()});
+    worker.entry.id = WorkerId(worker.entry.id.value() + "-next");
+    capacities_[worker.entry.id].change(now_, worker.entry.capacity);
+}
+
 void CellSimulation::breakGangElsewhere(const SimulatedWorker::Run &run)
 {
     schedule(networkDelay, [this, step = stepOf(run.task), number = run.run] {
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -110,13 +110,13 @@
     void crashWorker(std::size_t worker) { workers_.at(worker)->leave(); }
     /// Starts the worker's process again and publishes its entry.
     void restartWorker(std::size_t worker);
-    /// The worker's process ends with its runs, and starts again at its address as \a id.
-    void renameWorker(std::size_t worker, const WorkerId &id);
     std::size_t indexOf(const WorkerId &worker) const;
     /// What callers see of a worker that has crashed, until it has restarted.
     Delivery deliveryWhileDown = Delivery::Lost;
     /// Whether the entry of a worker is removed when it crashes, and added when it runs again.
     bool removesEntriesOnCrash = false;
+    /// Whether a crashed worker returns under another id at its address; its entry is removed then.
+    bool renamesOnReturn = false;
     SimulatedStore &store() { return store_; }
     SimulatedWorker &worker(std::size_t index) { return *workers_.at(index); }
     const SimulatedWorker &worker(std::size_t index) const { return *workers_.at(index); }
@@ -214,6 +214,7 @@
     void recordCompletion(const SimulatedWorker &worker, const SimulatedWorker::Run &run,
                           cell::CompletionReason reason);
     void recordCrash(const SimulatedWorker &worker);
+    void rename(SimulatedWorker &worker);
     void breakGangElsewhere(const SimulatedWorker::Run &run);
 
     TimePoint now_ {Milliseconds(1'000'000)};
--- a/Tests/Cell/CrashingTaskTest.cpp
+++ b/Tests/Cell/CrashingTaskTest.cpp
@@ -1,4 +1,5 @@
 #include "Cell/CellSimulation.h"
+#include "Cell/WorkerLimits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -17,8 +18,9 @@
     CPPUNIT_TEST(job_onWorkersRefusingConnectionsAfterACrash_failsWithinTheBudget);
     CPPUNIT_TEST(job_whoseWorkersReturnAfterTheirLease_failsWithinTheBudget);
     CPPUNIT_TEST(job_whoseWorkersLoseTheirEntriesInACrash_failsWithinTheBudget);
-    CPPUNIT_TEST(job_whoseWorkersDoNotReturn_failsWithinTheBudget);
-    CPPUNIT_TEST(job_whoseHolderIsLostWithAWorkerThatDoesNotReturn_countsItsCrash);
+    CPPUNIT_TEST(job_whoseWorkersReturnUnderOtherNames_failsWithinTheBudget);
+    CPPUNIT_TEST(job_whoseWorkersDoNotReturn_isNotFailedAndStartsOncePerLease);
+    CPPUNIT_TEST(job_whoseHolderIsLostWithAWorkerThatReturnsLate_countsItsCrash);
     CPPUNIT_TEST(gang_withOneCrashingMember_failsWithinTheBudget);
     CPPUNIT_TEST(gang_whoseMembersAllCrashTheirWorkers_failsWithinTheBudget);
     CPPUNIT_TEST(step_withOneCrashingTask_failsWithinTheBudget);
@@ -82,19 +84,45 @@
         }
     }
 
-    void job_whoseWorkersDoNotReturn_failsWithinTheBudget()
+    void job_whoseWorkersReturnUnderOtherNames_failsWithinTheBudget()
     {
+        for (const Milliseconds downtime : {Milliseconds(3000), Milliseconds(9000)}) {
+            startCell(8);
+            simulation_->renamesOnReturn = true;
+            setDowntime(downtime);
+            simulation_->plan = crashing("bad", Milliseconds(200));
+            simulation_->submitAndWait(0, CellSimulation::job("bad"));
+            assertFailsWithinBudget("bad");
+        }
+    }
+
+    /// Workers that never return may be cut off as well as crashed.
+    void job_whoseWorkersDoNotReturn_isNotFailedAndStartsOncePerLease()
+    {
+        constexpr std::size_t lostWorkers = 6;
+        const Milliseconds lease = CellSettings().workerLease;
         simulation_->removesEntriesOnCrash = true;
         setDowntime(Milliseconds(600'000));
-        simulation_->plan = crashing("bad", Milliseconds(10));
-        simulation_->submitAndWait(0, CellSimulation::job("bad"));
-        assertFailsWithinBudget("bad");
+        std::size_t starts = 0;
+        simulation_->plan = [&starts](const TaskKey &, RunNumber) {
+            return ++starts <= lostWorkers ? crashAfter(Milliseconds(10))
+                                           : soundRun(Milliseconds(500));
+        };
+        simulation_->submitAndWait(0, CellSimulation::job("sound"));
+        const bool isCompleted = simulation_->advanceUntil(
+                [&] { return simulation_->stateOf(0, JobId("sound")) == JobState::Completed; },
+                giveUpWait);
+        CPPUNIT_ASSERT(isCompleted);
+        const std::vector<CellSimulation::ObservedRun> &runs = simulation_->starts();
+        CPPUNIT_ASSERT_EQUAL(lostWorkers + 1, runs.size());
+        for (std::size_t i = 1; i < runs.size(); ++i)
+            CPPUNIT_ASSERT(runs[i].startedAt - runs[i - 1].startedAt >= startWindow(lease));
     }
 
-    void job_whoseHolderIsLostWithAWorkerThatDoesNotReturn_countsItsCrash()
+    void job_whoseHolderIsLostWithAWorkerThatReturnsLate_countsItsCrash()
     {
         simulation_->removesEntriesOnCrash = true;
-        setDowntime(Milliseconds(600'000));
+        setDowntime(Milliseconds(9000));
         simulation_->plan = crashing("bad", Milliseconds(10));
         simulation_->submitAndWait(0, CellSimulation::job("bad"));
         simulation_->advanceUntil([&] { return crashesOf("bad") == 2; }, longWait);
--- a/Tests/Cell/LapsedRunTest.cpp
+++ b/Tests/Cell/LapsedRunTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(task_whoseRunsLapseUnderFiveHolders_completes);
     CPPUNIT_TEST(task_whoseWorkersNeverReturn_completes);
     CPPUNIT_TEST(crash_ofAWorkerThatReturnsUnderAnotherName_isCounted);
+    CPPUNIT_TEST(crash_afterTheWorkerHasReportedThatItOutlivedTheLease_isNotCounted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -89,13 +90,30 @@
 
     void crash_ofAWorkerThatReturnsUnderAnotherName_isCounted()
     {
+        simulation_->renamesOnReturn = true;
         submit(CellSimulation::job("a"));
         awaitRuns();
-        const std::size_t worker = *workersWithRuns().begin();
-        simulation_->renameWorker(worker, WorkerId("replacement"));
+        simulation_->worker(*workersWithRuns().begin()).crash(simulation_->now());
         CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return countedCrashes() == 1; }, longWait));
     }
 
+    void crash_afterTheWorkerHasReportedThatItOutlivedTheLease_isNotCounted()
+    {
+        submit(CellSimulation::job("a"));
+        cutOffWorkersOfRuns();
+        const std::size_t worker = simulation_->indexOf(*cut_.begin());
+        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return !hasRunsBehindCut(); }, longWait));
+        simulation_->advance(Milliseconds(3000));
+        SimulatedWorker &silent = simulation_->worker(worker);
+        silent.entry.reportedAt = silent.clock(simulation_->now());
+        simulation_->publishWorker(worker);
+        simulation_->advance(Milliseconds(1000));
+        silent.crash(simulation_->now());
+        cut_.clear();
+        simulation_->advance(Milliseconds(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), countedCrashes());
+    }
+
 private:
     static constexpr std::size_t workers = 12;
     static constexpr std::size_t lapses = 5;
