Pace scheduling passes by elapsed time as well as by processor time

A pass now counts with the longer of its processor time, scaled by the instance's share, and its elapsed time.

--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -52,10 +52,10 @@
     /// Runs a scheduling pass and sends state updates that are due. To be called after each batch
     /// of events. Returns what the pass has looked at, and nothing when none was due.
     std::optional<PassReport> runSchedulingPass(TimePoint now, WallTime wallTime);
-    /// The last pass ended at \a endedAt and used this much processor time.
-    void recordPassTime(TimePoint endedAt, Microseconds time)
+    /// The last pass ended at \a endedAt.
+    void recordPassTime(TimePoint endedAt, const PassDuration &duration)
     {
-        scheduler_.recordPassTime(endedAt, time);
+        scheduler_.recordPassTime(endedAt, duration);
     }
     CellActions takeActions() { return context_.takeActions(); }
 
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -548,10 +548,10 @@
     return report;
 }
 
-void CellScheduler::recordPassTime(TimePoint endedAt, Microseconds time)
+void CellScheduler::recordPassTime(TimePoint endedAt, const PassDuration &duration)
 {
-    passTotals_.addTime(time);
-    pacing_.recordTime(endedAt, time);
+    passTotals_.addTime(duration.processorTime);
+    pacing_.recordTime(endedAt, duration);
 }
 
 std::vector<QueueLoad> CellScheduler::queueLoads() const
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -84,8 +84,8 @@
     /// calls to workers and to the store that the events require. Returns what the pass has looked
     /// at, and nothing without a pass.
     std::optional<PassReport> onEventsHandled(bool maySchedule);
-    /// The last pass ended at \a endedAt and used this much processor time.
-    void recordPassTime(TimePoint endedAt, Microseconds time);
+    /// The last pass ended at \a endedAt.
+    void recordPassTime(TimePoint endedAt, const PassDuration &duration);
 
     ApprovalDispatcher &approvalDispatcher() { return approvalDispatcher_; }
     std::vector<QueueLoad> queueLoads() const;
--- a/Source/Cell/PassReport.h
+++ b/Source/Cell/PassReport.h
@@ -17,6 +17,14 @@
     std::size_t workerChecks = 0;
 };
 
+/// How long a scheduling pass has taken.
+struct PassDuration
+{
+    Microseconds processorTime;
+    /// More than the processor time when the pass had to wait for the processor.
+    Microseconds elapsed;
+};
+
 /// Sums over the scheduling passes since the last log line.
 struct PassTotals
 {
--- a/Source/Cell/Policy/PassPacing.h
+++ b/Source/Cell/Policy/PassPacing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/PassReport.h"
 #include "Core/Clock.h"
 
 #include <algorithm>
@@ -9,13 +10,11 @@
 
 /// When the next scheduling pass may run; the events in between are handled by one pass.
 template<class Pacing>
-concept PassPacing
-        = std::constructible_from<Pacing, Millicores> && requires(Pacing pacing,
-                                                                  const Pacing &constPacing,
-                                                                  TimePoint at, Microseconds time)
+concept PassPacing = std::constructible_from<Pacing, Millicores> && requires(
+        Pacing pacing, const Pacing &constPacing, TimePoint at, const PassDuration &duration)
 {
     pacing.recordStart(at);
-    pacing.recordTime(at, time);
+    pacing.recordTime(at, duration);
     {
         constPacing.nextPass()
         } -> std::same_as<TimePoint>;
@@ -29,7 +28,7 @@
     explicit FixedPacing(Millicores /*processors*/) { }
 
     void recordStart(TimePoint startedAt) { nextPass_ = startedAt + minInterval; }
-    void recordTime(TimePoint /*endedAt*/, Microseconds /*time*/) { }
+    void recordTime(TimePoint /*endedAt*/, const PassDuration & /*duration*/) { }
     TimePoint nextPass() const { return nextPass_; }
 
 private:
@@ -38,8 +37,9 @@
     TimePoint nextPass_;
 };
 
-/// Passes use a limited share of the processor, however much one costs, so that a long backlog or a
-/// slow processor leaves time for the lease, the replies of workers and the recording of progress.
+/// Passes use a limited share of the processor and of time, however much one costs, so that a long
+/// backlog, or a processor that is slow or shared with other processes, leaves time for the lease,
+/// the replies of workers and the recording of progress.
 class ProcessorSharePacing
 {
 public:
@@ -51,14 +51,14 @@
 
     /// A pass begins.
     void recordStart(TimePoint startedAt) { nextPass_ = startedAt + minInterval; }
-    /// The pass has used the processor for \a time.
-    void recordTime(TimePoint endedAt, Microseconds time)
+    void recordTime(TimePoint endedAt, const PassDuration &duration)
     {
         // The decisions have one thread, so further processors do not make a pass shorter.
         const std::int64_t usable
                 = std::clamp<std::int64_t>(processors_.count(), 1, millicoresPerCore);
-        const std::int64_t duration = time.count() * millicoresPerCore / usable;
-        const Milliseconds pause(duration * (percent - passPercent) / passPercent
+        const std::int64_t share = duration.processorTime.count() * millicoresPerCore / usable;
+        const std::int64_t length = std::max(share, duration.elapsed.count());
+        const Milliseconds pause(length * (percent - passPercent) / passPercent
                                  / microsecondsPerMillisecond);
         nextPass_ = std::max(nextPass_, endedAt + std::min(pause, maxPause));
     }
--- a/Source/CellDuties/EntryProcess.h
+++ b/Source/CellDuties/EntryProcess.h
@@ -83,14 +83,15 @@
 
     void runSchedulingPass()
     {
-        const ProcessorStopwatch stopwatch;
+        const ProcessorStopwatch processorStopwatch;
+        const Stopwatch stopwatch;
         const std::optional<PassReport> report
                 = instance_.runSchedulingPass(clock_.now(), wallTime());
         if (!report)
             return;
-        const Microseconds time = stopwatch.elapsed();
-        instance_.recordPassTime(clock_.now(), time);
-        metrics_.observePass(*report, time);
+        const PassDuration duration {processorStopwatch.elapsed(), stopwatch.elapsed()};
+        instance_.recordPassTime(clock_.now(), duration);
+        metrics_.observePass(*report, duration.processorTime);
     }
 
     void handle(const DutyEvent &event)
--- a/Source/Core/Stopwatch.cpp
+++ b/Source/Core/Stopwatch.cpp
@@ -25,4 +25,10 @@
     return static_cast<double>(nowNs() - startedAtNs_) / nanosecondsPerSecond;
 }
 
+Microseconds Stopwatch::elapsed() const
+{
+    constexpr std::int64_t nanosecondsPerMicrosecond = 1000;
+    return Microseconds((nowNs() - startedAtNs_) / nanosecondsPerMicrosecond);
+}
+
 } // namespace caraway
--- a/Source/Core/Stopwatch.h
+++ b/Source/Core/Stopwatch.h
@@ -1,16 +1,17 @@
 #pragma once
 
-#include <cstdint>
+#include "Core/Units.h"
 
 namespace caraway {
 
-/// Measures elapsed time at a finer resolution than the milliseconds of Clock; for metrics only.
+/// Measures elapsed time at a finer resolution than the milliseconds of Clock.
 class Stopwatch
 {
 public:
     Stopwatch();
     /// Seconds since construction.
     double seconds() const;
+    Microseconds elapsed() const;
 
 private:
     std::int64_t startedAtNs_;
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -273,7 +273,7 @@
     const Milliseconds delay(instance.busyUntil.count() / microsecondsPerMillisecond
                              - now_.sinceStart().count());
     if (pass)
-        instance.cellInstance->recordPassTime(now_ + delay, passTime);
+        instance.cellInstance->recordPassTime(now_ + delay, {passTime, passTime});
     schedule(delay, [this, index, actions, incarnation = instance.incarnation] {
         if (instances_[index].incarnation == incarnation)
             execute(index, actions);
--- a/Tests/Cell/PassPacingTest.cpp
+++ b/Tests/Cell/PassPacingTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(nextPass_withHalfAProcessor_isTwiceAsLate);
     CPPUNIT_TEST(nextPass_withManyProcessors_isNoEarlierThanWithOne);
     CPPUNIT_TEST(nextPass_afterAPassOfSeconds_isWithinASecond);
+    CPPUNIT_TEST(nextPass_afterAPassThatWaitedForTheProcessor_isAsLateAsIfItHadUsedIt);
     CPPUNIT_TEST(nextPass_withTheBaseline_ignoresTheCost);
     CPPUNIT_TEST_SUITE_END();
 
@@ -44,6 +45,13 @@
         CPPUNIT_ASSERT(at(5000) == nextAfter<ProcessorSharePacing>(500, 4000, time));
     }
 
+    /// Guards against a holder that only runs passes while other processes use its processor.
+    void nextPass_afterAPassThatWaitedForTheProcessor_isAsLateAsIfItHadUsedIt()
+    {
+        const PassDuration duration {Microseconds(2000), Microseconds(10'000)};
+        CPPUNIT_ASSERT(at(30) == nextAfter<ProcessorSharePacing>(1000, 10, duration));
+    }
+
     void nextPass_withTheBaseline_ignoresTheCost()
     {
         CPPUNIT_ASSERT(at(15) == nextAfter<FixedPacing>(500, 20, Microseconds(10'000)));
@@ -55,10 +63,16 @@
     /// The earliest next pass after one that begins at 0 and ends at \a endMs.
     template<PassPacing Pacing>
     static TimePoint nextAfter(std::int64_t millicores, std::int64_t endMs, Microseconds time)
+    {
+        return nextAfter<Pacing>(millicores, endMs, PassDuration {time, time});
+    }
+    template<PassPacing Pacing>
+    static TimePoint nextAfter(std::int64_t millicores, std::int64_t endMs,
+                               const PassDuration &duration)
     {
         Pacing pacing {Millicores(millicores)};
         pacing.recordStart(at(0));
-        pacing.recordTime(at(endMs), time);
+        pacing.recordTime(at(endMs), duration);
         return pacing.nextPass();
     }
 };
