--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(refusal_withRetryAfter_isRoundedUpToSeconds);
     CPPUNIT_TEST(start_encoded_containsRunAndFencingToken);
     CPPUNIT_TEST(startRefusal_withReason_isDecoded);
+    CPPUNIT_TEST(startReply_withAStatusThatTellsNothing_isUnanswered);
     CPPUNIT_TEST(reply_withRunsAndCompletions_isDecoded);
     CPPUNIT_TEST(reply_malformed_isUnanswered);
     CPPUNIT_TEST(commit_encodedAndReadBack_preservesTheRecord);
@@ -152,6 +153,15 @@
                        == WorkerOutcome::Unhealthy);
     }
 
+    /// Guards against a second run beside one whose start was carried out in spite of its answer.
+    void startReply_withAStatusThatTellsNothing_isUnanswered()
+    {
+        for (const int status : {500, 502, 504, 404, 302}) {
+            CPPUNIT_ASSERT(protocol_.decodeWorker(start(), answered(status, {})).outcome
+                           == WorkerOutcome::Unanswered);
+        }
+    }
+
     void reply_withRunsAndCompletions_isDecoded()
     {
         const WorkerReply reply = protocol_.decodeWorker(
