Log the end of runs that expired without a crash

Cause: the start of a run that had lapsed stayed open in the start log, so the next holder counted a later restart of its worker as a crash under it.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -47,6 +47,11 @@
                               const std::vector<Placement> &lost) {
         onWorkerCrashed(worker, incarnation.value_or(WorkerIncarnation()), evidence, lost);
     };
+    handlers.expired = [this](const CellWorker &worker, const std::vector<Placement> &expired) {
+        // Otherwise the next holder would count a later crash of the worker under them.
+        for (const Placement &placement : expired)
+            logEnd(worker.id(), worker.incarnation, placement.task, placement.run);
+    };
     handlers.startUnanswered
             = [this](const TaskKey &key, RunNumber run) { onStartUnanswered(key, run); };
     handlers.fenced = [this] { handlers_.superseded(); };
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -43,6 +43,8 @@
         std::function<void(const CellWorker &, std::optional<WorkerIncarnation>, CrashEvidence,
                            const std::vector<Placement> &)>
                 crashed;
+        /// The worker's incarnation runs on, and the runs have expired with its lease.
+        std::function<void(const CellWorker &, const std::vector<Placement> &)> expired;
         /// A start received no reply; the run may exist.
         std::function<void(const TaskKey &, RunNumber)> startUnanswered;
         /// A worker has seen the fencing token of a later holder.
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -51,7 +51,7 @@
     context_.log("event=worker_returned_after_lease worker={} incarnation={} expired_runs={}",
                  worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
                  worker.expiredPlacements.size());
-    worker.expiredPlacements.clear();
+    handlers_.expired(worker, std::exchange(worker.expiredPlacements, {}));
 }
 
 void WorkerFleet::markReplaced(CellWorker &worker)
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -109,7 +109,8 @@
 
 void CellSimulation::publishWorker(std::size_t index)
 {
-    const WorkerEntry &entry = workers_.at(index)->entry;
+    WorkerEntry &entry = workers_.at(index)->entry;
+    entry.reportedAt = workers_[index]->clock(now_);
     store_.put({RecordType::Workers, entry.id.value()}, entry);
 }
 
