Recognise by address a worker that crashed with the holder

Cause: a crashed worker may return under another id at its address.

The start log and the recorded starts now have the address. Records of earlier releases are read without one.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -136,6 +136,8 @@
         || findRun(start.task, start.run, start.worker))
         return OpenStartOutcome::Settled;
     const CellWorker *worker = fleet_.worker(start.worker);
+    if (fleet_.isReplaced(start.address, start.worker, start.incarnation))
+        return OpenStartOutcome::Crashed;
     if (!worker || !worker->incarnation) {
         const bool isGone = !(worker && worker->isListed)
                 && context_.now() - termStartedAt_ >= openStartLimit;
@@ -177,9 +179,10 @@
             const std::optional<RecordedStart> &start = step.tasks[i].recordedStart;
             if (start) {
                 const TaskKey key = step.taskKey(i);
-                openStarts_.insert_or_assign(
-                        {key, start->run},
-                        LoggedStart {key, start->run, start->worker, start->incarnation, false});
+                openStarts_.insert_or_assign({key, start->run},
+                                             LoggedStart {key, start->run, start->worker,
+                                                          start->incarnation, false,
+                                                          start->address});
             }
         }
     }
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -345,13 +345,15 @@
         // starts, which are recorded from the first such crash on.
         if (!step.spec.longRunning) {
             startLog_.addStart({request.task, run, worker.id(),
-                                worker.incarnation.value_or(WorkerIncarnation())});
+                                worker.incarnation.value_or(WorkerIncarnation()), false,
+                                worker.entry->address});
         }
         fleet_.start(worker.id(), std::move(request));
         return;
     }
     task.recordedStart
-            = RecordedStart {run, worker.id(), worker.incarnation.value_or(WorkerIncarnation())};
+            = RecordedStart {run, worker.id(), worker.incarnation.value_or(WorkerIncarnation()),
+                             worker.entry->address};
     fleet_.reserve(worker.id(), request);
     const TaskKey key = request.task;
     unsentStarts_.insert_or_assign(key, RecordedFirst {worker.id(), std::move(request)});
--- a/Source/Cell/CellTypes.h
+++ b/Source/Cell/CellTypes.h
@@ -92,6 +92,8 @@
     RunNumber run;
     WorkerId worker;
     WorkerIncarnation incarnation;
+    /// Where the worker was; empty in records of earlier releases.
+    Address address = {};
 
     friend bool operator==(const RecordedStart &, const RecordedStart &) = default;
 };
--- a/Source/Cell/Records.h
+++ b/Source/Cell/Records.h
@@ -106,6 +106,8 @@
     WorkerIncarnation incarnation;
     /// The run ended, or cannot start, and not with a crash of the worker.
     bool hasEnded = false;
+    /// Where the worker was; empty in records of earlier releases.
+    Address address = {};
 
     friend bool operator==(const LoggedStart &, const LoggedStart &) = default;
 };
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -93,9 +93,7 @@
     if (!worker.incarnation || entry.incarnation <= *worker.incarnation
         || worker.hasEnded(entry.incarnation))
         return;
-    const auto latestStart
-            = static_cast<std::uint64_t>((context_.wallTime() + maxClockDifference).count());
-    if (entry.incarnation.value() <= latestStart) {
+    if (isPlausible(entry.incarnation)) {
         updateIncarnation(worker, entry.incarnation);
         return;
     }
@@ -129,6 +127,24 @@
     worker->isListed = false;
 }
 
+bool WorkerFleet::isPlausible(WorkerIncarnation incarnation) const
+{
+    const auto latestStart
+            = static_cast<std::uint64_t>((context_.wallTime() + maxClockDifference).count());
+    return incarnation.value() <= latestStart;
+}
+
+bool WorkerFleet::isReplaced(const Address &address, const WorkerId &worker,
+                             WorkerIncarnation incarnation) const
+{
+    const auto row = workersByAddress_.find(address);
+    if (row == workersByAddress_.end() || row->second == worker)
+        return false;
+    const CellWorker *next = this->worker(row->second);
+    return next && next->entry && next->entry->address == address
+            && incarnation < next->entry->incarnation && isPlausible(next->entry->incarnation);
+}
+
 void WorkerFleet::updateAddress(const WorkerEntry &entry)
 {
     const auto [row, isNew] = workersByAddress_.try_emplace(entry.address, entry.id);
@@ -137,7 +153,8 @@
     CellWorker *previous = findWorker(std::exchange(row->second, entry.id));
     // Entries may be read late, so the earlier worker's may follow.
     if (previous && previous->entry && previous->entry->address == entry.address
-        && previous->incarnation && *previous->incarnation < entry.incarnation)
+        && previous->incarnation
+        && isReplaced(entry.address, previous->id(), *previous->incarnation))
         markReplaced(*previous);
 }
 
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -118,6 +118,10 @@
     /// Whether the task had a run on a worker whose lease expired a short time ago and that has not
     /// returned, so that it is open whether the worker crashed.
     bool mayHaveCrashedUnder(const TaskKey &task) const;
+    /// Whether another worker that has started later is at the address, so that the incarnation has
+    /// ended.
+    bool isReplaced(const Address &address, const WorkerId &worker,
+                    WorkerIncarnation incarnation) const;
     /// Whether new work may be placed on the worker.
     bool isUsable(const CellWorker &worker) const;
     /// Whether all runs of earlier holders are known: each worker of the roster was read, or its
@@ -186,6 +190,8 @@
     void logCapacity(const CellWorker &worker, const Resources &capacity);
     /// The expired runs ended with the lease, as the incarnation is known to have run on.
     void discardExpiredRuns(CellWorker &worker);
+    /// Whether the start time can be true; entries of other writers may be false.
+    bool isPlausible(WorkerIncarnation incarnation) const;
     /// Finds the worker that was at the address of \a entry before.
     void updateAddress(const WorkerEntry &entry);
     /// The process has ended, as another worker has started at its address.
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -250,8 +250,8 @@
 {
     Json json = Json::array();
     for (const auto &[index, start] : rows) {
-        json.push_back(Json::array(
-                {index, start.run.value(), start.worker.value(), start.incarnation.value()}));
+        json.push_back(Json::array({index, start.run.value(), start.worker.value(),
+                                    start.incarnation.value(), encode(start.address)}));
     }
     return json;
 }
@@ -262,7 +262,8 @@
     for (const Json &row : json) {
         rows[row.at(0).get<std::uint64_t>()]
                 = {decodeNumber<RunNumber>(row.at(1)), decodeName<WorkerId>(row.at(2)),
-                   decodeNumber<WorkerIncarnation>(row.at(3))};
+                   decodeNumber<WorkerIncarnation>(row.at(3)),
+                   row.size() > 4 ? decodeAddress(row.at(4)) : Address()};
     }
     return rows;
 }
@@ -362,19 +363,30 @@
 Json encode(const StartLogSegment &segment)
 {
     Json starts = Json::array();
+    std::map<WorkerId, Address> addresses;
     for (const LoggedStart &start : segment.starts) {
+        if (start.address != Address())
+            addresses.insert_or_assign(start.worker, start.address);
         starts.push_back(
                 Json::array({start.task.job.value(), start.task.occurrence.value(),
                              start.task.step.value(), start.task.index.value(), start.run.value(),
                              start.worker.value(), start.incarnation.value(), start.hasEnded}));
     }
-    return Json::array({segment.number, std::move(starts)});
+    Json addressRows = Json::array();
+    for (const auto &[worker, address] : addresses)
+        addressRows.push_back(Json::array({worker.value(), encode(address)}));
+    return Json::array({segment.number, std::move(starts), std::move(addressRows)});
 }
 
 StartLogSegment decodeStartLog(const Json &json)
 {
     StartLogSegment segment;
     segment.number = json.at(0).get<std::uint64_t>();
+    std::map<WorkerId, Address> addresses;
+    if (json.size() > 2) {
+        for (const Json &row : json.at(2))
+            addresses.emplace(decodeName<WorkerId>(row.at(0)), decodeAddress(row.at(1)));
+    }
     for (const Json &row : json.at(1)) {
         segment.starts.push_back(
                 {{decodeName<JobId>(row.at(0)), decodeNumber<Occurrence>(row.at(1)),
@@ -383,6 +395,9 @@
                  decodeName<WorkerId>(row.at(5)),
                  decodeNumber<WorkerIncarnation>(row.at(6)),
                  row.at(7).get<bool>()});
+        LoggedStart &start = segment.starts.back();
+        if (const auto found = addresses.find(start.worker); found != addresses.end())
+            start.address = found->second;
     }
     return segment;
 }
--- a/Tests/Messages/CellCodecTest.cpp
+++ b/Tests/Messages/CellCodecTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(encode_progressWithoutCrashes_equalsThatOfAnEarlierRelease);
     CPPUNIT_TEST(decode_malformedCrashes_isMalformed);
     CPPUNIT_TEST(decode_encodedStartLog_returnsEqualRecord);
+    CPPUNIT_TEST(decode_startLogOfAnEarlierRelease_hasNoAddresses);
     CPPUNIT_TEST(decode_startLogWithoutARunNumber_isMalformed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -79,7 +80,8 @@
                                  RunNumber(4097),
                                  WorkerId("w"),
                                  WorkerIncarnation(1'700'000'000'000),
-                                 true};
+                                 true,
+                                 Address {"10.0.0.1", 8080}};
         const RecordValue decoded
                 = decodeRecord(RecordType::StartLog, encodeRecord(StartLogSegment {9, {start}}));
         CPPUNIT_ASSERT(std::holds_alternative<StartLogSegment>(decoded));
@@ -88,6 +90,15 @@
         CPPUNIT_ASSERT(segment.starts == std::vector({start}));
     }
 
+    void decode_startLogOfAnEarlierRelease_hasNoAddresses()
+    {
+        const RecordValue decoded
+                = decodeRecord(RecordType::StartLog, toCbor(R"([1,[["a",0,0,0,7,"w",5,false]]])"));
+        const auto &segment = std::get<StartLogSegment>(decoded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), segment.starts.size());
+        CPPUNIT_ASSERT(segment.starts.front().address == Address());
+    }
+
     void decode_startLogWithoutARunNumber_isMalformed()
     {
         CPPUNIT_ASSERT(std::holds_alternative<Malformed>(
