--- a/Tests/Soak/SoakJournal.cpp
+++ b/Tests/Soak/SoakJournal.cpp
@@ -71,6 +71,15 @@
     writeLocked(describe(runs_[run]) + " ends " + how);
 }
 
+void SoakJournal::listEnd(std::size_t run)
+{
+    const std::lock_guard lock(mutex_);
+    if (runs_[run].listedAt)
+        return;
+    runs_[run].listedAt = soakNow();
+    writeLocked(describe(runs_[run]) + " is listed as ended");
+}
+
 void SoakJournal::noteEnd(std::size_t run, bool hasLapsed)
 {
     const std::lock_guard lock(mutex_);
@@ -79,6 +88,13 @@
     writeLocked(describe(runs_[run]) + " is acknowledged" + (hasLapsed ? " after a lapse" : ""));
 }
 
+void SoakJournal::addWorkerCrash(const WorkerId &worker)
+{
+    const std::lock_guard lock(mutex_);
+    ++workerCrashes_;
+    writeLocked("worker " + worker.value() + " crashes");
+}
+
 void SoakJournal::addAnswer(SoakAnswer answer)
 {
     const std::lock_guard lock(mutex_);
@@ -100,6 +116,12 @@
     return {runs_.begin(), runs_.end()};
 }
 
+std::size_t SoakJournal::workerCrashes() const
+{
+    const std::lock_guard lock(mutex_);
+    return workerCrashes_;
+}
+
 std::vector<SoakAnswer> SoakJournal::answers() const
 {
     const std::lock_guard lock(mutex_);
--- a/Tests/Soak/SoakJournal.h
+++ b/Tests/Soak/SoakJournal.h
@@ -20,12 +20,17 @@
     /// Runs are named by the index that addRun() returns.
     std::size_t addRun(SoakRun run);
     void endRun(std::size_t run, const std::string &how);
+    /// A reply lists the end of \a run; only the first one is noted.
+    void listEnd(std::size_t run);
     /// The end of \a run was acknowledged; \a hasLapsed: the worker's lease lapsed before that.
     void noteEnd(std::size_t run, bool hasLapsed);
+    /// The process of a worker has ended.
+    void addWorkerCrash(const WorkerId &worker);
     void addAnswer(SoakAnswer answer);
     void addDisturbance(const std::string &target, Milliseconds from, Milliseconds to);
 
     std::vector<SoakRun> runs() const;
+    std::size_t workerCrashes() const;
     std::vector<SoakAnswer> answers() const;
     std::vector<SoakDisturbance> disturbances() const;
 
@@ -35,6 +40,7 @@
     mutable std::mutex mutex_;
     std::ofstream file_;
     std::deque<SoakRun> runs_;
+    std::size_t workerCrashes_ = 0;
     std::vector<SoakAnswer> answers_;
     std::vector<SoakDisturbance> disturbances_;
 };
--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -10,6 +10,7 @@
 std::string SoakRoundResult::describe(const std::filesystem::path &folder) const
 {
     std::string text = fmt::format("{} jobs, {} runs, {} findings\n", jobs, runs, findings.size());
+    text += summary.describe();
     for (const SoakFinding &finding : findings)
         text += fmt::format("{}: {}\n", finding.rule, finding.text);
     if (!findings.empty())
@@ -26,6 +27,8 @@
     SoakFleetOptions fleetOptions = options.fleet;
     fleetOptions.hasSeveralQueues = options.isMixed;
     SoakFleet fleet(fleetOptions, journal);
+    // The folder may hold logs of an earlier round.
+    const std::size_t earlierCrashes = countCrashLines(folder);
     fleet.start();
     std::vector<SoakFront> fronts;
     for (const auto &instance : fleet.instances())
@@ -40,6 +43,7 @@
     result.jobs = jobs.size();
     result.runs = journal.runs().size();
     result.findings = SoakAudit(journal, jobs, unfinished).findings();
+    result.summary = summarize(journal, countCrashLines(folder) - earlierCrashes);
     journal.write(result.describe(folder));
     return result;
 }
--- a/Tests/Soak/SoakRound.h
+++ b/Tests/Soak/SoakRound.h
@@ -2,6 +2,7 @@
 
 #include "Soak/SoakAudit.h"
 #include "Soak/SoakFleet.h"
+#include "Soak/SoakSummary.h"
 
 namespace caraway::tests {
 
@@ -22,8 +23,9 @@
     std::size_t jobs = 0;
     std::size_t runs = 0;
     std::vector<SoakFinding> findings;
+    SoakSummary summary;
 
-    /// The findings, and the folder of the logs that show them.
+    /// The summary and the findings, and the folder of the logs that show them.
     std::string describe(const std::filesystem::path &folder) const;
 };
 
--- a/Tests/Soak/SoakTypes.h
+++ b/Tests/Soak/SoakTypes.h
@@ -36,6 +36,8 @@
     std::optional<Milliseconds> endedAt;
     /// "crash", or as on the wire.
     std::string how;
+    /// When a reply first listed the end.
+    std::optional<Milliseconds> listedAt;
     /// When the end was acknowledged, unless the lease lapsed between the two.
     std::optional<Milliseconds> notedAt;
 };
--- a/Tests/Soak/SoakWorker.cpp
+++ b/Tests/Soak/SoakWorker.cpp
@@ -52,7 +52,7 @@
 
 void SoakWorker::crash()
 {
-    journal_.write("worker " + id_.value() + " crashes");
+    journal_.addWorkerCrash(id_);
     if (!server_.isCut())
         server_.crash();
     const std::lock_guard lock(mutex_);
@@ -339,12 +339,14 @@
     return rows;
 }
 
-Json SoakWorker::finishedRows() const
+Json SoakWorker::finishedRows()
 {
     Json rows = Json::array();
     for (const auto &[number, end] : ends_) {
-        if (rows.size() < 500)
-            rows.push_back({number, end.key.first.value(), end.key.second.value(), end.how, ""});
+        if (rows.size() == 500)
+            break;
+        journal_.listEnd(end.run);
+        rows.push_back({number, end.key.first.value(), end.key.second.value(), end.how, ""});
     }
     return rows;
 }
--- a/Tests/Soak/SoakWorker.h
+++ b/Tests/Soak/SoakWorker.h
@@ -75,7 +75,8 @@
     SoakResponse refusal(const char *reason) const;
     bool hasRoomFor(const SoakTaskId &task, const SoakJobPlan &plan) const;
     nlohmann::json runningRows() const;
-    nlohmann::json finishedRows() const;
+    /// Notes in the journal that the ends are listed.
+    nlohmann::json finishedRows();
 
     SoakStore &store_;
     SoakJournal &journal_;
