Soak: find crashes that are counted although no worker crashed

A worker that cannot be reached has not crashed. The audit only saw this once a job was given up, after five such crashes. It now reports CRASH if the instances count a crash under a run in a round in which the process of no worker ended.

--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -44,6 +44,8 @@
     result.runs = journal.runs().size();
     result.findings = SoakAudit(journal, jobs, unfinished).findings();
     result.summary = summarize(journal, countCrashLines(folder) - earlierCrashes);
+    if (result.summary.countedCrashes > 0 && result.summary.workerCrashes == 0)
+        result.findings.push_back({"CRASH", "crashes are counted, but no worker crashed"});
     journal.write(result.describe(folder));
     return result;
 }
