Soak: rounds with runs that are longer than a lease

No run of the soak was as long as a worker's lease of 6 s, so none ever lapsed, and what follows a lapse was never seen.

The settling time grows by the longest job and by the core time of all jobs. Rounds without it draw the same random numbers as before.

--- a/Tests/Soak/SoakClients.cpp
+++ b/Tests/Soak/SoakClients.cpp
@@ -21,6 +21,10 @@
 constexpr int attempts = 10;
 /// Jobs that are repeated, cancelled or asked for.
 constexpr std::size_t recentJobs = 60;
+constexpr Milliseconds shortestLongRun {6000};
+constexpr Milliseconds longestLongRun {11'000};
+/// Tasks in a step of a job with long runs.
+constexpr std::int64_t longTasks = 2;
 /// Failures of a job's runs that no run survives.
 constexpr std::int64_t always = 1'000'000;
 
@@ -32,12 +36,11 @@
 } // namespace
 
 SoakClients::SoakClients(std::vector<SoakFront> fronts, SoakJournal &journal, std::uint64_t seed,
-                         std::size_t clients, bool isMixed)
+                         const SoakLoad &load)
     : fronts_(std::move(fronts))
     , journal_(journal)
     , seed_(seed)
-    , clients_(clients)
-    , isMixed_(isMixed)
+    , load_(load)
     , namePrefix_(static_cast<std::uint64_t>(soakUnixMs()) & 0xffffffff)
 {
 }
@@ -49,8 +52,8 @@
 
 void SoakClients::start()
 {
-    for (std::size_t i = 0; i < clients_; ++i)
-        threads_.emplace_back([this, i] { runClient(seed_ * clients_ + i); });
+    for (std::size_t i = 0; i < load_.clients; ++i)
+        threads_.emplace_back([this, i] { runClient(seed_ * load_.clients + i); });
 }
 
 void SoakClients::stop()
@@ -95,6 +98,19 @@
     return jobs_;
 }
 
+Milliseconds SoakClients::remainingTime(std::int64_t cores) const
+{
+    Milliseconds longestPath;
+    Milliseconds coreTime;
+    for (const SoakJob &job : jobs()) {
+        if (!job.acceptedAt)
+            continue;
+        longestPath = std::max(longestPath, job.longestPath);
+        coreTime += job.coreTime;
+    }
+    return longestPath + coreTime / cores;
+}
+
 void SoakClients::runClient(std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
@@ -240,13 +256,28 @@
     return plan;
 }
 
+void SoakClients::lengthen(std::mt19937_64 &random, SoakJobPlan &plan,
+                           std::vector<std::int64_t> &counts)
+{
+    plan.work = Milliseconds(pick(random, shortestLongRun.count(), longestLongRun.count()));
+    for (std::size_t step = 0; step < counts.size(); ++step) {
+        counts[step] = std::min(counts[step], longTasks);
+        plan.steps[step].members = std::min(plan.steps[step].members, longTasks);
+    }
+}
+
 SoakJob SoakClients::makeJob(std::mt19937_64 &random) const
 {
     SoakJob job;
     job.queue = "queue";
     std::vector<std::int64_t> counts;
-    const SoakJobPlan plan
-            = isMixed_ ? planMixed(random, counts, job.queue) : planPlain(random, counts);
+    SoakJobPlan plan
+            = load_.isMixed ? planMixed(random, counts, job.queue) : planPlain(random, counts);
+    if (load_.hasLongRuns && pick(random, 0, 3) == 0)
+        lengthen(random, plan, counts);
+    // A run that fails does so after half of its work.
+    const Milliseconds workOfTask
+            = plan.work + plan.work * std::min(plan.failures, maxAttempts) / 2;
     Json steps = Json::array();
     for (std::size_t step = 0; step < counts.size(); ++step) {
         const bool isGang = plan.steps[step].members > 0;
@@ -259,6 +290,8 @@
         if (isGang)
             steps.back()["gang"] = true;
         job.gangs.push_back(isGang);
+        job.longestPath += workOfTask;
+        job.coreTime += workOfTask * counts[step] * plan.steps[step].millicores / 1000;
     }
     static std::atomic<std::uint64_t> lastNumber = 0;
     job.name = JobName(fmt::format("{:08x}{:08x}", namePrefix_, ++lastNumber));
--- a/Tests/Soak/SoakClients.h
+++ b/Tests/Soak/SoakClients.h
@@ -23,6 +23,16 @@
     int port = 0;
 };
 
+/// What clients hand in.
+struct SoakLoad
+{
+    std::size_t clients = 6;
+    /// Jobs of several queues, with gangs, failing runs and tasks of several sizes.
+    bool isMixed = false;
+    /// A quarter of the jobs has runs that are longer than the lease of their worker.
+    bool hasLongRuns = false;
+};
+
 /// Clients that hand jobs in, repeat POSTs, cancel jobs and ask for their states, each on
 /// connections that it keeps open.
 class SoakClients
@@ -32,9 +42,8 @@
     /// Runs of a task or gang that may fail before its job does.
     static constexpr std::int64_t maxAttempts = 4;
 
-    /// \a isMixed: jobs of several queues, with gangs, failing runs and tasks of several sizes.
     SoakClients(std::vector<SoakFront> fronts, SoakJournal &journal, std::uint64_t seed,
-                std::size_t clients, bool isMixed);
+                const SoakLoad &load);
     ~SoakClients();
 
     void start();
@@ -44,6 +53,8 @@
     /// finished or \a timeout has passed. Returns what is shown otherwise in the end.
     std::vector<SoakAnswer> askUntilFinished(Milliseconds timeout);
     std::vector<SoakJob> jobs() const;
+    /// How long \a cores need for the accepted jobs, if nothing of them has run yet.
+    Milliseconds remainingTime(std::int64_t cores) const;
 
 private:
     using Connections = std::vector<std::unique_ptr<httplib::Client>>;
@@ -57,6 +68,9 @@
     void cancel(Connections &connections, std::mt19937_64 &random);
     void ask(Connections &connections, std::mt19937_64 &random);
     SoakJob makeJob(std::mt19937_64 &random) const;
+    /// Gives the job runs that are longer than a lease, and fewer tasks.
+    static void lengthen(std::mt19937_64 &random, SoakJobPlan &plan,
+                         std::vector<std::int64_t> &counts);
     static SoakJobPlan planPlain(std::mt19937_64 &random, std::vector<std::int64_t> &counts);
     static SoakJobPlan planMixed(std::mt19937_64 &random, std::vector<std::int64_t> &counts,
                                  std::string &queue);
@@ -67,8 +81,7 @@
     std::vector<SoakFront> fronts_;
     SoakJournal &journal_;
     std::uint64_t seed_;
-    std::size_t clients_;
-    bool isMixed_;
+    SoakLoad load_;
     std::uint64_t namePrefix_;
     std::atomic<bool> isStopping_ = false;
     std::vector<std::thread> threads_;
--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -1,6 +1,5 @@
 #include "Soak/SoakRound.h"
 
-#include "Soak/SoakClients.h"
 #include "Soak/SoakTroubles.h"
 
 #include <fmt/format.h>
@@ -25,7 +24,7 @@
     SoakJournal journal((folder / "journal.txt").string());
     journal.write(fmt::format("seed {} kinds {}", options.fleet.seed, options.kinds));
     SoakFleetOptions fleetOptions = options.fleet;
-    fleetOptions.hasSeveralQueues = options.isMixed;
+    fleetOptions.hasSeveralQueues = options.load.isMixed;
     SoakFleet fleet(fleetOptions, journal);
     // The folder may hold logs of an earlier round.
     const std::size_t earlierCrashes = countCrashLines(folder);
@@ -33,11 +32,16 @@
     std::vector<SoakFront> fronts;
     for (const auto &instance : fleet.instances())
         fronts.push_back({instance->id(), instance->callersPort()});
-    SoakClients clients(fronts, journal, options.fleet.seed, options.clients, options.isMixed);
+    SoakClients clients(fronts, journal, options.fleet.seed, options.load);
     clients.start();
-    SoakTroubles(fleet, journal, options.fleet.seed, options.kinds).run(options.duration);
+    SoakTroubles(fleet, journal, options.fleet.seed, options.kinds, options.load.hasLongRuns)
+            .run(options.duration);
     clients.stop();
-    const std::vector<SoakAnswer> unfinished = clients.askUntilFinished(options.settling);
+    Milliseconds settling = options.settling;
+    if (options.load.hasLongRuns)
+        settling += clients.remainingTime(options.fleet.workers * SoakWorkerTimes::millicores
+                                          / 1000);
+    const std::vector<SoakAnswer> unfinished = clients.askUntilFinished(settling);
     const std::vector<SoakJob> jobs = clients.jobs();
     SoakRoundResult result;
     result.jobs = jobs.size();
--- a/Tests/Soak/SoakRound.h
+++ b/Tests/Soak/SoakRound.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Soak/SoakAudit.h"
+#include "Soak/SoakClients.h"
 #include "Soak/SoakFleet.h"
 #include "Soak/SoakSummary.h"
 
@@ -10,12 +11,12 @@
 {
     SoakFleetOptions fleet;
     Milliseconds duration;
-    /// Until all jobs must be finished after the troubles.
+    /// Until all jobs must be finished after the troubles; rounds with long runs add what these
+    /// take.
     Milliseconds settling {22'000};
     std::string kinds;
-    std::size_t clients = 6;
-    /// Jobs of several queues, with gangs, failing runs and tasks of several sizes.
-    bool isMixed = false;
+    /// With long runs, workers are also cut off for longer than their lease.
+    SoakLoad load;
 };
 
 struct SoakRoundResult
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -18,10 +18,10 @@
     std::filesystem::path folder_;
 
     void runRound(std::uint64_t seed, Milliseconds duration, const std::string &kinds,
-                  bool isMixed = false)
+                  const SoakLoad &load = {})
     {
         SoakRoundOptions options;
-        options.isMixed = isMixed;
+        options.load = load;
         options.fleet.seed = seed;
         options.fleet.folder = folder_;
         options.duration = duration;
@@ -50,7 +50,7 @@
     /// Guards against sound jobs that are shown as failed after crashes of their workers.
     void gangsAndFailingTasks_whileAllLosePower_runOnceAndAreAnswered()
     {
-        runRound(413, Milliseconds(20'000), "okz", true);
+        runRound(413, Milliseconds(20'000), "okz", {.isMixed = true});
     }
 };
 
--- a/Tests/Soak/SoakTroubles.cpp
+++ b/Tests/Soak/SoakTroubles.cpp
@@ -14,16 +14,19 @@
 constexpr Milliseconds exitPollInterval {50};
 /// Between two troubles of one instance.
 constexpr Milliseconds recovery {500};
+constexpr Milliseconds shortestLongCut {3000};
+constexpr Milliseconds longestLongCut {12'000};
 const std::string storeTarget = "store";
 
 } // namespace
 
 SoakTroubles::SoakTroubles(SoakFleet &fleet, SoakJournal &journal, std::uint64_t seed,
-                           std::string kinds)
+                           std::string kinds, bool hasLongCuts)
     : fleet_(fleet)
     , journal_(journal)
     , random_(seed)
     , kinds_(std::move(kinds))
+    , hasLongCuts_(hasLongCuts)
 {
 }
 
@@ -73,6 +76,10 @@
         repeated_ = choices;
         repetitions_ = pick(1, 3);
     }
+    if (hasLongCuts_ && choices.kind == 'x') {
+        choices.count = 1;
+        choices.away = Milliseconds(pick(shortestLongCut.count(), longestLongCut.count()));
+    }
     return choices;
 }
 
--- a/Tests/Soak/SoakTroubles.h
+++ b/Tests/Soak/SoakTroubles.h
@@ -25,7 +25,9 @@
 public:
     static constexpr const char *allKinds = "rcxdewktzhnoplsfg";
 
-    SoakTroubles(SoakFleet &fleet, SoakJournal &journal, std::uint64_t seed, std::string kinds);
+    /// \a hasLongCuts: workers that are cut off lose their leases at times.
+    SoakTroubles(SoakFleet &fleet, SoakJournal &journal, std::uint64_t seed, std::string kinds,
+                 bool hasLongCuts = false);
 
     /// Makes trouble for \a duration; returns when all of it has ended.
     void run(Milliseconds duration);
@@ -73,6 +75,7 @@
     SoakJournal &journal_;
     std::mt19937_64 random_;
     std::string kinds_;
+    bool hasLongCuts_;
     std::optional<Choices> repeated_;
     std::int64_t repetitions_ = 0;
     int lastReplacement_ = 0;
--- a/Tests/Soak/SoakTypes.h
+++ b/Tests/Soak/SoakTypes.h
@@ -67,6 +67,10 @@
     std::vector<bool> gangs;
     /// How it is shown when nothing is left to run.
     std::string finalState = "completed";
+    /// What its runs take, one step after the other, with those that fail.
+    Milliseconds longestPath;
+    /// What its runs take of the cores, with those that fail.
+    Milliseconds coreTime;
     std::optional<Milliseconds> acceptedAt;
     /// Some attempt got no answer, or one that leaves open whether the job was accepted.
     bool isOpen = false;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -14,7 +14,7 @@
 
 Usage:
   testSoak [--seed=N] [--seconds=N] [--instances=N] [--workers=N] [--clients=N]
-           [--kinds=LETTERS] [--mixed] [--folder=PATH]
+           [--kinds=LETTERS] [--mixed] [--long] [--folder=PATH]
            [--program=PATH] [--template=PATH]
 
 Options:
@@ -31,6 +31,8 @@
                    o all killed at once, with some workers. Store: p down, l answers lost, s slow,
                    f refuses one instance, g forgets its history [default: rcxdktzhplsf].
   --mixed          Jobs of several queues, with gangs, approvals, failing runs and large tasks.
+  --long           A quarter of the jobs has runs of 6 to 11 s, and workers are cut off for 3 to 12 s,
+                   one at a time.
   --folder=PATH    Settings, logs and journal [default: soak-logs].
   --program=PATH   Program of the entry instances, such as that of an earlier release.
   --template=PATH  Template of its settings.
@@ -54,8 +56,9 @@
         options.fleet.settingsTemplate = arguments["--template"].asString();
     options.duration = caraway::Milliseconds(arguments["--seconds"].asLong() * 1000);
     options.kinds = arguments["--kinds"].asString();
-    options.clients = static_cast<std::size_t>(arguments["--clients"].asLong());
-    options.isMixed = arguments["--mixed"].asBool();
+    options.load.clients = static_cast<std::size_t>(arguments["--clients"].asLong());
+    options.load.isMixed = arguments["--mixed"].asBool();
+    options.load.hasLongRuns = arguments["--long"].asBool();
     const std::string kinds = options.kinds;
     if (kinds == "none")
         options.kinds.clear();
@@ -68,7 +71,7 @@
     fmt::print("seed {} kinds {}: {}", options.fleet.seed, kinds,
                result.describe(options.fleet.folder));
     const caraway::tests::KnownFailures knownFailures;
-    const std::string command
-            = fmt::format("testSoak --seed={} --kinds={}", options.fleet.seed, kinds);
+    const std::string command = fmt::format("testSoak --seed={} --kinds={}{}", options.fleet.seed,
+                                            kinds, options.load.hasLongRuns ? " --long" : "");
     return result.findings.empty() || knownFailures.reportIfListed(command) ? 0 : 1;
 }
