Soak: jobs from before there is a holder or a worker

Rounds began with workers that had registered and a holder that had read them, so jobs that are accepted before that were never seen.

Not part of the default rounds.

--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -16,8 +16,6 @@
 
 constexpr Milliseconds longestStart {15'000};
 constexpr Milliseconds readinessInterval {100};
-/// Until the workers have registered and the holder has read them.
-constexpr Milliseconds warmUp {2000};
 
 void replaceAll(std::string &text, const std::string &from, const std::string &to)
 {
@@ -127,7 +125,9 @@
 }
 
 SoakFleet::SoakFleet(const SoakFleetOptions &options, SoakJournal &journal)
-    : advice_(options.instances)
+    : options_(options)
+    , journal_(journal)
+    , advice_(options.instances)
     , store_(options.instances)
 {
     nlohmann::json queues = nlohmann::json::array({queue("queue", 1)});
@@ -151,30 +151,37 @@
                 {"routes", queues},
                 {"services", nlohmann::json::array({service})},
                 {"limits", {{"maxBodyBytes", 262'144}}}});
-    std::mt19937_64 random(options.seed);
-    for (int i = 0; i < options.workers; ++i) {
-        workers_.push_back(std::make_unique<SoakWorker>(
-                store_, journal, work_, advice_,
-                WorkerId(fmt::format("i-{:08x}", 0x1a2b3c00 + i * 17)), fmt::format("r1-{}", i / 2),
-                static_cast<std::int64_t>(random() % 21)));
-    }
     for (int i = 0; i < options.instances; ++i) {
         instances_.push_back(std::make_unique<SoakInstance>(
                 InstanceId(fmt::format("edge-{}", i + 1)), store_.port(i), options));
     }
 }
 
-void SoakFleet::start()
+void SoakFleet::startWorkers()
+{
+    std::mt19937_64 random(options_.seed);
+    for (int i = 0; i < options_.workers; ++i) {
+        workers_.push_back(std::make_unique<SoakWorker>(
+                store_, journal_, work_, advice_,
+                WorkerId(fmt::format("i-{:08x}", 0x1a2b3c00 + i * 17)), fmt::format("r1-{}", i / 2),
+                static_cast<std::int64_t>(random() % 21)));
+    }
+}
+
+void SoakFleet::startInstances()
 {
     for (const auto &instance : instances_)
         instance->start();
+}
+
+void SoakFleet::awaitInstances()
+{
     const Milliseconds until = soakNow() + longestStart;
     while (!std::ranges::all_of(instances_, [](const auto &i) { return i->isReady(); })) {
         if (soakNow() > until)
             throw std::runtime_error("an entry instance is not ready in time");
         soakSleep(readinessInterval);
     }
-    soakSleep(warmUp);
 }
 
 } // namespace caraway::tests
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -68,8 +68,10 @@
 public:
     SoakFleet(const SoakFleetOptions &options, SoakJournal &journal);
 
-    /// Starts the instances and waits until all are ready; throws on a timeout.
-    void start();
+    void startWorkers();
+    void startInstances();
+    /// Waits until all instances are ready; throws on a timeout.
+    void awaitInstances();
 
     SoakStore &store() { return store_; }
     std::vector<std::unique_ptr<SoakWorker>> &workers() { return workers_; }
@@ -78,6 +80,8 @@
 private:
     static nlohmann::json queue(const std::string &name, int priority);
 
+    SoakFleetOptions options_;
+    SoakJournal &journal_;
     SoakAdvice advice_;
     SoakWork work_;
     SoakStore store_;
--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -6,6 +6,26 @@
 
 namespace caraway::tests {
 
+namespace {
+
+/// Until the workers have registered and the holder has read them.
+constexpr Milliseconds warmUp {2000};
+
+/// Clients hand jobs in while there is no worker, and from before there is a holder.
+void startEarly(SoakFleet &fleet, SoakClients &clients, SoakJournal &journal)
+{
+    const Milliseconds from = soakNow();
+    fleet.startInstances();
+    clients.start();
+    fleet.awaitInstances();
+    for (const auto &instance : fleet.instances())
+        journal.addDisturbance(instance->id().value(), from, soakNow());
+    soakSleep(warmUp);
+    fleet.startWorkers();
+}
+
+} // namespace
+
 std::string SoakRoundResult::describe(const std::filesystem::path &folder) const
 {
     std::string text = fmt::format("{} jobs, {} runs, {} findings\n", jobs, runs, findings.size());
@@ -28,12 +48,19 @@
     SoakFleet fleet(fleetOptions, journal);
     // The folder may hold logs of an earlier round.
     const std::size_t earlierCrashes = countCrashLines(folder);
-    fleet.start();
     std::vector<SoakFront> fronts;
     for (const auto &instance : fleet.instances())
         fronts.push_back({instance->id(), instance->callersPort()});
     SoakClients clients(fronts, journal, options.fleet.seed, options.load);
-    clients.start();
+    if (options.isEarly) {
+        startEarly(fleet, clients, journal);
+    } else {
+        fleet.startWorkers();
+        fleet.startInstances();
+        fleet.awaitInstances();
+        soakSleep(warmUp);
+        clients.start();
+    }
     SoakTroubles(fleet, journal, options.fleet.seed, options.kinds, options.load.hasLongRuns)
             .run(options.duration);
     clients.stop();
--- a/Tests/Soak/SoakRound.h
+++ b/Tests/Soak/SoakRound.h
@@ -17,6 +17,8 @@
     std::string kinds;
     /// With long runs, workers are also cut off for longer than their lease.
     SoakLoad load;
+    /// Clients start before there is a holder, and workers afterwards.
+    bool isEarly = false;
 };
 
 struct SoakRoundResult
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -14,8 +14,8 @@
 
 Usage:
   testSoak [--seed=N] [--seconds=N] [--instances=N] [--workers=N] [--clients=N]
-           [--kinds=LETTERS] [--mixed] [--long] [--folder=PATH]
-           [--program=PATH] [--template=PATH]
+           [--kinds=LETTERS] [--mixed] [--long] [--early]
+           [--folder=PATH] [--program=PATH] [--template=PATH]
 
 Options:
   --seed=N         Seed of the troubles and of the load [default: 1].
@@ -33,6 +33,7 @@
   --mixed          Jobs of several queues, with gangs, approvals, failing runs and large tasks.
   --long           A quarter of the jobs has runs of 6 to 11 s, and workers are cut off for 3 to 12 s,
                    one at a time.
+  --early          Clients hand jobs in before there is a holder, and before there are workers.
   --folder=PATH    Settings, logs and journal [default: soak-logs].
   --program=PATH   Program of the entry instances, such as that of an earlier release.
   --template=PATH  Template of its settings.
@@ -58,6 +59,7 @@
     options.kinds = arguments["--kinds"].asString();
     options.load.clients = static_cast<std::size_t>(arguments["--clients"].asLong());
     options.load.isMixed = arguments["--mixed"].asBool();
+    options.isEarly = arguments["--early"].asBool();
     options.load.hasLongRuns = arguments["--long"].asBool();
     const std::string kinds = options.kinds;
     if (kinds == "none")
