--- a/Tests/Soak/SoakRound.h
+++ b/Tests/Soak/SoakRound.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "Soak/SoakAudit.h"
+#include "Soak/SoakClients.h"
 #include "Soak/SoakFleet.h"
+#include "Soak/SoakSummary.h"
 
 namespace caraway::tests {
 
@@ -9,12 +11,14 @@
 {
     SoakFleetOptions fleet;
     Milliseconds duration;
-    /// Until all jobs must be finished after the troubles.
+    /// Until all jobs must be finished after the troubles; rounds with long runs add what these
+    /// take.
     Milliseconds settling {22'000};
     std::string kinds;
-    std::size_t clients = 6;
-    /// Jobs of several queues, with gangs, failing runs and tasks of several sizes.
-    bool isMixed = false;
+    /// With long runs, workers are also cut off for longer than their lease.
+    SoakLoad load;
+    /// Clients start before there is a holder, and workers afterwards.
+    bool isEarly = false;
 };
 
 struct SoakRoundResult
@@ -22,8 +26,9 @@
     std::size_t jobs = 0;
     std::size_t runs = 0;
     std::vector<SoakFinding> findings;
+    SoakSummary summary;
 
-    /// The findings, and the folder of the logs that show them.
+    /// The summary and the findings, and the folder of the logs that show them.
     std::string describe(const std::filesystem::path &folder) const;
 };
 
