Test leases that the holder judges from afar, with slow clocks and pauses

The fault was not found; the test stays.

SimulatedWorker has a clock that may be slow and lists at most 500 completions, as workers do, and shows which successes were acknowledged without an expiry of the lease in between.

--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -67,6 +67,9 @@
         worker->onCompleted
                 = [this](const SimulatedWorker &on, const SimulatedWorker::Run &run,
                          CompletionReason reason) { recordCompletion(on, run, reason); };
+        worker->onAcknowledged = [this](const SimulatedWorker &on, const CompletedRun &completion) {
+            recordAcknowledgement(on, completion);
+        };
         capacities_[worker->entry.id].change(now_, worker->entry.capacity);
         worker->onCrashed = [this](const SimulatedWorker &on) { recordCrash(on); };
         worker->onReturned = [this, i](const SimulatedWorker &on) {
@@ -545,7 +548,7 @@
 void CellSimulation::recordStart(const SimulatedWorker &worker, const SimulatedWorker::Run &run)
 {
     starts_.push_back({run.task, run.run, worker.entry.id, now_, std::nullopt,
-                       CompletionReason::Succeeded, false});
+                       CompletionReason::Succeeded, false, false});
     Resources used;
     for (const SimulatedWorker::Run &running : worker.running()) {
         used += needs_[running.task.job.value() + "." + std::to_string(running.task.step.value())];
@@ -580,6 +583,18 @@
         breakGangElsewhere(run);
 }
 
+void CellSimulation::recordAcknowledgement(const SimulatedWorker &worker,
+                                           const CompletedRun &completion)
+{
+    if (completion.reason != CompletionReason::Succeeded)
+        return;
+    for (ObservedRun &row : starts_) {
+        const bool isMatch = row.task == completion.task && row.run == completion.run
+                && row.worker == worker.entry.id && row.reason == CompletionReason::Succeeded;
+        row.acknowledged = row.acknowledged || (isMatch && row.completedAt);
+    }
+}
+
 void CellSimulation::recordCrash(const SimulatedWorker &worker)
 {
     for (ObservedRun &row : starts_)
@@ -624,6 +639,17 @@
     return pairs;
 }
 
+std::size_t CellSimulation::startsAfterSuccess() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(starts_.begin(), starts_.end(), [&](const ObservedRun &later) {
+                return std::any_of(starts_.begin(), starts_.end(), [&](const ObservedRun &row) {
+                    return row.acknowledged && row.task == later.task
+                            && *row.completedAt < later.startedAt;
+                });
+            }));
+}
+
 JobSpec CellSimulation::job(const std::string &id, std::int64_t tasks)
 {
     JobSpec spec;
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -43,6 +43,8 @@
         cell::CompletionReason reason = cell::CompletionReason::Succeeded;
         /// The run ended with a crash of the worker.
         bool crashed = false;
+        /// The success was acknowledged, and the worker's lease did not expire between the two.
+        bool acknowledged = false;
     };
 
     /// Processor time of what an instance does.
@@ -155,6 +157,9 @@
     std::size_t startsOf(const cell::JobId &job) const;
     /// The number of pairs of simultaneous runs of one task.
     std::size_t overlaps() const;
+    /// The number of starts of tasks after a success that was acknowledged then or later, without
+    /// an expiry of the lease between the two.
+    std::size_t startsAfterSuccess() const;
     /// The number of starts that exceeded the capacity of a worker. Less capacity than before
     /// counts after 4.5 s; a run counts until it has ended.
     std::size_t overloads() const { return overloads_; }
@@ -213,6 +218,7 @@
     void recordStart(const SimulatedWorker &worker, const SimulatedWorker::Run &run);
     void recordCompletion(const SimulatedWorker &worker, const SimulatedWorker::Run &run,
                           cell::CompletionReason reason);
+    void recordAcknowledgement(const SimulatedWorker &worker, const cell::CompletedRun &completion);
     void recordCrash(const SimulatedWorker &worker);
     void rename(SimulatedWorker &worker);
     void breakGangElsewhere(const SimulatedWorker::Run &run);
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -10,12 +10,15 @@
 
 /// The processors that CellSimulation::job() requires for each task.
 constexpr Millicores runProcessors {1000};
+constexpr std::size_t maxCompletionsPerReply = 500;
 
 } // namespace
 
 WorkerTime SimulatedWorker::clock(TimePoint now) const
 {
-    return WorkerTime((now - startedAt_).count() + 1);
+    const std::int64_t elapsed = (now - startedAt_).count();
+    const std::int64_t lost = clockSlownessDivisor > 0 ? elapsed / clockSlownessDivisor : 0;
+    return WorkerTime(elapsed - lost + 1);
 }
 
 Percent SimulatedWorker::progressOf(const Run &run, TimePoint now)
@@ -33,7 +36,9 @@
     reply.incarnation = entry.incarnation;
     for (const Run &run : running_)
         reply.running.push_back({run.task, run.run, {}, progressOf(run, now)});
-    reply.completed = completed_;
+    const std::size_t listed = std::min(completed_.size(), maxCompletionsPerReply);
+    reply.completed.assign(completed_.begin(),
+                           completed_.begin() + static_cast<std::ptrdiff_t>(listed));
     return reply;
 }
 
@@ -125,8 +130,7 @@
     }
     const auto &heartbeat = std::get<WorkerHeartbeat>(request.command);
     extendLease(heartbeat.deadline);
-    std::erase_if(completed_,
-                  [&](const CompletedRun &row) { return row.number <= heartbeat.acknowledged; });
+    acknowledge(heartbeat.acknowledged);
     pendingHeartbeats_.push_back({now + heartbeat.wait, reply});
     answerHeartbeats(now);
 }
@@ -143,6 +147,15 @@
     onCompleted(*this, run, reason);
 }
 
+void SimulatedWorker::acknowledge(CompletionNumber number)
+{
+    while (!completed_.empty() && completed_.front().number <= number) {
+        if (onAcknowledged && completed_.front().number.value() > lastBeforeExpiry_)
+            onAcknowledged(*this, completed_.front());
+        completed_.erase(completed_.begin());
+    }
+}
+
 void SimulatedWorker::answerHeartbeats(TimePoint now)
 {
     for (auto pending = pendingHeartbeats_.begin(); pending != pendingHeartbeats_.end();) {
@@ -179,6 +192,8 @@
         else if (now >= running_[i - 1].completesAt)
             complete(now, i - 1, running_[i - 1].reason);
     }
+    if (clock(now) > leaseDeadline_)
+        lastBeforeExpiry_ = lastCompletion_;
     answerHeartbeats(now);
 }
 
@@ -228,6 +243,7 @@
     dropHeartbeats();
     hasLeft_ = false;
     lastCompletion_ = 0;
+    lastBeforeExpiry_ = 0;
     token_ = {};
     leaseDeadline_ = {};
     startedAt_ = now;
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -40,10 +40,15 @@
     /// Called for every start and every completion of a run.
     std::function<void(const SimulatedWorker &, const Run &)> onStarted;
     std::function<void(const SimulatedWorker &, const Run &, cell::CompletionReason)> onCompleted;
+    /// Called when a completion is acknowledged, unless the lease has expired since it was listed
+    /// first.
+    std::function<void(const SimulatedWorker &, const cell::CompletedRun &)> onAcknowledged;
     /// Called when the process crashes, before its runs complete, and when it runs again.
     std::function<void(const SimulatedWorker &)> onCrashed;
     std::function<void(const SimulatedWorker &)> onReturned;
 
+    /// The clock is slow by one part in this; zero for a clock that is not.
+    std::int64_t clockSlownessDivisor = 0;
     /// Whether it carries out calls that are meant for another incarnation.
     bool executesCallsForOthers = false;
 
@@ -88,6 +93,7 @@
     bool fits() const;
     cell::WorkerReply start(TimePoint now, const cell::WorkerStart &command);
     void complete(TimePoint now, std::size_t index, cell::CompletionReason reason);
+    void acknowledge(cell::CompletionNumber number);
     void answerHeartbeats(TimePoint now);
     void dropHeartbeats();
 
@@ -96,6 +102,8 @@
     cell::WorkerTime leaseDeadline_;
     std::vector<Run> running_;
     std::vector<cell::CompletedRun> completed_;
+    /// The last completion before the latest expiry of the lease.
+    std::uint64_t lastBeforeExpiry_ = 0;
     std::vector<std::pair<cell::TaskKey, cell::RunNumber>> closedRuns_;
     std::uint64_t lastCompletion_ = 0;
     std::list<PendingHeartbeat> pendingHeartbeats_;
