Wait after a takeover for workers that list too many completions at once

A task ran again after its success, which was acknowledged afterwards (TWICE).

Cause: a list of 500 completions may be incomplete, so its worker counts as unread; a lease after the takeover every unread worker was taken for gone. But the worker answers and its lease is renewed, and a success that an earlier holder's run had there can be behind the end of the list while the store accepts no progress, as completions are acknowledged only when they are recorded.

Now the holder waits for a worker that answers with full lists until it is read completely or its lease has expired.

Evidence: CompletionBacklogTest::task_whoseSuccessIsNotListedAfterATakeover_ doesNotStartAgain failed before (2 starts, 1 expected). The other test holds before and after: the jobs complete when the worker is lost with its backlog.

--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -136,7 +136,7 @@
         isReplaced = false;
     }
     incarnation = newIncarnation;
-    isStateRead = false;
+    isStateRead = isPartlyRead = false;
     highestCompletion = {};
     unrecordedCompletions.clear();
     placements.clear();
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -106,6 +106,9 @@
     /// Whether all its running tasks and completions were read under the current fencing token and
     /// in its current incarnation.
     bool isStateRead = false;
+    /// Whether its last list under the current fencing token may have lacked completions, so that
+    /// runs of earlier holders may have ended there unnoticed.
+    bool isPartlyRead = false;
     /// When the present incarnation was first read under the current fencing token.
     std::optional<TimePoint> firstReadAt;
     bool heartbeatInFlight = false;
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -119,7 +119,7 @@
     /// Whether new work may be placed on the worker.
     bool isUsable(const CellWorker &worker) const;
     /// Whether all runs of earlier holders are known: each worker of the roster was read, or its
-    /// lease has expired.
+    /// lease has expired. A worker that answers with incomplete lists is waited for.
     bool isRecovered() const { return recovered_; }
     /// Whether an earlier holder may have started a run of the job that is not known yet.
     bool mayHaveUnknownRuns(const JobId &job) const
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -141,7 +141,8 @@
 {
     handleCompletions(worker, reply);
     handleRunningTasks(worker, reply);
-    if (reply.completed.size() < maxCompletionsPerReply) {
+    worker.isPartlyRead = reply.completed.size() >= maxCompletionsPerReply;
+    if (!worker.isPartlyRead) {
         removeAbsentPlacements(worker, target, reply);
         worker.isStateRead = true;
         if (!worker.firstReadAt)
--- a/Source/Cell/WorkerRoster.cpp
+++ b/Source/Cell/WorkerRoster.cpp
@@ -113,19 +113,23 @@
     const bool isTimedOut
             = context_.now() - leasesStart > lease + lease / clockDriftDivisor + recoveryMargin;
     std::size_t unreadInRoster = 0;
+    bool isPartlyRead = false;
     isOpenWorkerUnread_ = false;
     jobsOnUnreadWorkers_.clear();
     for (const auto &[id, worker] : workers_) {
         if (!worker.isInRoster || worker.isStateRead)
             continue;
         ++unreadInRoster;
+        // The worker answers, and its lease is renewed.
+        isPartlyRead
+                = isPartlyRead || (worker.isPartlyRead && !worker.isLeaseExpired(context_.now()));
         if (worker.closedWithJobs)
             jobsOnUnreadWorkers_.insert(worker.closedWithJobs->begin(),
                                         worker.closedWithJobs->end());
         else
             isOpenWorkerUnread_ = true;
     }
-    if (unreadInRoster > 0 && !isTimedOut)
+    if (unreadInRoster > 0 && (!isTimedOut || isPartlyRead))
         return;
     recovered_ = true;
     context_.log("event=workers_recovered after_ms={} unread={} workers={}",
