Do not send a recorded start whose ticket has expired

A start of a task under which a worker had crashed was refused for its ticket, which costs a rejected start, when its record took longer than the rest of the ticket's validity.

Cause: the ticket is chosen when the start is placed, and such a start is sent only once the store has it. Nothing looked at the ticket again.

The request now has the end of the ticket's validity. An expired one releases its capacity unsent, and the task is placed again with a valid ticket. While records take longer than the validity, such tasks wait, as they did before.

PassOptionsTest reads the text of the ticket, as validTicket() returns both.

--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -327,8 +327,10 @@
     request.payload = candidate.job->accepted().spec.payload;
     request.checkpoint = step.spec.gang ? step.gangCheckpoint : task.checkpoint;
     request.need = step.spec.allocation();
-    if (const std::string *ticket = step.approvals.validTicket(worker.number(), context_.now()))
-        request.ticket = *ticket;
+    if (const auto *ticket = step.approvals.validTicket(worker.number(), context_.now())) {
+        request.ticket = ticket->text;
+        request.ticketValidUntil = ticket->validUntil;
+    }
     option.free -= request.need;
     if (!task.crashes().isEmpty())
         option.suspects.push_back({step.key.job, task.crashes().needsIsolation(), true});
--- a/Source/Cell/StepApprovals.cpp
+++ b/Source/Cell/StepApprovals.cpp
@@ -4,12 +4,12 @@
 
 namespace caraway::cell {
 
-const std::string *StepApprovals::validTicket(WorkerNumber worker, TimePoint at) const
+const StepApprovals::Ticket *StepApprovals::validTicket(WorkerNumber worker, TimePoint at) const
 {
     if (!isApproved(worker) || !hasValidTickets(at))
         return nullptr;
     const Ticket &ticket = approvedWorkers_[positionOf(worker)].ticket;
-    return at < ticket.validUntil ? &ticket.text : nullptr;
+    return at < ticket.validUntil ? &ticket : nullptr;
 }
 
 void StepApprovals::approve(WorkerNumber worker, Ticket ticket)
--- a/Source/Cell/StepApprovals.h
+++ b/Source/Cell/StepApprovals.h
@@ -24,7 +24,7 @@
     /// The approved workers in the order of their numbers; their tickets may have expired.
     const std::vector<ApprovedWorker> &approvedWorkers() const { return approvedWorkers_; }
     /// The ticket for \a worker; null when there is none that is valid at \a at.
-    const std::string *validTicket(WorkerNumber worker, TimePoint at) const;
+    const Ticket *validTicket(WorkerNumber worker, TimePoint at) const;
     /// Whether a ticket is valid at \a at for any worker.
     bool hasValidTickets(TimePoint at) const { return at < latestExpiry_; }
 
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -57,6 +57,8 @@
         std::string payload;
         std::string checkpoint;
         std::string ticket;
+        /// Nothing when the start needs no ticket.
+        std::optional<TimePoint> ticketValidUntil = std::nullopt;
         Resources need;
     };
     using Workers = std::map<WorkerId, CellWorker>;
@@ -88,7 +90,8 @@
     void start(const WorkerId &worker, StartRequest request);
     /// Allocates the resources of a run that sendStart() starts later.
     void reserve(const WorkerId &worker, const StartRequest &request);
-    /// Starts a reserved run, unless it was stopped or the worker restarted since.
+    /// Starts a reserved run, unless it was stopped or the worker restarted since. Releases its
+    /// capacity when its ticket has expired.
     void sendStart(const WorkerId &worker, StartRequest request);
     /// Releases the capacity of a start that was not sent.
     void discardStart(const WorkerId &worker, const StartRequest &request);
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -54,6 +54,10 @@
     if (!placement || placement->stopRequested)
         return;
     const TimePoint now = context_.now();
+    if (request.ticketValidUntil && now >= *request.ticketValidUntil) {
+        discardStart(id, request);
+        return;
+    }
     placement->startSent = true;
     placement->sentAt = worker->estimatedClock(now);
     const WorkerTime deadline
--- a/Tests/Cell/PassOptionsTest.cpp
+++ b/Tests/Cell/PassOptionsTest.cpp
@@ -121,8 +121,8 @@
                 CPPUNIT_ASSERT((listed++)->ticket.validUntil == at(expiry));
                 CPPUNIT_ASSERT(approvals.isApproved(worker));
                 CPPUNIT_ASSERT(!approvals.validTicket(worker, at(expiry)));
-                const std::string *ticket = approvals.validTicket(worker, at(expiry - 1));
-                CPPUNIT_ASSERT(ticket && *ticket == std::to_string(expiry));
+                const auto *ticket = approvals.validTicket(worker, at(expiry - 1));
+                CPPUNIT_ASSERT(ticket && ticket->text == std::to_string(expiry));
             }
             for (std::uint64_t number = 0; number < decidedWorkers; ++number)
                 CPPUNIT_ASSERT_EQUAL(expiries.contains(number),
--- a/Tests/Cell/RecordedStartTest.cpp
+++ b/Tests/Cell/RecordedStartTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(RecordedStartTest);
     CPPUNIT_TEST(start_afterAnUnsentOneOfItsTask_waitsForItsOwnRecord);
     CPPUNIT_TEST(start_refusedByItsWorker_isNotRecordedAnyMore);
+    CPPUNIT_TEST(start_whoseTicketExpiresWhileItIsRecorded_isSentWithAnother);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +79,52 @@
         CPPUNIT_ASSERT(recordedRun(simulation) == RunNumber());
     }
 
+    /// Guards against starts that the worker refuses, as their tickets have expired.
+    void start_whoseTicketExpiresWhileItIsRecorded_isSentWithAnother()
+    {
+        constexpr Milliseconds validity(500);
+        CellSimulation simulation(3, 1);
+        simulation.configuration.queues.front().approval
+                = ApprovalSettings {Milliseconds(20), 100, validity};
+        simulation.configuration.version = ConfigurationVersion(2);
+        simulation.publishConfiguration();
+        bool isFirst = true;
+        simulation.plan = [&](const TaskKey &, RunNumber) {
+            const bool crashes = std::exchange(isFirst, false);
+            return SimulatedWorker::RunPlan {Milliseconds(1000), CompletionReason::Succeeded,
+                                             crashes ? std::optional(Milliseconds(200))
+                                                     : std::nullopt};
+        };
+        std::size_t recorded = 0;
+        simulation.storeReplyDelay = [&](const StoreRequest &request) {
+            recorded += recordsAStart(request) ? 1 : 0;
+            return Milliseconds(recorded == 1 && recordsAStart(request) ? 900 : 0);
+        };
+        TimePoint approvedAt;
+        simulation.approvalDuration = [&](const ApprovalRequest &) {
+            approvedAt = simulation.now();
+            return Milliseconds(20);
+        };
+        std::size_t expired = 0;
+        simulation.workerDelivery = [&](const InstanceId &, const WorkerRequest &request) {
+            const bool isExpired = std::holds_alternative<WorkerStart>(request.command)
+                    && simulation.now() - approvedAt >= validity;
+            expired += isExpired ? 1 : 0;
+            return CellSimulation::Delivery::Delivered;
+        };
+        CPPUNIT_ASSERT(
+                simulation.advanceUntil([&] { return simulation.holder().has_value(); }, longWait));
+        simulation.advance(Milliseconds(1000));
+        const std::size_t holder = *simulation.holder();
+        CPPUNIT_ASSERT(simulation.submitAndWait(holder, CellSimulation::job("a"))
+                       == CallerOutcome::Accepted);
+        CPPUNIT_ASSERT(simulation.advanceUntil(
+                [&] { return simulation.stateOf(holder, JobId("a")) == JobState::Completed; },
+                longWait));
+        CPPUNIT_ASSERT(recorded > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), expired);
+    }
+
 private:
     static constexpr Milliseconds longWait {20'000};
 
