Take back a step's readiness when the time of day has been set back

Cause: a step that was found due stayed ready for good. A time of day that is ahead for a moment made all scheduled steps ready, and those that found no room then started whenever there was some.

Now a step that has not begun is ready only while the time of day says so, also within a pass. A step that has begun stays ready: a run that has to start again must not wait for a time of day that was set back.

Open: a step that finds room while the time of day is ahead still starts early, as an instance has no second source of the time of day.

--- a/Source/Cell/CellJob.cpp
+++ b/Source/Cell/CellJob.cpp
@@ -30,6 +30,15 @@
             tasks.begin(), tasks.end(), [&](const CellTask &task) { return task.isIn(state); }));
 }
 
+bool CellStep::hasBegun() const
+{
+    return !failedGangRuns.empty()
+            || std::any_of(tasks.begin(), tasks.end(), [](const CellTask &task) {
+                   return !task.isIn(CellTask::State::Waiting) || task.run() != RunNumber()
+                           || !task.failedRuns.empty();
+               });
+}
+
 CellJob::CellJob(AcceptedJob accepted, const JobProgress &progress, TimePoint now)
     : hasProgressRecord(!progress.steps.empty())
     , accepted_(std::move(accepted))
@@ -161,7 +170,9 @@
 void CellJob::updateReadiness(TimePoint now, WallTime wallTime)
 {
     for (CellStep &step : steps_) {
-        if (!step.readySince && wallTime >= step.due && areDependenciesDone(step))
+        if (step.readySince && step.isEarly(wallTime))
+            step.readySince.reset();
+        else if (!step.readySince && wallTime >= step.due && areDependenciesDone(step))
             step.readySince = now;
     }
 }
--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -27,6 +27,11 @@
     std::optional<RunNumber> gangCheckpointOfStop;
 
     bool isDone() const { return doneTasks == tasks.size(); }
+    /// Whether the step has started or been attempted in this term.
+    bool hasBegun() const;
+    /// Whether nothing of the step may start at \a wallTime. The time of day may have been ahead
+    /// before; a step that has begun is due all the same.
+    bool isEarly(WallTime wallTime) const { return wallTime < due && !hasBegun(); }
     std::size_t countTasks(CellTask::State state) const;
     TaskKey taskKey(std::size_t index) const
     {
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -22,7 +22,8 @@
 
 bool CellScheduler::isStartable(const CellJob &job, const CellStep &step) const
 {
-    if (!step.readySince || step.isDone() || isFinal(job.state()))
+    if (!step.readySince || step.isDone() || isFinal(job.state())
+        || step.isEarly(context_.wallTime()))
         return false;
     // A later holder may have started the task.
     if (job.accepted().generation > generation_)
