Tell a restarted worker by its clock when its start time is the same

A job was never completed, or a task ran again, after a worker had restarted with the start time of its earlier incarnation (LOST, TWICE), as when its time of day is set back.

Cause: the start time was all that told two incarnations apart. The holder kept the runs of the earlier one until the new clock had caught up, and skipped ends whose numbers it had acknowledged before.

The clock of a list is never behind the one that was read before its call, nor, when the worker's lease has expired since, behind the end of that lease. One that is behind is of the next incarnation, and the worker counts as restarted. Lists that the earlier one still sends are ignored from then on.

Open: an acknowledgement or a start that was sent to the earlier incarnation and arrives at the next one is carried out there, as both have the same start time.

--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -35,6 +35,12 @@
     if (reply.incarnation) {
         if (hasEnded(*reply.incarnation))
             return ReplySource::Other;
+        // Only an incarnation with the same start time has a clock that is behind that of a call
+        // to it. It had ended before the present one was found by this.
+        const bool isBeforeRestart = isSameTarget && clockAt_ && target.clock > clock_;
+        if (isBeforeRestart && reply.incarnation == incarnation && reply.clock
+            && *reply.clock >= target.clock)
+            return ReplySource::Other;
         const bool isEarlier = incarnation && *reply.incarnation < *incarnation;
         return isEarlier && !isSameTarget ? ReplySource::Other : ReplySource::Present;
     }
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -17,6 +17,22 @@
     return placement.startSent && !placement.isOnPresentIncarnation;
 }
 
+/// Whether a later incarnation with the same start time has sent the reply: its clock is behind the
+/// one that was read before the call.
+bool isOfNextWithSameStartTime(const CellWorker &worker, const CallTarget &target,
+                               const WorkerReply &reply, TimePoint now)
+{
+    const bool isSameStartTime = reply.incarnation && reply.incarnation == target.incarnation
+            && reply.incarnation == worker.incarnation;
+    // Otherwise its restart was noticed after the call.
+    const bool isLatest = target.clock <= worker.callTarget(now).clock;
+    if (!isSameStartTime || !isLatest || !reply.clock)
+        return false;
+    // The call was sent after the expiry of the lease, which has reset the clock.
+    const bool isFirstAfterExpiry = !worker.hasClock() && worker.expiredLeaseEnd.has_value();
+    return *reply.clock < (isFirstAfterExpiry ? *worker.expiredLeaseEnd : target.clock);
+}
+
 } // namespace
 
 /// All runs on the worker have expired with its lease. The process may still run and keep its list
@@ -128,7 +144,9 @@
     }
     worker.unansweredCalls = 0;
     worker.lastReplyAt = context_.now();
-    if (reply.incarnation)
+    if (isOfNextWithSameStartTime(worker, target, reply, context_.now()))
+        restartWorker(worker, reply.incarnation);
+    else if (reply.incarnation)
         updateIncarnation(worker, reply.incarnation);
     if (reply.incarnation && reply.incarnation == worker.incarnation)
         discardExpiredRuns(worker);
@@ -158,9 +176,6 @@
     if (worker.incarnation == incarnation)
         return;
     if (worker.incarnation) {
-        context_.log("event=worker_restarted worker={} incarnation={} previous={} runs={}",
-                     worker.id().value(), incarnation->value(), worker.incarnation->value(),
-                     worker.placements.size());
         restartWorker(worker, incarnation);
         return;
     }
@@ -171,6 +186,10 @@
 /// as its reply does not name the incarnation.
 void WorkerFleet::restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
 {
+    context_.log("event=worker_restarted worker={} incarnation={} previous={} runs={}",
+                 worker.id().value(), newIncarnation.value_or(WorkerIncarnation()).value(),
+                 worker.incarnation.value_or(WorkerIncarnation()).value(),
+                 worker.placements.size());
     const Milliseconds lease = context_.settings().workerLease;
     const TimePoint leaseEnd = context_.now() + startTimeout + lease + lease / clockDriftDivisor
             + startWindow(lease);
@@ -180,6 +199,7 @@
     });
     const std::vector<Placement> placements = std::exchange(worker.placements, {});
     worker.startIncarnation(newIncarnation);
+    worker.expiredLeaseEnd.reset();
     // It may be of another kind, and no ticket of the earlier one is valid.
     worker.setNumber(takeNumber());
     for (const Placement &placement : placements) {
--- a/Tests/Cell/WorkerRestartTest.cpp
+++ b/Tests/Cell/WorkerRestartTest.cpp
@@ -27,6 +27,10 @@
     CPPUNIT_TEST(start_meantForAnIncarnationWithALaterStartTime_isNotExecuted);
     CPPUNIT_TEST(entry_ofAnEndedIncarnationWithALaterStartTime_losesNoRun);
     CPPUNIT_TEST(restart_seenByARefusedCall_isReadWithoutDelay);
+    CPPUNIT_TEST(end_ofAnIncarnationWithTheSameStartTime_isNotAcknowledgedUnread);
+    CPPUNIT_TEST(end_ofAnIncarnationWithTheSameStartTimeAfterTheLease_isNotAcknowledgedUnread);
+    CPPUNIT_TEST(run_lostWithAnIncarnationWithTheSameStartTime_startsAgainInTime);
+    CPPUNIT_TEST(list_ofTheEarlierIncarnationWithTheSameStartTime_losesNoRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -286,6 +290,72 @@
         assertRunsOnce("a");
     }
 
+    /// Guards against a task that runs again, as its end has a number that was acknowledged before.
+    void end_ofAnIncarnationWithTheSameStartTime_isNotAcknowledgedUnread()
+    {
+        startWithIdentifiedCalls(1);
+        for (int i = 0; i < 6; ++i)
+            complete("earlier" + std::to_string(i));
+        restartWithTheSameStartTime();
+        simulation_->advance(Milliseconds(2500));
+        submit("later", Milliseconds(100));
+        assertRunsOnce("later");
+    }
+
+    void end_ofAnIncarnationWithTheSameStartTimeAfterTheLease_isNotAcknowledgedUnread()
+    {
+        startWithIdentifiedCalls(1);
+        for (int i = 0; i < 6; ++i)
+            complete("earlier" + std::to_string(i));
+        simulation_->advance(Milliseconds(20'000));
+        submit("cut", longTask);
+        simulation_->advance(Milliseconds(1000));
+        simulation_->workerDelivery = [](const InstanceId &, const WorkerRequest &) {
+            return CellSimulation::Delivery::Lost;
+        };
+        restartWithTheSameStartTime();
+        simulation_->advance(Milliseconds(12'000));
+        simulation_->workerDelivery = nullptr;
+        simulation_->advance(Milliseconds(2500));
+        submit("later", Milliseconds(100));
+        assertRunsOnce("later");
+    }
+
+    /// Guards against a task that waits until the clock of the next incarnation has caught up.
+    void run_lostWithAnIncarnationWithTheSameStartTime_startsAgainInTime()
+    {
+        startWithIdentifiedCalls(1);
+        complete("earlier");
+        simulation_->advance(Milliseconds(30'000));
+        submit("a", longTask);
+        simulation_->advance(Milliseconds(2000));
+        restartWithTheSameStartTime();
+        CPPUNIT_ASSERT(simulation_->advanceUntil(
+                [&] { return simulation_->startsOf(JobId("a")) == 2; }, Milliseconds(8000)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+    }
+
+    /// Guards against a reply that takes the clock back to that of the earlier incarnation.
+    void list_ofTheEarlierIncarnationWithTheSameStartTime_losesNoRun()
+    {
+        startWithIdentifiedCalls(2);
+        complete("earlier");
+        submit("cut", longTask);
+        simulation_->advance(Milliseconds(1000));
+        delayReplies<WorkerHeartbeat>(Milliseconds(700));
+        simulation_->advance(Milliseconds(1600));
+        for (std::size_t i = 0; i < 2; ++i) {
+            simulation_->worker(i).resetsConnections = false;
+            simulation_->worker(i).restart(simulation_->now());
+            simulation_->worker(i).entry.incarnation = WorkerIncarnation(1);
+        }
+        simulation_->workerReplyDelay = nullptr;
+        submit("a", longTask);
+        CPPUNIT_ASSERT(advanceUntil([&] { return isCompleted("a") && isCompleted("cut"); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->startsAfterSuccess());
+    }
+
 private:
     static constexpr Milliseconds limit {20'000};
     static constexpr Milliseconds longTask {4000};
@@ -334,6 +404,12 @@
         simulation_->worker(0).resetsConnections = false;
         simulation_->worker(0).restart(simulation_->now());
     }
+    void restartWithTheSameStartTime()
+    {
+        const WorkerIncarnation incarnation = simulation_->worker(0).entry.incarnation;
+        restartUnnoticed();
+        simulation_->worker(0).entry.incarnation = incarnation;
+    }
     bool startsOnTheFirstWorker(const std::string &id)
     {
         return advanceUntil([&] { return hasStarted(id); })
