Test takeovers beside a success that is listed while its task runs again

The first run's worker is back after its lease, the second run is being stopped, at once or over 900 ms, and the holder is killed at each of 81 times from then on.

--- a/Tests/Cell/LateCompletionTest.cpp
+++ b/Tests/Cell/LateCompletionTest.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(success_listedWhileTheTaskRunsElsewhere_completesTheJob);
     CPPUNIT_TEST(success_ofAGangListedWhileItRunsElsewhere_completesTheJob);
     CPPUNIT_TEST(failure_listedWhileTheTaskRunsElsewhere_leavesItsRunAlone);
+    CPPUNIT_TEST(success_listedBeforeATakeover_startsNothingElse);
+    CPPUNIT_TEST(success_listedDuringALongStopAndATakeover_startsNothingElse);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -58,8 +60,40 @@
         CPPUNIT_ASSERT(!isNothingRunning());
     }
 
+    /// Guards against a start by the next holder, of a task whose success the former one has read.
+    void success_listedBeforeATakeover_startsNothingElse() { replaceHolderAfterSuccess({}); }
+    void success_listedDuringALongStopAndATakeover_startsNothingElse()
+    {
+        replaceHolderAfterSuccess(Milliseconds(900));
+    }
+
 private:
     static constexpr Milliseconds longWait {20'000};
+    static constexpr std::int64_t takeoverInterval = 20;
+    static constexpr std::int64_t latestTakeover = 1600;
+
+    /// The holder is killed at each time from the first list with the success on.
+    void replaceHolderAfterSuccess(Milliseconds stopDuration)
+    {
+        for (std::int64_t delay = 0; delay <= latestTakeover; delay += takeoverInterval) {
+            cutOff_.clear();
+            setUp();
+            for (std::size_t i = 0; i < 4; ++i)
+                simulation_->worker(i).stopDuration = stopDuration;
+            runElsewhere(CellSimulation::job("a"));
+            simulation_->workerDelivery = nullptr;
+            simulation_->advance(Milliseconds(delay));
+            const std::size_t holder = *simulation_->holder();
+            simulation_->kill(holder);
+            simulation_->advance(Milliseconds(100));
+            simulation_->restart(holder);
+            CPPUNIT_ASSERT(simulation_->advanceUntil(
+                    [&] { return stateOfJob() == JobState::Completed && isNothingRunning(); },
+                    longWait));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), simulation_->startsOf(JobId("a")));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
+        }
+    }
 
     /// The workers of the first runs are cut off, and the job runs on others after their lease.
     void runElsewhere(const JobSpec &job)
