--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -22,7 +22,8 @@
 
 bool CellScheduler::isStartable(const CellJob &job, const CellStep &step) const
 {
-    if (!step.readySince || step.isDone() || isFinal(job.state()))
+    if (!step.readySince || step.isDone() || isFinal(job.state())
+        || step.isEarly(context_.wallTime()))
         return false;
     // A later holder may have started the task.
     if (job.accepted().generation > generation_)
@@ -327,8 +328,10 @@
     request.payload = candidate.job->accepted().spec.payload;
     request.checkpoint = step.spec.gang ? step.gangCheckpoint : task.checkpoint;
     request.need = step.spec.allocation();
-    if (const std::string *ticket = step.approvals.validTicket(worker.number(), context_.now()))
-        request.ticket = *ticket;
+    if (const auto *ticket = step.approvals.validTicket(worker.number(), context_.now())) {
+        request.ticket = ticket->text;
+        request.ticketValidUntil = ticket->validUntil;
+    }
     option.free -= request.need;
     if (!task.crashes().isEmpty())
         option.suspects.push_back({step.key.job, task.crashes().needsIsolation(), true});
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -59,6 +59,8 @@
         std::string payload;
         std::string checkpoint;
         std::string ticket;
+        /// Nothing when the start needs no ticket.
+        std::optional<TimePoint> ticketValidUntil = std::nullopt;
         Resources need;
     };
     using Workers = std::map<WorkerId, CellWorker>;
@@ -90,7 +92,8 @@
     void start(const WorkerId &worker, StartRequest request);
     /// Allocates the resources of a run that sendStart() starts later.
     void reserve(const WorkerId &worker, const StartRequest &request);
-    /// Starts a reserved run, unless it was stopped or the worker restarted since.
+    /// Starts a reserved run, unless it was stopped or the worker restarted since. Releases its
+    /// capacity when its ticket has expired.
     void sendStart(const WorkerId &worker, StartRequest request);
     /// Releases the capacity of a start that was not sent.
     void discardStart(const WorkerId &worker, const StartRequest &request);
@@ -125,7 +128,7 @@
     /// Whether new work may be placed on the worker.
     bool isUsable(const CellWorker &worker) const;
     /// Whether all runs of earlier holders are known: each worker of the roster was read, or its
-    /// lease has expired.
+    /// lease has expired. A worker that answers with incomplete lists is waited for.
     bool isRecovered() const { return recovered_; }
     /// Whether an earlier holder may have started a run of the job that is not known yet.
     bool mayHaveUnknownRuns(const JobId &job) const
