Hold no crash against a task that other workers shared

Callers saw sound jobs shown as failed after losses of power (LOST): each crash of a worker counted under all its tasks, so the fifth power cut gave a job up, and two of them made each task keep a worker for itself.

What sets a task that crashes its workers apart is the difference: workers with its runs fall, those without stay up. The fleet keeps when each worker was lost and under which runs (WorkerOutage), and CommonCause decides by the workers without runs of the job: those that went down at the same time, and those that stayed up. A third of them (three at least), or ten in a fleet of any size, is a common cause. A worker that ran a task with crashes of its own, or with two shared ones, does not count, as that task may explain its crash; without a survivor it does. A later holder compares the incarnations in the start log, once the workers are read.

A shared crash is stored and marked. It does not isolate its task nor give the job up by itself. Beside three crashes of the task's own it counts among the five, so that a crashing task whose crashes coincide with others' twice stays in its budget; beside one it counts for isolation.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -32,20 +32,24 @@
         if (step && countsAsCrash(*step, placement))
             runs.push_back({placement.task, placement.run, placement.listedFor()});
     }
-    countCrashes({worker.id(), incarnation}, evidence, runs);
+    const WorkerCrash crash {worker.id(), incarnation};
+    countCrashes(crash, evidence, runs, findCommonCause(crash, runs));
 }
 
 void CellScheduler::countCrashes(const WorkerCrash &crash, CrashEvidence evidence,
-                                 const std::vector<LostRun> &lost)
+                                 const std::vector<LostRun> &lost, const JobsOfSharedCrash &shared)
 {
     for (const LostRun &run : lost) {
-        if (countCrash(crash, evidence, run))
+        const auto found = shared.find(run.task.job);
+        if (countCrash(crash, evidence, run,
+                       found == shared.end() ? std::nullopt : std::optional(found->second)))
             giveUpIfDue(run.task);
     }
 }
 
 bool CellScheduler::countCrash(const WorkerCrash &crash, CrashEvidence evidence,
-                               const LostRun &lost)
+                               const LostRun &lost,
+                               const std::optional<CommonCause::Others> &sharedWith)
 {
     const TaskKey &key = lost.task;
     CellJob *job = nullptr;
@@ -53,10 +57,20 @@
     if (!step || isFinal(job->state()))
         return false;
     CellTask &task = step->tasks[key.index.value()];
-    if (task.isFinished() || !task.addCrash(crash))
+    if (task.isFinished() || !task.addCrash(crash, sharedWith.has_value()))
         return false;
     jobsWithCrashes_.insert(key.job);
     recorder_.markCrash(key);
+    if (sharedWith) {
+        context_.log("event=worker_crash_shared job={} step={} task={} run={} worker={} "
+                     "incarnation={} crashes={} own={} down={} explained={} stayed_up={} "
+                     "unknown={} evidence={}",
+                     key.job.value(), key.step.value(), key.index.value(), lost.run.value(),
+                     crash.worker.value(), crash.incarnation.value(), task.crashes().count(),
+                     task.crashes().ownCount(), sharedWith->down, sharedWith->explained,
+                     sharedWith->stayedUp, sharedWith->unknown, nameOf(evidence));
+        return true;
+    }
     context_.log("event=worker_crashed_under_run job={} step={} task={} run={} worker={} "
                  "incarnation={} crashes={} listed_for_ms={} evidence={}",
                  key.job.value(), key.step.value(), key.index.value(), lost.run.value(),
@@ -154,7 +168,10 @@
     std::erase_if(openStarts_, [&](const auto &row) {
         const LoggedStart &start = row.second;
         const OpenStartOutcome outcome = outcomeOf(start);
-        if (outcome == OpenStartOutcome::Unknown)
+        // Until the other workers are read, it is open whether they went down as well.
+        const bool isEarly
+                = outcome == OpenStartOutcome::Crashed && fleet_.mayHaveUnknownRuns(start.task.job);
+        if (outcome == OpenStartOutcome::Unknown || isEarly)
             return false;
         if (outcome == OpenStartOutcome::Crashed)
             crashes[{start.worker, start.incarnation}].push_back({start.task, start.run, {}});
@@ -167,7 +184,10 @@
         return true;
     });
     for (const auto &[crash, lost] : crashes)
-        countCrashes(crash, CrashEvidence::StartLog, lost);
+        loggedCrashes_.insert(crash);
+    std::map<WorkerCrash, JobsOfSharedCrash> shared = findCommonCausesInLog(crashes);
+    for (const auto &[crash, lost] : crashes)
+        countCrashes(crash, CrashEvidence::StartLog, lost, shared[crash]);
 }
 
 void CellScheduler::addRecordedStarts(const CellJob &job)
@@ -177,9 +197,10 @@
             const std::optional<RecordedStart> &start = step.tasks[i].recordedStart;
             if (start) {
                 const TaskKey key = step.taskKey(i);
-                openStarts_.insert_or_assign(
-                        {key, start->run},
-                        LoggedStart {key, start->run, start->worker, start->incarnation, false});
+                const LoggedStart logged {key, start->run, start->worker, start->incarnation,
+                                          false};
+                openStarts_.insert_or_assign({key, start->run}, logged);
+                takenOverStarts_[start->worker].push_back(logged);
             }
         }
     }
@@ -227,7 +248,7 @@
         const CellJob *job = findJob(id);
         for (const CellStep &step : job->steps()) {
             for (const CellTask &task : step.tasks) {
-                if (task.isIn(CellTask::State::OnWorker) && !task.crashes().isEmpty())
+                if (task.isIn(CellTask::State::OnWorker) && task.crashes().isSuspect())
                     suspects[task.worker()].push_back(
                             {id, task.crashes().needsIsolation(),
                              task.progressAt - task.placedAt() < probation});
@@ -260,7 +281,7 @@
     }
     if (hasIsolated)
         penalty += isolatedTaskWeight;
-    if (hasSuspect && !crashes.isEmpty())
+    if (hasSuspect && crashes.isSuspect())
         penalty += suspectTaskWeight;
     if (!crashes.needsIsolation())
         return penalty;
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -24,10 +24,10 @@
 {
     const CellStep &step = *candidate.step;
     std::vector<GangCapacity> capacities;
-    const auto mostCrashes = std::max_element(step.tasks.begin(), step.tasks.end(),
-                                              [](const CellTask &a, const CellTask &b) {
-                                                  return a.crashes().count() < b.crashes().count();
-                                              });
+    const auto mostCrashes = std::max_element(
+            step.tasks.begin(), step.tasks.end(), [](const CellTask &a, const CellTask &b) {
+                return a.crashes().ownCount() < b.crashes().ownCount();
+            });
     for (const auto &[option, hasTicket] : permittedWorkers(candidate)) {
         const std::int64_t total
                 = step.spec.need.timesIn(option->worker->entry->capacity, step.spec.tasks);
--- a/Source/Cell/CellJob.cpp
+++ b/Source/Cell/CellJob.cpp
@@ -80,8 +80,12 @@
         }
         for (const auto &[index, crashes] : saved.crashes) {
             markStarted();
+            const auto shared = saved.sharedCrashes.find(index);
             if (index < step.tasks.size())
-                step.tasks[index].restoreCrashes(crashes);
+                step.tasks[index].restoreCrashes({crashes,
+                                                  shared == saved.sharedCrashes.end()
+                                                          ? std::set<WorkerCrash>()
+                                                          : shared->second});
         }
         for (const auto &[index, start] : saved.starts) {
             if (index < step.tasks.size())
@@ -182,6 +186,8 @@
                 row.failedRuns[i] = task.failedRuns;
             if (!task.crashes().isEmpty() && !task.isIn(CellTask::State::Done))
                 row.crashes[i] = task.crashes().crashes();
+            if (!task.crashes().shared().empty() && !task.isIn(CellTask::State::Done))
+                row.sharedCrashes[i] = task.crashes().shared();
             if (task.recordedStart && !task.isIn(CellTask::State::Done))
                 row.starts[i] = *task.recordedStart;
             if (!task.checkpoint.empty() && !task.isIn(CellTask::State::Done))
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -276,9 +276,9 @@
     auto best = workers.end();
     double bestScore = 0;
     for (auto worker = workers.begin(); worker != workers.end(); ++worker) {
-        const double penalty = task.crashes().isEmpty()
-                ? worker->crashPenalty
-                : crashPenalty(*worker->option, job, task.crashes());
+        const double penalty = task.crashes().isSuspect()
+                ? crashPenalty(*worker->option, job, task.crashes())
+                : worker->crashPenalty;
         const double score = worker->score - penalty;
         if (best == workers.end() || score > bestScore) {
             best = worker;
@@ -330,7 +330,7 @@
     if (const std::string *ticket = step.approvals.validTicket(worker.number(), context_.now()))
         request.ticket = *ticket;
     option.free -= request.need;
-    if (!task.crashes().isEmpty())
+    if (task.crashes().isSuspect())
         option.suspects.push_back({step.key.job, task.crashes().needsIsolation(), true});
     task.assign(worker.id(), run, context_.now());
     task.handle(CellTask::Event::Placed);
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -96,6 +96,7 @@
     startLog_.startTerm(term.startLog);
     for (LoggedStart &start : StartLog::openStarts(term.startLog)) {
         const std::pair<TaskKey, RunNumber> key {start.task, start.run};
+        takenOverStarts_[start.worker].push_back(start);
         openStarts_.emplace(key, std::move(start));
     }
     recorder_.startTerm(std::move(term.holder), term.sequences);
@@ -111,6 +112,8 @@
     unknownJobs_.clear();
     jobsWithCrashes_.clear();
     openStarts_.clear();
+    takenOverStarts_.clear();
+    loggedCrashes_.clear();
     startLog_.endTerm();
     unsentStarts_.clear();
     fleet_.endTerm();
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -125,6 +125,16 @@
         /// an earlier holder started it.
         std::optional<WorkerTime> listedFor;
     };
+    /// An outage of another worker at the time of a crash.
+    struct OutageBeside
+    {
+        const WorkerId *worker = nullptr;
+        const WorkerOutage *outage = nullptr;
+        /// See CellScheduler::isExplained(); nothing before it is asked.
+        std::optional<bool> isExplained;
+    };
+    /// What became of the other workers, by the jobs for which it explains a crash.
+    using JobsOfSharedCrash = std::map<JobId, CommonCause::Others>;
     /// A worker on which the policy service has not decided for a step.
     struct UndecidedWorker
     {
@@ -236,9 +246,27 @@
                 const TaskKey &key, RunNumber run);
     /// Counts the crash for the tasks of \a lost runs and fails the jobs that are given up for it.
     void countCrashes(const WorkerCrash &crash, CrashEvidence evidence,
-                      const std::vector<LostRun> &lost);
+                      const std::vector<LostRun> &lost, const JobsOfSharedCrash &shared);
     /// Returns false when the crash was counted before or the task needs no further run.
-    bool countCrash(const WorkerCrash &crash, CrashEvidence evidence, const LostRun &lost);
+    bool countCrash(const WorkerCrash &crash, CrashEvidence evidence, const LostRun &lost,
+                    const std::optional<CommonCause::Others> &sharedWith);
+    /// For which of the jobs with \a lost runs the crash has a common cause with other outages.
+    JobsOfSharedCrash findCommonCause(const WorkerCrash &crash, const std::vector<LostRun> &lost);
+    /// The same for crashes that the start log shows.
+    std::map<WorkerCrash, JobsOfSharedCrash>
+    findCommonCausesInLog(const std::map<WorkerCrash, std::vector<LostRun>> &crashes);
+    static std::set<JobId> jobsOf(const std::vector<LostRun> &lost);
+    /// Counts the outages of workers without runs of the job, at most as many as are certain to
+    /// have a common cause.
+    CommonCause::Others othersDown(std::vector<OutageBeside> &outages, const JobId &job);
+    /// Whether a task that had a run there may have crashed the worker.
+    bool isExplained(const WorkerId &worker, const WorkerOutage &outage);
+    /// Adds the workers without runs of the job that did not go down in \a outage.
+    void addWorkersStillUp(CommonCause::Others &others, const WorkerId &crashed,
+                           const WorkerOutage &outage, const JobId &job) const;
+    /// The last incarnation of a worker with starts of earlier holders, and the tasks that may have
+    /// been there at the takeover.
+    WorkerOutage lastLoggedRuns(const std::vector<LoggedStart> &starts);
     void giveUpIfDue(const TaskKey &key);
     static bool countsAsCrash(const CellStep &step, const Placement &placement);
     void collectSuspects();
@@ -356,6 +384,10 @@
     StartLog startLog_;
     /// Starts of earlier holders of which it is not known how their runs ended.
     std::map<std::pair<TaskKey, RunNumber>, LoggedStart> openStarts_;
+    /// All starts that were open at the takeover, by worker.
+    std::map<WorkerId, std::vector<LoggedStart>> takenOverStarts_;
+    /// Crashes that this holder has found by the start log.
+    std::set<WorkerCrash> loggedCrashes_;
     TimePoint termStartedAt_;
     /// Starts that are sent when they are recorded.
     std::map<TaskKey, RecordedFirst> unsentStarts_;
--- a/Source/Cell/CellTask.cpp
+++ b/Source/Cell/CellTask.cpp
@@ -63,9 +63,9 @@
     progressAt = at;
 }
 
-bool CellTask::addCrash(const WorkerCrash &crash)
+bool CellTask::addCrash(const WorkerCrash &crash, bool isShared)
 {
-    if (!crashes_.add(crash))
+    if (!crashes_.add(crash, isShared))
         return false;
     ++unrecordedCrashes_;
     return true;
--- a/Source/Cell/CellTask.h
+++ b/Source/Cell/CellTask.h
@@ -67,9 +67,9 @@
 
     /// Counts a crash of a worker under a run; false when it was counted before. The task does not
     /// start again before the crash is recorded.
-    bool addCrash(const WorkerCrash &crash);
+    bool addCrash(const WorkerCrash &crash, bool isShared);
     void onCrashRecorded();
-    void restoreCrashes(const std::set<WorkerCrash> &crashes) { crashes_ = CrashHistory(crashes); }
+    void restoreCrashes(CrashHistory crashes) { crashes_ = std::move(crashes); }
     const CrashHistory &crashes() const { return crashes_; }
 
     const WorkerId &worker() const { return worker_; }
--- a/Source/Cell/JobSpec.h
+++ b/Source/Cell/JobSpec.h
@@ -142,6 +142,8 @@
     std::map<std::uint64_t, std::string> checkpoints;
     /// Crashes of workers under runs of the tasks, by task.
     std::map<std::uint64_t, std::set<WorkerCrash>> crashes;
+    /// Those of the crashes that other workers shared.
+    std::map<std::uint64_t, std::set<WorkerCrash>> sharedCrashes;
     /// Current runs, by task, of tasks with crashes.
     std::map<std::uint64_t, RecordedStart> starts;
 };
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -34,6 +34,7 @@
     active_ = false;
     recovered_ = false;
     workers_.clear();
+    outages_.clear();
     workersByAddress_.clear();
     dueHeartbeats_.clear();
     nextNumber_ = {};
@@ -172,6 +173,7 @@
                 && worker.unrecordedCompletions.empty() && !worker.heartbeatInFlight
                 && !awaitsReturn(worker);
     });
+    discardOldOutages();
     checkRecovery();
 }
 
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -2,6 +2,7 @@
 
 #include "Cell/CellContext.h"
 #include "Cell/CellWorker.h"
+#include "Cell/CommonCause.h"
 #include "Cell/Records.h"
 
 #include <map>
@@ -116,6 +117,8 @@
     /// Whether the task had a run on a worker whose lease expired a short time ago and that has not
     /// returned, so that it is open whether the worker crashed.
     bool mayHaveCrashedUnder(const TaskKey &task) const;
+    /// The last outage of each worker from which its incarnation has not returned.
+    const std::map<WorkerId, WorkerOutage> &outages() const { return outages_; }
     /// Whether new work may be placed on the worker.
     bool isUsable(const CellWorker &worker) const;
     /// Whether all runs of earlier holders are known: each worker of the roster was read, or its
@@ -177,6 +180,11 @@
     /// under those that have expired with its lease.
     void reportCrash(CellWorker &worker, CrashEvidence evidence,
                      const std::function<bool(const Placement &)> &isLost);
+    /// Keeps when the present incarnation was lost and under which runs, unless that is known.
+    void beginOutage(const CellWorker &worker);
+    /// The incarnation is running.
+    void endOutage(const CellWorker &worker);
+    void discardOldOutages();
     void updateIncarnation(CellWorker &worker, std::optional<WorkerIncarnation> incarnation);
     /// Updates the state of the worker from the reply, unless another incarnation has sent it.
     ReplySource updateFromReply(CellWorker &worker, const CallTarget &target,
@@ -210,6 +218,7 @@
     Handlers handlers_;
     FencingToken token_;
     Workers workers_;
+    std::map<WorkerId, WorkerOutage> outages_;
     /// The worker that was last listed at an address.
     std::map<Address, WorkerId> workersByAddress_;
     WorkerNumber nextNumber_;
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -11,6 +11,9 @@
 /// How long a task with several crashes waits to know whether there was another.
 constexpr Milliseconds crashEvidenceWait {10'000};
 
+/// How long the outage of a worker is kept that has returned, or has left the list.
+constexpr Milliseconds outageMemory {60'000};
+
 /// Whether the start may reach a later incarnation of the worker than it was sent to.
 bool mayBeOnNextIncarnation(const Placement &placement)
 {
@@ -58,6 +61,7 @@
 {
     if (std::exchange(worker.isReplaced, true))
         return;
+    beginOutage(worker);
     context_.log("event=worker_replaced worker={} incarnation={} runs={} expired_runs={}",
                  worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
                  worker.placements.size(), worker.expiredPlacements.size());
@@ -108,6 +112,7 @@
             return ReplySource::Other;
         if (reply.outcome == WorkerOutcome::Misdirected)
             markReplaced(worker);
+        beginOutage(worker);
         if (++worker.unansweredCalls == 1 && !worker.placements.empty())
             logUnreachable(worker, reply.outcome);
         worker.avoidUntil = context_.now() + unansweredBackoff;
@@ -126,12 +131,14 @@
         context_.log("event=worker_reachable worker={} unanswered_calls={} runs={}",
                      worker.id().value(), worker.unansweredCalls, worker.placements.size());
     }
-    worker.unansweredCalls = 0;
-    worker.lastReplyAt = context_.now();
     if (reply.incarnation)
         updateIncarnation(worker, reply.incarnation);
-    if (reply.incarnation && reply.incarnation == worker.incarnation)
+    worker.unansweredCalls = 0;
+    worker.lastReplyAt = context_.now();
+    if (reply.incarnation && reply.incarnation == worker.incarnation) {
+        endOutage(worker);
         discardExpiredRuns(worker);
+    }
     if (!reply.clock)
         return source;
     // An earlier holder may have renewed the lease by its full length just before.
@@ -161,12 +168,46 @@
         context_.log("event=worker_restarted worker={} incarnation={} previous={} runs={}",
                      worker.id().value(), incarnation->value(), worker.incarnation->value(),
                      worker.placements.size());
+        beginOutage(worker);
         restartWorker(worker, incarnation);
         return;
     }
     worker.incarnation = incarnation;
 }
 
+void WorkerFleet::beginOutage(const CellWorker &worker)
+{
+    // Without a reply in this term it is open since when the worker is down.
+    const bool wasSeen = worker.incarnation && worker.lastReplyAt != TimePoint();
+    if (!wasSeen || worker.drainedIncarnation == worker.incarnation)
+        return;
+    const auto found = outages_.find(worker.id());
+    if (found != outages_.end() && found->second.incarnation == *worker.incarnation)
+        return;
+    WorkerOutage outage {*worker.incarnation, worker.lastReplyAt, context_.now(), {}};
+    for (const Placement &placement : worker.placements) {
+        if (placement.startSent)
+            outage.runs.push_back(placement.task);
+    }
+    outages_.insert_or_assign(worker.id(), std::move(outage));
+}
+
+void WorkerFleet::endOutage(const CellWorker &worker)
+{
+    const auto found = outages_.find(worker.id());
+    if (found != outages_.end() && found->second.incarnation == worker.incarnation)
+        outages_.erase(found);
+}
+
+void WorkerFleet::discardOldOutages()
+{
+    std::erase_if(outages_, [&](const auto &row) {
+        const CellWorker *worker = findWorker(row.first);
+        const bool isDown = worker && worker->unansweredCalls > 0;
+        return !isDown && context_.now() - row.second.until >= outageMemory;
+    });
+}
+
 /// A start that is not proved to have reached the earlier incarnation may have reached the new one,
 /// as its reply does not name the incarnation.
 void WorkerFleet::restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -221,29 +221,36 @@
     return rows;
 }
 
-Json encodeCrashes(const std::map<std::uint64_t, std::set<WorkerCrash>> &rows)
+Json encodeCrashes(const StepProgress &step)
 {
     Json json = Json::array();
-    for (const auto &[index, crashes] : rows) {
+    for (const auto &[index, crashes] : step.crashes) {
+        const auto shared = step.sharedCrashes.find(index);
         Json list = Json::array();
-        for (const WorkerCrash &crash : crashes)
-            list.push_back(Json::array({crash.worker.value(), crash.incarnation.value()}));
+        for (const WorkerCrash &crash : crashes) {
+            Json row = Json::array({crash.worker.value(), crash.incarnation.value()});
+            if (shared != step.sharedCrashes.end() && shared->second.contains(crash))
+                row.push_back(1);
+            list.push_back(std::move(row));
+        }
         json.push_back(Json::array({index, std::move(list)}));
     }
     return json;
 }
 
-std::map<std::uint64_t, std::set<WorkerCrash>> decodeCrashes(const Json &json)
+void decodeCrashes(const Json &json, StepProgress &step)
 {
-    std::map<std::uint64_t, std::set<WorkerCrash>> rows;
     for (const Json &row : json) {
-        std::set<WorkerCrash> &crashes = rows[row.at(0).get<std::uint64_t>()];
-        for (const Json &crash : row.at(1)) {
-            crashes.insert({decodeName<WorkerId>(crash.at(0)),
-                            decodeNumber<WorkerIncarnation>(crash.at(1))});
+        const auto index = row.at(0).get<std::uint64_t>();
+        for (const Json &item : row.at(1)) {
+            const WorkerCrash crash {decodeName<WorkerId>(item.at(0)),
+                                     decodeNumber<WorkerIncarnation>(item.at(1))};
+            step.crashes[index].insert(crash);
+            // Earlier releases do not mark shared crashes.
+            if (item.size() > 2)
+                step.sharedCrashes[index].insert(crash);
         }
     }
-    return rows;
 }
 
 Json encodeStarts(const std::map<std::uint64_t, RecordedStart> &rows)
@@ -277,7 +284,7 @@
         Json row = Json::array(
                 {std::move(done), encodeRuns(step.failedRuns), encodeMap(step.checkpoints)});
         if (!step.crashes.empty())
-            row.push_back(encodeCrashes(step.crashes));
+            row.push_back(encodeCrashes(step));
         if (!step.crashes.empty() && !step.starts.empty())
             row.push_back(encodeStarts(step.starts));
         steps.push_back(std::move(row));
@@ -296,7 +303,7 @@
         step.checkpoints = decodeMap<std::string>(row.at(2));
         // Earlier releases record no crashes.
         if (row.size() > 3)
-            step.crashes = decodeCrashes(row.at(3));
+            decodeCrashes(row.at(3), step);
         if (row.size() > 4)
             step.starts = decodeStarts(row.at(4));
     }
--- a/Tests/Messages/CellCodecTest.cpp
+++ b/Tests/Messages/CellCodecTest.cpp
@@ -42,11 +42,14 @@
         step.done = {true, false};
         step.crashes[1]
                 = {{WorkerId("a"), WorkerIncarnation(7)}, {WorkerId("b"), WorkerIncarnation(8)}};
+        step.sharedCrashes[1] = {{WorkerId("b"), WorkerIncarnation(8)}};
         step.starts[1] = {RunNumber(9), WorkerId("c"), WorkerIncarnation(3)};
         const RecordValue decoded
                 = decodeRecord(RecordType::Progress, encodeRecord(JobProgress {{step}}));
         CPPUNIT_ASSERT(std::holds_alternative<JobProgress>(decoded));
         CPPUNIT_ASSERT(std::get<JobProgress>(decoded).steps.front().crashes == step.crashes);
+        CPPUNIT_ASSERT(std::get<JobProgress>(decoded).steps.front().sharedCrashes
+                       == step.sharedCrashes);
         CPPUNIT_ASSERT(std::get<JobProgress>(decoded).steps.front().starts == step.starts);
     }
 
