--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -11,6 +11,9 @@
 /// How long a task with several crashes waits to know whether there was another.
 constexpr Milliseconds crashEvidenceWait {10'000};
 
+/// How long the outage of a worker is kept that has returned, or has left the list.
+constexpr Milliseconds outageMemory {60'000};
+
 /// Whether the start may reach a later incarnation of the worker than it was sent to.
 bool mayBeOnNextIncarnation(const Placement &placement)
 {
@@ -74,6 +77,7 @@
 {
     if (std::exchange(worker.isReplaced, true))
         return;
+    beginOutage(worker);
     context_.log("event=worker_replaced worker={} incarnation={} runs={} expired_runs={}",
                  worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
                  worker.placements.size(), worker.expiredPlacements.size());
@@ -124,6 +128,7 @@
             return ReplySource::Other;
         if (reply.outcome == WorkerOutcome::Misdirected)
             markReplaced(worker);
+        beginOutage(worker);
         if (++worker.unansweredCalls == 1 && !worker.placements.empty())
             logUnreachable(worker, reply.outcome);
         worker.avoidUntil = context_.now() + unansweredBackoff;
@@ -142,14 +147,18 @@
         context_.log("event=worker_reachable worker={} unanswered_calls={} runs={}",
                      worker.id().value(), worker.unansweredCalls, worker.placements.size());
     }
-    worker.unansweredCalls = 0;
-    worker.lastReplyAt = context_.now();
-    if (isOfNextWithSameStartTime(worker, target, reply, context_.now()))
+    const bool isOfNext = isOfNextWithSameStartTime(worker, target, reply, context_.now());
+    if (isOfNext)
         restartWorker(worker, reply.incarnation);
     else if (reply.incarnation)
         updateIncarnation(worker, reply.incarnation);
-    if (reply.incarnation && reply.incarnation == worker.incarnation)
+    worker.unansweredCalls = 0;
+    worker.lastReplyAt = context_.now();
+    if (reply.incarnation && reply.incarnation == worker.incarnation) {
+        if (!isOfNext)
+            endOutage(worker);
         discardExpiredRuns(worker);
+    }
     if (!reply.clock)
         return source;
     // An earlier holder may have renewed the lease by its full length just before.
@@ -182,6 +191,39 @@
     worker.incarnation = incarnation;
 }
 
+void WorkerFleet::beginOutage(const CellWorker &worker)
+{
+    // Without a reply in this term it is open since when the worker is down.
+    const bool wasSeen = worker.incarnation && worker.lastReplyAt != TimePoint();
+    if (!wasSeen || worker.drainedIncarnation == worker.incarnation)
+        return;
+    const auto found = outages_.find(worker.id());
+    if (found != outages_.end() && found->second.incarnation == *worker.incarnation)
+        return;
+    WorkerOutage outage {*worker.incarnation, worker.lastReplyAt, context_.now(), {}};
+    for (const Placement &placement : worker.placements) {
+        if (placement.startSent)
+            outage.runs.push_back(placement.task);
+    }
+    outages_.insert_or_assign(worker.id(), std::move(outage));
+}
+
+void WorkerFleet::endOutage(const CellWorker &worker)
+{
+    const auto found = outages_.find(worker.id());
+    if (found != outages_.end() && found->second.incarnation == worker.incarnation)
+        outages_.erase(found);
+}
+
+void WorkerFleet::discardOldOutages()
+{
+    std::erase_if(outages_, [&](const auto &row) {
+        const CellWorker *worker = findWorker(row.first);
+        const bool isDown = worker && worker->unansweredCalls > 0;
+        return !isDown && context_.now() - row.second.until >= outageMemory;
+    });
+}
+
 /// A start that is not proved to have reached the earlier incarnation may have reached the new one,
 /// as its reply does not name the incarnation.
 void WorkerFleet::restartWorker(CellWorker &worker, std::optional<WorkerIncarnation> newIncarnation)
@@ -190,6 +232,7 @@
                  worker.id().value(), newIncarnation.value_or(WorkerIncarnation()).value(),
                  worker.incarnation.value_or(WorkerIncarnation()).value(),
                  worker.placements.size());
+    beginOutage(worker);
     const Milliseconds lease = context_.settings().workerLease;
     const TimePoint leaseEnd = context_.now() + startTimeout + lease + lease / clockDriftDivisor
             + startWindow(lease);
