Parse the platform's messages into a flat document instead of a tree

Cause: decoding allocated a node, a name and a text for every field of a reply, 1,329 times for a heartbeat reply with 64 runs.

JsonDocument has all values of a text in one vector and all texts in one string, filled by the events of the same parser. The decoders of worker replies, store replies, worker entries, the configuration and submissions read it in the order in which they read the tree.

Two differences remain: a configuration without version, routes or services is logged with another text, and brackets after a zero byte, at which the parser ends, no longer count as nesting.

Calls of the tests to decodeWorkerEntry(), decodeConfiguration() and decodeResources() pass the text through parseObject() now; what they assert is unchanged.

--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <openssl/evp.h>
 
@@ -13,7 +14,7 @@
 namespace caraway::tests {
 
 using namespace cell;
-using platform::Json;
+using Json = nlohmann::json;
 using platform::PlatformProtocol;
 
 /// Translation between the scheduler's types and the platform's messages.
@@ -247,12 +248,12 @@
     {
         Json json = Json::parse(R"({"service":"s","address":"10.0.0.9:8080","state":"draining",)"
                                 R"("capacity":{"cpu":1000},"remainingMs":7000,"clockMs":482113})");
-        const WorkerEntry announced = platform::decodeWorkerEntry("w-1", json);
+        const WorkerEntry announced = decodeEntry(json);
         CPPUNIT_ASSERT(announced.remaining == Milliseconds(7000));
         CPPUNIT_ASSERT(announced.reportedAt == WorkerTime(482113));
         json.erase("remainingMs");
         json.erase("clockMs");
-        const WorkerEntry unannounced = platform::decodeWorkerEntry("w-1", json);
+        const WorkerEntry unannounced = decodeEntry(json);
         CPPUNIT_ASSERT(!unannounced.remaining && !unannounced.reportedAt);
     }
 
@@ -536,11 +537,13 @@
 
     void configuration_decoded_containsQueueSettings()
     {
-        const CellConfiguration configuration = platform::decodeConfiguration(Json::parse(
-                R"({"version":7,"routes":[{"name":"r","hostname":"host","prefix":"/q/",)"
-                R"("timeoutMs":3000,"targetDurationMs":250,"priority":0,"service":"s",)"
-                R"("maxAttempts":4,"stretch":1.5,"advice":{"decisionMs":10.0,"perWorkerMs":0.15,)"
-                R"("validityMs":2500}}],"services":[{"name":"s","rejectsOverload":true}]})"));
+        const CellConfiguration configuration = platform::decodeConfiguration(
+                platform::parseObject(
+                        R"({"version":7,"routes":[{"name":"r","hostname":"host","prefix":"/q/",)"
+                        R"("timeoutMs":3000,"targetDurationMs":250,"priority":0,"service":"s",)"
+                        R"("maxAttempts":4,"stretch":1.5,"advice":{"decisionMs":10.0,"perWorkerMs":0.15,)"
+                        R"("validityMs":2500}}],"services":[{"name":"s","rejectsOverload":true}]})")
+                        .root());
         const Queue &queue = *configuration.queueAt("host", "/q/" + id_);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(150), queue.stretchPercent);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(150), queue.approval->perWorkerMicroseconds);
@@ -629,6 +632,11 @@
         return "{" + entry + "}";
     }
 
+    static WorkerEntry decodeEntry(const Json &json)
+    {
+        return platform::decodeWorkerEntry("w-1", platform::parseObject(json.dump()).root());
+    }
+
     static std::string toBase64(const std::string &bytes)
     {
         std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
--- a/Tests/Platform/WorkerCapacityDecodingTest.cpp
+++ b/Tests/Platform/WorkerCapacityDecodingTest.cpp
@@ -5,7 +5,6 @@
 namespace caraway::tests {
 
 using cell::WorkerEntry;
-using platform::Json;
 
 /// The capacity in a worker's entry.
 class WorkerCapacityDecodingTest : public CppUnit::TestFixture
@@ -42,8 +41,8 @@
 
     void need_withAFraction_isRoundedUp()
     {
-        const Resources need
-                = platform::decodeResources(Json::parse(R"({"cpu":3199.2,"memMb":0.1})"));
+        const Resources need = platform::decodeResources(
+                platform::parseObject(R"({"cpu":3199.2,"memMb":0.1})").root());
         CPPUNIT_ASSERT_EQUAL(std::int64_t(3200), need.processors.count());
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1) << 20, need.memory.count());
     }
@@ -53,9 +52,10 @@
     {
         return platform::decodeWorkerEntry(
                 "w-1",
-                Json::parse(
+                platform::parseObject(
                         R"({"service":"s","address":"10.0.0.9:8080","state":"ready","capacity":)"
-                        + capacity + "}"));
+                        + capacity + "}")
+                        .root());
     }
 };
 
