Soak: one step in jobs with long runs

Steps with long runs, one after the other, made rounds last far longer than their troubles. Such a job now has one step of at most three tasks, so that a round ends soon after its last lapse.

--- a/Tests/Soak/SoakClients.cpp
+++ b/Tests/Soak/SoakClients.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t recentJobs = 60;
 constexpr Milliseconds shortestLongRun {6000};
 constexpr Milliseconds longestLongRun {11'000};
-/// Tasks in a step of a job with long runs.
-constexpr std::int64_t longTasks = 2;
+/// Tasks of a job with long runs.
+constexpr std::int64_t longTasks = 3;
 /// Failures of a job's runs that no run survives.
 constexpr std::int64_t always = 1'000'000;
 
@@ -260,10 +260,9 @@
                            std::vector<std::int64_t> &counts)
 {
     plan.work = Milliseconds(pick(random, shortestLongRun.count(), longestLongRun.count()));
-    for (std::size_t step = 0; step < counts.size(); ++step) {
-        counts[step] = std::min(counts[step], longTasks);
-        plan.steps[step].members = std::min(plan.steps[step].members, longTasks);
-    }
+    counts = {std::min(counts.front(), longTasks)};
+    plan.steps.resize(1);
+    plan.steps.front().members = std::min(plan.steps.front().members, longTasks);
 }
 
 SoakJob SoakClients::makeJob(std::mt19937_64 &random) const
--- a/Tests/Soak/SoakClients.h
+++ b/Tests/Soak/SoakClients.h
@@ -68,7 +68,7 @@
     void cancel(Connections &connections, std::mt19937_64 &random);
     void ask(Connections &connections, std::mt19937_64 &random);
     SoakJob makeJob(std::mt19937_64 &random) const;
-    /// Gives the job runs that are longer than a lease, and fewer tasks.
+    /// Gives the job runs that are longer than a lease, and one step with few tasks.
     static void lengthen(std::mt19937_64 &random, SoakJobPlan &plan,
                          std::vector<std::int64_t> &counts);
     static SoakJobPlan planPlain(std::mt19937_64 &random, std::vector<std::int64_t> &counts);
