--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -13,16 +13,18 @@
     CPPUNIT_TEST(tasks_withoutTrouble_runOnceAndAreAnswered);
     CPPUNIT_TEST(tasks_whileWorkersRestartAndTheHolderPauses_runOnceAndAreAnswered);
     CPPUNIT_TEST(gangsAndFailingTasks_whileAllLosePower_runOnceAndAreAnswered);
+    CPPUNIT_TEST(tasksLongerThanALease_whileWorkersAreCutOff_runOnceAndAreAnswered);
     CPPUNIT_TEST_SUITE_END();
 
     std::filesystem::path folder_;
 
     void runRound(std::uint64_t seed, Milliseconds duration, const std::string &kinds,
-                  const SoakLoad &load = {})
+                  const SoakLoad &load = {}, int workers = 8)
     {
         SoakRoundOptions options;
         options.load = load;
         options.fleet.seed = seed;
+        options.fleet.workers = workers;
         options.fleet.folder = folder_;
         options.duration = duration;
         options.kinds = kinds;
@@ -52,6 +54,12 @@
     {
         runRound(413, Milliseconds(20'000), "okz", {.isMixed = true});
     }
+
+    /// Guards against lapsed runs that count as crashes of their workers.
+    void tasksLongerThanALease_whileWorkersAreCutOff_runOnceAndAreAnswered()
+    {
+        runRound(7, Milliseconds(5000), "x", {.clients = 3, .hasLongRuns = true}, 4);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakTest);
