--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -207,6 +207,7 @@
     void updateAddress(const WorkerEntry &entry);
     /// The process has ended, as another worker has started at its address.
     void markReplaced(CellWorker &worker);
+    void countUnanswered(CellWorker &worker, const CallTarget &target, WorkerOutcome outcome);
     void logUnreachable(const CellWorker &worker, WorkerOutcome outcome);
     void expireLease(CellWorker &worker);
     /// Whether the worker may still return and show that it crashed under its expired runs.
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -124,14 +124,7 @@
             || reply.outcome == WorkerOutcome::NotSent
             || reply.outcome == WorkerOutcome::Misdirected;
     if (isUnreachable) {
-        if (target.incarnation != worker.incarnation)
-            return ReplySource::Other;
-        if (reply.outcome == WorkerOutcome::Misdirected)
-            markReplaced(worker);
-        beginOutage(worker);
-        if (++worker.unansweredCalls == 1 && !worker.placements.empty())
-            logUnreachable(worker, reply.outcome);
-        worker.avoidUntil = context_.now() + unansweredBackoff;
+        countUnanswered(worker, target, reply.outcome);
         return ReplySource::Other;
     }
     const ReplySource source = worker.sourceOf(target, reply, context_.now());
@@ -168,6 +161,19 @@
     return source;
 }
 
+void WorkerFleet::countUnanswered(CellWorker &worker, const CallTarget &target,
+                                  WorkerOutcome outcome)
+{
+    if (target.incarnation != worker.incarnation)
+        return;
+    if (outcome == WorkerOutcome::Misdirected)
+        markReplaced(worker);
+    beginOutage(worker);
+    if (++worker.unansweredCalls == 1 && !worker.placements.empty())
+        logUnreachable(worker, outcome);
+    worker.avoidUntil = context_.now() + unansweredBackoff;
+}
+
 /// The runs on an unreachable worker are not started elsewhere before its lease has expired.
 void WorkerFleet::logUnreachable(const CellWorker &worker, WorkerOutcome outcome)
 {
