Start long-running tasks again without waiting for workers that may never return

Cause: since a removed entry no longer settles whether a worker has crashed, so a long-running task with two crashes waited 10 s more after the lease for evidence of a third: 15.2 s after the loss, when its users expect it back at once. It waits only for workers that are still listed now.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -237,8 +237,9 @@
 
 bool CellScheduler::awaitsCrashEvidence(const CellStep &step, std::size_t index) const
 {
+    // A long-running task serves others, so it does not wait for workers that may never return.
     return step.tasks[index].crashes().needsIsolation()
-            && fleet_.mayHaveCrashedUnder(step.taskKey(index));
+            && fleet_.mayHaveCrashedUnder(step.taskKey(index), step.spec.longRunning);
 }
 
 void CellScheduler::collectSuspects()
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -120,8 +120,9 @@
     const Workers &workers() const { return workers_; }
     const CellWorker *worker(const WorkerId &id) const;
     /// Whether the task had a run on a worker whose lease expired a short time ago and that has not
-    /// returned, so that it is open whether the worker crashed.
-    bool mayHaveCrashedUnder(const TaskKey &task) const;
+    /// returned, so that it is open whether the worker crashed. \a onlyListed leaves out workers
+    /// that may be lost for good.
+    bool mayHaveCrashedUnder(const TaskKey &task, bool onlyListed) const;
     /// Whether another worker that has started later is at the address, so that the incarnation has
     /// ended.
     bool isReplaced(const Address &address, const WorkerId &worker,
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -86,11 +86,12 @@
     reportCrash(worker, worker.incarnation, CrashEvidence::Replaced, expired);
 }
 
-bool WorkerFleet::mayHaveCrashedUnder(const TaskKey &task) const
+bool WorkerFleet::mayHaveCrashedUnder(const TaskKey &task, bool onlyListed) const
 {
     return std::any_of(workers_.begin(), workers_.end(), [&](const auto &row) {
         const std::vector<Placement> &expired = row.second.expiredPlacements;
         return context_.now() - row.second.leaseExpiredAt < crashEvidenceWait
+                && (row.second.isListed || !onlyListed)
                 && std::any_of(expired.begin(), expired.end(),
                                [&](const Placement &placement) { return placement.task == task; });
     });
