--- a/Tests/Soak/SoakSummary.cpp
+++ b/Tests/Soak/SoakSummary.cpp
@@ -61,8 +61,9 @@
             continue;
         std::ifstream log(entry.path());
         for (std::string line; std::getline(log, line);) {
-            if (line.find("event=worker_crashed_under_run") != std::string::npos)
-                ++count;
+            const bool isCrash = line.find("event=worker_crashed_under_run") != std::string::npos
+                    || line.find("event=worker_crash_shared") != std::string::npos;
+            count += isCrash ? 1 : 0;
         }
     }
     return count;
