Split the codecs of records and frames

Cause: CellCodec.cpp had grown to 714 lines with two duties.

Change: CellFrameCodec has the frames between instances, CellCodec the records of the store, and CellJson what both share. No encoding has changed.

--- a/Source/CellDuties/CellPeersDuty.cpp
+++ b/Source/CellDuties/CellPeersDuty.cpp
@@ -1,6 +1,6 @@
 #include "CellDuties/CellPeersDuty.h"
 
-#include "Messages/CellCodec.h"
+#include "Messages/CellFrameCodec.h"
 
 namespace caraway::cell {
 
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -1,185 +1,18 @@
 #include "Messages/CellCodec.h"
 
+#include "Core/Error.h"
 #include "Messages/CborCheck.h"
-
-#include <nlohmann/json.hpp>
+#include "Messages/CellJson.h"
 
 namespace caraway::cell {
 
 namespace {
 
-using Json = nlohmann::json;
+using cell::encode;
 
 // Records are arrays with fields by position, because they are many and short. A field that a later
 // release adds is appended; the decoder uses the default value when it is missing.
 
-template<class Tag>
-Json encode(const NameId<Tag> &id)
-{
-    return id.value();
-}
-template<class Tag>
-Json encode(NumberId<Tag> id)
-{
-    return id.value();
-}
-template<class Unit>
-Json encode(Quantity<Unit> quantity)
-{
-    return quantity.count();
-}
-
-template<class Id>
-Id decodeName(const Json &json)
-{
-    return Id(json.get<std::string>());
-}
-template<class Id>
-Id decodeNumber(const Json &json)
-{
-    return Id(json.get<std::uint64_t>());
-}
-template<class Amount>
-Amount decodeQuantity(const Json &json)
-{
-    return Amount(json.get<std::int64_t>());
-}
-
-Json encode(const Address &address)
-{
-    return Json::array({address.host, address.port});
-}
-
-Address decodeAddress(const Json &json)
-{
-    return {json.at(0).get<std::string>(), json.at(1).get<std::uint16_t>()};
-}
-
-Json encode(const ProcessId &process)
-{
-    return Json::array({process.instance.value(), process.incarnation});
-}
-
-ProcessId decodeProcess(const Json &json)
-{
-    return {decodeName<InstanceId>(json.at(0)), json.at(1).get<std::uint64_t>()};
-}
-
-enum StepFlag : unsigned {
-    Checkpoints = 1,
-    Gang = 2,
-    SameRack = 4,
-    Speculative = 8,
-    LongRunning = 16,
-    FillsIdleTime = 32,
-};
-
-unsigned encodeFlags(const StepSpec &step)
-{
-    unsigned flags = 0;
-    flags |= step.checkpoints ? Checkpoints : 0U;
-    flags |= step.gang ? Gang : 0U;
-    flags |= step.sameRack ? SameRack : 0U;
-    flags |= step.speculative ? Speculative : 0U;
-    flags |= step.longRunning ? LongRunning : 0U;
-    flags |= step.fillsIdleTime ? FillsIdleTime : 0U;
-    return flags;
-}
-
-Json encode(const StepSpec &step)
-{
-    Json after = Json::array();
-    for (const StepIndex predecessor : step.after)
-        after.push_back(predecessor.value());
-    return Json::array({step.tasks, step.need.processors.count(), step.need.memory.count(),
-                        step.need.accelerators.count(), step.estimate.count(), std::move(after),
-                        encodeFlags(step), step.requiredLabel.value(), step.preferredRack.value(),
-                        step.image, step.maxPerWorker, step.maxUnavailable,
-                        step.latencyTarget.count()});
-}
-
-StepSpec decodeStep(const Json &json)
-{
-    StepSpec step;
-    step.tasks = json.at(0).get<std::int64_t>();
-    step.need.processors = decodeQuantity<Millicores>(json.at(1));
-    step.need.memory = decodeQuantity<Bytes>(json.at(2));
-    step.need.accelerators = decodeQuantity<Accelerators>(json.at(3));
-    step.estimate = decodeQuantity<Milliseconds>(json.at(4));
-    for (const Json &predecessor : json.at(5))
-        step.after.push_back(decodeNumber<StepIndex>(predecessor));
-    const auto flags = json.at(6).get<unsigned>();
-    step.checkpoints = (flags & Checkpoints) != 0;
-    step.gang = (flags & Gang) != 0;
-    step.sameRack = (flags & SameRack) != 0;
-    step.speculative = (flags & Speculative) != 0;
-    step.longRunning = (flags & LongRunning) != 0;
-    step.fillsIdleTime = (flags & FillsIdleTime) != 0;
-    step.requiredLabel = decodeName<Label>(json.at(7));
-    step.preferredRack = decodeName<Label>(json.at(8));
-    step.image = json.at(9).get<std::string>();
-    step.maxPerWorker = json.at(10).get<std::int64_t>();
-    step.maxUnavailable = json.at(11).get<std::int64_t>();
-    step.latencyTarget = decodeQuantity<Milliseconds>(json.at(12));
-    return step;
-}
-
-Json encode(const Queue &queue)
-{
-    Json approval;
-    if (queue.approval) {
-        approval = Json::array({queue.approval->perRequest.count(),
-                                queue.approval->perWorkerMicroseconds,
-                                queue.approval->ticketValidity.count()});
-    }
-    return Json::array({queue.id.value(), queue.upstream.value(), queue.priority, queue.maxAttempts,
-                        queue.stretchPercent, queue.objective.count(), std::move(approval)});
-}
-
-Queue decodeQueue(const Json &json)
-{
-    Queue queue;
-    queue.id = decodeName<QueueId>(json.at(0));
-    queue.upstream = decodeName<UpstreamId>(json.at(1));
-    queue.priority = json.at(2).get<std::int64_t>();
-    queue.maxAttempts = json.at(3).get<std::int64_t>();
-    queue.stretchPercent = json.at(4).get<std::int64_t>();
-    queue.objective = decodeQuantity<Milliseconds>(json.at(5));
-    const Json &approval = json.at(6);
-    if (approval.is_array()) {
-        queue.approval = ApprovalSettings {decodeQuantity<Milliseconds>(approval.at(0)),
-                                           approval.at(1).get<std::int64_t>(),
-                                           decodeQuantity<Milliseconds>(approval.at(2))};
-    }
-    return queue;
-}
-
-Json encode(const AcceptedJob &job)
-{
-    Json steps = Json::array();
-    for (const StepSpec &step : job.spec.steps)
-        steps.push_back(encode(step));
-    const Schedule &schedule = job.spec.schedule;
-    return Json::array({job.spec.id.value(), job.spec.payload, std::move(steps), schedule.runs,
-                        schedule.firstDue.count(), schedule.interval.count(), encode(job.queue),
-                        job.generation, job.acceptedAt.count()});
-}
-
-AcceptedJob decodeJob(const Json &json)
-{
-    AcceptedJob job;
-    job.spec.id = decodeName<JobId>(json.at(0));
-    job.spec.payload = json.at(1).get<std::string>();
-    for (const Json &step : json.at(2))
-        job.spec.steps.push_back(decodeStep(step));
-    job.spec.schedule = {json.at(3).get<std::int64_t>(), decodeQuantity<WallTime>(json.at(4)),
-                         decodeQuantity<Milliseconds>(json.at(5))};
-    job.queue = decodeQueue(json.at(6));
-    job.generation = json.at(7).get<std::uint64_t>();
-    job.acceptedAt = decodeQuantity<WallTime>(json.at(8));
-    return job;
-}
-
 template<class Value>
 Json encodeMap(const std::map<std::uint64_t, Value> &rows)
 {
@@ -408,20 +241,10 @@
     }
     return segment;
 }
-
 Json encode(const CancelRecord &record)
 {
     return record.at.count();
 }
-
-JobState decodeState(const Json &json)
-{
-    const auto state = json.get<unsigned>();
-    if (state > static_cast<unsigned>(JobState::Cancelled))
-        throw std::out_of_range("unknown job state");
-    return static_cast<JobState>(state);
-}
-
 Json encode(const JobResult &result)
 {
     return Json::array({static_cast<unsigned>(result.state), result.endedAt.count()});
@@ -447,188 +270,6 @@
     return nullptr;
 }
 
-Json encode(const ApprovalRequest &request)
-{
-    Json workers = Json::array();
-    for (const WorkerId &worker : request.workers)
-        workers.push_back(worker.value());
-    return Json::array({request.step.job.value(), request.step.occurrence.value(),
-                        request.step.step.value(), std::move(workers)});
-}
-
-ApprovalRequest decodeApprovalRequest(const Json &json)
-{
-    ApprovalRequest request;
-    request.step = {decodeName<JobId>(json.at(0)), decodeNumber<Occurrence>(json.at(1)),
-                    decodeNumber<StepIndex>(json.at(2))};
-    for (const Json &worker : json.at(3))
-        request.workers.push_back(decodeName<WorkerId>(worker));
-    return request;
-}
-
-Json encode(const PeerHello &hello)
-{
-    return encode(hello.peers);
-}
-Json encode(const PeerJobAccepted &message)
-{
-    return encode(message.job);
-}
-Json encode(const PeerJobCancelled &message)
-{
-    return message.job.value();
-}
-Json encode(const PeerApprovalRequest &message)
-{
-    return Json::array({message.number, encode(message.request), message.timeout.count()});
-}
-
-Json encode(const PeerApprovalReply &message)
-{
-    Json approved = Json::array();
-    for (const Approval &approval : message.reply.approved)
-        approved.push_back(Json::array({approval.worker.value(), approval.ticket}));
-    return Json::array({message.number, message.reply.answered, std::move(approved)});
-}
-
-Json encode(const PeerStateUpdate &message)
-{
-    Json changed = Json::array();
-    for (const JobStateChange &row : message.changed)
-        changed.push_back(Json::array({row.job.value(), static_cast<unsigned>(row.state)}));
-    Json queues = Json::array();
-    for (const QueueLoad &load : message.queues) {
-        queues.push_back(
-                Json::array({load.queue.value(), load.queuedJobs, load.expectedWait.count()}));
-    }
-    return Json::array({message.generation, message.configuration.value(), std::move(changed),
-                        std::move(queues), message.number.value()});
-}
-
-Json encode(const PeerCallerRequest &message)
-{
-    const CallerRequest &request = message.request;
-    Json body;
-    if (const auto *submit = std::get_if<SubmitJob>(&request.body))
-        body = encode(AcceptedJob {submit->spec, {}, 0, {}});
-    else if (const auto *read = std::get_if<ReadJob>(&request.body))
-        body = read->job.value();
-    else if (const auto *cancel = std::get_if<CancelJob>(&request.body))
-        body = cancel->job.value();
-    return Json::array({request.id.value(), request.host, request.path, request.body.index(),
-                        std::move(body), request.timeout.value_or(Milliseconds()).count()});
-}
-
-Json encode(const PeerCallerAnswer &message)
-{
-    const CallerAnswer &answer = message.answer;
-    return Json::array({answer.id.value(), static_cast<unsigned>(answer.outcome),
-                        static_cast<unsigned>(answer.state), answer.queuedJobs,
-                        answer.retryAfter.count()});
-}
-
-PeerCallerRequest decodeCallerRequest(const Json &json)
-{
-    CallerRequest request;
-    request.id = decodeNumber<CallerRequestId>(json.at(0));
-    request.host = json.at(1).get<std::string>();
-    request.path = json.at(2).get<std::string>();
-    const Json &body = json.at(4);
-    switch (json.at(3).get<std::size_t>()) {
-    case 0:
-        request.body = SubmitJob {decodeJob(body).spec};
-        break;
-    case 1:
-        request.body = ReadJob {decodeName<JobId>(body)};
-        break;
-    case 2:
-        request.body = CancelJob {decodeName<JobId>(body)};
-        break;
-    default:
-        request.body = CountPending {};
-    }
-    const auto timeout = decodeQuantity<Milliseconds>(json.at(5));
-    if (timeout > Milliseconds())
-        request.timeout = timeout;
-    return {std::move(request)};
-}
-
-PeerCallerAnswer decodeCallerAnswer(const Json &json)
-{
-    CallerAnswer answer;
-    answer.id = decodeNumber<CallerRequestId>(json.at(0));
-    const auto outcome = json.at(1).get<unsigned>();
-    if (outcome > static_cast<unsigned>(CallerOutcome::Unknown))
-        throw std::out_of_range("unknown caller outcome");
-    answer.outcome = static_cast<CallerOutcome>(outcome);
-    answer.state = decodeState(json.at(2));
-    answer.queuedJobs = json.at(3).get<std::int64_t>();
-    answer.retryAfter = decodeQuantity<Milliseconds>(json.at(4));
-    return {answer};
-}
-
-PeerApprovalReply decodeApprovalReply(const Json &json)
-{
-    PeerApprovalReply message;
-    message.number = json.at(0).get<std::uint64_t>();
-    message.reply.answered = json.at(1).get<bool>();
-    for (const Json &row : json.at(2)) {
-        message.reply.approved.push_back(
-                {decodeName<WorkerId>(row.at(0)), row.at(1).get<std::string>()});
-    }
-    return message;
-}
-
-PeerStateUpdate decodeStateUpdate(const Json &json)
-{
-    PeerStateUpdate message;
-    message.generation = json.at(0).get<std::uint64_t>();
-    message.configuration = decodeNumber<ConfigurationVersion>(json.at(1));
-    for (const Json &row : json.at(2))
-        message.changed.push_back({decodeName<JobId>(row.at(0)), decodeState(row.at(1))});
-    for (const Json &row : json.at(3)) {
-        message.queues.push_back({decodeName<QueueId>(row.at(0)), row.at(1).get<std::int64_t>(),
-                                  decodeQuantity<Milliseconds>(row.at(2))});
-    }
-    // Earlier releases do not number their updates.
-    if (json.size() > 4)
-        message.number = decodeNumber<StateUpdateNumber>(json.at(4));
-    return message;
-}
-
-PeerMessage decodeMessage(std::size_t type, const Json &json)
-{
-    switch (type) {
-    case 0:
-        return PeerHello {decodeAddress(json)};
-    case 1:
-        return PeerJobAccepted {decodeJob(json)};
-    case 2:
-        return PeerJobCancelled {decodeName<JobId>(json)};
-    case 3:
-        return PeerApprovalRequest {json.at(0).get<std::uint64_t>(),
-                                    decodeApprovalRequest(json.at(1)),
-                                    decodeQuantity<Milliseconds>(json.at(2))};
-    case 4:
-        return decodeApprovalReply(json);
-    case 5:
-        return decodeStateUpdate(json);
-    case 6:
-        return decodeCallerRequest(json);
-    case 7:
-        return decodeCallerAnswer(json);
-    default:
-        throw std::out_of_range("unknown message type");
-    }
-}
-
-std::string toBytes(const Json &json)
-{
-    std::string bytes;
-    Json::to_cbor(json, bytes);
-    return bytes;
-}
-
 RecordValue decodeRecordBody(RecordType type, const Json &json)
 {
     switch (type) {
@@ -656,11 +297,6 @@
         return Malformed {};
     }
 }
-
-/// Incremented with every change of the frame format, so that two releases do not misinterpret each
-/// other's frames.
-constexpr unsigned frameVersion = 1;
-
 } // namespace
 
 std::string encodeRecord(const RecordValue &value)
@@ -683,32 +319,4 @@
         return Malformed {error.what()};
     }
 }
-
-std::string encodeCellFrame(const PeerFrame &frame)
-{
-    const Json body
-            = std::visit([](const auto &message) { return encode(message); }, frame.message);
-    return toBytes(Json::array({frameVersion, encode(frame.from), encode(frame.fromAddress),
-                                frame.message.index(), body}));
-}
-
-Result<PeerFrame> decodeCellFrame(std::string_view bytes)
-{
-    BOOST_LEAF_CHECK(checkCbor(bytes));
-    try {
-        const Json json = Json::from_cbor(bytes.begin(), bytes.end());
-        if (json.at(0).get<unsigned>() != frameVersion) {
-            return fail(
-                    ErrorKind::InvalidMessage,
-                    "The peer frame has another version. Run the same release on all instances.");
-        }
-        return PeerFrame {decodeProcess(json.at(1)), decodeAddress(json.at(2)),
-                          decodeMessage(json.at(3).get<std::size_t>(), json.at(4))};
-    } catch (const std::exception &error) {
-        return fail(ErrorKind::InvalidMessage,
-                    std::string("The peer frame is malformed (") + error.what()
-                            + "). Run the same release on all instances.");
-    }
-}
-
 } // namespace caraway::cell
--- a/Tests/Platform/PlatformProtocolTest.cpp
+++ b/Tests/Platform/PlatformProtocolTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/PlatformProtocol.h"
 #include "Messages/CellCodec.h"
+#include "Messages/CellFrameCodec.h"
 #include "platform/PlatformJson.h"
 
 #include <cppunit/extensions/HelperMacros.h>
