Give fixtures of cells their common steps once

Cause: SoundTaskTest, LapsedRunTest and LapseReviewTest each had the same steps to await and replace a holder, to submit a job and to count log lines.

The tests and their checks are the same.

--- a/Tests/Cell/LapseReviewTest.cpp
+++ b/Tests/Cell/LapseReviewTest.cpp
@@ -1,4 +1,4 @@
-#include "Cell/CellSimulation.h"
+#include "Cell/CellFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -9,7 +9,7 @@
 using namespace cell;
 
 /// Tasks whose runs have lapsed, or never began, on workers that restart later.
-class LapseReviewTest : public CppUnit::TestFixture
+class LapseReviewTest : public CellFixture
 {
     CPPUNIT_TEST_SUITE(LapseReviewTest);
     CPPUNIT_TEST(crash_longAfterTheLeaseOfAListedWorker_isNotCounted);
@@ -28,7 +28,7 @@
 public:
     void setUp() override
     {
-        simulation_ = std::make_unique<CellSimulation>(3, workers);
+        startCell(workers);
         simulation_->workerDelivery = [this](const InstanceId &, const WorkerRequest &request) {
             const bool isLost = cut_.contains(request.worker)
                     || (losesStarts_ && std::holds_alternative<WorkerStart>(request.command));
@@ -211,23 +211,6 @@
     static constexpr std::size_t workers = 12;
     static constexpr Milliseconds longWait {40'000};
 
-    void awaitHolder()
-    {
-        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return simulation_->holder().has_value(); },
-                                                 longWait));
-    }
-    void replaceHolder()
-    {
-        const std::size_t former = *simulation_->holder();
-        simulation_->kill(former);
-        simulation_->advance(Milliseconds(3000));
-        awaitHolder();
-        simulation_->restart(former);
-    }
-    void submit(const JobSpec &job)
-    {
-        CPPUNIT_ASSERT(simulation_->submitAndWait(0, job) == CallerOutcome::Accepted);
-    }
     std::optional<std::size_t> reachableWorkerWithRun() const
     {
         for (std::size_t i = 0; i < workers; ++i) {
@@ -271,16 +254,7 @@
         cut_.clear();
         simulation_->advance(Milliseconds(3000));
     }
-    std::size_t occurrencesOf(const std::string &line) const
-    {
-        std::size_t count = 0;
-        for (std::size_t at = simulation_->log.find(line); at != std::string::npos;
-             at = simulation_->log.find(line, at + 1))
-            ++count;
-        return count;
-    }
-    std::size_t countedCrashes() const { return occurrencesOf("event=worker_crashed_under_run"); }
-    std::size_t taskStarts() const { return occurrencesOf("event=task_start "); }
+    std::size_t taskStarts() const { return logged("event=task_start "); }
     std::size_t workerOfLastStart() const
     {
         const std::size_t line = simulation_->log.rfind("event=task_start ");
@@ -300,7 +274,6 @@
         CPPUNIT_ASSERT(state == JobState::Completed);
     }
 
-    std::unique_ptr<CellSimulation> simulation_;
     std::set<WorkerId> cut_;
     bool losesStarts_ = false;
     Milliseconds runDuration_ {60'000};
--- a/Tests/Cell/LapsedRunTest.cpp
+++ b/Tests/Cell/LapsedRunTest.cpp
@@ -1,4 +1,4 @@
-#include "Cell/CellSimulation.h"
+#include "Cell/CellFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -7,7 +7,7 @@
 using namespace cell;
 
 /// Sound tasks whose runs expire with the leases of workers that cannot be reached.
-class LapsedRunTest : public CppUnit::TestFixture
+class LapsedRunTest : public CellFixture
 {
     CPPUNIT_TEST_SUITE(LapsedRunTest);
     CPPUNIT_TEST(task_whoseEntriesAreRemovedBeforeTheLeasesEnd_completes);
@@ -22,7 +22,7 @@
 public:
     void setUp() override
     {
-        simulation_ = std::make_unique<CellSimulation>(3, workers);
+        startCell(workers);
         simulation_->workerDelivery = [this](const InstanceId &, const WorkerRequest &request) {
             return cut_.contains(request.worker) ? CellSimulation::Delivery::Lost
                                                  : CellSimulation::Delivery::Delivered;
@@ -119,32 +119,6 @@
     static constexpr std::size_t lapses = 5;
     static constexpr Milliseconds longWait {40'000};
 
-    void awaitHolder()
-    {
-        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return simulation_->holder().has_value(); },
-                                                 longWait));
-    }
-    void replaceHolder()
-    {
-        const std::size_t former = *simulation_->holder();
-        simulation_->kill(former);
-        simulation_->advance(Milliseconds(3000));
-        awaitHolder();
-        simulation_->restart(former);
-    }
-    void submit(const JobSpec &job)
-    {
-        CPPUNIT_ASSERT(simulation_->submitAndWait(0, job) == CallerOutcome::Accepted);
-    }
-    std::set<std::size_t> workersWithRuns() const
-    {
-        std::set<std::size_t> found;
-        for (std::size_t i = 0; i < workers; ++i) {
-            if (!simulation_->worker(i).running().empty())
-                found.insert(i);
-        }
-        return found;
-    }
     void awaitRuns()
     {
         CPPUNIT_ASSERT_MESSAGE(
@@ -187,26 +161,15 @@
         removeEntries();
         reconnectAfterLapse();
     }
-    std::size_t countedCrashes() const
-    {
-        std::size_t count = 0;
-        const std::string line = "event=worker_crashed_under_run";
-        for (std::size_t at = simulation_->log.find(line); at != std::string::npos;
-             at = simulation_->log.find(line, at + 1))
-            ++count;
-        return count;
-    }
     void assertCompletesWithoutCrash()
     {
-        const bool isCompleted = simulation_->advanceUntil(
-                [&] { return simulation_->stateOf(0, JobId("a")) == JobState::Completed; },
-                longWait);
+        const bool hasCompleted
+                = simulation_->advanceUntil([&] { return isCompleted(JobId("a")); }, longWait);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), countedCrashes());
-        CPPUNIT_ASSERT(isCompleted);
+        CPPUNIT_ASSERT(hasCompleted);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->overlaps());
     }
 
-    std::unique_ptr<CellSimulation> simulation_;
     std::set<WorkerId> cut_;
     std::size_t lapsed_ = 0;
 };
--- a/Tests/Cell/SoundTaskTest.cpp
+++ b/Tests/Cell/SoundTaskTest.cpp
@@ -1,4 +1,4 @@
-#include "Cell/CellSimulation.h"
+#include "Cell/CellFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -7,7 +7,7 @@
 using namespace cell;
 
 /// Sound tasks whose workers crash several times for other reasons.
-class SoundTaskTest : public CppUnit::TestFixture
+class SoundTaskTest : public CellFixture
 {
     CPPUNIT_TEST_SUITE(SoundTaskTest);
     CPPUNIT_TEST(task_whoseWorkersCrashFourTimes_completes);
@@ -19,7 +19,7 @@
 public:
     void setUp() override
     {
-        simulation_ = std::make_unique<CellSimulation>(3, workers);
+        startCell(workers);
         simulation_->plan = [](const TaskKey &, RunNumber) {
             return SimulatedWorker::RunPlan {Milliseconds(3000), CompletionReason::Succeeded};
         };
@@ -86,32 +86,6 @@
     static constexpr std::size_t crashes = 4;
     static constexpr Milliseconds longWait {30'000};
 
-    void awaitHolder()
-    {
-        CPPUNIT_ASSERT(simulation_->advanceUntil([&] { return simulation_->holder().has_value(); },
-                                                 longWait));
-    }
-    void replaceHolder()
-    {
-        const std::size_t former = *simulation_->holder();
-        simulation_->kill(former);
-        simulation_->advance(Milliseconds(3000));
-        awaitHolder();
-        simulation_->restart(former);
-    }
-    void submit(const JobSpec &job)
-    {
-        CPPUNIT_ASSERT(simulation_->submitAndWait(0, job) == CallerOutcome::Accepted);
-    }
-    std::set<std::size_t> workersWithRuns() const
-    {
-        std::set<std::size_t> found;
-        for (std::size_t i = 0; i < workers; ++i) {
-            if (!simulation_->worker(i).running().empty())
-                found.insert(i);
-        }
-        return found;
-    }
     void crashWorkersOfRuns(std::size_t crash)
     {
         const bool hasRuns
@@ -123,12 +97,9 @@
     }
     void assertCompletes()
     {
-        CPPUNIT_ASSERT(simulation_->advanceUntil(
-                [&] { return simulation_->stateOf(0, JobId("a")) == JobState::Completed; },
-                longWait));
+        CPPUNIT_ASSERT(
+                simulation_->advanceUntil([&] { return isCompleted(JobId("a")); }, longWait));
     }
-
-    std::unique_ptr<CellSimulation> simulation_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoundTaskTest);
