--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -66,7 +66,7 @@
     Replaced,
     /// The start was sent to an earlier incarnation, and the present one does not list the run.
     NotCarriedOver,
-    /// The start log names an earlier incarnation.
+    /// An earlier holder sent the start to an incarnation that has ended.
     StartLog,
 };
 
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -192,7 +192,7 @@
                      const std::function<bool(const Placement &)> &isLost);
     /// Keeps when the present incarnation was lost and under which runs, unless that is known.
     void beginOutage(const CellWorker &worker);
-    /// The incarnation is running.
+    /// Discards the outage of the present incarnation, as it is running.
     void endOutage(const CellWorker &worker);
     void discardOldOutages();
     void updateIncarnation(CellWorker &worker, std::optional<WorkerIncarnation> incarnation);
@@ -204,7 +204,7 @@
     void discardExpiredRuns(CellWorker &worker);
     /// Whether the start time can be true; entries of other writers may be false.
     bool isPlausible(WorkerIncarnation incarnation) const;
-    /// Finds the worker that was at the address of \a entry before.
+    /// Keeps which worker is at the address; one that was there before has been replaced.
     void updateAddress(const WorkerEntry &entry);
     /// The process has ended, as another worker has started at its address.
     void markReplaced(CellWorker &worker);
