Soak: approve some worker for each step

Change: the worker that ranks first for a step is always approved; how long a request takes is a parameter, and a worker that is replaced is forgotten.

--- a/Tests/Soak/SoakAdvice.cpp
+++ b/Tests/Soak/SoakAdvice.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace caraway::tests {
 
 namespace {
@@ -13,7 +15,8 @@
 
 } // namespace
 
-SoakAdvice::SoakAdvice(int instances)
+SoakAdvice::SoakAdvice(int instances, Milliseconds decisionTime)
+    : decisionTime_(decisionTime)
 {
     for (int i = 0; i < instances; ++i)
         turns_.push_back(std::make_unique<std::mutex>());
@@ -22,13 +25,13 @@
 SoakResponse SoakAdvice::handle(std::size_t instance, const SoakRequest &request)
 {
     const std::lock_guard turn(*turns_.at(instance));
-    soakSleep(decisionTime);
+    soakSleep(decisionTime_);
     const Json body = Json::parse(request.body);
     const std::string step = body.at("step");
     Json approved = Json::array();
     const std::lock_guard lock(mutex_);
     for (const std::string worker : body.at("workers")) {
-        if (!isPermitted(step, worker) || !lives_.contains(worker))
+        if (!lives_.contains(worker) || !isPermitted(step, worker))
             continue;
         const std::string ticket = fmt::format("ticket-{}", ++lastTicket_);
         tickets_[ticket] = {subjectOf(step, worker), soakNow() + validity};
@@ -52,9 +55,19 @@
             && soakNow() <= found->second.second;
 }
 
-bool SoakAdvice::isPermitted(const std::string &step, const std::string &worker)
+void SoakAdvice::remove(const WorkerId &worker)
+{
+    const std::lock_guard lock(mutex_);
+    lives_.erase(worker.value());
+}
+
+bool SoakAdvice::isPermitted(const std::string &step, const std::string &worker) const
 {
-    return std::hash<std::string>()(step + "/" + worker) % percent < permittedPercent;
+    const auto rank
+            = [&](const std::string &name) { return std::hash<std::string>()(step + "/" + name); };
+    const auto first = std::ranges::min_element(lives_, {},
+                                                [&](const auto &life) { return rank(life.first); });
+    return rank(worker) % percent < permittedPercent || first->first == worker;
 }
 
 std::string SoakAdvice::subjectOf(const std::string &step, const std::string &worker) const
--- a/Tests/Soak/SoakAdvice.h
+++ b/Tests/Soak/SoakAdvice.h
@@ -13,23 +13,27 @@
 class SoakAdvice
 {
 public:
-    static constexpr Milliseconds decisionTime {40};
     static constexpr Milliseconds validity {2500};
 
-    explicit SoakAdvice(int instances);
+    /// \a decisionTime: how long each request takes.
+    SoakAdvice(int instances, Milliseconds decisionTime);
 
     /// A request of \a instance; its requests are handled in turn.
     SoakResponse handle(std::size_t instance, const SoakRequest &request);
     /// A process of the worker has started.
     void setLife(const WorkerId &worker, SoakIncarnation incarnation);
+    /// The worker has gone for good.
+    void remove(const WorkerId &worker);
     /// Whether the ticket lets the present process of the worker start tasks of the step.
     bool isValid(const std::string &ticket, const std::string &step, const WorkerId &worker) const;
 
 private:
-    static bool isPermitted(const std::string &step, const std::string &worker);
+    /// The step may run on most of the workers, and on one of them at least.
+    bool isPermitted(const std::string &step, const std::string &worker) const;
     /// Everything that a ticket is bound to.
     std::string subjectOf(const std::string &step, const std::string &worker) const;
 
+    Milliseconds decisionTime_;
     std::vector<std::unique_ptr<std::mutex>> turns_;
     mutable std::mutex mutex_;
     std::map<std::string, SoakIncarnation> lives_;
