--- a/Tests/Soak/SoakAudit.cpp
+++ b/Tests/Soak/SoakAudit.cpp
@@ -19,11 +19,15 @@
 
 std::string describe(const SoakRun &run)
 {
-    return fmt::format("[run {} on {} incarnation {} token {}{} started {} ended {} {} noted {}]",
+    const auto timeOf = [](const std::optional<Milliseconds> &time) {
+        return time ? std::to_string(time->count()) : "-";
+    };
+    return fmt::format("[run {} on {} incarnation {} token {}{} started {} ended {} {} as number "
+                       "{} listed {} noted {}]",
                        run.number.value(), run.worker.value(), run.incarnation.value(),
                        run.fencingToken, run.isLate ? " late" : "", run.startedAt.count(),
-                       run.endedAt ? std::to_string(run.endedAt->count()) : "-", run.how,
-                       run.notedAt ? std::to_string(run.notedAt->count()) : "-");
+                       timeOf(run.endedAt), run.how, run.endNumber, timeOf(run.listedAt),
+                       timeOf(run.notedAt));
 }
 
 std::string describe(const SoakAnswer &answer)
@@ -91,7 +95,8 @@
         for (const SoakRun &later : runs) {
             if (done.how == "done" && done.notedAt && later.startedAt > *done.endedAt) {
                 add("TWICE",
-                    fmt::format("{}: started after an end as done: {} {}", done.task.value(),
+                    fmt::format("{}: started after an end as done, {} ms after it was noted: {} {}",
+                                done.task.value(), (later.startedAt - *done.notedAt).count(),
                                 describe(done), describe(later)));
                 return;
             }
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -127,14 +127,14 @@
 SoakFleet::SoakFleet(const SoakFleetOptions &options, SoakJournal &journal)
     : options_(options)
     , journal_(journal)
-    , advice_(options.instances)
+    , advice_(options.instances, options.approvalTime)
     , store_(options.instances)
 {
     nlohmann::json queues = nlohmann::json::array({queue("queue", 1)});
     if (options.hasSeveralQueues) {
         queues.push_back(queue("urgent", 0));
         queues.push_back(queue("batch", 2));
-        queues.back()["advice"] = {{"decisionMs", SoakAdvice::decisionTime.count()},
+        queues.back()["advice"] = {{"decisionMs", options.approvalTime.count()},
                                    {"perWorkerMs", 0.1},
                                    {"validityMs", SoakAdvice::validity.count()}};
     }
@@ -164,7 +164,7 @@
         workers_.push_back(std::make_unique<SoakWorker>(
                 store_, journal_, work_, advice_,
                 WorkerId(fmt::format("i-{:08x}", 0x1a2b3c00 + i * 17)), fmt::format("r1-{}", i / 2),
-                static_cast<std::int64_t>(random() % 21)));
+                static_cast<std::int64_t>(random() % 21), options_.areEndsUnordered));
     }
 }
 
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -14,6 +14,10 @@
     int workers = 8;
     /// Whether there are queues of several priorities, one of them with approvals.
     bool hasSeveralQueues = false;
+    /// How long the policy service takes for a request.
+    Milliseconds approvalTime {40};
+    /// Whether workers list ends in any order, and some of them late.
+    bool areEndsUnordered = false;
     std::uint64_t seed = 1;
     /// Settings, logs and the journal.
     std::filesystem::path folder;
--- a/Tests/Soak/SoakJournal.cpp
+++ b/Tests/Soak/SoakJournal.cpp
@@ -63,12 +63,13 @@
     return runs_.size() - 1;
 }
 
-void SoakJournal::endRun(std::size_t run, const std::string &how)
+void SoakJournal::endRun(std::size_t run, const std::string &how, std::int64_t number)
 {
     const std::lock_guard lock(mutex_);
     runs_[run].endedAt = soakNow();
     runs_[run].how = how;
-    writeLocked(describe(runs_[run]) + " ends " + how);
+    runs_[run].endNumber = number;
+    writeLocked(fmt::format("{} ends {} as number {}", describe(runs_[run]), how, number));
 }
 
 void SoakJournal::listEnd(std::size_t run)
--- a/Tests/Soak/SoakJournal.h
+++ b/Tests/Soak/SoakJournal.h
@@ -19,7 +19,8 @@
 
     /// Runs are named by the index that addRun() returns.
     std::size_t addRun(SoakRun run);
-    void endRun(std::size_t run, const std::string &how);
+    /// \a number: that of the end in the worker's list; 0 when the worker crashed.
+    void endRun(std::size_t run, const std::string &how, std::int64_t number = 0);
     /// A reply lists the end of \a run; only the first one is noted.
     void listEnd(std::size_t run);
     /// The end of \a run was acknowledged; \a hasLapsed: the worker's lease lapsed before that.
--- a/Tests/Soak/SoakTypes.h
+++ b/Tests/Soak/SoakTypes.h
@@ -36,6 +36,8 @@
     std::optional<Milliseconds> endedAt;
     /// "crash", or as on the wire.
     std::string how;
+    /// Its number in the worker's list of ends; 0 when the worker crashed.
+    std::int64_t endNumber = 0;
     /// When a reply first listed the end.
     std::optional<Milliseconds> listedAt;
     /// When the end was acknowledged, unless the lease lapsed between the two.
--- a/Tests/Soak/SoakWorker.cpp
+++ b/Tests/Soak/SoakWorker.cpp
@@ -23,7 +23,8 @@
 } // namespace
 
 SoakWorker::SoakWorker(SoakStore &store, SoakJournal &journal, SoakWork &work, SoakAdvice &advice,
-                       WorkerId id, std::string rack, std::int64_t slowness)
+                       WorkerId id, std::string rack, std::int64_t slowness,
+                       bool listsEndsUnordered)
     : store_(store)
     , journal_(journal)
     , work_(work)
@@ -31,6 +32,7 @@
     , id_(std::move(id))
     , rack_(std::move(rack))
     , slowness_(slowness)
+    , listsEndsUnordered_(listsEndsUnordered)
     , server_([this](const SoakRequest &request) { return handle(request); })
 {
     {
@@ -90,6 +92,7 @@
 {
     {
         const std::lock_guard lock(mutex_);
+        advice_.remove(id_);
         id_ = std::move(id);
     }
     restart(Milliseconds(0));
@@ -156,6 +159,8 @@
     for (auto &[number, end] : ends_)
         end.hasLapsed = end.hasLapsed || hasLapsed;
     Milliseconds next = now + longestPause;
+    if (hasEndsToList())
+        changed_.notify_all();
     for (auto active = running_.begin(); active != running_.end();) {
         const Active &run = active->second;
         std::string how;
@@ -170,11 +175,13 @@
             ++active;
             continue;
         }
-        journal_.endRun(run.run, how);
+        journal_.endRun(run.run, how, ++lastEnd_);
         work_.end(run.work, how);
         SoakRunNumber &highest = highest_[active->first.first];
         highest = std::max(highest, active->first.second);
-        ends_[++lastEnd_] = {run.run, active->first, how, hasLapsed};
+        const bool isLate = listsEndsUnordered_ && lastEnd_ % Times::lateListedInterval == 0;
+        ends_[lastEnd_] = {run.run, active->first, how, hasLapsed,
+                           now + (isLate ? Times::lateListing : Milliseconds(0))};
         active = running_.erase(active);
         changed_.notify_all();
     }
@@ -296,7 +303,7 @@
     const std::int64_t life = life_;
     const Milliseconds wait(std::min<std::int64_t>(2000, body.value("waitMs", std::int64_t(0))));
     changed_.wait_for(lock, toChrono(wait),
-                      [&] { return !ends_.empty() || !isUp_ || life_ != life || isClosing_; });
+                      [&] { return hasEndsToList() || !isUp_ || life_ != life || isClosing_; });
     if (!isUp_ || life_ != life)
         return {0, "", true};
     return {200,
@@ -339,15 +346,25 @@
     return rows;
 }
 
+bool SoakWorker::hasEndsToList() const
+{
+    return std::ranges::any_of(ends_,
+                               [](const auto &row) { return row.second.listedFrom <= soakNow(); });
+}
+
 Json SoakWorker::finishedRows()
 {
     Json rows = Json::array();
     for (const auto &[number, end] : ends_) {
         if (rows.size() == 500)
             break;
+        if (end.listedFrom > soakNow())
+            continue;
         journal_.listEnd(end.run);
         rows.push_back({number, end.key.first.value(), end.key.second.value(), end.how, ""});
     }
+    if (listsEndsUnordered_)
+        std::reverse(rows.begin(), rows.end());
     return rows;
 }
 
--- a/Tests/Soak/SoakWorker.h
+++ b/Tests/Soak/SoakWorker.h
@@ -16,6 +16,9 @@
     static constexpr Milliseconds longestLease {6000};
     static constexpr Milliseconds stop {300};
     static constexpr std::int64_t millicores = 16'000;
+    /// Of ends that are listed without order, each with a number that this divides is listed late.
+    static constexpr std::int64_t lateListedInterval = 7;
+    static constexpr Milliseconds lateListing {60};
 };
 
 /// A worker. A job's spec is that of its SoakJobPlan.
@@ -23,8 +26,9 @@
 {
 public:
     /// \a slowness: how much slower than real time its clock is, in thousandths.
+    /// \a listsEndsUnordered: ends are listed in any order, and some of them late.
     SoakWorker(SoakStore &store, SoakJournal &journal, SoakWork &work, SoakAdvice &advice,
-               WorkerId id, std::string rack, std::int64_t slowness);
+               WorkerId id, std::string rack, std::int64_t slowness, bool listsEndsUnordered);
     ~SoakWorker();
 
     const WorkerId &id() const { return id_; }
@@ -57,6 +61,7 @@
         RunKey key;
         std::string how;
         bool hasLapsed = false;
+        Milliseconds listedFrom;
     };
 
     void begin(Milliseconds stepBack);
@@ -75,6 +80,8 @@
     SoakResponse refusal(const char *reason) const;
     bool hasRoomFor(const SoakTaskId &task, const SoakJobPlan &plan) const;
     nlohmann::json runningRows() const;
+    /// Whether an end is listed now.
+    bool hasEndsToList() const;
     /// Notes in the journal that the ends are listed.
     nlohmann::json finishedRows();
 
@@ -85,6 +92,7 @@
     WorkerId id_;
     std::string rack_;
     std::int64_t slowness_;
+    bool listsEndsUnordered_;
     std::mutex mutex_;
     std::condition_variable changed_;
     bool isClosing_ = false;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -14,7 +14,8 @@
 
 Usage:
   testSoak [--seed=N] [--seconds=N] [--instances=N] [--workers=N] [--clients=N]
-           [--kinds=LETTERS] [--mixed] [--long] [--early]
+           [--kinds=LETTERS] [--mixed] [--long] [--early] [--unordered]
+           [--approval-ms=N]
            [--folder=PATH] [--program=PATH] [--template=PATH]
 
 Options:
@@ -34,6 +35,8 @@
   --long           A quarter of the jobs has runs of 6 to 11 s, and workers are cut off for 3 to 12 s,
                    one at a time.
   --early          Clients hand jobs in before there is a holder, and before there are workers.
+  --unordered      Workers list ends in any order, and some of them late.
+  --approval-ms=N  How long the policy service takes for a request [default: 40].
   --folder=PATH    Settings, logs and journal [default: soak-logs].
   --program=PATH   Program of the entry instances, such as that of an earlier release.
   --template=PATH  Template of its settings.
@@ -60,6 +63,8 @@
     options.load.clients = static_cast<std::size_t>(arguments["--clients"].asLong());
     options.load.isMixed = arguments["--mixed"].asBool();
     options.isEarly = arguments["--early"].asBool();
+    options.fleet.approvalTime = caraway::Milliseconds(arguments["--approval-ms"].asLong());
+    options.fleet.areEndsUnordered = arguments["--unordered"].asBool();
     options.load.hasLongRuns = arguments["--long"].asBool();
     const std::string kinds = options.kinds;
     if (kinds == "none")
