--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -131,6 +131,7 @@
         const bool isDue = maySchedule && next.isRecorded;
         if (fleet_.isStopRequested(next.worker, next.request)
             || (isDue && !fleet_.mayReceive(next.worker))) {
+            logNotSent(next);
             fleet_.discardStart(next.worker, next.request);
         } else if (isDue) {
             fleet_.sendStart(next.worker, std::move(next.request));
@@ -142,6 +143,16 @@
     }
 }
 
+void CellScheduler::logNotSent(const RecordedFirst &start)
+{
+    const TaskKey &task = start.request.task;
+    context_.log("event=start_not_sent job={} step={} task={} run={} worker={} recorded={} "
+                 "stop_requested={}",
+                 task.job.value(), task.step.value(), task.index.value(), start.request.run.value(),
+                 start.worker.value(), start.isRecorded,
+                 fleet_.isStopRequested(start.worker, start.request));
+}
+
 CellScheduler::OpenStartOutcome CellScheduler::outcomeOf(const LoggedStart &start)
 {
     CellJob *job = nullptr;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -231,6 +231,7 @@
     /// Sends the starts that were recorded, and discards those that were stopped meanwhile or whose
     /// worker may no longer be used.
     void sendRecordedStarts(bool maySchedule);
+    void logNotSent(const RecordedFirst &start);
     /// Whether the run's start is recorded first, so that a later holder can tell that the worker
     /// crashed under it.
     static bool recordsStart(const CellStep &step, const CellTask &task);
