Acknowledge only completions that were read, in whatever order they are listed

Cause: the holder passed over each row of a worker's list with a number at or below the highest one that it had seen, and acknowledged the highest. With rows in any order, or a completion that is listed after a later one, it acknowledged completions unread; a list that lacked both the run and its completion made the task wait again. Change: CompletionNumbers keeps which numbers were listed and recorded; acknowledgements stop below the first one that is missing or not recorded. A missing number holds them up for 2 s at most, as numbers need not be consecutive and earlier holders may have acknowledged them. A run that a worker has listed counts as gone without a completion only when it has been absent for 2 s. Numbers that come late, or never, are logged.

--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -429,9 +429,11 @@
         return;
     CellJob *job = nullptr;
     CellStep *step = findStep(key, job);
-    context_.log("event=run_not_on_worker job={} step={} task={} run={} worker={} outcome={}",
+    context_.log("event=run_not_on_worker job={} step={} task={} run={} worker={} outcome={} "
+                 "highest_completion={} placed_ms_ago={}",
                  key.job.value(), key.step.value(), key.index.value(), run.value(),
-                 worker.id().value(), nameOf(outcome));
+                 worker.id().value(), nameOf(outcome), worker.completions.highest().value(),
+                 (context_.now() - task->placedAt()).count());
     if (outcome == WorkerOutcome::TicketInvalid)
         step->approvals.clearDecision(worker.number());
     // A worker that was reset may have crashed under the run.
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -121,13 +121,6 @@
     return free;
 }
 
-CompletionNumber CellWorker::highestAcknowledgeable() const
-{
-    return unrecordedCompletions.empty()
-            ? highestCompletion
-            : CompletionNumber(unrecordedCompletions.begin()->value() - 1);
-}
-
 void CellWorker::endIncarnation(WorkerIncarnation next)
 {
     if (incarnation)
@@ -143,8 +136,7 @@
     }
     incarnation = newIncarnation;
     isStateRead = isPartlyRead = false;
-    highestCompletion = {};
-    unrecordedCompletions.clear();
+    completions = {};
     placements.clear();
     expiredPlacements.clear();
     orphanedRuns = 0;
@@ -158,6 +150,7 @@
                            TimePoint leaseEnd)
 {
     placement.confirmedAt.reset();
+    placement.absentSince.reset();
     placement.startDeadline.reset();
     placement.isOnPresentIncarnation = false;
     placement.stopInFlight = false;
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Cell/WorkerCalls.h"
+#include "Cell/CompletionNumbers.h"
 
 #include <algorithm>
 #include <set>
@@ -17,6 +17,8 @@
     /// The latest time, on the worker's clock, at which the worker confirmed the run; nothing
     /// before the first confirmation.
     std::optional<WorkerTime> confirmedAt;
+    /// When a reply first lacked the confirmed run and its completion.
+    std::optional<TimePoint> absentSince;
     /// The worker refuses to start the run after this time on its own clock. Nothing when the
     /// worker has restarted since, as its clock has started again.
     std::optional<WorkerTime> startDeadline;
@@ -126,9 +128,7 @@
     /// Incarnations with later start times than the present one that are known to have ended, as
     /// the time of day has been set back.
     std::set<WorkerIncarnation> endedIncarnations;
-    CompletionNumber highestCompletion;
-    /// Completions that were processed and are not in the store yet.
-    std::set<CompletionNumber> unrecordedCompletions;
+    CompletionNumbers completions;
     std::vector<Placement> placements;
     /// Runs that expired with the lease. Whether the worker crashed under them shows when it
     /// returns, in the same incarnation or in a new one.
@@ -174,8 +174,6 @@
     Placement *find(const TaskKey &task, RunNumber run);
     void countOrphanedRuns();
     Resources freeResources() const;
-    /// The highest completion number up to which all completions are recorded.
-    CompletionNumber highestAcknowledgeable() const;
     bool hasEnded(WorkerIncarnation other) const { return endedIncarnations.contains(other); }
     /// The process at the worker's address is \a next, so the present incarnation has ended.
     void endIncarnation(WorkerIncarnation next);
--- a/Source/Cell/WorkerFleet.cpp
+++ b/Source/Cell/WorkerFleet.cpp
@@ -187,7 +187,7 @@
     std::erase_if(workers_, [&](const auto &row) {
         const CellWorker &worker = row.second;
         return recovered_ && !worker.isListed && worker.placements.empty()
-                && worker.unrecordedCompletions.empty() && !worker.heartbeatInFlight
+                && worker.completions.areAllRecorded() && !worker.heartbeatInFlight
                 && !awaitsReturn(worker);
     });
     discardOldOutages();
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -9,9 +9,9 @@
 /// How long a lease lasts beyond the time at which the worker may leave; more than a heartbeat
 /// waits and takes, so that it does not expire while the worker stays and answers.
 constexpr WorkerTime leavingLeaseMargin {2500};
-/// Interval of heartbeats while completions are unrecorded: the lease needs renewal, and a worker
-/// with unacknowledged completions replies without waiting.
-constexpr Milliseconds unrecordedHeartbeatInterval {400};
+/// Interval of heartbeats while completions cannot be acknowledged: the lease needs renewal, and a
+/// worker with unacknowledged completions replies without waiting.
+constexpr Milliseconds unacknowledgedHeartbeatInterval {400};
 /// A worker lists at most this many completions in one reply, so a full list may be incomplete.
 constexpr std::size_t maxCompletionsPerReply = 500;
 
@@ -23,8 +23,8 @@
     CellWorker *worker = findWorker(id);
     if (!worker || worker->incarnation != incarnation)
         return;
-    worker->unrecordedCompletions.erase(number);
-    if (worker->unrecordedCompletions.empty())
+    worker->completions.setRecorded(number);
+    if (worker->completions.areAllRecorded())
         scheduleHeartbeat(*worker);
 }
 
@@ -51,7 +51,7 @@
     worker.heartbeatInFlight = true;
     WorkerHeartbeat heartbeat;
     if (mayRenew)
-        heartbeat.acknowledged = worker.highestAcknowledgeable();
+        heartbeat.acknowledged = acknowledgedNow(worker);
     // A renewal without a reply may still have reached the worker, so each raises the latest time
     // at which the worker's lease may end. If renewals to an unreachable worker continued, the
     // holder could never conclude that its runs have ended; nor those to an unhealthy one, which
@@ -72,10 +72,23 @@
                             if (term != term_)
                                 return;
                             logMisdelivery(target, acknowledged, reply);
-                            onHeartbeatReply(target, mayRenew, reply);
+                            onHeartbeatReply(target, mayRenew, acknowledged, reply);
                         });
 }
 
+CompletionNumber WorkerFleet::acknowledgedNow(const CellWorker &worker) const
+{
+    const CompletionNumbers &completions = worker.completions;
+    const CompletionNumber number = completions.acknowledgeable(context_.now());
+    if (const std::uint64_t missing = completions.missingThrough(number)) {
+        context_.log("event=completions_never_listed worker={} incarnation={} acknowledged={} "
+                     "missing={}",
+                     worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
+                     number.value(), missing);
+    }
+    return number;
+}
+
 /// Until the latest time that this holder's last confirmation allows. The lease of a worker that
 /// has announced when it leaves lasts little longer, as its runs count as running until the lease
 /// has expired if the worker is lost.
@@ -104,13 +117,14 @@
 }
 
 void WorkerFleet::onHeartbeatReply(const CallTarget &target, bool mayRenew,
-                                   const WorkerReply &reply)
+                                   CompletionNumber acknowledged, const WorkerReply &reply)
 {
     CellWorker *worker = findWorker(target.worker);
     if (!worker)
         return;
     // After a restart the next heartbeat does not wait for the reply to this one.
     const bool isLatest = target.incarnation == worker->incarnation;
+    const WorkerNumber number = worker->number();
     if (isLatest) {
         worker->heartbeatInFlight = false;
         worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
@@ -124,16 +138,19 @@
     }
     if (source == ReplySource::Present)
         worker->setSeenAt(target.sentAt);
+    // The reply may have shown that the worker has restarted.
+    if (isLatest && worker->number() == number)
+        worker->completions.setDiscarded(acknowledged);
     handleLists(*worker, target, reply);
     if (!isLatest)
         return;
     // Without a renewal the worker replies without waiting.
     if (!mayRenew)
         worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
-    else if (worker->unrecordedCompletions.empty())
-        scheduleHeartbeat(*worker);
+    else if (worker->completions.mustKeepSome(context_.now()))
+        worker->nextHeartbeat = context_.now() + unacknowledgedHeartbeatInterval;
     else
-        worker->nextHeartbeat = context_.now() + unrecordedHeartbeatInterval;
+        scheduleHeartbeat(*worker);
 }
 
 void WorkerFleet::handleLists(CellWorker &worker, const CallTarget &target,
@@ -152,13 +169,25 @@
 
 void WorkerFleet::handleCompletions(CellWorker &worker, const WorkerReply &reply)
 {
-    for (const CompletedRun &completion : reply.completed) {
-        if (completion.number <= worker.highestCompletion)
+    std::vector<const CompletedRun *> completed;
+    for (const CompletedRun &completion : reply.completed)
+        completed.push_back(&completion);
+    std::ranges::sort(completed, {}, &CompletedRun::number);
+    const CompletionNumber highestBefore = worker.completions.highest();
+    for (const CompletedRun *completion : completed) {
+        const CompletionNumber number = completion->number;
+        if (!worker.completions.add(number, context_.now()))
             continue;
-        worker.highestCompletion = completion.number;
-        if (handlers_.completed(worker, completion))
-            worker.unrecordedCompletions.insert(completion.number);
-        removePlacement(worker, completion.task, completion.run, WorkerOutcome::Done);
+        if (number < highestBefore) {
+            context_.log("event=completion_listed_late worker={} incarnation={} number={} "
+                         "highest={}",
+                         worker.id().value(),
+                         worker.incarnation.value_or(WorkerIncarnation()).value(), number.value(),
+                         highestBefore.value());
+        }
+        if (!handlers_.completed(worker, *completion))
+            worker.completions.setRecorded(number);
+        removePlacement(worker, completion->task, completion->run, WorkerOutcome::Done);
     }
 }
 
@@ -168,6 +197,7 @@
         Placement *placement = worker.find(running.task, running.run);
         if (placement) {
             placement->confirmedAt = reply.clock;
+            placement->absentSince.reset();
             placement->isOnPresentIncarnation = true;
             placement->sentToIncarnation.reset();
             handlers_.progressed(worker, running);
@@ -208,12 +238,17 @@
     if (!reply.clock)
         return;
     std::vector<Placement> absent;
-    for (const Placement &placement : worker.placements) {
+    for (Placement &placement : worker.placements) {
         const bool isListed = std::any_of(
                 reply.running.begin(), reply.running.end(), [&](const RunningTask &running) {
                     return running.run == placement.run && running.task == placement.task;
                 });
-        if (!isListed && isAbsent(placement, target.sentAt, *reply.clock))
+        if (isListed || !isAbsent(placement, target.sentAt, *reply.clock))
+            continue;
+        // The completion of a run that was there may be listed in a later reply.
+        if (placement.confirmedAt && !placement.absentSince)
+            placement.absentSince = context_.now();
+        if (!placement.absentSince || target.sentAt - *placement.absentSince >= lateListingLimit)
             absent.push_back(placement);
     }
     for (const Placement &placement : absent) {
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -49,12 +49,10 @@
     std::vector<Placement> expired = worker.expiredPlacements;
     std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(expired),
                  std::mem_fn(&Placement::startSent));
-    const CompletionNumber highest = worker.highestCompletion;
-    const std::set<CompletionNumber> unrecorded = worker.unrecordedCompletions;
+    const CompletionNumbers completions = worker.completions;
     const std::optional<WorkerTime> leaseEnd = worker.leaseEnd();
     resetWorker(worker);
-    worker.highestCompletion = highest;
-    worker.unrecordedCompletions = unrecorded;
+    worker.completions = completions;
     worker.expiredPlacements = std::move(expired);
     worker.leaseExpiredAt = context_.now();
     worker.expiredLeaseEnd = leaseEnd;
--- a/Source/Cell/WorkerRoster.cpp
+++ b/Source/Cell/WorkerRoster.cpp
@@ -65,7 +65,7 @@
 /// that may not answer it are left out once they are known to have no runs.
 bool WorkerFleet::belongsInRoster(const CellWorker &worker) const
 {
-    if (!worker.placements.empty() || !worker.unrecordedCompletions.empty())
+    if (!worker.placements.empty() || !worker.completions.areAllRecorded())
         return true;
     // An earlier holder may still act, even on a worker that was read and has restarted since.
     if (worker.isInRoster && !recovered_)
@@ -89,7 +89,7 @@
     const bool maySkipWorker = !worker.isListed || worker.entry->draining
             || (isSilent(worker) && (isClosed || context_.storeHealth().isServing()));
     // The next holder has to read unrecorded completions from the worker.
-    const bool areJobsKnown = worker.isStateRead && worker.unrecordedCompletions.empty();
+    const bool areJobsKnown = worker.isStateRead && worker.completions.areAllRecorded();
     return maySkipWorker && (isClosed || areJobsKnown);
 }
 
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -36,12 +36,22 @@
     reply.incarnation = entry.incarnation;
     for (const Run &run : running_)
         reply.running.push_back({run.task, run.run, {}, progressOf(run, now)});
-    const std::size_t listed = std::min(completed_.size(), maxCompletionsPerReply);
-    reply.completed.assign(completed_.begin(),
-                           completed_.begin() + static_cast<std::ptrdiff_t>(listed));
+    reply.completed = listed(now);
     return reply;
 }
 
+std::vector<CompletedRun> SimulatedWorker::listed(TimePoint now) const
+{
+    std::vector<CompletedRun> rows;
+    for (const CompletedRun &completion : completed_) {
+        if (rows.size() < maxCompletionsPerReply && listedFrom_.at(completion.number) <= now)
+            rows.push_back(completion);
+    }
+    if (listsLatestFirst)
+        std::ranges::reverse(rows);
+    return rows;
+}
+
 bool SimulatedWorker::fits() const
 {
     const auto runs = static_cast<std::int64_t>(running_.size()) + 1;
@@ -141,9 +151,11 @@
     running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(index));
     closedRuns_.emplace_back(run.task, run.run);
     const auto checkpoint = checkpoints.find(reason);
-    completed_.push_back({CompletionNumber(++lastCompletion_), run.task, run.run, reason,
+    lastCompletion_ += numberInterval;
+    const CompletionNumber number(lastCompletion_);
+    completed_.push_back({number, run.task, run.run, reason,
                           checkpoint == checkpoints.end() ? std::string() : checkpoint->second});
-    static_cast<void>(now);
+    listedFrom_[number] = now + (listingDelay ? listingDelay(number) : Milliseconds());
     onCompleted(*this, run, reason);
 }
 
@@ -152,6 +164,7 @@
     while (!completed_.empty() && completed_.front().number <= number) {
         if (onAcknowledged && completed_.front().number.value() > lastBeforeExpiry_)
             onAcknowledged(*this, completed_.front());
+        listedFrom_.erase(completed_.front().number);
         completed_.erase(completed_.begin());
     }
 }
@@ -159,7 +172,7 @@
 void SimulatedWorker::answerHeartbeats(TimePoint now)
 {
     for (auto pending = pendingHeartbeats_.begin(); pending != pendingHeartbeats_.end();) {
-        if (completed_.empty() && now < pending->deadline) {
+        if (now < pending->deadline && listed(now).empty()) {
             ++pending;
             continue;
         }
@@ -239,6 +252,7 @@
         onCompleted(*this, run, CompletionReason::LeaseExpired);
     running_.clear();
     completed_.clear();
+    listedFrom_.clear();
     closedRuns_.clear();
     dropHeartbeats();
     hasLeft_ = false;
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -49,6 +49,12 @@
 
     /// The clock is slow by one part in this; zero for a clock that is not.
     std::int64_t clockSlownessDivisor = 0;
+    /// Whether it lists the latest completions first.
+    bool listsLatestFirst = false;
+    /// How long after its run has ended a completion is listed; at once without a function.
+    std::function<Milliseconds(cell::CompletionNumber)> listingDelay;
+    /// The difference between the numbers of one completion and the next.
+    std::uint64_t numberInterval = 1;
     /// Whether it carries out calls that are meant for another incarnation.
     bool executesCallsForOthers = false;
 
@@ -90,6 +96,8 @@
     {
         leaseDeadline_ = std::max(leaseDeadline_, deadline);
     }
+    /// The completions that a reply lists now.
+    std::vector<cell::CompletedRun> listed(TimePoint now) const;
     bool fits() const;
     cell::WorkerReply start(TimePoint now, const cell::WorkerStart &command);
     void complete(TimePoint now, std::size_t index, cell::CompletionReason reason);
@@ -102,6 +110,8 @@
     cell::WorkerTime leaseDeadline_;
     std::vector<Run> running_;
     std::vector<cell::CompletedRun> completed_;
+    /// From when on completions are listed.
+    std::map<cell::CompletionNumber, TimePoint> listedFrom_;
     /// The last completion before the latest expiry of the lease.
     std::uint64_t lastBeforeExpiry_ = 0;
     std::vector<std::pair<cell::TaskKey, cell::RunNumber>> closedRuns_;
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -14,17 +14,19 @@
     CPPUNIT_TEST(tasks_whileWorkersRestartAndTheHolderPauses_runOnceAndAreAnswered);
     CPPUNIT_TEST(gangsAndFailingTasks_whileAllLosePower_runOnceAndAreAnswered);
     CPPUNIT_TEST(tasksLongerThanALease_whileWorkersAreCutOff_runOnceAndAreAnswered);
+    CPPUNIT_TEST(tasks_whoseEndsAreListedInAnyOrder_runOnceAndAreAnswered);
     CPPUNIT_TEST_SUITE_END();
 
     std::filesystem::path folder_;
 
     void runRound(std::uint64_t seed, Milliseconds duration, const std::string &kinds,
-                  const SoakLoad &load = {}, int workers = 8)
+                  const SoakLoad &load = {}, int workers = 8, bool areEndsUnordered = false)
     {
         SoakRoundOptions options;
         options.load = load;
         options.fleet.seed = seed;
         options.fleet.workers = workers;
+        options.fleet.areEndsUnordered = areEndsUnordered;
         options.fleet.folder = folder_;
         options.duration = duration;
         options.kinds = kinds;
@@ -60,6 +62,12 @@
     {
         runRound(7, Milliseconds(5000), "x", {.clients = 3, .hasLongRuns = true}, 4);
     }
+
+    /// Guards against ends that are acknowledged unread, so that their tasks start again.
+    void tasks_whoseEndsAreListedInAnyOrder_runOnceAndAreAnswered()
+    {
+        runRound(47, Milliseconds(10'000), "x", {}, 4, true);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakTest);
