Keep expired runs of removed workers as long as outages

Cause: a crashed worker that left the list and returned after 40 s was not counted as crashed, as its expired runs were kept for 30 s; outages are kept for 60 s. Change: expired runs are kept for 60 s too.

--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -7,7 +7,7 @@
 
 /// How long a removed worker is kept whose runs expired with its lease; a crashed worker normally
 /// returns within seconds.
-constexpr Milliseconds returnLimit {30'000};
+constexpr Milliseconds returnLimit {60'000};
 /// How long a task with several crashes waits to know whether there was another.
 constexpr Milliseconds crashEvidenceWait {10'000};
 
