Close gaps in completion numbers only by lists that were read

Cause: a missing number held up acknowledgements for 2 s of the holder's clock, also when no list was read in that time. A heartbeat without a reply takes 2.3 s, so the next one acknowledged a completion that the worker had listed meanwhile and nobody had read. A row for a number that had been passed over was ignored. Change: a gap closes when a list that was requested 2 s after it was first seen still lacks the number; numbers that were passed over are remembered, up to 1000, and are handled when a row comes after all. Measured: success_listedLateBesideALostReply_isNotStartedAgain has 2 starts after a success where gaps close by the clock, none now (the test of a paused holder holds either way).

--- a/Source/Cell/CompletionNumbers.cpp
+++ b/Source/Cell/CompletionNumbers.cpp
@@ -4,9 +4,17 @@
 
 namespace caraway::cell {
 
+namespace {
+
+constexpr std::size_t maxSkipped = 1000;
+
+} // namespace
+
 bool CompletionNumbers::add(CompletionNumber number, TimePoint now)
 {
-    if (number <= discarded_ || !listed_.try_emplace(number, Completion {now}).second)
+    if (number <= discarded_)
+        return skipped_.erase(number) > 0;
+    if (!listed_.try_emplace(number, Completion {now}).second)
         return false;
     ++unrecorded_;
     return true;
@@ -23,19 +31,31 @@
 
 void CompletionNumbers::setDiscarded(CompletionNumber number)
 {
-    discarded_ = std::max(discarded_, number);
-    while (!listed_.empty() && listed_.begin()->first <= discarded_) {
-        unrecorded_ -= listed_.begin()->second.isRecorded ? 0 : 1;
+    while (!listed_.empty() && listed_.begin()->first <= number) {
+        const auto &[lowest, completion] = *listed_.begin();
+        addSkipped(discarded_, lowest);
+        discarded_ = lowest;
+        unrecorded_ -= completion.isRecorded ? 0 : 1;
         listed_.erase(listed_.begin());
     }
+    discarded_ = std::max(discarded_, number);
 }
 
-CompletionNumber CompletionNumbers::acknowledgeable(TimePoint now) const
+void CompletionNumbers::addSkipped(CompletionNumber before, CompletionNumber after)
+{
+    const std::uint64_t count = after.value() - before.next().value();
+    for (std::uint64_t i = 1; i <= std::min<std::uint64_t>(count, maxSkipped); ++i)
+        skipped_.emplace(after.value() - i);
+    while (skipped_.size() > maxSkipped)
+        skipped_.erase(skipped_.begin());
+}
+
+CompletionNumber CompletionNumbers::acknowledgeable() const
 {
     CompletionNumber through = discarded_;
     for (const auto &[number, completion] : listed_) {
         const bool followsGap = number != through.next();
-        const bool mayGapClose = followsGap && now - completion.listedAt < lateListingLimit;
+        const bool mayGapClose = followsGap && readAt_ - completion.listedAt < lateListingLimit;
         if (!completion.isRecorded || mayGapClose)
             break;
         through = number;
@@ -57,9 +77,4 @@
     return missing;
 }
 
-bool CompletionNumbers::mustKeepSome(TimePoint now) const
-{
-    return acknowledgeable(now) < highest();
-}
-
 } // namespace caraway::cell
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -151,8 +151,9 @@
     };
 
     void sendHeartbeat(CellWorker &worker, bool mayRenew);
-    /// The number up to which the next heartbeat acknowledges completions.
-    CompletionNumber acknowledgedNow(const CellWorker &worker) const;
+    /// The number up to which the next heartbeat acknowledges completions; logs when some of them
+    /// were never listed.
+    CompletionNumber nextAcknowledgement(const CellWorker &worker) const;
     void scheduleHeartbeat(CellWorker &worker);
     WorkerTime renewedLeaseEnd(const CellWorker &worker) const;
     /// Logs that another incarnation has carried out a heartbeat than the one that it was sent to.
@@ -161,7 +162,7 @@
     void onHeartbeatReply(const CallTarget &target, bool mayRenew, CompletionNumber acknowledged,
                           const WorkerReply &reply);
     void handleLists(CellWorker &worker, const CallTarget &target, const WorkerReply &reply);
-    void handleCompletions(CellWorker &worker, const WorkerReply &reply);
+    void handleCompletions(CellWorker &worker, const CallTarget &target, const WorkerReply &reply);
     void handleRunningTasks(CellWorker &worker, const WorkerReply &reply);
     void removeAbsentPlacements(CellWorker &worker, const CallTarget &target,
                                 const WorkerReply &reply);
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -51,7 +51,7 @@
     worker.heartbeatInFlight = true;
     WorkerHeartbeat heartbeat;
     if (mayRenew)
-        heartbeat.acknowledged = acknowledgedNow(worker);
+        heartbeat.acknowledged = nextAcknowledgement(worker);
     // A renewal without a reply may still have reached the worker, so each raises the latest time
     // at which the worker's lease may end. If renewals to an unreachable worker continued, the
     // holder could never conclude that its runs have ended; nor those to an unhealthy one, which
@@ -76,10 +76,10 @@
                         });
 }
 
-CompletionNumber WorkerFleet::acknowledgedNow(const CellWorker &worker) const
+CompletionNumber WorkerFleet::nextAcknowledgement(const CellWorker &worker) const
 {
     const CompletionNumbers &completions = worker.completions;
-    const CompletionNumber number = completions.acknowledgeable(context_.now());
+    const CompletionNumber number = completions.acknowledgeable();
     if (const std::uint64_t missing = completions.missingThrough(number)) {
         context_.log("event=completions_never_listed worker={} incarnation={} acknowledged={} "
                      "missing={}",
@@ -124,7 +124,7 @@
         return;
     // After a restart the next heartbeat does not wait for the reply to this one.
     const bool isLatest = target.incarnation == worker->incarnation;
-    const WorkerNumber number = worker->number();
+    const WorkerNumber life = worker->number();
     if (isLatest) {
         worker->heartbeatInFlight = false;
         worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
@@ -139,7 +139,7 @@
     if (source == ReplySource::Present)
         worker->setSeenAt(target.sentAt);
     // The reply may have shown that the worker has restarted.
-    if (isLatest && worker->number() == number)
+    if (isLatest && worker->number() == life)
         worker->completions.setDiscarded(acknowledged);
     handleLists(*worker, target, reply);
     if (!isLatest)
@@ -147,7 +147,7 @@
     // Without a renewal the worker replies without waiting.
     if (!mayRenew)
         worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
-    else if (worker->completions.mustKeepSome(context_.now()))
+    else if (worker->completions.mustKeepSome())
         worker->nextHeartbeat = context_.now() + unacknowledgedHeartbeatInterval;
     else
         scheduleHeartbeat(*worker);
@@ -156,7 +156,7 @@
 void WorkerFleet::handleLists(CellWorker &worker, const CallTarget &target,
                               const WorkerReply &reply)
 {
-    handleCompletions(worker, reply);
+    handleCompletions(worker, target, reply);
     handleRunningTasks(worker, reply);
     worker.isPartlyRead = reply.completed.size() >= maxCompletionsPerReply;
     if (!worker.isPartlyRead) {
@@ -167,7 +167,8 @@
     }
 }
 
-void WorkerFleet::handleCompletions(CellWorker &worker, const WorkerReply &reply)
+void WorkerFleet::handleCompletions(CellWorker &worker, const CallTarget &target,
+                                    const WorkerReply &reply)
 {
     std::vector<const CompletedRun *> completed;
     for (const CompletedRun &completion : reply.completed)
@@ -189,6 +190,7 @@
             worker.completions.setRecorded(number);
         removePlacement(worker, completion->task, completion->run, WorkerOutcome::Done);
     }
+    worker.completions.setRead(target.sentAt);
 }
 
 void WorkerFleet::handleRunningTasks(CellWorker &worker, const WorkerReply &reply)
--- a/Tests/Cell/CompletionNumbersTest.cpp
+++ b/Tests/Cell/CompletionNumbersTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(number_thatIsNotRecorded_isNotAcknowledged);
     CPPUNIT_TEST(gap_thatStays_isAcknowledgedAfterTheLimit);
     CPPUNIT_TEST(number_listedAgain_isNotNew);
+    CPPUNIT_TEST(number_listedAfterAHigherOneWasDiscarded_isNew);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -21,10 +22,10 @@
         addRecorded(3);
         addRecorded(1);
         assertAcknowledgeable(1);
-        CPPUNIT_ASSERT(numbers_.mustKeepSome(now_));
+        CPPUNIT_ASSERT(numbers_.mustKeepSome());
         addRecorded(2);
         assertAcknowledgeable(3);
-        CPPUNIT_ASSERT(!numbers_.mustKeepSome(now_));
+        CPPUNIT_ASSERT(!numbers_.mustKeepSome());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), numbers_.missingThrough(CompletionNumber(3)));
     }
 
@@ -33,7 +34,7 @@
         addRecorded(1);
         numbers_.add(CompletionNumber(2), now_);
         addRecorded(3);
-        now_ = now_ + lateListingLimit;
+        numbers_.setRead(now_ + lateListingLimit);
         assertAcknowledgeable(1);
         CPPUNIT_ASSERT(!numbers_.areAllRecorded());
         numbers_.setRecorded(CompletionNumber(2));
@@ -45,9 +46,9 @@
     {
         addRecorded(1);
         addRecorded(4);
-        now_ = now_ + lateListingLimit - Milliseconds(1);
+        numbers_.setRead(now_ + lateListingLimit - Milliseconds(1));
         assertAcknowledgeable(1);
-        now_ = now_ + Milliseconds(1);
+        numbers_.setRead(now_ + lateListingLimit);
         assertAcknowledgeable(4);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), numbers_.missingThrough(CompletionNumber(4)));
     }
@@ -61,6 +62,17 @@
         CPPUNIT_ASSERT(numbers_.add(CompletionNumber(2), now_));
     }
 
+    void number_listedAfterAHigherOneWasDiscarded_isNew()
+    {
+        addRecorded(1);
+        addRecorded(4);
+        numbers_.setDiscarded(CompletionNumber(4));
+        CPPUNIT_ASSERT(numbers_.add(CompletionNumber(3), now_));
+        CPPUNIT_ASSERT(!numbers_.add(CompletionNumber(3), now_));
+        CPPUNIT_ASSERT(numbers_.areAllRecorded());
+        assertAcknowledgeable(4);
+    }
+
 private:
     void addRecorded(std::uint64_t number)
     {
@@ -69,11 +81,11 @@
     }
     void assertAcknowledgeable(std::uint64_t number) const
     {
-        CPPUNIT_ASSERT_EQUAL(number, numbers_.acknowledgeable(now_).value());
+        CPPUNIT_ASSERT_EQUAL(number, numbers_.acknowledgeable().value());
     }
 
+    const TimePoint now_ {Milliseconds(1000)};
     CompletionNumbers numbers_;
-    TimePoint now_ {Milliseconds(1000)};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CompletionNumbersTest);
--- a/Tests/Cell/CompletionOrderTest.cpp
+++ b/Tests/Cell/CompletionOrderTest.cpp
@@ -1,4 +1,5 @@
 #include "Cell/CellFixture.h"
+#include "Cell/CompletionNumbers.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -13,9 +14,11 @@
     CPPUNIT_TEST(successes_listedWithTheLatestFirst_areNotStartedAgain);
     CPPUNIT_TEST(success_listedAfterALaterOne_isNotStartedAgain);
     CPPUNIT_TEST(success_listedAfterItsRunHasLeftTheList_isNotStartedAgain);
-    CPPUNIT_TEST(success_listedLateAfterATakeover_isNotStartedAgain);
+    CPPUNIT_TEST(success_listedLateInTheNextTerm_isNotStartedAgain);
     CPPUNIT_TEST(numbers_thatAreLeftOut_doNotHoldUpAcknowledgements);
-    CPPUNIT_TEST(run_thatVanishesWithoutACompletion_isStartedAgain);
+    CPPUNIT_TEST(success_listedLateBesideALostReply_isNotStartedAgain);
+    CPPUNIT_TEST(success_listedLateWhileTheHolderPauses_isNotStartedAgain);
+    CPPUNIT_TEST(run_thatVanishesWithoutACompletion_isStartedAgainAfterTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,7 +66,7 @@
         assertRunOnce("a", 1);
     }
 
-    void success_listedLateAfterATakeover_isNotStartedAgain()
+    void success_listedLateInTheNextTerm_isNotStartedAgain()
     {
         submit(CellSimulation::job("first", tasks));
         simulation_->advance(Milliseconds(5000));
@@ -86,12 +89,38 @@
         assertRunOnce("a");
     }
 
-    void run_thatVanishesWithoutACompletion_isStartedAgain()
+    void success_listedLateBesideALostReply_isNotStartedAgain()
+    {
+        listLate(Milliseconds(700), 2);
+        submit(CellSimulation::job("a", tasks));
+        simulation_->advance(Milliseconds(1100));
+        losesHeartbeats_ = true;
+        simulation_->advance(Milliseconds(500));
+        losesHeartbeats_ = false;
+        assertRunOnce("a");
+    }
+
+    void success_listedLateWhileTheHolderPauses_isNotStartedAgain()
+    {
+        listLate(Milliseconds(700), 2);
+        submit(CellSimulation::job("a", tasks));
+        simulation_->advance(Milliseconds(1100));
+        const std::size_t holder = *simulation_->holder();
+        simulation_->pause(holder);
+        simulation_->advance(Milliseconds(2100));
+        simulation_->resume(holder);
+        assertRunOnce("a");
+    }
+
+    void run_thatVanishesWithoutACompletion_isStartedAgainAfterTheLimit()
     {
-        listLate(Milliseconds(60'000), 1);
         submit(CellSimulation::job("a"));
-        simulation_->advance(Milliseconds(2000));
-        listLate(Milliseconds(), 1);
+        simulation_->advance(Milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
+        for (std::size_t i = 0; i < workers; ++i)
+            simulation_->worker(i).loseRuns();
+        simulation_->advance(lateListingLimit);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation_->startsOf(JobId("a")));
         CPPUNIT_ASSERT(
                 simulation_->advanceUntil([&] { return isCompleted(JobId("a")); }, longWait));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), simulation_->startsOf(JobId("a")));
@@ -118,6 +147,8 @@
         simulation_->advance(Milliseconds(5000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->startsAfterSuccess());
         CPPUNIT_ASSERT_EQUAL(count, simulation_->startsOf(JobId(job)));
+        for (std::size_t i = 0; i < workers; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation_->worker(i).acknowledgedUnlisted());
     }
 
     bool losesHeartbeats_ = false;
--- a/Tests/Cell/SimulatedWorker.cpp
+++ b/Tests/Cell/SimulatedWorker.cpp
@@ -164,6 +164,7 @@
     while (!completed_.empty() && completed_.front().number <= number) {
         if (onAcknowledged && completed_.front().number.value() > lastBeforeExpiry_)
             onAcknowledged(*this, completed_.front());
+        acknowledgedUnlisted_ += listed_.erase(completed_.front().number) == 0 ? 1 : 0;
         listedFrom_.erase(completed_.front().number);
         completed_.erase(completed_.begin());
     }
@@ -178,7 +179,10 @@
         }
         const Reply reply = std::move(pending->reply);
         pending = pendingHeartbeats_.erase(pending);
-        reply(listRuns(now));
+        const WorkerReply answer = listRuns(now);
+        for (const CompletedRun &completion : answer.completed)
+            listed_.insert(completion.number);
+        reply(answer);
     }
 }
 
@@ -220,6 +224,12 @@
     answerHeartbeats(now);
 }
 
+void SimulatedWorker::loseRuns()
+{
+    for (const Run &run : std::exchange(running_, {}))
+        onCompleted(*this, run, CompletionReason::Failed);
+}
+
 void SimulatedWorker::leave()
 {
     hasLeft_ = true;
@@ -253,6 +263,7 @@
     running_.clear();
     completed_.clear();
     listedFrom_.clear();
+    listed_.clear();
     closedRuns_.clear();
     dropHeartbeats();
     hasLeft_ = false;
--- a/Tests/Cell/SimulatedWorker.h
+++ b/Tests/Cell/SimulatedWorker.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <set>
 
 namespace caraway::tests {
 
@@ -73,6 +74,10 @@
     void crash(TimePoint now);
     Milliseconds downtime {5000};
     bool isDown() const { return returnsAt_.has_value(); }
+    /// Ends all runs without a completion.
+    void loseRuns();
+    /// The number of completions that were acknowledged before any reply listed them.
+    std::size_t acknowledgedUnlisted() const { return acknowledgedUnlisted_; }
     /// Ends the process and all its runs for good; nothing answers at its address.
     void leave();
     bool hasLeft() const { return hasLeft_; }
@@ -112,6 +117,8 @@
     std::vector<cell::CompletedRun> completed_;
     /// From when on completions are listed.
     std::map<cell::CompletionNumber, TimePoint> listedFrom_;
+    std::set<cell::CompletionNumber> listed_;
+    std::size_t acknowledgedUnlisted_ = 0;
     /// The last completion before the latest expiry of the lease.
     std::uint64_t lastBeforeExpiry_ = 0;
     std::vector<std::pair<cell::TaskKey, cell::RunNumber>> closedRuns_;
