Authenticate callers by account key, and keep accounts within caps and shares

Cause: the running path knew no accounts.

Change: entry instances judge keys by the newest configuration. An instance that the store doesn't confirm it to asks another one, relays requests meanwhile, and answers 503 once the confirmation is older than a change may take. The holder counts what each account may have running from the allocations on the workers, with the whole capacity of those not read since a takeover. Jobs beyond the weight of their account come after all others, late jobs after those in time, and accounts that have reached their share after those that have not.

Everything applies only when the configuration has accounts.

--- a/Source/Cell/CallerAdmission.cpp
+++ b/Source/Cell/CallerAdmission.cpp
@@ -1,5 +1,6 @@
-// The refusals of CallerRequestHandler for overload.
+// The refusals of CallerRequestHandler for overload and for limits of client accounts.
 
+#include "Cell/AccountLedger.h"
 #include "Cell/CallerRequestHandler.h"
 #include "Cell/CellJob.h"
 #include "Decisions/StableHash.h"
@@ -18,6 +19,26 @@
 
 } // namespace
 
+std::optional<CallerRequestHandler::Refusal>
+CallerRequestHandler::refusalOf(const JobSpec &spec, const Queue &queue,
+                                const AccountId &account) const
+{
+    // The operator has to raise the cap first.
+    if (exceedsCap(spec, account))
+        return Refusal {"gang_exceeds_cap", maxRetryAfter};
+    if (const std::optional<Milliseconds> excess = excessWait(spec, queue))
+        return Refusal {"overload", *excess};
+    return std::nullopt;
+}
+
+bool CallerRequestHandler::exceedsCap(const JobSpec &spec, const AccountId &id) const
+{
+    const ClientAccount *account = configuration_.account(id);
+    return account && std::any_of(spec.steps.begin(), spec.steps.end(), [&](const StepSpec &step) {
+               return step.gang && !AccountLedger::fitsCap(account->cap, step.need, step.tasks);
+           });
+}
+
 std::optional<Milliseconds> CallerRequestHandler::excessWait(const JobSpec &spec,
                                                              const Queue &queue) const
 {
@@ -36,44 +57,44 @@
 }
 
 void CallerRequestHandler::refuseUnlessStored(CallerRequestId caller, const JobId &job,
-                                              Milliseconds excessWait)
+                                              const Refusal &refusal)
 {
     ++storeLookups_;
     context_.callStore(StoreGet {{RecordType::Jobs, job.value()}},
-                       [this, caller, job, excessWait](const StoreReply &reply) {
+                       [this, caller, job, refusal](const StoreReply &reply) {
                            --storeLookups_;
                            if (reply.outcome == StoreOutcome::Done)
                                answer(caller, CallerOutcome::Accepted);
                            else if (reply.outcome == StoreOutcome::NotFound)
-                               refuseUnlessFinished(caller, job, excessWait);
+                               refuseUnlessFinished(caller, job, refusal);
                            else
                                answer(caller, CallerOutcome::Unknown);
                        });
 }
 
 void CallerRequestHandler::refuseUnlessFinished(CallerRequestId caller, const JobId &job,
-                                                Milliseconds excessWait)
+                                                const Refusal &refusal)
 {
     ++storeLookups_;
     context_.callStore(
             StoreGet {{RecordType::Results, job.value()}},
-            [this, caller, job, excessWait](const StoreReply &reply) {
+            [this, caller, job, refusal](const StoreReply &reply) {
                 --storeLookups_;
                 if (reply.outcome != StoreOutcome::NotFound) {
                     const bool isFinished = reply.outcome == StoreOutcome::Done;
                     answer(caller, isFinished ? CallerOutcome::Accepted : CallerOutcome::Unknown);
                     return;
                 }
-                context_.log("event=job_refused job={} reason=overload excess_wait_ms={}",
-                             job.value(), excessWait.count());
-                CallerAnswer refusal;
-                refusal.id = caller;
-                refusal.outcome = CallerOutcome::Refused;
+                context_.log("event=job_refused job={} reason={} excess_wait_ms={}", job.value(),
+                             refusal.reason, refusal.wait.count());
+                CallerAnswer answer;
+                answer.id = caller;
+                answer.outcome = CallerOutcome::Refused;
                 const auto spread
                         = static_cast<std::int64_t>(stableHash(job.value()) % retrySpreadMs);
-                refusal.retryAfter = std::clamp(excessWait, minRetryAfter, maxRetryAfter)
+                answer.retryAfter = std::clamp(refusal.wait, minRetryAfter, maxRetryAfter)
                         + Milliseconds(spread);
-                sendAnswer(refusal);
+                sendAnswer(answer);
             });
 }
 
--- a/Source/Cell/CallerMessages.h
+++ b/Source/Cell/CallerMessages.h
@@ -32,6 +32,8 @@
     std::variant<SubmitJob, ReadJob, CancelJob, CountPending> body;
     /// How long the caller waits for the answer, if it specified a time.
     std::optional<Milliseconds> timeout;
+    /// The account key in the request; empty for none.
+    AccountKey key = {};
 };
 
 enum class CallerOutcome {
@@ -49,7 +51,12 @@
     Invalid,
     /// The outcome is unknown; the caller may retry with the same job name.
     Unknown,
+    /// The request has no key of a client account. Not executed.
+    Unauthorized,
+    /// The job belongs to another client account. Not executed.
+    Forbidden,
 };
+constexpr std::size_t callerOutcomes = static_cast<std::size_t>(CallerOutcome::Forbidden) + 1;
 
 struct CallerAnswer
 {
--- a/Source/Cell/CallerRequestHandler.cpp
+++ b/Source/Cell/CallerRequestHandler.cpp
@@ -50,6 +50,7 @@
                                            Handlers handlers)
     : context_(context)
     , configuration_(configuration)
+    , authentication_(context, configuration)
     , handlers_(std::move(handlers))
 {
 }
@@ -61,6 +62,14 @@
         answer(request.id, CallerOutcome::NotReady);
         return;
     }
+    if (!isConfigurationCurrent()) {
+        context_.log("event=request_refused request={} reason=configuration_unconfirmed config={} "
+                     "confirmed_ms_ago={}",
+                     request.id.value(), configuration->version.value(),
+                     (context_.now() - configuration_.confirmedAt()).count());
+        answer(request.id, CallerOutcome::NotReady);
+        return;
+    }
     const Queue *queue = configuration->queueAt(request.host, request.path);
     if (!queue) {
         context_.log("event=unknown_queue host={} path={} config={}", request.host, request.path,
@@ -68,16 +77,32 @@
         answer(request.id, CallerOutcome::UnknownQueue);
         return;
     }
+    const Authentication caller = authentication_.authenticate(request, *queue);
+    if (caller.outcome == Authentication::Outcome::UnknownKey) {
+        refuse(request, CallerOutcome::Unauthorized, *queue,
+               request.key.isEmpty() ? "no_key" : "unknown_key");
+        return;
+    }
     if (const auto *submission = std::get_if<SubmitJob>(&request.body))
-        submit(request, *submission, *queue);
+        submit(request, *submission, *queue, caller.account);
     else if (const auto *readRequest = std::get_if<ReadJob>(&request.body))
         read(request, readRequest->job);
     else if (const auto *cancellation = std::get_if<CancelJob>(&request.body))
-        cancel(request, cancellation->job, *queue);
+        cancel(request, cancellation->job, *queue, caller.account);
     else
         answerPendingCount(request, *queue);
 }
 
+void CallerRequestHandler::refuse(const CallerRequest &request, CallerOutcome outcome,
+                                  const Queue &queue, std::string_view reason)
+{
+    context_.log("event=request_refused request={} reason={} queue={} config={} "
+                 "confirmed_ms_ago={}",
+                 request.id.value(), reason, queue.id.value(), configuration_.version().value(),
+                 (context_.now() - configuration_.confirmedAt()).count());
+    answer(request.id, outcome);
+}
+
 void CallerRequestHandler::handleRelayed(CallerRequest request, RelayHandler relay)
 {
     request.id = lastRelayedId_ = lastRelayedId_.next();
@@ -119,7 +144,7 @@
 }
 
 void CallerRequestHandler::submit(const CallerRequest &request, const SubmitJob &submit,
-                                  const Queue &queue)
+                                  const Queue &queue, const AccountId &account)
 {
     const JobId &id = submit.spec.id;
     if (const std::string error = validateJobSpec(submit.spec); !error.empty()) {
@@ -137,9 +162,9 @@
         answer(request.id, CallerOutcome::Refused);
         return;
     }
-    const std::optional<Milliseconds> excess = excessWait(submit.spec, queue);
-    if (excess && !submissions_.contains(id)) {
-        refuseUnlessStored(request.id, id, *excess);
+    if (const std::optional<Refusal> refusal = refusalOf(submit.spec, queue, account);
+        refusal && !submissions_.contains(id)) {
+        refuseUnlessStored(request.id, id, *refusal);
         return;
     }
     const auto [found, isNew] = submissions_.try_emplace(id);
@@ -152,6 +177,7 @@
         submission.job.queue = queue;
         submission.job.generation = handlers_.generation();
         submission.job.acceptedAt = context_.wallTime();
+        submission.job.account = account;
         submission.retryAt = context_.now();
     }
     flush();
@@ -315,7 +341,7 @@
 }
 
 void CallerRequestHandler::cancel(const CallerRequest &request, const JobId &job,
-                                  const Queue &queue)
+                                  const Queue &queue, const AccountId &account)
 {
     const KnownJob *state = findKnownJob(job);
     if (state && isFinal(state->state)) {
@@ -323,7 +349,7 @@
         return;
     }
     const Milliseconds timeout = request.timeout.value_or(queue.timeout);
-    cancelStored({request.id, job, context_.now() + timeout - answerMargin, {}});
+    cancelStored({request.id, job, context_.now() + timeout - answerMargin, {}, account});
 }
 
 void CallerRequestHandler::cancelStored(const Cancellation &cancellation)
@@ -333,9 +359,7 @@
                        [this, cancellation](const StoreReply &reply) {
                            --storeLookups_;
                            if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
-                               Cancellation next = cancellation;
-                               next.revision = reply.items.front().revision;
-                               commitCancel(next);
+                               onCancelledJobRead(cancellation, reply.items.front());
                            } else if (reply.outcome == StoreOutcome::NotFound) {
                                answerFinished(cancellation);
                            } else {
@@ -344,6 +368,23 @@
                        });
 }
 
+void CallerRequestHandler::onCancelledJobRead(const Cancellation &cancellation,
+                                              const StoreItem &item)
+{
+    const auto *job = std::get_if<AcceptedJob>(&item.value);
+    // Jobs of public queues have no account, and so may be cancelled by anyone.
+    if (job && !job->account.isEmpty() && job->account != cancellation.account) {
+        context_.log("event=request_refused request={} reason=other_account job={} config={}",
+                     cancellation.caller.value(), cancellation.job.value(),
+                     configuration_.version().value());
+        answer(cancellation.caller, CallerOutcome::Forbidden);
+        return;
+    }
+    Cancellation next = cancellation;
+    next.revision = item.revision;
+    commitCancel(next);
+}
+
 void CallerRequestHandler::commitCancel(const Cancellation &cancellation)
 {
     ++storeLookups_;
--- a/Source/Cell/CallerRequestHandler.h
+++ b/Source/Cell/CallerRequestHandler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Cell/ConfigurationCache.h"
+#include "Cell/CallerAuthentication.h"
 
 #include <deque>
 
@@ -42,6 +42,8 @@
                          Handlers handlers);
 
     void handle(const CallerRequest &request);
+    /// Whether requests can be judged by the configuration that is known here.
+    bool isConfigurationCurrent() const { return authentication_.isConfigurationCurrent(); }
     using RelayHandler = std::function<void(CallerAnswer)>;
     /// Handles a request that another instance relayed; \a relay receives the answer.
     void handleRelayed(CallerRequest request, RelayHandler relay);
@@ -96,16 +98,33 @@
         JobId job;
         TimePoint deadline;
         Revision revision;
+        /// The account of the caller; empty for one that needs none.
+        AccountId account = {};
     };
 
-    void submit(const CallerRequest &request, const SubmitJob &submit, const Queue &queue);
+    void refuse(const CallerRequest &request, CallerOutcome outcome, const Queue &queue,
+                std::string_view reason);
+    void submit(const CallerRequest &request, const SubmitJob &submit, const Queue &queue,
+                const AccountId &account);
+    /// Why a job is not accepted, and after how long it may be.
+    struct Refusal
+    {
+        std::string_view reason;
+        Milliseconds wait;
+    };
+
+    /// Nothing when the job may be accepted.
+    std::optional<Refusal> refusalOf(const JobSpec &spec, const Queue &queue,
+                                     const AccountId &account) const;
+    /// Whether a gang of the job can't run under the account's cap.
+    bool exceedsCap(const JobSpec &spec, const AccountId &account) const;
     /// How much longer the job would wait than its objective allows; nothing when it may be
     /// accepted.
     std::optional<Milliseconds> excessWait(const JobSpec &spec, const Queue &queue) const;
-    /// Refuses the job for overload. A job that is stored already is accepted: the caller may send
+    /// Refuses the job. A job that is stored already is accepted: the caller may send
     /// it again.
-    void refuseUnlessStored(CallerRequestId caller, const JobId &job, Milliseconds excessWait);
-    void refuseUnlessFinished(CallerRequestId caller, const JobId &job, Milliseconds excessWait);
+    void refuseUnlessStored(CallerRequestId caller, const JobId &job, const Refusal &refusal);
+    void refuseUnlessFinished(CallerRequestId caller, const JobId &job, const Refusal &refusal);
     void flush();
     void commit(const std::vector<JobId> &jobs);
     void onCommitted(const std::vector<JobId> &jobs, HolderContact sentIn, const StoreReply &reply);
@@ -125,7 +144,10 @@
     std::optional<JobState> currentState(const JobId &job) const;
     JobState lastKnownState(const JobId &job) const;
     void readResult(CallerRequestId caller, const JobId &job);
-    void cancel(const CallerRequest &request, const JobId &job, const Queue &queue);
+    void cancel(const CallerRequest &request, const JobId &job, const Queue &queue,
+                const AccountId &account);
+    /// The job's record was read; whoever may cancel it has a key of its account.
+    void onCancelledJobRead(const Cancellation &cancellation, const StoreItem &item);
     void cancelStored(const Cancellation &cancellation);
     void commitCancel(const Cancellation &cancellation);
     void answerFinished(const Cancellation &cancellation);
@@ -140,6 +162,7 @@
 
     CellContext &context_;
     const ConfigurationCache &configuration_;
+    CallerAuthentication authentication_;
     Handlers handlers_;
     std::unordered_map<JobId, KnownJob> known_;
     /// As last reported by the holder.
--- a/Source/Cell/CellDiagnostics.cpp
+++ b/Source/Cell/CellDiagnostics.cpp
@@ -68,6 +68,7 @@
                  passes.passes, passes.candidates, passes.workerChecks,
                  passes.processorTime.count(), passes.longest.count());
     logCalls();
+    logAccounts();
     for (const auto &[priority, row] : rows) {
         context_.log("event=priority_load priority={} jobs={} waiting_tasks={} "
                      "waiting_millicores={} running_millicores={} approval_requests={}",
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -127,6 +127,11 @@
         if (awaitsCrashEvidence(step, i) || awaitsCompletion(step.taskKey(i)))
             return;
     }
+    // Its members start together, or the first of them would wait for the others.
+    if (startableTasks(candidate) < tasks) {
+        accounts_.reserve(candidate.job->account, step.spec.need, tasks);
+        return;
+    }
     const std::vector<GangCapacity> capacities = gangCapacities(candidate);
     std::int64_t free = 0;
     std::int64_t startable = 0;
--- a/Source/Cell/CellInstance.cpp
+++ b/Source/Cell/CellInstance.cpp
@@ -33,6 +33,7 @@
 CellInstance::CellInstance(CellSettings settings, ProcessId self)
     : context_(std::move(settings), std::move(self))
     , configuration_(context_)
+    , configurationExchange_(context_, configuration_)
     , scheduler_(context_, configuration_,
                  {[this](const JobId &job, JobState state) { onStateChanged(job, state); },
                   [this] { election_.onSuperseded(); }, [this] { return election_.maySchedule(); }})
@@ -127,6 +128,7 @@
     context_.tick(tick.createdAt, tick.workersServedAt);
     scheduler_.recordEventDelay(context_.now() - tick.createdAt);
     configuration_.tick();
+    confirmConfiguration();
     if (scheduler_.awaitsConfirmation())
         election_.confirmSoon();
     election_.tick();
@@ -149,11 +151,17 @@
 
 std::optional<Address> CellInstance::relayFor(const CallerRequest &request) const
 {
-    if (context_.storeHealth().isServing() || std::holds_alternative<CountPending>(request.body))
+    const bool mayHandle
+            = context_.storeHealth().isServing() && callerRequests_.isConfigurationCurrent();
+    if (mayHandle || std::holds_alternative<CountPending>(request.body))
         return std::nullopt;
-    if (!election_.isHolder()) {
+    return reachablePeer();
+}
+
+std::optional<Address> CellInstance::reachablePeer() const
+{
+    if (!election_.isHolder())
         return isHolderContactCurrent() ? holderAddress() : std::nullopt;
-    }
     for (const auto &[address, lastContactAt] : peers_) {
         if (context_.now() - lastContactAt < holderContactLimit)
             return address;
@@ -161,6 +169,14 @@
     return std::nullopt;
 }
 
+void CellInstance::confirmConfiguration()
+{
+    if (!configurationExchange_.isRequestDue())
+        return;
+    if (const std::optional<Address> peer = reachablePeer())
+        configurationExchange_.request(*peer);
+}
+
 void CellInstance::on(const CallerRequest &request)
 {
     const std::optional<Address> relay = relayFor(request);
@@ -218,6 +234,16 @@
         context_.answer(answer);
 }
 
+void CellInstance::onMessage(const PeerFrame &frame, const PeerConfigurationRequest &message)
+{
+    configurationExchange_.onRequest(frame.fromAddress, message);
+}
+
+void CellInstance::onMessage(const PeerFrame & /*frame*/, const PeerConfigurationReply &message)
+{
+    configurationExchange_.onReply(message);
+}
+
 /// An unanswered relayed request may have been executed, so the outcome of a change is unknown.
 void CellInstance::expireRelayedRequests(TimePoint time)
 {
--- a/Source/Cell/CellInstance.h
+++ b/Source/Cell/CellInstance.h
@@ -2,6 +2,7 @@
 
 #include "Cell/CallerRequestHandler.h"
 #include "Cell/CellScheduler.h"
+#include "Cell/ConfigurationExchange.h"
 
 namespace caraway::cell {
 
@@ -87,11 +88,16 @@
 
     void onMessage(const PeerFrame &frame, const PeerCallerRequest &message);
     void onMessage(const PeerFrame &frame, const PeerCallerAnswer &message);
+    void onMessage(const PeerFrame &frame, const PeerConfigurationRequest &message);
+    void onMessage(const PeerFrame &frame, const PeerConfigurationReply &message);
 
     CallerRequestHandler::Handlers callerRequestHandlers();
     /// The instance that can answer this request while the store does not serve this one; none if
     /// it is to be handled here.
     std::optional<Address> relayFor(const CallerRequest &request) const;
+    /// Another instance that was heard a short time ago; none if there is no such one.
+    std::optional<Address> reachablePeer() const;
+    void confirmConfiguration();
     struct RelayedRequest;
     void sendRelayed(CallerRequest request, const RelayedRequest &relayed);
     /// Relays a request for a job's state whose answer is for callerRequests_.
@@ -129,6 +135,7 @@
 
     CellContext context_;
     ConfigurationCache configuration_;
+    ConfigurationExchange configurationExchange_;
     CellScheduler scheduler_;
     HolderElection election_;
     RecordWatcher jobsAndCancelsWatcher_;
--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -55,6 +55,9 @@
 
     /// Whether the store may contain progress of the job.
     bool hasProgressRecord = false;
+    AccountNumber account;
+    /// Whether the job exceeds the rate at which its account may submit.
+    bool isSurplus = false;
 
     const AcceptedJob &accepted() const { return accepted_; }
     const JobId &id() const { return accepted_.spec.id; }
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -70,6 +70,12 @@
             found.push_back({job.get(), &step, &queue, objectiveOf(*job, queue),
                              remainingTime(*job, step.key.occurrence, queue),
                              &pass_.options.eligible(queue.upstream, step.spec.requiredLabel)});
+            if (accounts_.isActive()) {
+                StartCandidate &candidate = found.back();
+                candidate.isSurplus = job->isSurplus;
+                candidate.isLate = !step.spec.longRunning
+                        && context_.now() + candidate.remaining > candidate.objective;
+            }
             keys.emplace_back(Order::keyOf(found.back(), context_.now()), keys.size());
         }
     }
@@ -162,24 +168,51 @@
     pacing_.recordStart(context_.now());
     resolveOpenStarts();
     preparePass();
-    const std::vector<StartCandidate> candidates = startCandidates();
+    std::vector<StartCandidate> candidates = startCandidates();
+    configureAccounts();
     pass_.report.candidates = candidates.size();
-    for (auto candidate = candidates.begin(); candidate != candidates.end(); ++candidate) {
-        startStep(*candidate);
-        if (!mayStartMore()) {
-            recordBacklog({candidate, candidates.end()});
-            passNeeded_ = true;
-            return;
+    countAccounts(candidates);
+    const bool areAllTried = startInOrder(candidates);
+    recordBacklog(candidates);
+    passNeeded_ = passNeeded_ || !areAllTried;
+}
+
+bool CellScheduler::tryToStart(StartCandidate &candidate)
+{
+    startStep(candidate);
+    candidate.isTried = mayStartMore();
+    return candidate.isTried;
+}
+
+bool CellScheduler::startInOrder(std::span<StartCandidate> candidates)
+{
+    std::vector<StartCandidate *> yielding;
+    const auto startYielding = [&] {
+        for (StartCandidate *candidate : std::exchange(yielding, {})) {
+            if (!tryToStart(*candidate))
+                return false;
         }
     }
-    recordBacklog({});
+    return startYielding();
+        return true;
+    };
+    for (StartCandidate &candidate : candidates) {
+        const bool isOfNextClass = !yielding.empty()
+                && !Order::keyOf(*yielding.front(), context_.now())
+                            .isOfOneClass(Order::keyOf(candidate, context_.now()));
+        if (isOfNextClass && !startYielding())
+            return false;
+        if (accounts_.isAboveShare(candidate.job->account))
+            yielding.push_back(&candidate);
+        else if (!tryToStart(candidate))
+            return false;
 }
 
-void CellScheduler::recordBacklog(std::span<const StartCandidate> remaining)
+void CellScheduler::recordBacklog(std::span<const StartCandidate> candidates)
 {
     std::map<std::int64_t, std::size_t> tasks;
-    for (const StartCandidate &candidate : remaining) {
-        if (Order::hasValue(candidate, context_.now()))
+    for (const StartCandidate &candidate : candidates) {
+        if (!candidate.isTried && Order::hasValue(candidate, context_.now()))
             tasks[candidate.queue->priority] += candidate.step->counts.waiting;
     }
     wait_.recordBacklog(tasks, context_.now());
@@ -329,19 +362,23 @@
 {
     CellStep &step = *candidate.step;
     std::vector<ScoredWorker> workers = scoredWorkers(candidate);
-    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    for (std::size_t i = 0; i < step.tasks.size() && startable > 0; ++i) {
+    std::int64_t startable = startableTasks(candidate);
+    if (startable == 0)
+        return;
         if (!step.tasks[i].isIn(CellTask::State::Waiting) || awaitsCrashEvidence(step, i)
             || awaitsCompletion(step.taskKey(i)))
             continue;
         const auto best = bestWorker(workers, step.tasks[i], step.key.job);
         if (best == workers.end()) {
-            requestTaskApprovals(candidate, static_cast<std::int64_t>(step.counts.waiting));
+            requestTaskApprovals(candidate, startable);
             return;
         }
         if (!mayStartMore())
             return;
         WorkerOption &option = *best->option;
         startTask(candidate, i, nextRun(step.tasks[i]), option);
+        --startable;
         if (hasRoom(option, step))
             *best = scored(option, candidate);
         else
@@ -363,6 +400,8 @@
     request.need = step.spec.allocation();
     if (const auto *ticket = step.approvals.validTicket(worker.number(), context_.now())) {
         request.ticket = ticket->text;
+    request.charge = chargeOf(*candidate.job, step);
+    accounts_.addRunning(request.charge);
         request.ticketValidUntil = ticket->validUntil;
     }
     option.free -= request.need;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -184,12 +184,21 @@
     jobs_.emplace(id, std::move(added));
     if (addedJob.hasCrashes())
         jobsWithCrashes_.insert(id);
+    configureAccounts();
+    addedJob.account = accounts_.numberOf(job.account);
+    // A holder that takes over does not know the times at which older jobs were submitted.
+    addedJob.isSurplus = accounts_.isActive() && job.generation == generation_
+            && submissionRate_.recordJob(addedJob.account, accounts_.weight(addedJob.account),
+                                         context_.now());
     addRecordedStarts(addedJob);
     addedJob.updateReadiness(context_.now(), context_.wallTime());
-    context_.log("event=job_added job={} queue={} steps={} accepted_generation={}", id.value(),
-                 job.queue.id.value(), job.spec.steps.size(), job.generation);
+    context_.log("event=job_added job={} queue={} steps={} accepted_generation={} account={} "
+                 "surplus={}",
+                 id.value(), job.queue.id.value(), job.spec.steps.size(), job.generation,
+                 job.account.value(), addedJob.isSurplus);
     passNeeded_ = true;
-    recordArrival(addedJob);
+    if (!addedJob.isSurplus)
+        recordArrival(addedJob);
     if (addedJob.isDone())
         finish(addedJob, JobState::Completed);
     else if (cancellations_.contains(id))
@@ -284,14 +293,16 @@
     if (!step)
         return decideUnknown(worker, running);
     if (isFinal(job->state()))
-        return {};
+        return stopped;
+    const AccountCharge charge = chargeOf(*job, *step);
+    const WorkerFleet::RunDecision stopped {WorkerFleet::RunDecision::Kind::Stop, {}, charge};
     const WorkerFleet::RunDecision kept {WorkerFleet::RunDecision::Kind::Keep,
-                                         step->spec.allocation()};
+                                         step->spec.allocation(), charge};
     CellTask &task = step->tasks[running.task.index.value()];
     if (findRun(running.task, running.run, worker.id()))
         return kept;
     if (!task.isIn(CellTask::State::Waiting))
-        return {};
+        return stopped;
     task.assign(worker.id(), running.run, context_.now());
     task.handle(CellTask::Event::Listed);
     markStarted(*job);
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/AccountLedger.h"
 #include "Cell/ApprovalDispatcher.h"
 #include "Cell/CellJob.h"
 #include "Cell/ConfigurationCache.h"
@@ -10,6 +11,7 @@
 #include "Cell/Policy/PassPacing.h"
 #include "Cell/Policy/StartLimit.h"
 #include "Cell/Policy/StartOrder.h"
+#include "Cell/Policy/SubmissionRate.h"
 #include "Cell/Policy/WaitEstimate.h"
 #include "Cell/Policy/WorkerChoice.h"
 #include "Cell/ProgressRecorder.h"
@@ -111,6 +113,7 @@
     using Pacing = ProcessorSharePacing;
     using Limit = DelayLimit;
     using Wait = BacklogWait;
+    using Rate = WeightRate;
 
     /// A start that is sent once the store has it.
     struct RecordedFirst
@@ -324,11 +327,26 @@
     void runSchedulingPass();
     std::vector<StartCandidate> startCandidates();
     /// Records the tasks that the pass leaves to the next one.
-    void recordBacklog(std::span<const StartCandidate> remaining);
+    void recordBacklog(std::span<const StartCandidate> candidates);
+    /// Counts what the accounts have running, and the accounts of the \a candidates as waiting.
+    void countAccounts(std::span<const StartCandidate> candidates);
+    /// Applies the newest configuration to the accounts.
+    void configureAccounts();
+    /// How many of the waiting tasks the cap of the job's account allows to start now.
+    std::int64_t startableTasks(const StartCandidate &candidate) const;
+    AccountCharge chargeOf(const CellJob &job, const CellStep &step) const
+    {
+        return {job.account, step.spec.need};
+    }
+    void logAccounts();
     bool mayStartMore() const { return startLimit_.mayStart(fleet_.unansweredStarts()); }
     TimePoint objectiveOf(const CellJob &job, const Queue &queue) const;
     /// Minimum time until the repetition completes, with every task started as soon as it is ready.
     Milliseconds remainingTime(const CellJob &job, Occurrence occurrence, const Queue &queue) const;
+    /// Tries the candidates in their order; those of accounts that have reached their shares after
+    /// the others of their class. False when no more tasks may be started at present.
+    bool startInOrder(std::span<StartCandidate> candidates);
+    bool tryToStart(StartCandidate &candidate);
     bool isStartable(const CellJob &job, const CellStep &step) const;
     void startStep(const StartCandidate &candidate);
     void startIndependentTasks(const StartCandidate &candidate);
@@ -444,3 +462,5 @@
 };
 
 } // namespace caraway::cell
+    Rate submissionRate_;
+    AccountLedger accounts_;
--- a/Source/Cell/CellSettings.h
+++ b/Source/Cell/CellSettings.h
@@ -28,6 +28,8 @@
     Milliseconds resultLifetime {120'000};
     /// Time from SIGTERM to SIGKILL.
     Milliseconds stopGrace {6000};
+    /// Time from the storing of a configuration until no request may be handled by an older one.
+    Milliseconds configurationApply {2000};
 };
 
 } // namespace caraway::cell
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/ClientAccount.h"
 #include "Cell/CompletionNumbers.h"
 
 #include <algorithm>
@@ -14,6 +15,7 @@
     TaskKey task;
     RunNumber run;
     Resources need;
+    AccountCharge charge;
     /// The latest time, on the worker's clock, at which the worker confirmed the run; nothing
     /// before the first confirmation.
     std::optional<WorkerTime> confirmedAt;
--- a/Source/Cell/ConfigurationCache.cpp
+++ b/Source/Cell/ConfigurationCache.cpp
@@ -13,7 +13,7 @@
     : context_(context)
     , watcher_(context, RecordType::Configuration, intervals,
                {[this](const StoreItem &item) { apply(item); }, [](const RecordKey &) {},
-                [this](TimePoint sentAt) { confirmedAt_ = sentAt; }})
+                [this](TimePoint sentAt) { confirmedAt_ = std::max(confirmedAt_, sentAt); }})
 {
 }
 
@@ -28,6 +28,33 @@
     return found == queues_.end() ? nullptr : &current_->queues[found->second];
 }
 
+const ClientAccount *ConfigurationCache::account(const AccountId &id) const
+{
+    const auto found = accounts_.find(id);
+    return found == accounts_.end() ? nullptr : &current_->accounts[found->second];
+}
+
+const ClientAccount *ConfigurationCache::accountWithKey(const AccountKey &key) const
+{
+    const auto found = accountKeys_.find(key);
+    return found == accountKeys_.end() ? nullptr : &current_->accounts[found->second];
+}
+
+void ConfigurationCache::confirm(ConfigurationVersion version, TimePoint at)
+{
+    if (version == this->version())
+        confirmedAt_ = std::max(confirmedAt_, at);
+}
+
+void ConfigurationCache::adopt(const CellConfiguration &configuration)
+{
+    if (current_ && configuration.version <= current_->version)
+        return;
+    context_.log("event=configuration_from_peer version={} previous={}",
+                 configuration.version.value(), version().value());
+    setCurrent(configuration);
+}
+
 void ConfigurationCache::onVersionAnnounced(ConfigurationVersion version)
 {
     if (version > this->version())
@@ -47,10 +74,22 @@
     context_.log("event=configuration_in_force version={} previous={} revision={} queues={}",
                  configuration->version.value(), version().value(), item.revision.value(),
                  configuration->queues.size());
-    current_ = *configuration;
+    setCurrent(*configuration);
+}
+
+void ConfigurationCache::setCurrent(const CellConfiguration &configuration)
+{
+    current_ = configuration;
     queues_.clear();
     for (std::size_t i = 0; i < current_->queues.size(); ++i)
         queues_.emplace(current_->queues[i].id, i);
+    accounts_.clear();
+    accountKeys_.clear();
+    for (std::size_t i = 0; i < current_->accounts.size(); ++i) {
+        accounts_.emplace(current_->accounts[i].id, i);
+        for (const AccountKey &key : current_->accounts[i].keys)
+            accountKeys_.emplace(key, i);
+    }
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/JobSpec.h
+++ b/Source/Cell/JobSpec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell/CellTypes.h"
+#include "Cell/ClientAccount.h"
 
 #include <map>
 #include <set>
@@ -96,6 +97,8 @@
     /// How long a caller waits whose request specifies no timeout.
     Milliseconds timeout;
     std::optional<ApprovalSettings> approval;
+    /// Whether requests need no account key.
+    bool isPublic = false;
 };
 
 /// The operator's configuration in force.
@@ -106,6 +109,10 @@
     std::set<UpstreamId> upstreams;
     /// Upstreams whose workers refuse tasks that exceed their free capacity.
     std::set<UpstreamId> upstreamsRejectingOverload;
+    /// Whether the configuration has client accounts, so that requests need a key of one, even when
+    /// the list is empty.
+    bool hasAccounts = false;
+    std::vector<ClientAccount> accounts;
 
     /// The queue of \a host with the longest prefix of \a path; null for none.
     const Queue *queueAt(std::string_view host, std::string_view path) const;
@@ -122,6 +129,8 @@
     /// job.
     std::uint64_t generation = 0;
     WallTime acceptedAt;
+    /// The account whose key the request had; empty if it needed none.
+    AccountId account = {};
 };
 
 enum class JobState { Pending, Running, Completed, Failed, Cancelled };
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -79,9 +79,28 @@
     CallerAnswer answer;
 };
 
+/// From an instance that the store has not confirmed its configuration to for some time.
+struct PeerConfigurationRequest
+{
+    std::uint64_t number = 0;
+    /// The version that the instance has.
+    ConfigurationVersion known;
+};
+
+struct PeerConfigurationReply
+{
+    std::uint64_t number = 0;
+    /// The version that the answering instance has, and how long ago the store confirmed it.
+    ConfigurationVersion version;
+    Milliseconds age;
+    /// Set if the version is newer than that in the request.
+    std::optional<CellConfiguration> configuration;
+};
+
 using PeerMessage
         = std::variant<PeerHello, PeerJobAccepted, PeerJobCancelled, PeerApprovalRequest,
-                       PeerApprovalReply, PeerStateUpdate, PeerCallerRequest, PeerCallerAnswer>;
+                       PeerApprovalReply, PeerStateUpdate, PeerCallerRequest, PeerCallerAnswer,
+                       PeerConfigurationRequest, PeerConfigurationReply>;
 
 /// The number before an instance's first request to a peer. No process at the same address has used
 /// the numbers after it, so that a reply to an earlier process is not taken for one to this one.
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -28,6 +28,8 @@
         Kind kind = Kind::Stop;
         /// The resources to allocate to a run that is kept.
         Resources need = {};
+        /// What the run counts for until it has ended, also one that is stopped.
+        AccountCharge charge = {};
     };
     struct Handlers
     {
@@ -66,6 +68,7 @@
         /// Nothing when the start needs no ticket.
         std::optional<TimePoint> ticketValidUntil = std::nullopt;
         Resources need;
+        AccountCharge charge;
     };
     using Workers = std::map<WorkerId, CellWorker>;
 
@@ -143,6 +146,8 @@
         return !recovered_ && (isOpenWorkerUnread_ || jobsOnUnreadWorkers_.contains(job));
     }
     std::vector<WorkerId> unreadWorkers() const;
+    /// The most that runs on the worker may use that are not known, or not with their needs.
+    Resources unknownUse(const CellWorker &worker) const;
     /// Starts that were sent and whose replies have not been handled yet.
     std::size_t unansweredStarts() const { return unansweredStarts_; }
     CallTotals takeCallTotals() { return std::exchange(callTotals_, {}); }
--- a/Source/Cell/WorkerRoster.cpp
+++ b/Source/Cell/WorkerRoster.cpp
@@ -103,6 +103,25 @@
     return ids;
 }
 
+Resources WorkerFleet::unknownUse(const CellWorker &worker) const
+{
+    const bool isUnread = !recovered_ && worker.isInRoster && !worker.isStateRead;
+    if (!isUnread && worker.orphanedRuns == 0)
+        return {};
+    if (worker.entry)
+        return worker.entry->capacity;
+    Resources largest;
+    for (const auto &[id, other] : workers_) {
+        if (!other.entry)
+            continue;
+        const Resources &capacity = other.entry->capacity;
+        largest.processors = std::max(largest.processors, capacity.processors);
+        largest.memory = std::max(largest.memory, capacity.memory);
+        largest.accelerators = std::max(largest.accelerators, capacity.accelerators);
+    }
+    return largest;
+}
+
 void WorkerFleet::checkRecovery()
 {
     if (recovered_)
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -25,6 +25,7 @@
     placement.task = request.task;
     placement.run = request.run;
     placement.need = request.need;
+    placement.charge = request.charge;
     findWorker(id)->placements.push_back(placement);
 }
 
@@ -178,6 +179,7 @@
     Placement *placement = worker->find(task, run);
     placement->isUndecided = false;
     placement->need = decision.need;
+    placement->charge = decision.charge;
     if (decision.kind == RunDecision::Kind::Stop)
         stop(id, task, run);
     worker->countOrphanedRuns();
--- a/Source/CellDuties/CellMetrics.cpp
+++ b/Source/CellDuties/CellMetrics.cpp
@@ -10,8 +10,9 @@
         = {"get", "list", "watch", "commit", "grant_lease", "renew_lease", "end_lease"};
 constexpr std::array workerCallNames = {"start", "stop", "hold"};
 constexpr std::array outcomeNames
-        = {"accepted",    "state",   "cancelled", "counted", "unknown_queue",
-           "unknown_job", "refused", "not_ready", "invalid", "unknown"};
+        = {"accepted", "state",     "cancelled", "counted", "unknown_queue", "unknown_job",
+           "refused",  "not_ready", "invalid",   "unknown", "unauthorized",  "forbidden"};
+static_assert(outcomeNames.size() == callerOutcomes);
 
 } // namespace
 
--- a/Source/CellDuties/HttpMessages.h
+++ b/Source/CellDuties/HttpMessages.h
@@ -44,6 +44,8 @@
     std::string body;
     /// Value of the Retry-After header in seconds; 0 for no header.
     std::int64_t retryAfterSeconds = 0;
+    /// Value of the WWW-Authenticate header; empty for no header.
+    std::string challenge = {};
 };
 
 } // namespace caraway::cell
--- a/Source/CellDuties/HttpServer.cpp
+++ b/Source/CellDuties/HttpServer.cpp
@@ -55,6 +55,8 @@
             response_.set(http::field::content_type, "application/json");
         if (reply.retryAfterSeconds > 0)
             response_.set(http::field::retry_after, std::to_string(reply.retryAfterSeconds));
+        if (!reply.challenge.empty())
+            response_.set(http::field::www_authenticate, reply.challenge);
         response_.keep_alive(keepAlive_ && !server_.closesAfterAnswers_);
         response_.body() = reply.body;
         response_.prepare_payload();
--- a/Source/Command/CellSettingsReader.cpp
+++ b/Source/Command/CellSettingsReader.cpp
@@ -61,6 +61,7 @@
         {"worker_lease", Rounding::Up, Milliseconds(100), hour, &CellSettings::workerLease},
         {"result_lifetime", Rounding::Up, second, month, &CellSettings::resultLifetime},
         {"stop_grace", Rounding::Down, Milliseconds(100), hour, &CellSettings::stopGrace},
+        {"configuration_apply", Rounding::Down, second, hour, &CellSettings::configurationApply},
 };
 
 constexpr double millicoresPerProcessor = 1000;
--- a/Source/Messages/CellCodec.cpp
+++ b/Source/Messages/CellCodec.cpp
@@ -251,8 +251,9 @@
 }
 
 // std::visit needs an overload for every alternative of RecordValue, but this codec never writes
-// the following ones: the first two hold no record, and other systems write the configuration and
-// the list of workers to the store, in an encoding that is in the platform adapter.
+// the following ones, nor the configuration: the first two hold no record, and other systems write
+// the configuration and the list of workers to the store, in an encoding that is in the platform
+// adapter.
 Json encode(const std::monostate & /*none*/)
 {
     return nullptr;
@@ -261,10 +262,6 @@
 {
     return nullptr;
 }
-Json encode(const CellConfiguration & /*configuration*/)
-{
-    return nullptr;
-}
 Json encode(const WorkerEntry & /*entry*/)
 {
     return nullptr;
--- a/Source/Messages/CellFrameCodec.cpp
+++ b/Source/Messages/CellFrameCodec.cpp
@@ -81,7 +81,8 @@
     else if (const auto *cancel = std::get_if<CancelJob>(&request.body))
         body = cancel->job.value();
     return Json::array({request.id.value(), request.host, request.path, request.body.index(),
-                        std::move(body), request.timeout.value_or(Milliseconds()).count()});
+                        std::move(body), request.timeout.value_or(Milliseconds()).count(),
+                        request.key.value()});
 }
 
 Json encode(const PeerCallerAnswer &message)
@@ -92,6 +93,30 @@
                         answer.retryAfter.count()});
 }
 
+Json encode(const PeerConfigurationRequest &message)
+{
+    return Json::array({message.number, message.known.value()});
+}
+
+Json encode(const PeerConfigurationReply &message)
+{
+    Json json = Json::array({message.number, message.version.value(), message.age.count()});
+    if (message.configuration)
+        json.push_back(encode(*message.configuration));
+    return json;
+}
+
+PeerConfigurationReply decodeConfigurationReply(const Json &json)
+{
+    PeerConfigurationReply message;
+    message.number = json.at(0).get<std::uint64_t>();
+    message.version = decodeNumber<ConfigurationVersion>(json.at(1));
+    message.age = decodeQuantity<Milliseconds>(json.at(2));
+    if (json.size() > 3)
+        message.configuration = decodeConfiguration(json.at(3));
+    return message;
+}
+
 PeerCallerRequest decodeCallerRequest(const Json &json)
 {
     CallerRequest request;
@@ -115,6 +140,9 @@
     const auto timeout = decodeQuantity<Milliseconds>(json.at(5));
     if (timeout > Milliseconds())
         request.timeout = timeout;
+    // Earlier releases know no accounts.
+    if (json.size() > 6)
+        request.key = decodeName<AccountKey>(json.at(6));
     return {std::move(request)};
 }
 
@@ -123,7 +151,7 @@
     CallerAnswer answer;
     answer.id = decodeNumber<CallerRequestId>(json.at(0));
     const auto outcome = json.at(1).get<unsigned>();
-    if (outcome > static_cast<unsigned>(CallerOutcome::Unknown))
+    if (outcome >= callerOutcomes)
         throw std::out_of_range("unknown caller outcome");
     answer.outcome = static_cast<CallerOutcome>(outcome);
     answer.state = decodeState(json.at(2));
@@ -182,6 +210,11 @@
         return decodeCallerRequest(json);
     case 7:
         return decodeCallerAnswer(json);
+    case 8:
+        return PeerConfigurationRequest {json.at(0).get<std::uint64_t>(),
+                                         decodeNumber<ConfigurationVersion>(json.at(1))};
+    case 9:
+        return decodeConfigurationReply(json);
     default:
         throw std::out_of_range("unknown message type");
     }
--- a/Source/Messages/CellJson.cpp
+++ b/Source/Messages/CellJson.cpp
@@ -77,6 +77,14 @@
                         queue.stretchPercent, queue.objective.count(), std::move(approval)});
 }
 
+/// The address and the timeout, which records of jobs lack, come after the other fields.
+Json encodeConfigured(const Queue &queue)
+{
+    Json json = encode(queue);
+    json.insert(json.end(), {queue.host, queue.prefix, queue.timeout.count(), queue.isPublic});
+    return json;
+}
+
 Queue decodeQueue(const Json &json)
 {
     Queue queue;
@@ -92,9 +100,55 @@
                                            approval.at(1).get<std::int64_t>(),
                                            decodeQuantity<Milliseconds>(approval.at(2))};
     }
+    if (json.size() > 10) {
+        queue.host = json.at(7).get<std::string>();
+        queue.prefix = json.at(8).get<std::string>();
+        queue.timeout = decodeQuantity<Milliseconds>(json.at(9));
+        queue.isPublic = json.at(10).get<bool>();
+    }
     return queue;
 }
 
+Json encode(const ClientAccount &account)
+{
+    Json keys = Json::array();
+    for (const AccountKey &key : account.keys)
+        keys.push_back(key.value());
+    return Json::array({account.id.value(), std::move(keys), account.weight.count(),
+                        account.cap.processors.count(), account.cap.memory.count(),
+                        account.cap.accelerators.count()});
+}
+
+ClientAccount decodeAccount(const Json &json)
+{
+    ClientAccount account;
+    account.id = decodeName<AccountId>(json.at(0));
+    for (const Json &key : json.at(1))
+        account.keys.push_back(decodeName<AccountKey>(key));
+    account.weight = decodeQuantity<AccountWeight>(json.at(2));
+    account.cap.processors = decodeQuantity<Millicores>(json.at(3));
+    account.cap.memory = decodeQuantity<Bytes>(json.at(4));
+    account.cap.accelerators = decodeQuantity<Accelerators>(json.at(5));
+    return account;
+}
+
+template<class Name>
+Json encodeNames(const std::set<Name> &names)
+{
+    Json json = Json::array();
+    for (const Name &name : names)
+        json.push_back(name.value());
+    return json;
+}
+
+std::set<UpstreamId> decodeUpstreams(const Json &json)
+{
+    std::set<UpstreamId> upstreams;
+    for (const Json &upstream : json)
+        upstreams.insert(decodeName<UpstreamId>(upstream));
+    return upstreams;
+}
+
 } // namespace
 
 Json encode(const Address &address)
@@ -122,9 +176,12 @@
     for (const StepSpec &step : job.spec.steps)
         steps.push_back(encode(step));
     const Schedule &schedule = job.spec.schedule;
-    return Json::array({job.spec.id.value(), job.spec.payload, std::move(steps), schedule.runs,
-                        schedule.firstDue.count(), schedule.interval.count(), encode(job.queue),
-                        job.generation, job.acceptedAt.count()});
+    Json json = Json::array({job.spec.id.value(), job.spec.payload, std::move(steps), schedule.runs,
+                             schedule.firstDue.count(), schedule.interval.count(),
+                             encode(job.queue), job.generation, job.acceptedAt.count()});
+    if (!job.account.isEmpty())
+        json.push_back(job.account.value());
+    return json;
 }
 
 AcceptedJob decodeJob(const Json &json)
@@ -139,9 +196,40 @@
     job.queue = decodeQueue(json.at(6));
     job.generation = json.at(7).get<std::uint64_t>();
     job.acceptedAt = decodeQuantity<WallTime>(json.at(8));
+    // Earlier releases know no accounts.
+    if (json.size() > 9)
+        job.account = decodeName<AccountId>(json.at(9));
     return job;
 }
 
+Json encode(const CellConfiguration &configuration)
+{
+    Json queues = Json::array();
+    for (const Queue &queue : configuration.queues)
+        queues.push_back(encodeConfigured(queue));
+    Json accounts = Json::array();
+    for (const ClientAccount &account : configuration.accounts)
+        accounts.push_back(encode(account));
+    return Json::array({configuration.version.value(), std::move(queues),
+                        encodeNames(configuration.upstreams),
+                        encodeNames(configuration.upstreamsRejectingOverload),
+                        configuration.hasAccounts, std::move(accounts)});
+}
+
+CellConfiguration decodeConfiguration(const Json &json)
+{
+    CellConfiguration configuration;
+    configuration.version = decodeNumber<ConfigurationVersion>(json.at(0));
+    for (const Json &queue : json.at(1))
+        configuration.queues.push_back(decodeQueue(queue));
+    configuration.upstreams = decodeUpstreams(json.at(2));
+    configuration.upstreamsRejectingOverload = decodeUpstreams(json.at(3));
+    configuration.hasAccounts = json.at(4).get<bool>();
+    for (const Json &account : json.at(5))
+        configuration.accounts.push_back(decodeAccount(account));
+    return configuration;
+}
+
 JobState decodeState(const Json &json)
 {
     const auto state = json.get<unsigned>();
--- a/Source/Messages/CellJson.h
+++ b/Source/Messages/CellJson.h
@@ -49,6 +49,9 @@
 ProcessId decodeProcess(const Json &json);
 Json encode(const AcceptedJob &job);
 AcceptedJob decodeJob(const Json &json);
+/// The whole configuration, with the account keys; for the links between instances only.
+Json encode(const CellConfiguration &configuration);
+CellConfiguration decodeConfiguration(const Json &json);
 JobState decodeState(const Json &json);
 
 std::string toBytes(const Json &json);
--- a/Tests/Cell/CellSimulation.cpp
+++ b/Tests/Cell/CellSimulation.cpp
@@ -476,6 +476,7 @@
 CallerRequestId CellSimulation::sendRequest(std::size_t instance, CallerRequest request)
 {
     request.id = CallerRequestId(++lastRequest_);
+    request.key = key;
     if (request.host.empty())
         request.host = "host";
     const CallerRequestId id = request.id;
--- a/Tests/Cell/CellSimulation.h
+++ b/Tests/Cell/CellSimulation.h
@@ -123,6 +123,8 @@
     SimulatedWorker &worker(std::size_t index) { return *workers_.at(index); }
     const SimulatedWorker &worker(std::size_t index) const { return *workers_.at(index); }
 
+    /// The account key of the requests that follow; empty for none.
+    cell::AccountKey key;
     /// Submits a job through an instance. The returned id identifies the answer.
     cell::CallerRequestId submit(std::size_t instance, const cell::JobSpec &job,
                                  const std::string &host = "host");
--- a/Tests/Messages/CellCodecTest.cpp
+++ b/Tests/Messages/CellCodecTest.cpp
@@ -1,4 +1,5 @@
 #include "Messages/CellCodec.h"
+#include "Messages/CellFrameCodec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
@@ -19,6 +20,10 @@
     CPPUNIT_TEST(decode_encodedStartLog_returnsEqualRecord);
     CPPUNIT_TEST(decode_startLogOfAnEarlierRelease_hasNoAddresses);
     CPPUNIT_TEST(decode_startLogWithoutARunNumber_isMalformed);
+    CPPUNIT_TEST(decode_encodedJobOfAnAccount_hasTheAccount);
+    CPPUNIT_TEST(encode_jobWithoutAccount_hasNoFurtherField);
+    CPPUNIT_TEST(decode_encodedConfiguration_returnsEqualAccountsAndQueues);
+    CPPUNIT_TEST(decode_relayedRequest_hasTheKey);
     CPPUNIT_TEST_SUITE_END();
 
     void decode_encodedClosedWorkers_returnsEqualRecord()
@@ -108,7 +113,75 @@
                 decodeRecord(RecordType::StartLog, toCbor(R"([1,[["a",0,0,0]]])"))));
     }
 
+    void decode_encodedJobOfAnAccount_hasTheAccount()
+    {
+        AcceptedJob job;
+        job.spec.id = JobId("a");
+        job.account = AccountId("account");
+        const RecordValue decoded = decodeRecord(RecordType::Jobs, encodeRecord(job));
+        CPPUNIT_ASSERT(std::get<AcceptedJob>(decoded).account == job.account);
+    }
+
+    /// Guards against records that an earlier release would refuse in deployments without accounts.
+    void encode_jobWithoutAccount_hasNoFurtherField()
+    {
+        const std::string bytes = encodeRecord(AcceptedJob {});
+        constexpr std::size_t fieldsOfEarlierReleases = 9;
+        CPPUNIT_ASSERT_EQUAL(fieldsOfEarlierReleases, nlohmann::json::from_cbor(bytes).size());
+    }
+
+    void decode_encodedConfiguration_returnsEqualAccountsAndQueues()
+    {
+        CellConfiguration configuration;
+        configuration.version = ConfigurationVersion(7);
+        configuration.hasAccounts = true;
+        ClientAccount account;
+        account.id = AccountId("account");
+        account.keys = {AccountKey("key-1"), AccountKey("key-2")};
+        account.weight = AccountWeight(2500);
+        account.cap.processors = Millicores(4000);
+        account.cap.memory = Bytes(1 << 30);
+        configuration.accounts = {account};
+        Queue queue;
+        queue.id = QueueId("queue");
+        queue.host = "host";
+        queue.prefix = "/q/";
+        queue.timeout = Milliseconds(3000);
+        queue.isPublic = true;
+        configuration.queues = {queue};
+        configuration.upstreams = {UpstreamId("upstream")};
+        const PeerMessage message = PeerConfigurationReply {3, configuration.version,
+                                                            Milliseconds(40), configuration};
+        const auto reply = std::get<PeerConfigurationReply>(sent(message));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), reply.number);
+        CPPUNIT_ASSERT(reply.age == Milliseconds(40));
+        CPPUNIT_ASSERT(reply.configuration->hasAccounts);
+        CPPUNIT_ASSERT(reply.configuration->accounts == configuration.accounts);
+        CPPUNIT_ASSERT(reply.configuration->upstreams == configuration.upstreams);
+        const Queue &received = reply.configuration->queues.at(0);
+        CPPUNIT_ASSERT(received.host == queue.host && received.prefix == queue.prefix);
+        CPPUNIT_ASSERT(received.isPublic && received.timeout == queue.timeout);
+    }
+
+    void decode_relayedRequest_hasTheKey()
+    {
+        CallerRequest request;
+        request.body = ReadJob {JobId("a")};
+        request.key = AccountKey("key");
+        const auto relayed = std::get<PeerCallerRequest>(sent(PeerCallerRequest {request}));
+        CPPUNIT_ASSERT(relayed.request.key == request.key);
+    }
+
 private:
+    /// The message as the other instance decodes it.
+    static PeerMessage sent(const PeerMessage &message)
+    {
+        const PeerFrame frame {{InstanceId("a"), 1}, {"10.0.0.1", 7000}, message};
+        const Result<PeerFrame> decoded = decodeCellFrame(encodeCellFrame(frame));
+        CPPUNIT_ASSERT(decoded);
+        return decoded->message;
+    }
+
     static std::string toCbor(const std::string &json)
     {
         const std::vector<std::uint8_t> bytes
--- a/Tests/Settings/CellSettingsReaderTest.cpp
+++ b/Tests/Settings/CellSettingsReaderTest.cpp
@@ -40,7 +40,8 @@
                    {"limits.cpuShare", "0.25"},
                    {"bounds.maxHoldMs", "6000"},
                    {"bounds.graceS", "6"},
-                   {"bounds.status_s", "120"}};
+                   {"bounds.status_s", "120"},
+                   {"bounds.configApplyMs", "2000"}};
     }
 
     void template_withWholeBounds_setsThem()
