Name different workers in the approval requests of many steps

Each step asked for the workers with the most free capacity at the time, so hundreds of steps in one pass named the same few.

Change: the tasks of an open request count as if they were on its workers when further requests choose theirs, until it is answered.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -88,7 +88,7 @@
         return;
     const CellStep &step = *candidate.step;
     if (!mayFit(candidate)) {
-        queueApprovalRequest(candidate, {});
+        queueApprovalRequest(candidate, {}, tasks);
         return;
     }
     bool fitsAny = false;
@@ -104,14 +104,18 @@
         const WorkerNumber number = option.worker->number();
         if (step.approvals.isDenied(number) || !mayRun(option, candidate))
             continue;
-        const std::int64_t fitting = fittingTasks(option, step);
-        if (fitting <= 0)
-            continue;
         if (!step.approvals.isApproved(number)) {
-            undecided.push_back(
-                    {step.spec.need.dominantShareOf(option.free), fitting, option.worker});
+            const Resources unrequested = option.free - option.requested;
+            const std::int64_t fitting = fittingTasks(option, unrequested, step);
+            if (fitting > 0) {
+                undecided.push_back(
+                        {step.spec.need.dominantShareOf(unrequested), fitting, option.worker});
+            }
             continue;
         }
+        const std::int64_t fitting = fittingTasks(option, step);
+        if (fitting <= 0)
+            continue;
         if (approvedCapacity < tasks && !hasTicket(option, candidate))
             expired.push_back(option.worker->id());
         approvedCapacity += fitting;
@@ -119,7 +123,7 @@
     if (!fitsAny && !step.spec.fillsIdleTime)
         candidate.eligible->recordTooLarge(step.spec.need);
     if (approvedCapacity >= tasks) {
-        queueApprovalRequest(candidate, std::move(expired));
+        queueApprovalRequest(candidate, std::move(expired), tasks);
         return;
     }
     const double needed = static_cast<double>(tasks) * taskRequestFactor
@@ -127,7 +131,7 @@
     std::vector<WorkerId> chosen = chooseWorkersToRequest(candidate, std::move(undecided), needed);
     if (chosen.size() + expired.size() <= maxWorkersPerRequest)
         chosen.insert(chosen.end(), expired.begin(), expired.end());
-    queueApprovalRequest(candidate, std::move(chosen));
+    queueApprovalRequest(candidate, std::move(chosen), tasks);
 }
 
 /// Requests decisions on further workers, and tickets for the approved ones in \a withoutTicket.
@@ -166,7 +170,7 @@
         if (chosen.size() < maxWorkersPerRequest)
             chosen.push_back(std::move(id));
     }
-    queueApprovalRequest(candidate, std::move(chosen));
+    queueApprovalRequest(candidate, std::move(chosen), 0);
 }
 
 /// The workers on which the policy service has not decided, with the members of the gang that they
@@ -201,7 +205,7 @@
 }
 
 void CellScheduler::queueApprovalRequest(const StartCandidate &candidate,
-                                         std::vector<WorkerId> workers)
+                                         std::vector<WorkerId> workers, std::int64_t tasks)
 {
     StepApprovals &approvals = candidate.step->approvals;
     if (workers.empty()) {
@@ -219,6 +223,7 @@
         if (const CellWorker *worker = fleet_.worker(id))
             requested.emplace(id, worker->number());
     }
+    reserveRequested(candidate, requested, tasks);
     ApprovalRequest request {candidate.step->key, std::move(workers)};
     approvalDispatcher_.queueRequest(
             std::move(request), serviceTime, candidate.queue->priority,
@@ -229,9 +234,42 @@
             });
 }
 
+void CellScheduler::reserveRequested(const StartCandidate &candidate,
+                                     const RequestedWorkers &workers, std::int64_t tasks)
+{
+    if (tasks == 0 || workers.empty())
+        return;
+    const auto count = static_cast<std::int64_t>(workers.size());
+    const std::int64_t perWorker = (tasks + count - 1) / count;
+    const Resources need = candidate.step->spec.allocation();
+    RequestedCapacity requested;
+    requested.perWorker = {need.processors * perWorker, need.memory * perWorker,
+                           need.accelerators * perWorker, need.slots * perWorker};
+    for (const auto &[id, number] : workers) {
+        requested.workers.push_back(number);
+        if (requestedOnWorkers_.size() <= number.value())
+            requestedOnWorkers_.resize(number.value() + 1);
+        requestedOnWorkers_[number.value()] += requested.perWorker;
+        if (WorkerOption *option = pass_.options.find(number))
+            option->requested += requested.perWorker;
+    }
+    requestedCapacity_.insert_or_assign(candidate.step->key, std::move(requested));
+}
+
+void CellScheduler::releaseRequested(const StepKey &key)
+{
+    const auto found = requestedCapacity_.find(key);
+    if (found == requestedCapacity_.end())
+        return;
+    for (const WorkerNumber number : found->second.workers)
+        requestedOnWorkers_[number.value()] -= found->second.perWorker;
+    requestedCapacity_.erase(found);
+}
+
 void CellScheduler::onApprovalReply(const StepKey &key, const RequestedWorkers &requested,
                                     Milliseconds validity, const ApprovalReply &reply)
 {
+    releaseRequested(key);
     CellJob *job = findJob(key.job);
     CellStep *step = job ? job->step(key.occurrence, key.step) : nullptr;
     if (!step)
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -150,7 +150,7 @@
     if (!fits)
         requestGangApprovals(candidate, tasks - free, capacities, std::move(withoutTicket));
     else if (needsApproval(*candidate.queue) && isApprovalRequestDue(candidate))
-        queueApprovalRequest(candidate, std::move(withoutTicket));
+        queueApprovalRequest(candidate, std::move(withoutTicket), 0);
     if (!fits && !fitsWhenIdle(candidate))
         return;
     if (fits || pass_.gangDemand * gangReservationDivisor <= pass_.capacity)
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -152,6 +152,8 @@
         WorkerOption &option = pass_.options.add(worker);
         option.free = worker.freeResources();
         option.isOvercommitted = !Resources().fitsIn(option.free);
+        if (worker.number().value() < requestedOnWorkers_.size())
+            option.requested = requestedOnWorkers_[worker.number().value()];
         pass_.uncommitted += std::max(option.free.processors, Millicores());
         pass_.capacity += worker.entry->capacity.processors;
         pass_.free += std::max(option.free.processors, Millicores());
@@ -167,9 +169,9 @@
 {
     pacing_.recordStart(context_.now());
     resolveOpenStarts();
+    configureAccounts();
     preparePass();
     std::vector<StartCandidate> candidates = startCandidates();
-    configureAccounts();
     pass_.report.candidates = candidates.size();
     countAccounts(candidates);
     const bool areAllTried = startInOrder(candidates);
@@ -192,8 +194,6 @@
             if (!tryToStart(*candidate))
                 return false;
         }
-    }
-    return startYielding();
         return true;
     };
     for (StartCandidate &candidate : candidates) {
@@ -206,6 +206,8 @@
             yielding.push_back(&candidate);
         else if (!tryToStart(candidate))
             return false;
+    }
+    return startYielding();
 }
 
 void CellScheduler::recordBacklog(std::span<const StartCandidate> candidates)
@@ -250,7 +252,8 @@
     return step.spec.allocation().fitsIn(free);
 }
 
-std::int64_t CellScheduler::fittingTasks(const WorkerOption &option, const CellStep &step)
+std::int64_t CellScheduler::fittingTasks(const WorkerOption &option, Resources free,
+                                         const CellStep &step)
 {
     if (option.isOvercommitted || !fitsFree(option, step))
         return 0;
@@ -264,7 +267,6 @@
             limit -= isSameStep ? 1 : 0;
         }
     }
-    Resources free = option.free;
     if (step.spec.fillsIdleTime)
         free.processors = std::max(free.processors, Millicores());
     return limit > 0 ? step.spec.allocation().timesIn(free, limit) : 0;
@@ -361,11 +363,11 @@
 void CellScheduler::startIndependentTasks(const StartCandidate &candidate)
 {
     CellStep &step = *candidate.step;
-    std::vector<ScoredWorker> workers = scoredWorkers(candidate);
-    for (std::size_t i = 0; i < step.tasks.size() && startable > 0; ++i) {
     std::int64_t startable = startableTasks(candidate);
     if (startable == 0)
         return;
+    std::vector<ScoredWorker> workers = scoredWorkers(candidate);
+    for (std::size_t i = 0; i < step.tasks.size() && startable > 0; ++i) {
         if (!step.tasks[i].isIn(CellTask::State::Waiting) || awaitsCrashEvidence(step, i)
             || awaitsCompletion(step.taskKey(i)))
             continue;
@@ -376,9 +378,9 @@
         }
         if (!mayStartMore())
             return;
+        --startable;
         WorkerOption &option = *best->option;
         startTask(candidate, i, nextRun(step.tasks[i]), option);
-        --startable;
         if (hasRoom(option, step))
             *best = scored(option, candidate);
         else
@@ -398,10 +400,10 @@
     request.payload = candidate.job->accepted().spec.payload;
     request.checkpoint = step.spec.gang ? step.gangCheckpoint : task.checkpoint;
     request.need = step.spec.allocation();
-    if (const auto *ticket = step.approvals.validTicket(worker.number(), context_.now())) {
-        request.ticket = ticket->text;
     request.charge = chargeOf(*candidate.job, step);
     accounts_.addRunning(request.charge);
+    if (const auto *ticket = step.approvals.validTicket(worker.number(), context_.now())) {
+        request.ticket = ticket->text;
         request.ticketValidUntil = ticket->validUntil;
     }
     option.free -= request.need;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -128,6 +128,8 @@
     fleet_.endTerm();
     recorder_.endTerm();
     approvalDispatcher_.clear();
+    requestedCapacity_.clear();
+    requestedOnWorkers_.clear();
 }
 
 CellJob *CellScheduler::findJob(const JobId &id)
@@ -182,14 +184,14 @@
     auto added = std::make_unique<CellJob>(job, progress, context_.now());
     CellJob &addedJob = *added;
     jobs_.emplace(id, std::move(added));
-    if (addedJob.hasCrashes())
-        jobsWithCrashes_.insert(id);
     configureAccounts();
     addedJob.account = accounts_.numberOf(job.account);
     // A holder that takes over does not know the times at which older jobs were submitted.
     addedJob.isSurplus = accounts_.isActive() && job.generation == generation_
             && submissionRate_.recordJob(addedJob.account, accounts_.weight(addedJob.account),
                                          context_.now());
+    if (addedJob.hasCrashes())
+        jobsWithCrashes_.insert(id);
     addRecordedStarts(addedJob);
     addedJob.updateReadiness(context_.now(), context_.wallTime());
     context_.log("event=job_added job={} queue={} steps={} accepted_generation={} account={} "
@@ -292,10 +294,10 @@
     CellStep *step = findStep(running.task, job);
     if (!step)
         return decideUnknown(worker, running);
-    if (isFinal(job->state()))
-        return stopped;
     const AccountCharge charge = chargeOf(*job, *step);
     const WorkerFleet::RunDecision stopped {WorkerFleet::RunDecision::Kind::Stop, {}, charge};
+    if (isFinal(job->state()))
+        return stopped;
     const WorkerFleet::RunDecision kept {WorkerFleet::RunDecision::Kind::Keep,
                                          step->spec.allocation(), charge};
     CellTask &task = step->tasks[running.task.index.value()];
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -167,6 +167,12 @@
     };
     /// The workers of an approval request and the numbers that they had then.
     using RequestedWorkers = std::map<WorkerId, WorkerNumber>;
+    /// What each worker of an open approval request is likely to run if it is approved.
+    struct RequestedCapacity
+    {
+        Resources perWorker;
+        std::vector<WorkerNumber> workers;
+    };
     /// A worker on which tasks of a step may be placed.
     struct PermittedWorker
     {
@@ -326,6 +332,10 @@
 
     void runSchedulingPass();
     std::vector<StartCandidate> startCandidates();
+    /// Tries the candidates in their order; those of accounts that have reached their shares after
+    /// the others of their class. False when no more tasks may be started at present.
+    bool startInOrder(std::span<StartCandidate> candidates);
+    bool tryToStart(StartCandidate &candidate);
     /// Records the tasks that the pass leaves to the next one.
     void recordBacklog(std::span<const StartCandidate> candidates);
     /// Counts what the accounts have running, and the accounts of the \a candidates as waiting.
@@ -343,10 +353,6 @@
     TimePoint objectiveOf(const CellJob &job, const Queue &queue) const;
     /// Minimum time until the repetition completes, with every task started as soon as it is ready.
     Milliseconds remainingTime(const CellJob &job, Occurrence occurrence, const Queue &queue) const;
-    /// Tries the candidates in their order; those of accounts that have reached their shares after
-    /// the others of their class. False when no more tasks may be started at present.
-    bool startInOrder(std::span<StartCandidate> candidates);
-    bool tryToStart(StartCandidate &candidate);
     bool isStartable(const CellJob &job, const CellStep &step) const;
     void startStep(const StartCandidate &candidate);
     void startIndependentTasks(const StartCandidate &candidate);
@@ -375,7 +381,13 @@
     /// Whether a task of the step fits into the worker's free capacity.
     static bool fitsFree(const WorkerOption &option, const CellStep &step);
     /// How many tasks of the step fit into the worker's free capacity.
-    static std::int64_t fittingTasks(const WorkerOption &option, const CellStep &step);
+    static std::int64_t fittingTasks(const WorkerOption &option, const CellStep &step)
+    {
+        return fittingTasks(option, option.free, step);
+    }
+    /// How many of them fit into \a free.
+    static std::int64_t fittingTasks(const WorkerOption &option, Resources free,
+                                     const CellStep &step);
     /// Whether an independent task of the step fits on the worker.
     static bool hasRoom(const WorkerOption &option, const CellStep &step);
     void preparePass();
@@ -402,11 +414,18 @@
     std::vector<UndecidedWorker> undecidedWorkers(const StartCandidate &candidate,
                                                   bool onFreeCapacity);
     bool isApprovalRequestDue(const StartCandidate &candidate) const;
-    void queueApprovalRequest(const StartCandidate &candidate, std::vector<WorkerId> workers);
+    /// For \a tasks independent tasks; 0 for a gang, which reserves capacity itself.
+    void queueApprovalRequest(const StartCandidate &candidate, std::vector<WorkerId> workers,
+                              std::int64_t tasks);
     std::vector<WorkerId> chooseWorkersToRequest(const StartCandidate &candidate,
                                                  std::vector<UndecidedWorker> undecided,
                                                  double needed);
     double &approvalRateOf(const QueueId &queue);
+    /// Counts the tasks of a request as if they were on its workers until it is answered, so that
+    /// the requests of many steps at a time name different workers.
+    void reserveRequested(const StartCandidate &candidate, const RequestedWorkers &workers,
+                          std::int64_t tasks);
+    void releaseRequested(const StepKey &key);
     void onApprovalReply(const StepKey &key, const RequestedWorkers &requested,
                          Milliseconds validity, const ApprovalReply &reply);
 
@@ -438,6 +457,9 @@
     bool rosterWritePending_ = false;
     /// Since the last pass, a change occurred that may allow further starts.
     bool passNeeded_ = false;
+    /// By the steps with open requests, and summed up by worker number.
+    std::unordered_map<StepKey, RequestedCapacity> requestedCapacity_;
+    std::vector<Resources> requestedOnWorkers_;
     /// Mean share of the requested workers that were approved, by queue.
     std::unordered_map<QueueId, double> approvalRates_;
     /// Mean duration of succeeded tasks, in milliseconds, by queue.
@@ -453,6 +475,8 @@
     Pacing pacing_;
     Limit startLimit_;
     Wait wait_;
+    Rate submissionRate_;
+    AccountLedger accounts_;
     TimePoint nextMaintenance_;
     TimePoint nextLoadLog_;
     TimePoint nextWaitingLog_;
@@ -462,5 +486,3 @@
 };
 
 } // namespace caraway::cell
-    Rate submissionRate_;
-    AccountLedger accounts_;
--- a/Source/Cell/WorkerOption.h
+++ b/Source/Cell/WorkerOption.h
@@ -22,6 +22,9 @@
     /// Capacity neither allocated nor reserved for candidates earlier in the order; it only shrinks
     /// during a pass.
     Resources free;
+    /// Free capacity for which the policy service was asked on behalf of waiting tasks, and has not
+    /// answered yet.
+    Resources requested;
     /// More is allocated than the worker has, as its capacity has shrunk. Nothing starts there,
     /// not even a task that needs nothing of what is missing.
     bool isOvercommitted = false;
