--- a/Tests/Settings/CellSettingsReaderTest.cpp
+++ b/Tests/Settings/CellSettingsReaderTest.cpp
@@ -41,7 +41,9 @@
                    {"bounds.maxHoldMs", "6000"},
                    {"bounds.graceS", "6"},
                    {"bounds.status_s", "120"},
-                   {"bounds.configApplyMs", "2000"}};
+                   {"bounds.configApplyMs", "2000"},
+                   {"limits.memoryMb", "260"},
+                   {"limits.maxFds", "4100"}};
     }
 
     void template_withWholeBounds_setsThem()
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -34,6 +34,9 @@
     , storePort_(storePort)
     , callersPort_(findFreePort())
     , readinessPort_(findFreePort())
+    , metricsPort_(findFreePort())
+    , memoryMegabytes_(options.memoryMegabytes)
+    , descriptors_(options.descriptors)
 {
     writeSettings();
 }
@@ -43,7 +46,7 @@
     std::ifstream file(settingsTemplate_);
     std::string settings {std::istreambuf_iterator<char>(file), {}};
     const auto address = [](int port) { return fmt::format("127.0.0.1:{}", port); };
-    replaceAll(settings, "{{ip}}:9464", address(findFreePort()));
+    replaceAll(settings, "{{ip}}:9464", address(metricsPort_));
     replaceAll(settings, "{{ip}}:{{portRange.0}}", address(findFreePort()));
     replaceAll(settings, "{{node}}", id_.value());
     replaceAll(settings, "{{zone}}", "zone-a");
@@ -56,6 +59,9 @@
                std::to_string(SoakWorkerTimes::longestLease.count()));
     replaceAll(settings, "{{bounds.graceS}}", "6");
     replaceAll(settings, "{{bounds.status_s}}", "900");
+    replaceAll(settings, "{{bounds.configApplyMs}}", "2000");
+    replaceAll(settings, "{{limits.memoryMb}}", std::to_string(memoryMegabytes_));
+    replaceAll(settings, "{{limits.maxFds}}", std::to_string(descriptors_));
     std::ofstream(settingsFile()) << settings;
 }
 
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -19,6 +19,9 @@
     /// Whether workers list ends in any order, and some of them late.
     bool areEndsUnordered = false;
     std::uint64_t seed = 1;
+    /// The limits of an entry instance.
+    int memoryMegabytes = 260;
+    int descriptors = 4100;
     /// Settings, logs and the journal.
     std::filesystem::path folder;
     /// The program of the entry instances and the template of its settings.
@@ -36,6 +39,9 @@
     /// The id of the first machine in this place, by which clients and troubles know it.
     const InstanceId &place() const { return place_; }
     int callersPort() const { return callersPort_; }
+    int readinessPort() const { return readinessPort_; }
+    int metricsPort() const { return metricsPort_; }
+    pid_t pid() const { return process_->pid(); }
     std::string logFile() const { return (folder_ / (id_.value() + ".log")).string(); }
     /// Must be called on a thread that outlives the process: it is killed when that thread ends.
     void start();
@@ -61,6 +67,9 @@
     int storePort_;
     int callersPort_;
     int readinessPort_;
+    int metricsPort_;
+    int memoryMegabytes_;
+    int descriptors_;
     std::unique_ptr<ChildProcess> process_;
     std::ifstream log_;
     std::optional<std::uint64_t> openTerm_;
