Bound what the clients of all listeners may hold

Cause: a listener accepted any number of connections, each of which could hold 1 MB of a body for 20 s, and a job of 87,000 steps fitted in a body of legal size.

Change: each listener closes the connection that has been without a complete request for longest when it has as many as a third of the descriptors; bodies over 8 KB reserve memory, a sixteenth of the process's in all, before they are read, and are refused with 503 otherwise; header fields, requests sent ahead and the steps of a job are bounded. Refusals are counted by reason and logged once a second.

--- a/Source/Cell/CellSettings.h
+++ b/Source/Cell/CellSettings.h
@@ -28,6 +28,27 @@
     Milliseconds resultLifetime {120'000};
     /// Time from SIGTERM to SIGKILL.
     Milliseconds stopGrace {6000};
+    /// The memory and the file descriptors that this process may use.
+    Bytes memory {256 << 20};
+    std::int64_t descriptors = 4096;
+    /// Limits for the clients of one listener; 0 for the part that follows from the above.
+    std::int64_t maxClientConnections = 0;
+    Bytes maxRequestMemory;
+    /// Fields in the header of a request.
+    std::int64_t headerFields = 256;
+    /// Requests in a row that a client has sent before it received the answer to the one before.
+    std::int64_t requestsAhead = 64;
+
+    /// The links to peers, workers and the store need most descriptors of the holder.
+    std::int64_t clientConnections() const
+    {
+        return maxClientConnections > 0 ? maxClientConnections : descriptors / 3;
+    }
+    /// For bodies that were not answered; decoded, a body takes several times its size.
+    Bytes requestMemory() const
+    {
+        return maxRequestMemory > Bytes() ? maxRequestMemory : memory / 16;
+    }
     /// Time from the storing of a configuration until no request may be handled by an older one.
     Milliseconds configurationApply {2000};
 };
--- a/Source/CellDuties/CallersDuty.h
+++ b/Source/CellDuties/CallersDuty.h
@@ -13,15 +13,16 @@
 public:
     CallersDuty(CellEventRing &events, const CellSettings &settings)
         : events_(events)
-        , callers_(thread_, settings.callers,
+        , limits_(std::make_shared<ClientLimits>(settings))
+        , callers_(thread_, settings.callers, limits_,
                    [this](std::uint64_t number, HttpRequest &&request) {
                        handleRequest(number, std::move(request));
                    })
-        , readiness_(thread_, settings.readiness,
+        , readiness_(thread_, settings.readiness, limits_,
                      [this](std::uint64_t number, HttpRequest &&) {
                          readiness_.answer(number, {ready_ ? httpOk : httpUnavailable, {}, 0});
                      })
-        , metrics_(thread_, settings.metrics,
+        , metrics_(thread_, settings.metrics, limits_,
                    [this](std::uint64_t number, HttpRequest &&) {
                        if (!events_.offer(MetricsRequested {number}))
                            metrics_.answer(number, {httpUnavailable, {}, 1});
@@ -37,11 +38,14 @@
     void offer(const CallerAnswer &answer) { commands_.offer(answer); }
     void offerMetrics(std::uint64_t number, std::string text)
     {
+        text += limits_->render();
         commands_.offer(MetricsText {number, std::move(text)});
     }
     void setReady(bool ready) { ready_ = ready; }
     /// From now on, each answer to a caller closes its connection.
     void beginStop() { commands_.offer(BeginStop {}); }
+    /// How often clients have exceeded limits since the start of the process.
+    std::uint64_t refusedClients() const { return limits_->total(); }
     /// Requests that were read and not yet answered.
     std::size_t requestsInFlight() const { return inFlight_; }
 
@@ -91,6 +95,7 @@
     Protocol protocol_;
     std::atomic<bool> ready_ = false;
     std::atomic<std::size_t> inFlight_ = 0;
+    std::shared_ptr<ClientLimits> limits_;
     IoThread thread_;
     HttpServer callers_;
     HttpServer readiness_;
--- a/Source/CellDuties/EntryProcess.h
+++ b/Source/CellDuties/EntryProcess.h
@@ -58,6 +58,7 @@
     /// The load balancer sends no new connections once two readiness checks have failed after the
     /// request to stop.
     static constexpr Milliseconds minStopTime {2600};
+    static constexpr Milliseconds refusalLogInterval {1000};
     /// Part of the grace period reserved for ending the threads.
     static constexpr Milliseconds threadStopMargin {800};
 
@@ -107,9 +108,23 @@
         }
         if (const auto *replied = std::get_if<WorkerReplied>(&body))
             metrics_.countReply(*replied);
+        if (std::holds_alternative<Tick>(body))
+            logRefusedClients();
         instance_.handle(clock_.now(), wallTime(), body);
     }
 
+    /// One line for all refusals of a second; the metrics have their reasons.
+    void logRefusedClients()
+    {
+        const std::uint64_t refused = callers_.refusedClients();
+        if (refused == loggedRefusals_ || clock_.now() < nextRefusalLog_)
+            return;
+        nextRefusalLog_ = clock_.now() + refusalLogInterval;
+        log_.offer(fmt::format("event=clients_refused count={} total={}", refused - loggedRefusals_,
+                               refused));
+        loggedRefusals_ = refused;
+    }
+
     void dispatchActions()
     {
         CellActions actions = instance_.takeActions();
@@ -150,6 +165,8 @@
     CellPeersDuty peers_;
     CallersDuty<Protocol> callers_;
     std::optional<TimePoint> stopRequestedAt_;
+    std::uint64_t loggedRefusals_ = 0;
+    TimePoint nextRefusalLog_;
 };
 
 } // namespace caraway::cell
--- a/Source/CellDuties/HttpServer.h
+++ b/Source/CellDuties/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CellDuties/ClientLimits.h"
 #include "CellDuties/HttpMessages.h"
 #include "CellDuties/IoThread.h"
 
@@ -19,7 +20,9 @@
     using Handler = std::function<void(std::uint64_t number, HttpRequest &&request)>;
 
     /// Listens on \a address; throws std::runtime_error when the port is in use.
-    HttpServer(IoThread &thread, const Address &address, Handler handler);
+    /// \a limits are shared with the other listeners of the process.
+    HttpServer(IoThread &thread, const Address &address, std::shared_ptr<ClientLimits> limits,
+               Handler handler);
     ~HttpServer();
 
     /// Answers a request; does nothing when the request was answered already.
@@ -30,10 +33,13 @@
 
 private:
     class Session;
+    class Sessions;
 
     void accept();
 
     Handler handler_;
+    std::shared_ptr<ClientLimits> limits_;
+    std::shared_ptr<Sessions> sessions_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptRetryTimer_;
     std::unordered_map<std::uint64_t, std::shared_ptr<Session>> unanswered_;
--- a/Source/Command/CellSettingsReader.cpp
+++ b/Source/Command/CellSettingsReader.cpp
@@ -64,6 +64,38 @@
         {"configuration_apply", Rounding::Down, second, hour, &CellSettings::configurationApply},
 };
 
+/// A whole number in the table of limits, and a member for it with its unit.
+struct IntegerLimit
+{
+    std::string_view name;
+    std::int64_t minimum;
+    std::int64_t maximum;
+    void (*assign)(CellSettings &settings, std::int64_t value);
+};
+
+constexpr std::int64_t bytesPerMegabyte = 1 << 20;
+constexpr std::int64_t maxMegabytes = 1 << 20;
+constexpr std::int64_t maxDescriptors = 1 << 24;
+
+constexpr IntegerLimit integerLimits[] = {
+        {"memory_mb", 16, maxMegabytes,
+         [](CellSettings &settings, std::int64_t value) {
+             settings.memory = Bytes(value * bytesPerMegabyte);
+         }},
+        {"descriptors", 64, maxDescriptors,
+         [](CellSettings &settings, std::int64_t value) { settings.descriptors = value; }},
+        {"client_connections", 8, maxDescriptors,
+         [](CellSettings &settings, std::int64_t value) { settings.maxClientConnections = value; }},
+        {"request_memory_mb", 1, maxMegabytes,
+         [](CellSettings &settings, std::int64_t value) {
+             settings.maxRequestMemory = Bytes(value * bytesPerMegabyte);
+         }},
+        {"header_fields", 16, maxDescriptors,
+         [](CellSettings &settings, std::int64_t value) { settings.headerFields = value; }},
+        {"requests_ahead", 1, maxDescriptors,
+         [](CellSettings &settings, std::int64_t value) { settings.requestsAhead = value; }},
+};
+
 constexpr double millicoresPerProcessor = 1000;
 constexpr double maxProcessors = 1024;
 
@@ -151,6 +183,23 @@
             bound.rounding == Rounding::Up ? std::ceil(exact) : std::floor(exact)));
 }
 
+Result<void> readLimits(const toml::table &table, const std::string &file, CellSettings &settings)
+{
+    for (const IntegerLimit &limit : integerLimits) {
+        const auto node = table["limits"][limit.name];
+        if (!node)
+            continue;
+        const std::optional<std::int64_t> value = node.value<std::int64_t>();
+        if (!value || *value < limit.minimum || *value > limit.maximum) {
+            return invalidKey(file, fmt::format("limits.{}", limit.name),
+                              fmt::format("is {}, not a whole number from {} to {}", textOf(node),
+                                          limit.minimum, limit.maximum));
+        }
+        limit.assign(settings, *value);
+    }
+    return {};
+}
+
 Result<void> readBounds(const toml::table &table, const std::string &file, CellSettings &settings)
 {
     for (const DurationBound &bound : durationBounds) {
@@ -189,6 +238,7 @@
     CellSettings settings;
     BOOST_LEAF_CHECK(readInstance(table, fileName, settings));
     BOOST_LEAF_CHECK(readProcessors(table, fileName, settings));
+    BOOST_LEAF_CHECK(readLimits(table, fileName, settings));
     BOOST_LEAF_CHECK(readBounds(table, fileName, settings));
     return settings;
 }
