--- a/Tests/Platform/LateHttpClientTest.cpp
+++ b/Tests/Platform/LateHttpClientTest.cpp
@@ -81,6 +81,7 @@
     {
         serverThread_ = std::make_unique<IoThread>();
         server_ = std::make_unique<HttpServer>(*serverThread_, address_,
+                                               std::make_shared<ClientLimits>(CellSettings()),
                                                [this](std::uint64_t number, HttpRequest &&) {
                                                    if (!isServerSilent_)
                                                        server_->answer(number, {200, "{}", 0});
--- a/Tests/Platform/WorkerIncarnationCallTest.cpp
+++ b/Tests/Platform/WorkerIncarnationCallTest.cpp
@@ -31,7 +31,7 @@
 
     LoopbackWorker(const Address &address, Behaviour behaviour)
         : behaviour_(behaviour)
-        , server_(thread_, address,
+        , server_(thread_, address, std::make_shared<ClientLimits>(CellSettings()),
                   [this](std::uint64_t number, HttpRequest &&request) { handle(number, request); })
     {
         thread_.start();
