--- a/Source/Cell/Policy/SubmissionRate.h
+++ b/Source/Cell/Policy/SubmissionRate.h
@@ -3,6 +3,7 @@
 #include "Cell/ClientAccount.h"
 #include "Core/Clock.h"
 
+#include <algorithm>
 #include <concepts>
 #include <vector>
 
