Log why a run counts as not on its worker, and unused acknowledgements

They did not say why the holder took the first run of a doubled task for over, nor whether a call acknowledged ends by a reply that was not used.

Change: event=run_not_on_worker has evidence=, replied_ms_ago= and confirmed_ms=. event=worker_acknowledgement_unused, at most one a second for each worker, and unused_acknowledgements= in event=calls tell of heartbeats that another incarnation carried out. No decision is changed.

--- a/Source/Cell/CallTotals.h
+++ b/Source/Cell/CallTotals.h
@@ -18,6 +18,9 @@
     std::size_t notSent = 0;
     /// Calls of all kinds that this instance did not send in time.
     std::size_t withheld = 0;
+    /// Heartbeats that acknowledged completions and whose replies were not used, as another
+    /// incarnation has sent them.
+    std::size_t unusedAcknowledgements = 0;
 };
 
 } // namespace caraway::cell
--- a/Source/Cell/CellDiagnostics.cpp
+++ b/Source/Cell/CellDiagnostics.cpp
@@ -81,9 +81,11 @@
 {
     const CallTotals calls = fleet_.takeCallTotals();
     context_.log("event=calls starts={} stops={} heartbeats={} late_starts={} unanswered={} "
-                 "not_sent={} withheld={} unanswered_starts={} longest_event_delay_ms={}",
+                 "not_sent={} withheld={} unused_acknowledgements={} unanswered_starts={} "
+                 "longest_event_delay_ms={}",
                  calls.starts, calls.stops, calls.heartbeats, calls.lateStarts, calls.unanswered,
-                 calls.notSent, calls.withheld, fleet_.unansweredStarts(),
+                 calls.notSent, calls.withheld, calls.unusedAcknowledgements,
+                 fleet_.unansweredStarts(),
                  std::exchange(longestEventDelay_, Milliseconds()).count());
 }
 
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -39,9 +39,10 @@
     handlers.completed = [this](const CellWorker &worker, const CompletedRun &completion) {
         return onRunCompleted(worker, completion);
     };
-    handlers.notOnWorker
-            = [this](const CellWorker &worker, const TaskKey &key, RunNumber run,
-                     WorkerOutcome outcome) { onRunNotOnWorker(worker, key, run, outcome); };
+    handlers.notOnWorker = [this](const CellWorker &worker, const TaskKey &key, RunNumber run,
+                                  WorkerOutcome outcome, AbsenceEvidence evidence) {
+        onRunNotOnWorker(worker, key, run, outcome, evidence);
+    };
     handlers.crashed = [this](const CellWorker &worker,
                               std::optional<WorkerIncarnation> incarnation, CrashEvidence evidence,
                               const std::vector<Placement> &lost) {
@@ -438,7 +439,7 @@
 }
 
 void CellScheduler::onRunNotOnWorker(const CellWorker &worker, const TaskKey &key, RunNumber run,
-                                     WorkerOutcome outcome)
+                                     WorkerOutcome outcome, AbsenceEvidence evidence)
 {
     passNeeded_ = true;
     CellTask *task = findRun(key, run, worker.id());
@@ -447,10 +448,13 @@
     CellJob *job = nullptr;
     CellStep *step = findStep(key, job);
     context_.log("event=run_not_on_worker job={} step={} task={} run={} worker={} outcome={} "
-                 "highest_completion={} placed_ms_ago={}",
+                 "highest_completion={} placed_ms_ago={} evidence={} replied_ms_ago={} "
+                 "confirmed_ms={}",
                  key.job.value(), key.step.value(), key.index.value(), run.value(),
                  worker.id().value(), nameOf(outcome), worker.completions.highest().value(),
-                 (context_.now() - task->placedAt()).count());
+                 (context_.now() - task->placedAt()).count(), nameOf(evidence),
+                 (context_.now() - worker.lastReplyAt).count(),
+                 (context_.now() - confirmedAt_).count());
     if (outcome == WorkerOutcome::TicketInvalid)
         step->approvals.clearDecision(worker.number());
     // A worker that was reset may have crashed under the run.
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -244,7 +244,7 @@
     /// Lets the worker discard a completion that needs no record.
     void discardCompletion(const ProgressRecorder::RecordedCompletion &source);
     void onRunNotOnWorker(const CellWorker &worker, const TaskKey &key, RunNumber run,
-                          WorkerOutcome outcome);
+                          WorkerOutcome outcome, AbsenceEvidence evidence);
     void onWorkerCrashed(const CellWorker &worker, WorkerIncarnation incarnation,
                          CrashEvidence evidence, const std::vector<Placement> &lost);
     void onCrashRecorded(const TaskKey &key);
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -26,6 +26,23 @@
     return "start_log";
 }
 
+std::string_view nameOf(AbsenceEvidence evidence)
+{
+    switch (evidence) {
+    case AbsenceEvidence::Answered:
+        return "answered";
+    case AbsenceEvidence::Unlisted:
+        return "unlisted";
+    case AbsenceEvidence::NotCarriedOver:
+        return "not_carried_over";
+    case AbsenceEvidence::LeaseExpired:
+        return "lease_expired";
+    case AbsenceEvidence::Restarted:
+        break;
+    }
+    return "restarted";
+}
+
 ReplySource CellWorker::sourceOf(const CallTarget &target, const WorkerReply &reply,
                                  TimePoint now) const
 {
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -76,6 +76,21 @@
 
 std::string_view nameOf(CrashEvidence evidence);
 
+/// Why a run counts as not on its worker.
+enum class AbsenceEvidence {
+    /// The worker has answered that the run completed or did not start, or the start was not sent.
+    Answered,
+    /// The worker lists neither the run nor its completion.
+    Unlisted,
+    /// The present incarnation of the worker does not list a run whose start an earlier one may
+    /// have received.
+    NotCarriedOver,
+    LeaseExpired,
+    Restarted,
+};
+
+std::string_view nameOf(AbsenceEvidence evidence);
+
 /// Which incarnation of a worker has sent a reply.
 enum class ReplySource {
     /// The present one, or a later one that the reply names.
@@ -144,6 +159,8 @@
     std::optional<WorkerTime> expiredLeaseEnd;
     /// Whether another worker has started at the address, so that the process has ended.
     bool isReplaced = false;
+    /// When the next unused reply to a heartbeat may be logged.
+    TimePoint nextUnusedReplyLog;
     /// The incarnation that announced that it drains, so that its end is no crash.
     std::optional<WorkerIncarnation> drainedIncarnation;
     /// Runs that belong to no known unfinished job. They are undecided or being stopped, and the
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -40,7 +40,8 @@
         /// Returns true when the completion has to be recorded before the worker may discard it.
         std::function<bool(const CellWorker &, const CompletedRun &)> completed;
         /// The run is not on the worker and can no longer start there.
-        std::function<void(const CellWorker &, const TaskKey &, RunNumber, WorkerOutcome)>
+        std::function<void(const CellWorker &, const TaskKey &, RunNumber, WorkerOutcome,
+                           AbsenceEvidence)>
                 notOnWorker;
         /// The worker's incarnation ended without notice under these runs. Called before the runs
         /// are reported as not on the worker.
@@ -170,6 +171,10 @@
     /// Logs that another incarnation has carried out a heartbeat than the one that it was sent to.
     void logMisdelivery(const CallTarget &target, CompletionNumber acknowledged,
                         const WorkerReply &reply);
+    /// Counts and logs that an incarnation has carried out a heartbeat whose reply is not used, so
+    /// that it may have discarded completions that were not read.
+    void recordUnusedReply(CellWorker &worker, const CallTarget &target,
+                           CompletionNumber acknowledged, const WorkerReply &reply);
     void onHeartbeatReply(const CallTarget &target, bool mayRenew, CompletionNumber acknowledged,
                           const WorkerReply &reply);
     void handleLists(CellWorker &worker, const CallTarget &target, const WorkerReply &reply);
@@ -192,7 +197,8 @@
     void sendStop(CellWorker &worker, const TaskKey &task, RunNumber run);
     void resendStops(CellWorker &worker);
     void removePlacement(CellWorker &worker, const TaskKey &task, RunNumber run,
-                         WorkerOutcome outcome);
+                         WorkerOutcome outcome,
+                         AbsenceEvidence evidence = AbsenceEvidence::Answered);
     /// Discards what is known about the worker, after the expiry of its lease, and reports that its
     /// runs are not on it any more.
     void resetWorker(CellWorker &worker);
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -12,6 +12,7 @@
 /// Interval of heartbeats while completions cannot be acknowledged: the lease needs renewal, and a
 /// worker with unacknowledged completions replies without waiting.
 constexpr Milliseconds unacknowledgedHeartbeatInterval {400};
+constexpr Milliseconds unusedReplyLogInterval {1000};
 /// A worker lists at most this many completions in one reply, so a full list may be incomplete.
 constexpr std::size_t maxCompletionsPerReply = 500;
 
@@ -117,6 +118,27 @@
                  acknowledged.value(), reply.completed.size());
 }
 
+void WorkerFleet::recordUnusedReply(CellWorker &worker, const CallTarget &target,
+                                    CompletionNumber acknowledged, const WorkerReply &reply)
+{
+    if (acknowledged == CompletionNumber())
+        return;
+    ++callTotals_.unusedAcknowledgements;
+    if (context_.now() < worker.nextUnusedReplyLog)
+        return;
+    worker.nextUnusedReplyLog = context_.now() + unusedReplyLogInterval;
+    const auto covered
+            = std::ranges::count_if(reply.completed, [&](const CompletedRun &completion) {
+                  return completion.number <= acknowledged;
+              });
+    context_.log("event=worker_acknowledgement_unused worker={} incarnation={} called={} "
+                 "reply_incarnation={} acknowledged={} listed_through_it={}",
+                 worker.id().value(), worker.incarnation.value_or(WorkerIncarnation()).value(),
+                 target.incarnation.value_or(WorkerIncarnation()).value(),
+                 reply.incarnation.value_or(WorkerIncarnation()).value(), acknowledged.value(),
+                 covered);
+}
+
 void WorkerFleet::onHeartbeatReply(const CallTarget &target, bool mayRenew,
                                    CompletionNumber acknowledged, const WorkerReply &reply)
 {
@@ -132,6 +154,8 @@
             worker->isUnhealthy = reply.outcome == WorkerOutcome::Unhealthy;
     }
     const ReplySource source = updateFromReply(*worker, target, reply);
+    if (reply.outcome == WorkerOutcome::Done && source == ReplySource::Other)
+        recordUnusedReply(*worker, target, acknowledged, reply);
     if (reply.outcome != WorkerOutcome::Done || source == ReplySource::Other) {
         // A reply of another incarnation has scheduled a heartbeat to it.
         if (isLatest && target.incarnation == worker->incarnation)
@@ -262,7 +286,9 @@
         if (placement.sentToIncarnation)
             reportCrash(worker, placement.sentToIncarnation, CrashEvidence::NotCarriedOver,
                         {placement});
-        removePlacement(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
+        removePlacement(worker, placement.task, placement.run, WorkerOutcome::Unanswered,
+                        placement.sentToIncarnation ? AbsenceEvidence::NotCarriedOver
+                                                    : AbsenceEvidence::Unlisted);
     }
 }
 
--- a/Source/Cell/WorkerIncarnations.cpp
+++ b/Source/Cell/WorkerIncarnations.cpp
@@ -267,7 +267,8 @@
     }
     for (const Placement &placement : placements) {
         if (!mayBeOnNextIncarnation(placement))
-            handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
+            handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered,
+                                  AbsenceEvidence::Restarted);
     }
     worker.heartbeatInFlight = false;
     scheduleHeartbeat(worker);
@@ -294,7 +295,8 @@
     const std::vector<Placement> lost = std::exchange(worker.placements, {});
     worker.startIncarnation(worker.incarnation);
     for (const Placement &placement : lost)
-        handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered);
+        handlers_.notOnWorker(worker, placement.task, placement.run, WorkerOutcome::Unanswered,
+                              AbsenceEvidence::LeaseExpired);
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -225,7 +225,7 @@
 }
 
 void WorkerFleet::removePlacement(CellWorker &worker, const TaskKey &task, RunNumber run,
-                                  WorkerOutcome outcome)
+                                  WorkerOutcome outcome, AbsenceEvidence evidence)
 {
     const auto position = std::find_if(worker.placements.begin(), worker.placements.end(),
                                        [&](const Placement &placement) {
@@ -236,7 +236,7 @@
     // The arguments may refer to the placement itself.
     const Placement removed = *position;
     worker.placements.erase(position);
-    handlers_.notOnWorker(worker, removed.task, removed.run, outcome);
+    handlers_.notOnWorker(worker, removed.task, removed.run, outcome, evidence);
 }
 
 } // namespace caraway::cell
