Soak: partition the holder with a part of the workers

Cause: no soak has zones that are cut from each other; a worker either reaches all instances or none. The audit of a doubled task did not tell who noted the first end.

Change: kind m cuts the holder off from the store, its answers to waiting calls included, and half of the workers from the holder, the others from all later holders. Workers tell holders apart by their tokens.

--- a/Tests/Soak/SoakAudit.cpp
+++ b/Tests/Soak/SoakAudit.cpp
@@ -23,11 +23,11 @@
         return time ? std::to_string(time->count()) : "-";
     };
     return fmt::format("[run {} on {} incarnation {} token {}{} started {} ended {} {} as number "
-                       "{} listed {} noted {}]",
+                       "{} listed {} noted {} by token {}]",
                        run.number.value(), run.worker.value(), run.incarnation.value(),
                        run.fencingToken, run.isLate ? " late" : "", run.startedAt.count(),
                        timeOf(run.endedAt), run.how, run.endNumber, timeOf(run.listedAt),
-                       timeOf(run.notedAt));
+                       timeOf(run.notedAt), run.notedByToken);
 }
 
 std::string describe(const SoakAnswer &answer)
@@ -95,9 +95,11 @@
         for (const SoakRun &later : runs) {
             if (done.how == "done" && done.notedAt && later.startedAt > *done.endedAt) {
                 add("TWICE",
-                    fmt::format("{}: started after an end as done, {} ms after it was noted: {} {}",
+                    fmt::format("{}: started after an end as done, {} ms after it was noted, {} ms "
+                                "after the first start: {} {}",
                                 done.task.value(), (later.startedAt - *done.notedAt).count(),
-                                describe(done), describe(later)));
+                                (later.startedAt - done.startedAt).count(), describe(done),
+                                describe(later)));
                 return;
             }
         }
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -101,15 +101,18 @@
     return response && response->status == 200;
 }
 
-std::optional<std::uint64_t> SoakInstance::openTerm()
+std::optional<SoakInstance::Term> SoakInstance::openTerm()
 {
+    const auto numberIn = [](const std::string &line, const std::string &field) {
+        return std::stoull(line.substr(line.find(field) + field.size()));
+    };
     if (!log_.is_open())
         log_.open(logFile());
     log_.clear();
     for (std::string line; std::getline(log_, line);) {
-        const std::string field = " generation=";
         if (line.find("event=term_started") != std::string::npos)
-            openTerm_ = std::stoull(line.substr(line.find(field) + field.size()));
+            openTerm_ = Term {numberIn(line, " generation="),
+                              static_cast<std::int64_t>(numberIn(line, " token="))};
         if (line.find("event=term_ended") != std::string::npos)
             openTerm_.reset();
     }
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -52,8 +52,15 @@
     void replace(InstanceId id);
     bool isRunning() { return process_ && process_->isRunning(); }
     bool isReady() const;
-    /// The generation of the term that the log shows as not ended.
-    std::optional<std::uint64_t> openTerm();
+    struct Term
+    {
+        std::uint64_t generation = 0;
+        std::int64_t token = 0;
+
+        friend auto operator<=>(const Term &, const Term &) = default;
+    };
+    /// The term that the log shows as not ended.
+    std::optional<Term> openTerm();
 
 private:
     void writeSettings() const;
@@ -72,7 +79,7 @@
     int descriptors_;
     std::unique_ptr<ChildProcess> process_;
     std::ifstream log_;
-    std::optional<std::uint64_t> openTerm_;
+    std::optional<Term> openTerm_;
 };
 
 /// Entry processes with the stand-ins of the store and of the workers.
--- a/Tests/Soak/SoakJournal.cpp
+++ b/Tests/Soak/SoakJournal.cpp
@@ -81,12 +81,15 @@
     writeLocked(describe(runs_[run]) + " is listed as ended");
 }
 
-void SoakJournal::noteEnd(std::size_t run, bool hasLapsed)
+void SoakJournal::noteEnd(std::size_t run, bool hasLapsed, std::int64_t token)
 {
     const std::lock_guard lock(mutex_);
-    if (!hasLapsed)
+    if (!hasLapsed) {
         runs_[run].notedAt = soakNow();
-    writeLocked(describe(runs_[run]) + " is acknowledged" + (hasLapsed ? " after a lapse" : ""));
+        runs_[run].notedByToken = token;
+    }
+    writeLocked(fmt::format("{} is acknowledged by token {}{}", describe(runs_[run]), token,
+                            hasLapsed ? " after a lapse" : ""));
 }
 
 void SoakJournal::addWorkerCrash(const WorkerId &worker)
--- a/Tests/Soak/SoakJournal.h
+++ b/Tests/Soak/SoakJournal.h
@@ -23,8 +23,9 @@
     void endRun(std::size_t run, const std::string &how, std::int64_t number = 0);
     /// A reply lists the end of \a run; only the first one is noted.
     void listEnd(std::size_t run);
-    /// The end of \a run was acknowledged; \a hasLapsed: the worker's lease lapsed before that.
-    void noteEnd(std::size_t run, bool hasLapsed);
+    /// The end of \a run was acknowledged by the holder with \a token; \a hasLapsed: the worker's
+    /// lease lapsed before that.
+    void noteEnd(std::size_t run, bool hasLapsed, std::int64_t token);
     /// The process of a worker has ended.
     void addWorkerCrash(const WorkerId &worker);
     void addAnswer(SoakAnswer answer);
--- a/Tests/Soak/SoakStore.cpp
+++ b/Tests/Soak/SoakStore.cpp
@@ -143,7 +143,7 @@
         return {503, "", true};
     }
     SoakResponse response = execute(request, lock);
-    response.isSilent = isLosingAnswers_;
+    response.isSilent = isLosingAnswers_ || refusals_[instance] == SoakRefusal::Silence;
     const Milliseconds delay = answerDelay_;
     lock.unlock();
     soakSleep(delay);
--- a/Tests/Soak/SoakTroubles.cpp
+++ b/Tests/Soak/SoakTroubles.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds recovery {500};
 constexpr Milliseconds shortestLongCut {3000};
 constexpr Milliseconds longestLongCut {12'000};
+/// A holder acts without the store for less than this.
+constexpr Milliseconds shortestPartition {6000};
 const std::string storeTarget = "store";
 
 } // namespace
@@ -102,6 +104,8 @@
         troubleInstance(choices);
     else if (choices.kind == 'o')
         cutPower(choices);
+    else if (choices.kind == 'm')
+        partitionHolder(choices);
     else
         troubleStore(choices);
 }
@@ -252,6 +256,35 @@
     }
 }
 
+/// The instances still reach each other; a former holder and the next one have nothing to say.
+void SoakTroubles::partitionHolder(const Choices &choices)
+{
+    Choices ofHolder = choices;
+    ofHolder.isHolderPreferred = true;
+    const std::size_t index = pickInstance(ofHolder);
+    SoakInstance &holder = *fleet_.instances()[index];
+    const std::optional<SoakInstance::Term> term = holder.openTerm();
+    const std::string name = holder.place().value();
+    const Milliseconds length = shortestPartition + choices.pause / 2;
+    const std::string what = fmt::format("partitioned for {} ms", length.count());
+    if (!term || !claim(name, length, what))
+        return;
+    if (!claim(storeTarget, length, what)) {
+        release(name);
+        return;
+    }
+    fleet_.store().setRefusal(static_cast<int>(index), SoakRefusal::Silence);
+    for (std::size_t i = 0; i < fleet_.workers().size(); ++i)
+        fleet_.workers()[i]->cutFromHolder(term->token, (i + choices.target) % 2 == 0);
+    at(soakNow() + length, [this, index] {
+        fleet_.store().setRefusal(static_cast<int>(index), SoakRefusal::None);
+        for (const auto &worker : fleet_.workers())
+            worker->healCutFromHolder();
+        release(storeTarget);
+    });
+    at(soakNow() + length + recovery, [this, name] { release(name); });
+}
+
 void SoakTroubles::terminate(SoakInstance &instance, Milliseconds away)
 {
     instance.signal(SIGTERM);
--- a/Tests/Soak/SoakTroubles.h
+++ b/Tests/Soak/SoakTroubles.h
@@ -18,12 +18,15 @@
 /// n     an instance ends for good, and another one takes its place
 /// o     all instances end at once (SIGKILL) with a part of the workers, and start again
 /// z, h  an instance is stopped for a while; is told to read its settings again
+/// m     the holder is cut off with a part of the workers from the store and from the other
+/// workers,
+///       and the other instances from its workers
 /// p, l, s, f, g  the store is down, loses answers, answers late, refuses one instance, forgets its
 ///                history
 class SoakTroubles
 {
 public:
-    static constexpr const char *allKinds = "rcxdewktzhnoplsfg";
+    static constexpr const char *allKinds = "rcxdewktzhnomplsfg";
 
     /// \a hasLongCuts: workers that are cut off lose their leases at times.
     SoakTroubles(SoakFleet &fleet, SoakJournal &journal, std::uint64_t seed, std::string kinds,
@@ -61,6 +64,7 @@
     void dismissWorker(SoakWorker &worker, const Choices &choices);
     void replaceInstance(SoakInstance &instance, Milliseconds away);
     void cutPower(const Choices &choices);
+    void partitionHolder(const Choices &choices);
     void troubleInstance(const Choices &choices);
     void terminate(SoakInstance &instance, Milliseconds away);
     void awaitExit(SoakInstance &instance, Milliseconds until, Milliseconds away);
--- a/Tests/Soak/SoakTypes.h
+++ b/Tests/Soak/SoakTypes.h
@@ -40,8 +40,9 @@
     std::int64_t endNumber = 0;
     /// When a reply first listed the end.
     std::optional<Milliseconds> listedAt;
-    /// When the end was acknowledged, unless the lease lapsed between the two.
+    /// When the end was acknowledged, and by which token, unless the lease lapsed between the two.
     std::optional<Milliseconds> notedAt;
+    std::int64_t notedByToken = 0;
 };
 
 /// A request of a client and its answer.
--- a/Tests/Soak/SoakWorker.cpp
+++ b/Tests/Soak/SoakWorker.cpp
@@ -109,6 +109,20 @@
     isStoreCut_ = isCut && alsoStore;
 }
 
+void SoakWorker::cutFromHolder(std::int64_t token, bool isOnHolderSide)
+{
+    journal_.write(fmt::format("worker {} is cut off from {} token {}", id_.value(),
+                               isOnHolderSide ? "all but" : "", token));
+    const std::lock_guard lock(mutex_);
+    holderCut_ = HolderCut {token, isOnHolderSide};
+}
+
+void SoakWorker::healCutFromHolder()
+{
+    const std::lock_guard lock(mutex_);
+    holderCut_.reset();
+}
+
 void SoakWorker::setOrderDelay(Milliseconds delay, bool outlivesRestart)
 {
     const std::lock_guard lock(mutex_);
@@ -229,6 +243,8 @@
         return {421};
     const Json body = Json::parse(request.body);
     const std::int64_t token = body.value("fencingToken", std::int64_t(0));
+    if (isCutFrom(token))
+        return {0, "", true};
     if (token < fence_)
         return refusal("fence");
     fence_ = token;
@@ -239,7 +255,7 @@
         response = stop(body);
     else if (request.path == "/carawaymount/hold")
         response = hold(body, lock);
-    response.isSilent = response.isSilent || isLate;
+    response.isSilent = response.isSilent || isLate || isCutFrom(token);
     return response;
 }
 
@@ -317,7 +333,7 @@
 void SoakWorker::acknowledge(std::int64_t through)
 {
     while (!ends_.empty() && ends_.begin()->first <= through) {
-        journal_.noteEnd(ends_.begin()->second.run, ends_.begin()->second.hasLapsed);
+        journal_.noteEnd(ends_.begin()->second.run, ends_.begin()->second.hasLapsed, fence_);
         ends_.erase(ends_.begin());
     }
 }
--- a/Tests/Soak/SoakWorker.h
+++ b/Tests/Soak/SoakWorker.h
@@ -43,6 +43,9 @@
     void replace(WorkerId id);
     /// Cuts the worker off from all instances, and also from the store if \a alsoStore.
     void setCut(bool isCut, bool alsoStore);
+    /// Cuts the worker off from the holder with \a token, or from all others if \a isOnHolderSide.
+    void cutFromHolder(std::int64_t token, bool isOnHolderSide);
+    void healCutFromHolder();
     /// Orders are carried out \a delay after they arrive, and get no answer; 0 for at once.
     /// \a outlivesRestart: also if the process has started again meanwhile.
     void setOrderDelay(Milliseconds delay, bool outlivesRestart);
@@ -64,6 +67,17 @@
         Milliseconds listedFrom;
     };
 
+    /// A cut between the worker and holders, which are told apart by their tokens.
+    struct HolderCut
+    {
+        std::int64_t token = 0;
+        bool isOnHolderSide = false;
+    };
+
+    bool isCutFrom(std::int64_t token) const
+    {
+        return holderCut_ && (holderCut_->token == token) != holderCut_->isOnHolderSide;
+    }
     void begin(Milliseconds stepBack);
     /// Time on the worker's own clock, which starts with the process, in ms.
     std::int64_t clock() const;
@@ -98,6 +112,7 @@
     bool isClosing_ = false;
     bool isUp_ = false;
     bool isStoreCut_ = false;
+    std::optional<HolderCut> holderCut_;
     Milliseconds orderDelay_;
     bool doOrdersOutliveRestart_ = false;
     /// Rises with each start of the process.
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -29,7 +29,8 @@
                    that the next incarnation carries out (not by default), w leave as announced and
                    are replaced (not by default). Instances:
                    k killed, t SIGTERM, z stopped for a while, h SIGHUP, n replaced by another one,
-                   o all killed at once, with some workers. Store: p down, l answers lost, s slow,
+                   o all killed at once, with some workers, m the holder partitioned with some
+                   workers (not by default). Store: p down, l answers lost, s slow,
                    f refuses one instance, g forgets its history [default: rcxdktzhplsf].
   --mixed          Jobs of several queues, with gangs, approvals, failing runs and large tasks.
   --long           A quarter of the jobs has runs of 6 to 11 s, and workers are cut off for 3 to 12 s,
