--- a/Tests/Soak/SoakTroubles.cpp
+++ b/Tests/Soak/SoakTroubles.cpp
@@ -267,15 +267,13 @@
     const std::string name = holder.place().value();
     const Milliseconds length = shortestPartition + choices.pause / 2;
     const std::string what = fmt::format("partitioned for {} ms", length.count());
-    if (!term || !claim(name, length, what))
+    if (!term || claimed_.contains(storeTarget) || !claim(name, length, what))
         return;
-    if (!claim(storeTarget, length, what)) {
-        release(name);
-        return;
-    }
-    fleet_.store().setRefusal(static_cast<int>(index), SoakRefusal::Silence);
+    claim(storeTarget, length, what);
     for (std::size_t i = 0; i < fleet_.workers().size(); ++i)
         fleet_.workers()[i]->cutFromHolder(term->token, (i + choices.target) % 2 == 0);
+    at(soakNow() + choices.before * 2,
+       [this, index] { fleet_.store().setRefusal(static_cast<int>(index), SoakRefusal::Silence); });
     at(soakNow() + length, [this, index] {
         fleet_.store().setRefusal(static_cast<int>(index), SoakRefusal::None);
         for (const auto &worker : fleet_.workers())
--- a/Tests/Soak/SoakTroubles.h
+++ b/Tests/Soak/SoakTroubles.h
@@ -18,9 +18,8 @@
 /// n     an instance ends for good, and another one takes its place
 /// o     all instances end at once (SIGKILL) with a part of the workers, and start again
 /// z, h  an instance is stopped for a while; is told to read its settings again
-/// m     the holder is cut off with a part of the workers from the store and from the other
-/// workers,
-///       and the other instances from its workers
+/// m     the holder and a part of the workers are cut off from the other instances and workers,
+///       and then from the store
 /// p, l, s, f, g  the store is down, loses answers, answers late, refuses one instance, forgets its
 ///                history
 class SoakTroubles
