Start a lost task again only after a later confirmation of the holder

Cause: a holder may start tasks for 5.8 s after the store last confirmed it. It took the lease of a worker that it could not reach for expired within that time, and started the tasks of its runs again, although the next holder had read that worker meanwhile, recorded and acknowledged its successes. The same belief stood in two more places: a worker that had restarted, so that its earlier runs counted as lost, and the leases of earlier holders, which a new holder took for over at the time when they must be, also when it had lost the store since. A run that went on under the next holder could be doubled as well.

Change: a run that is lost with the lease or with the incarnation of its worker puts its task in the state 'lost' (CellTask.scxml). It waits there until a list of the holder record that was requested later names this holder: no later holder then existed while the lease lasted. Recovery of a term counts unread workers as over, and read ones as read, from the next such list on. The record is listed at the next tick while something waits. What a worker itself has answered under the holder's token needs none.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -172,7 +172,7 @@
         const bool hasDrained = worker->drainedIncarnation == start.incarnation;
         return hasDrained ? OpenStartOutcome::Settled : OpenStartOutcome::Crashed;
     }
-    if (worker->isLeaseExpired(context_.now()))
+    if (worker->isLeaseExpired(confirmedAt_))
         return worker->isStateRead ? OpenStartOutcome::Settled : OpenStartOutcome::Unknown;
     if (!worker->isStateRead)
         return worker->firstListClock ? OpenStartOutcome::Unlisted : OpenStartOutcome::Unknown;
--- a/Source/Cell/CellDiagnostics.cpp
+++ b/Source/Cell/CellDiagnostics.cpp
@@ -147,19 +147,20 @@
     std::size_t awaitingEvidence = 0;
     for (std::size_t i = 0; i < step.tasks.size(); ++i)
         awaitingEvidence += awaitsCrashEvidence(step, i) ? 1 : 0;
-    context_.log("event=step_waits job={} step={} gang={} ready_for_ms={} startable={} "
-                 "accepted_generation={} tasks={} done={} waiting={} unrecorded={} stopping={} "
-                 "awaiting_evidence={} eligible={} usable={} room={} approved={} approved_room={} "
-                 "denied={} tickets={} ticket_room={} request_open_ms={} reserved_for_gangs={}",
-                 step.key.job.value(), step.key.step.value(), step.spec.gang,
-                 (context_.now() - *step.readySince).count(), isStartable(*candidate.job, step),
-                 candidate.job->accepted().generation, step.tasks.size(), step.doneTasks,
-                 step.counts.waiting, step.countTasks(CellTask::State::Unrecorded),
-                 step.countTasks(CellTask::State::Stopping), awaitingEvidence, workers.eligible,
-                 workers.usable, workers.room, workers.approved, workers.approvedRoom,
-                 workers.denied, workers.withTicket, workers.ticketRoom,
-                 approvals.hasOpenRequest ? (context_.now() - approvals.requestedAt).count() : -1,
-                 gangWorkers_.size());
+    context_.log(
+            "event=step_waits job={} step={} gang={} ready_for_ms={} startable={} "
+            "accepted_generation={} tasks={} done={} waiting={} unrecorded={} lost={} stopping={} "
+            "awaiting_evidence={} eligible={} usable={} room={} approved={} approved_room={} "
+            "denied={} tickets={} ticket_room={} request_open_ms={} reserved_for_gangs={}",
+            step.key.job.value(), step.key.step.value(), step.spec.gang,
+            (context_.now() - *step.readySince).count(), isStartable(*candidate.job, step),
+            candidate.job->accepted().generation, step.tasks.size(), step.doneTasks,
+            step.counts.waiting, step.countTasks(CellTask::State::Unrecorded),
+            step.countTasks(CellTask::State::Lost), step.countTasks(CellTask::State::Stopping),
+            awaitingEvidence, workers.eligible, workers.usable, workers.room, workers.approved,
+            workers.approvedRoom, workers.denied, workers.withTicket, workers.ticketRoom,
+            approvals.hasOpenRequest ? (context_.now() - approvals.requestedAt).count() : -1,
+            gangWorkers_.size());
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -120,6 +120,7 @@
     finishedJobs_.clear();
     cancellations_.clear();
     unknownJobs_.clear();
+    unconfirmedLosses_.clear();
     jobsWithCrashes_.clear();
     openStarts_.clear();
     takenOverStarts_.clear();
@@ -133,6 +134,15 @@
     requestedOnWorkers_.clear();
 }
 
+void CellScheduler::setConfirmedAt(TimePoint time)
+{
+    passNeeded_ = passNeeded_ || (time > confirmedAt_ && awaitsConfirmation());
+    confirmedAt_ = time;
+    fleet_.setConfirmedAt(time);
+    fleet_.setLatestLeaseEnd(time + renewalLimit + context_.settings().workerLease);
+    releaseConfirmedLosses();
+}
+
 CellJob *CellScheduler::findJob(const JobId &id)
 {
     const auto found = jobs_.find(id);
@@ -304,7 +314,7 @@
     CellTask &task = step->tasks[running.task.index.value()];
     if (findRun(running.task, running.run, worker.id()))
         return kept;
-    if (!task.isIn(CellTask::State::Waiting))
+    if (!task.isIn(CellTask::State::Waiting) && !task.isIn(CellTask::State::Lost))
         return stopped;
     task.assign(worker.id(), running.run, context_.now());
     task.handle(CellTask::Event::Listed);
@@ -463,11 +473,30 @@
     // Otherwise the next holder would count a later crash of the worker under it.
     if (std::exchange(task->recordedStart, std::nullopt))
         recorder_.markChanged(key.job);
-    task->handle(CellTask::Event::Ended);
+    if (evidence == AbsenceEvidence::Answered || evidence == AbsenceEvidence::Unlisted) {
+        task->handle(CellTask::Event::Ended);
+    } else {
+        task->handle(CellTask::Event::Lost);
+        unconfirmedLosses_.insert_or_assign(key, context_.now());
+    }
     if (step->spec.gang)
         stopGang(*step, run);
 }
 
+void CellScheduler::releaseConfirmedLosses()
+{
+    std::erase_if(unconfirmedLosses_, [this](const auto &loss) {
+        const auto &[key, lostAt] = loss;
+        // A list that was requested in the same millisecond may be older than the loss.
+        if (lostAt >= confirmedAt_)
+            return false;
+        CellJob *job = nullptr;
+        if (CellStep *step = findStep(key, job))
+            step->tasks[key.index.value()].handle(CellTask::Event::Confirmed);
+        return true;
+    });
+}
+
 void CellScheduler::stopOtherRuns(CellStep &step, const CellTask &task, RunNumber succeeded)
 {
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -53,7 +53,10 @@
     void startTerm(Term term);
     void endTerm();
     bool isActive() const { return active_; }
-    bool awaitsConfirmation() const { return fleet_.awaitsConfirmation(); }
+    bool awaitsConfirmation() const
+    {
+        return fleet_.awaitsConfirmation() || !unconfirmedLosses_.empty();
+    }
 
     /// Adds a job read from the store; ignored when the job was added before or has finished.
     void addJob(const AcceptedJob &job, const JobProgress &progress);
@@ -73,13 +76,7 @@
     /// The latest time at which an earlier holder may renew leases of workers by their full length.
     void setEarlierRenewalsEnd(TimePoint time) { fleet_.setEarlierRenewalsEnd(time); }
     /// When the store was last asked whether this process is the holder, and confirmed it.
-    void setConfirmedAt(TimePoint time)
-    {
-        passNeeded_ = passNeeded_ || (time > confirmedAt_ && fleet_.awaitsConfirmation());
-        confirmedAt_ = time;
-        fleet_.setConfirmedAt(time);
-        fleet_.setLatestLeaseEnd(time + renewalLimit + context_.settings().workerLease);
-    }
+    void setConfirmedAt(TimePoint time);
 
     /// Does all periodic work that is due; tasks are started and leases extended only if
     /// \a maySchedule. Events that were received before \a createdAt have been handled.
@@ -245,6 +242,8 @@
     void discardCompletion(const ProgressRecorder::RecordedCompletion &source);
     void onRunNotOnWorker(const CellWorker &worker, const TaskKey &key, RunNumber run,
                           WorkerOutcome outcome, AbsenceEvidence evidence);
+    /// Lets the tasks start again whose runs were lost before the latest confirmation.
+    void releaseConfirmedLosses();
     void onWorkerCrashed(const CellWorker &worker, WorkerIncarnation incarnation,
                          CrashEvidence evidence, const std::vector<Placement> &lost);
     void onCrashRecorded(const TaskKey &key);
@@ -441,6 +440,8 @@
     std::unordered_map<JobId, TimePoint> finishedJobs_;
     std::set<JobId> cancellations_;
     UnknownJobs unknownJobs_;
+    /// When the runs of tasks were lost that have not been released since.
+    std::map<TaskKey, TimePoint> unconfirmedLosses_;
     /// Jobs with tasks under which workers have crashed.
     std::set<JobId> jobsWithCrashes_;
     StartLog startLog_;
--- a/Source/Cell/CellTask.cpp
+++ b/Source/Cell/CellTask.cpp
@@ -6,10 +6,10 @@
 {
     static const BoundChart<CellTask> bound = BoundChart<CellTask> {
             "CellTask.scxml",
-            {"waiting", "unrecorded", "onWorker", "starting", "unconfirmed", "running", "stopping",
-             "done", "dropped"},
+            {"waiting", "unrecorded", "lost", "onWorker", "starting", "unconfirmed", "running",
+             "stopping", "done", "dropped"},
             {"placed", "started", "listed", "unanswered", "stopRequested", "withdrawn", "succeeded",
-             "ended", "recorded"},
+             "ended", "recorded", "lost", "confirmed"},
             {{"isWithdrawn", &CellTask::isWithdrawn},
              {"hasUnrecordedCrash", &CellTask::hasUnrecordedCrash}},
             {{"releaseWorker", &CellTask::releaseWorker},
--- a/Source/Cell/CellTask.h
+++ b/Source/Cell/CellTask.h
@@ -21,6 +21,7 @@
     enum class State {
         Waiting,
         Unrecorded,
+        Lost,
         OnWorker,
         Starting,
         Unconfirmed,
@@ -39,6 +40,8 @@
         Succeeded,
         Ended,
         Recorded,
+        Lost,
+        Confirmed,
     };
 
     CellTask() = default;
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -84,8 +84,15 @@
     void setLatestLeaseEnd(TimePoint time) { latestLeaseEnd_ = time; }
     /// When the store was last asked whether this process is the holder, and confirmed it.
     void setConfirmedAt(TimePoint time) { confirmedAt_ = time; }
-    /// Whether workers wait for a later confirmation before they receive work.
-    bool awaitsConfirmation() const { return active_ && latestFirstRead_ >= confirmedAt_; }
+    /// Whether a later confirmation is needed before workers receive work, or before the leases of
+    /// earlier holders count as expired.
+    bool awaitsConfirmation() const
+    {
+        return active_
+                && (latestFirstRead_ >= confirmedAt_
+                    || (!recovered_ && areEarlierLeasesOver(context_.now())
+                        && !areEarlierLeasesOver(confirmedAt_)));
+    }
     void endTerm();
     void setEntry(const WorkerEntry &entry);
     void removeEntry(const WorkerId &id);
@@ -236,6 +243,8 @@
     void expireLease(CellWorker &worker);
     /// Whether the worker may still return and show that it crashed under its expired runs.
     bool awaitsReturn(const CellWorker &worker) const;
+    /// Whether the leases that earlier holders have renewed were over at \a time.
+    bool areEarlierLeasesOver(TimePoint time) const;
     void checkRecovery();
     bool belongsInRoster(const CellWorker &worker) const;
     bool isSilent(const CellWorker &worker) const;
--- a/Source/Cell/WorkerRoster.cpp
+++ b/Source/Cell/WorkerRoster.cpp
@@ -122,15 +122,20 @@
     return largest;
 }
 
-void WorkerFleet::checkRecovery()
+bool WorkerFleet::areEarlierLeasesOver(TimePoint time) const
 {
-    if (recovered_)
-        return;
     const Milliseconds lease = context_.settings().workerLease;
     // A reachable worker has the same time to be read, however early the earlier holder ended.
     const TimePoint leasesStart = std::max(earlierRenewalsEnd_, termStartedAt_);
-    const bool isTimedOut
-            = context_.now() - leasesStart > lease + lease / clockDriftDivisor + recoveryMargin;
+    return time - leasesStart > lease + lease / clockDriftDivisor + recoveryMargin;
+}
+
+void WorkerFleet::checkRecovery()
+{
+    if (recovered_)
+        return;
+    // A later holder may have read a worker since, while its lease lasted.
+    const bool isTimedOut = areEarlierLeasesOver(confirmedAt_);
     std::size_t unreadInRoster = 0;
     bool isPartlyRead = false;
     isOpenWorkerUnread_ = false;
@@ -150,6 +155,9 @@
     }
     if (unreadInRoster > 0 && (!isTimedOut || isPartlyRead))
         return;
+    // Likewise an incarnation that had ended before this holder read the worker.
+    if (latestFirstRead_ != TimePoint() && latestFirstRead_ >= confirmedAt_)
+        return;
     recovered_ = true;
     context_.log("event=workers_recovered after_ms={} unread={} workers={}",
                  (context_.now() - termStartedAt_).count(), unreadInRoster, workers_.size());
--- a/Tests/Cell/PartitionedHolderTest.cpp
+++ b/Tests/Cell/PartitionedHolderTest.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(PartitionedHolderTest);
     CPPUNIT_TEST(tasks_whoseWorkersTheNextHolderHasRead_areNotStartedAgain);
+    CPPUNIT_TEST(runs_onWorkersThatTheNextHolderHasRead_areNotDoubled);
     CPPUNIT_TEST(tasks_whoseWorkerRestartsAfterTheNextHolderHasReadIt_areNotStartedAgain);
     CPPUNIT_TEST(tasks_whoseWorkersAHolderCouldNotReadSinceItsTakeover_areNotStartedAgain);
     CPPUNIT_TEST(tasks_onALostWorker_startAgainInTimeWhileTheStoreServes);
@@ -19,6 +20,17 @@
 public:
     void tasks_whoseWorkersTheNextHolderHasRead_areNotStartedAgain()
     {
+        forEachPhase([this] {
+            submitAndPartition();
+            CPPUNIT_ASSERT(simulation_->advanceUntil([this] { return hasNoted(farWorker_); },
+                                                     formerHolderLimit));
+            simulation_->advance(formerHolderLimit);
+        });
+    }
+
+    void runs_onWorkersThatTheNextHolderHasRead_areNotDoubled()
+    {
+        duration_ = Milliseconds(20'000);
         forEachPhase([this] {
             submitAndPartition();
             simulation_->advance(formerHolderLimit);
@@ -29,11 +41,11 @@
     {
         forEachPhase([this] {
             submitAndPartition();
-            CPPUNIT_ASSERT(simulation_->advanceUntil([this] { return hasNoted(farWorker); },
+            CPPUNIT_ASSERT(simulation_->advanceUntil([this] { return hasNoted(farWorker_); },
                                                      formerHolderLimit));
-            nearWorkers_.insert(farWorker);
-            simulation_->worker(farWorker).resetsConnections = false;
-            simulation_->worker(farWorker).restart(simulation_->now());
+            nearWorkers_.insert(farWorker_);
+            simulation_->worker(farWorker_).resetsConnections = false;
+            simulation_->worker(farWorker_).restart(simulation_->now());
             simulation_->advance(formerHolderLimit);
         });
     }
@@ -52,8 +64,10 @@
             former_ = nextAfter(first);
             simulation_->restart(first);
             simulation_->restart(nextAfter(former_));
-            simulation_->advance(Milliseconds(300));
+            simulation_->advance(unreadFor);
             partition();
+            CPPUNIT_ASSERT(simulation_->advanceUntil([this] { return hasNoted(farWorker_); },
+                                                     formerHolderLimit));
             simulation_->advance(formerHolderLimit);
         });
     }
@@ -64,7 +78,7 @@
         startPhase(Milliseconds());
         submitAndAwaitStarts();
         const TimePoint lostAt = simulation_->now();
-        simulation_->worker(farWorker).leave();
+        simulation_->worker(farWorker_).leave();
         const std::size_t starts = simulation_->starts().size();
         CPPUNIT_ASSERT(
                 simulation_->advanceUntil([&] { return simulation_->starts().size() > starts; },
@@ -73,10 +87,12 @@
 
 private:
     static constexpr std::size_t workers = 4;
-    static constexpr std::size_t farWorker = workers - 1;
-    static constexpr std::int64_t tasksPerWorker = 8;
+    /// They fill two workers, so that the others have room.
+    static constexpr std::size_t tasks = 16;
     /// Longer than a holder acts without the store, and than the leases of its workers last.
     static constexpr Milliseconds formerHolderLimit {12'000};
+    /// Until a holder that could not read some workers is partitioned.
+    static constexpr Milliseconds unreadFor {1100};
     /// The lease, by a clock that is 2% slow, and the allowances for the network.
     static constexpr Milliseconds lostWorkerBound {6600};
 
@@ -84,21 +100,19 @@
     void forEachPhase(const std::function<void()> &scene)
     {
         std::size_t startsAfterSuccess = 0;
-        std::size_t acknowledged = 0;
+        std::size_t overlaps = 0;
         for (std::int64_t phase = 0; phase < 1500; phase += 150) {
             startPhase(Milliseconds(phase));
             scene();
             startsAfterSuccess += simulation_->startsAfterSuccess();
-            const auto &starts = simulation_->starts();
-            acknowledged += static_cast<std::size_t>(std::ranges::count_if(
-                    starts, [](const auto &start) { return start.acknowledged; }));
+            overlaps += simulation_->overlaps();
         }
-        CPPUNIT_ASSERT(acknowledged > 0);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsAfterSuccess);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), overlaps);
     }
     void startPhase(Milliseconds phase)
     {
-        nearWorkers_ = {0, 1};
+        nearWorkers_.clear();
         unreachedBy_.reset();
         startCell(workers);
         simulation_->plan = [this](const TaskKey &, RunNumber) {
@@ -117,10 +131,16 @@
     }
     void submitAndAwaitStarts()
     {
-        const std::size_t tasks = workers * tasksPerWorker;
         submit(CellSimulation::job("a", static_cast<std::int64_t>(tasks)));
         CPPUNIT_ASSERT(simulation_->advanceUntil(
                 [&] { return simulation_->starts().size() == tasks; }, Milliseconds(1000)));
+        const std::set<std::size_t> withRuns = workersWithRuns();
+        farWorker_ = *withRuns.begin();
+        for (std::size_t i = 0; i < workers; ++i) {
+            if (!withRuns.contains(i))
+                nearWorkers_.insert(i);
+        }
+        CPPUNIT_ASSERT(!nearWorkers_.empty());
     }
     void submitAndPartition()
     {
@@ -163,7 +183,10 @@
     }
     static std::size_t nextAfter(std::size_t instance) { return (instance + 1) % instances; }
 
+    /// The workers on the side of the former holder, which have no runs before the partition.
     std::set<std::size_t> nearWorkers_;
+    /// One of the others.
+    std::size_t farWorker_ = 0;
     /// Cannot reach the other workers, also without the partition.
     std::optional<InstanceId> unreachedBy_;
     std::size_t former_ = 0;
