--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -48,6 +48,7 @@
     SoakFleet fleet(fleetOptions, journal);
     // The folder may hold logs of an earlier round.
     const std::size_t earlierCrashes = countCrashLines(folder);
+    const std::size_t earlierUnused = countUnusedAcknowledgements(folder);
     std::vector<SoakFront> fronts;
     for (const auto &instance : fleet.instances())
         fronts.push_back({instance->id(), instance->callersPort()});
@@ -75,6 +76,9 @@
     result.runs = journal.runs().size();
     result.findings = SoakAudit(journal, jobs, unfinished).findings();
     result.summary = summarize(journal, countCrashLines(folder) - earlierCrashes);
+    result.summary.unusedAcknowledgements = countUnusedAcknowledgements(folder) - earlierUnused;
+    if (result.summary.unusedAcknowledgements > 0 || result.summary.unlistedEnds > 0)
+        result.findings.push_back({"UNREAD", "ends were acknowledged that no reply in use listed"});
     if (result.summary.countedCrashes > 0 && result.summary.workerCrashes == 0)
         result.findings.push_back({"CRASH", "crashes are counted, but no worker crashed"});
     journal.write(result.describe(folder));
--- a/Tests/Soak/SoakSummary.cpp
+++ b/Tests/Soak/SoakSummary.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace caraway::tests {
 
@@ -15,6 +16,18 @@
     return ascending[(ascending.size() - 1) * percent / 100].count();
 }
 
+void forEachLogLine(const std::filesystem::path &folder,
+                    const std::function<void(const std::string &)> &handle)
+{
+    for (const auto &entry : std::filesystem::directory_iterator(folder)) {
+        if (entry.path().extension() != ".log")
+            continue;
+        std::ifstream log(entry.path());
+        for (std::string line; std::getline(log, line);)
+            handle(line);
+    }
+}
+
 } // namespace
 
 std::string SoakSummary::describe() const
@@ -27,8 +40,9 @@
                             promptEnds, promptBound.count(), percentile(delays, 5),
                             percentile(delays, 50), percentile(delays, 95));
     return text
-            + fmt::format("; crashes of workers: {}, counted under runs: {}\n", workerCrashes,
-                          countedCrashes);
+            + fmt::format("; acknowledgements unused: {}; crashes of workers: {}, counted under "
+                          "runs: {}\n",
+                          unusedAcknowledgements, workerCrashes, countedCrashes);
 }
 
 SoakSummary summarize(const SoakJournal &journal, std::size_t countedCrashes)
@@ -56,17 +70,24 @@
 std::size_t countCrashLines(const std::filesystem::path &folder)
 {
     std::size_t count = 0;
-    for (const auto &entry : std::filesystem::directory_iterator(folder)) {
-        if (entry.path().extension() != ".log")
-            continue;
-        std::ifstream log(entry.path());
-        for (std::string line; std::getline(log, line);) {
-            const bool isCrash = line.find("event=worker_crashed_under_run") != std::string::npos
-                    || line.find("event=worker_crash_shared") != std::string::npos;
-            count += isCrash ? 1 : 0;
-        }
-    }
+    forEachLogLine(folder, [&count](const std::string &line) {
+        const bool isCrash = line.find("event=worker_crashed_under_run") != std::string::npos
+                || line.find("event=worker_crash_shared") != std::string::npos;
+        count += isCrash ? 1 : 0;
+    });
     return count;
 }
 
+std::size_t countUnusedAcknowledgements(const std::filesystem::path &folder)
+{
+    std::size_t sum = 0;
+    forEachLogLine(folder, [&sum](const std::string &line) {
+        const std::string field = " unused_acknowledgements=";
+        const std::size_t at = line.find(field);
+        if (at != std::string::npos)
+            sum += std::stoull(line.substr(at + field.size()));
+    });
+    return sum;
+}
+
 } // namespace caraway::tests
--- a/Tests/Soak/SoakSummary.h
+++ b/Tests/Soak/SoakSummary.h
@@ -21,6 +21,8 @@
     std::size_t workerCrashes = 0;
     /// Crashes under runs that the instances count.
     std::size_t countedCrashes = 0;
+    /// Acknowledgements that an incarnation has received whose reply the holder did not use.
+    std::size_t unusedAcknowledgements = 0;
 
     std::string describe() const;
 };
@@ -28,6 +30,9 @@
 /// \a countedCrashes as in SoakSummary.
 SoakSummary summarize(const SoakJournal &journal, std::size_t countedCrashes);
 
+/// Sum of the unused acknowledgements in the logs in \a folder.
+std::size_t countUnusedAcknowledgements(const std::filesystem::path &folder);
+
 /// Lines of the logs in \a folder that say that a worker crashed under a run.
 std::size_t countCrashLines(const std::filesystem::path &folder);
 
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(gangsAndFailingTasks_whileAllLosePower_runOnceAndAreAnswered);
     CPPUNIT_TEST(tasksLongerThanALease_whileWorkersAreCutOff_runOnceAndAreAnswered);
     CPPUNIT_TEST(tasks_whoseEndsAreListedInAnyOrder_runOnceAndAreAnswered);
+    CPPUNIT_TEST(tasks_whileTheHolderIsPartitioned_runOnceAndAreAnswered);
     CPPUNIT_TEST_SUITE_END();
 
     std::filesystem::path folder_;
@@ -68,6 +69,12 @@
     {
         runRound(47, Milliseconds(10'000), "x", {}, 4, true);
     }
+
+    /// Guards against a former holder that starts tasks again which the next one has recorded.
+    void tasks_whileTheHolderIsPartitioned_runOnceAndAreAnswered()
+    {
+        runRound(2001, Milliseconds(18'000), "m", {.clients = 4});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakTest);
