Hold older jobs until each worker was read and the holder confirmed since

A task that waits for a completion that may be listed late was freed when the lease of its worker expired, with no later confirmation, and so was a worker that was read in part.

Change: each worker keeps whether it was read and the holder confirmed since; workers of the roster without it count as unread. It stays set when the worker restarts, as its runs are lost one by one then. While the expiry of a lease is not confirmed, completions may still be listed late, and the earlier leases are not over.

The case of a worker that was read in part has no test.

--- a/Source/Cell/CellCrashes.cpp
+++ b/Source/Cell/CellCrashes.cpp
@@ -172,6 +172,8 @@
         const bool hasDrained = worker->drainedIncarnation == start.incarnation;
         return hasDrained ? OpenStartOutcome::Settled : OpenStartOutcome::Crashed;
     }
+    if (worker->isExpiryUnconfirmed(confirmedAt_))
+        return OpenStartOutcome::Unlisted;
     if (worker->isLeaseExpired(confirmedAt_))
         return worker->isStateRead ? OpenStartOutcome::Settled : OpenStartOutcome::Unknown;
     if (!worker->isStateRead)
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -125,6 +125,9 @@
     /// Whether all its running tasks and completions were read under the current fencing token and
     /// in its current incarnation.
     bool isStateRead = false;
+    /// Whether the runs of earlier holders there are known: it was read, and the holder confirmed
+    /// since. Stays set when it restarts, as each of them is lost on its own then.
+    bool areEarlierRunsKnown = false;
     /// Whether its last list under the current fencing token may have lacked completions, so that
     /// runs of earlier holders may have ended there unnoticed.
     bool isPartlyRead = false;
@@ -154,6 +157,12 @@
     /// returns, in the same incarnation or in a new one.
     std::vector<Placement> expiredPlacements;
     TimePoint leaseExpiredAt;
+    /// Whether its lease has expired since the holder was confirmed, so that a later holder may
+    /// have renewed it.
+    bool isExpiryUnconfirmed(TimePoint confirmedAt) const
+    {
+        return leaseExpiredAt != TimePoint() && leaseExpiredAt >= confirmedAt;
+    }
     /// The time, on the worker's clock, by which they had ended; nothing when its clock was
     /// unknown.
     std::optional<WorkerTime> expiredLeaseEnd;
--- a/Source/Cell/WorkerRoster.cpp
+++ b/Source/Cell/WorkerRoster.cpp
@@ -140,13 +140,17 @@
     bool isPartlyRead = false;
     isOpenWorkerUnread_ = false;
     jobsOnUnreadWorkers_.clear();
-    for (const auto &[id, worker] : workers_) {
-        if (!worker.isInRoster || worker.isStateRead)
+    for (auto &[id, worker] : workers_) {
+        // A worker that was read may be a later incarnation than the one that a later holder has
+        // read.
+        worker.areEarlierRunsKnown = worker.areEarlierRunsKnown
+                || (worker.isStateRead && isConfirmedSinceRead(worker));
+        if (!worker.isInRoster || worker.areEarlierRunsKnown)
             continue;
         ++unreadInRoster;
         // The worker answers, and its lease is renewed.
-        isPartlyRead
-                = isPartlyRead || (worker.isPartlyRead && !worker.isLeaseExpired(context_.now()));
+        isPartlyRead = isPartlyRead || worker.isExpiryUnconfirmed(confirmedAt_)
+                || (worker.isPartlyRead && !worker.isLeaseExpired(confirmedAt_));
         if (worker.closedWithJobs)
             jobsOnUnreadWorkers_.insert(worker.closedWithJobs->begin(),
                                         worker.closedWithJobs->end());
@@ -155,9 +159,6 @@
     }
     if (unreadInRoster > 0 && (!isTimedOut || isPartlyRead))
         return;
-    // Likewise an incarnation that had ended before this holder read the worker.
-    if (latestFirstRead_ != TimePoint() && latestFirstRead_ >= confirmedAt_)
-        return;
     recovered_ = true;
     context_.log("event=workers_recovered after_ms={} unread={} workers={}",
                  (context_.now() - termStartedAt_).count(), unreadInRoster, workers_.size());
