Acknowledge nothing in a heartbeat after one whose lists were not used

Cause: after an unanswered heartbeat the next one carried the number that was read before the silence. If the worker had restarted with the same start time, the binding of calls to an incarnation did not notice it, the next life forgot its ends unread, and its tasks started again.

Change: a heartbeat acknowledges only if the lists in the reply to the last one were used. The first one after a silence, a refusal or a reply of another incarnation reads; the next one acknowledges.

--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -134,6 +134,9 @@
     std::optional<WorkerTime> firstListClock;
     WorkerTime lastListClock;
     bool heartbeatInFlight = false;
+    /// Whether the lists in the reply to its last heartbeat were used. Otherwise the next heartbeat
+    /// may reach an incarnation that was not read, and acknowledges nothing.
+    bool isLastListUsed = false;
     TimePoint nextHeartbeat;
     /// Whether the worker reported itself unhealthy at the last heartbeat, and did not renew its
     /// lease.
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -51,7 +51,7 @@
         return;
     worker.heartbeatInFlight = true;
     WorkerHeartbeat heartbeat;
-    if (mayRenew)
+    if (mayRenew && worker.isLastListUsed)
         heartbeat.acknowledged = nextAcknowledgement(worker);
     // A renewal without a reply may still have reached the worker, so each raises the latest time
     // at which the worker's lease may end. If renewals to an unreachable worker continued, the
@@ -158,8 +158,10 @@
         recordUnusedReply(*worker, target, acknowledged, reply);
     if (reply.outcome != WorkerOutcome::Done || source == ReplySource::Other) {
         // A reply of another incarnation has scheduled a heartbeat to it.
-        if (isLatest && target.incarnation == worker->incarnation)
+        if (isLatest && target.incarnation == worker->incarnation) {
+            worker->isLastListUsed = false;
             worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
+        }
         return;
     }
     if (source == ReplySource::Present)
@@ -170,6 +172,7 @@
     handleLists(*worker, target, reply);
     if (!isLatest)
         return;
+    worker->isLastListUsed = true;
     // Without a renewal the worker replies without waiting.
     if (!mayRenew)
         worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
