Count unused acknowledgements only of calls that another incarnation has met

Cause: a late reply of an ended incarnation to a call that was meant for it counted as well, though the number had gone to the life that it was read from, so a soak with restarts could have a finding without a fault.

Change: the counter leaves such replies out; the log line still shows them.

--- a/Source/Cell/CallTotals.h
+++ b/Source/Cell/CallTotals.h
@@ -18,8 +18,8 @@
     std::size_t notSent = 0;
     /// Calls of all kinds that this instance did not send in time.
     std::size_t withheld = 0;
-    /// Heartbeats that acknowledged completions and whose replies were not used, as another
-    /// incarnation has sent them.
+    /// Heartbeats that acknowledged completions of one incarnation and that another one has carried
+    /// out, without a use of its reply.
     std::size_t unusedAcknowledgements = 0;
 };
 
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -123,7 +123,7 @@
 {
     if (acknowledged == CompletionNumber())
         return;
-    ++callTotals_.unusedAcknowledgements;
+    callTotals_.unusedAcknowledgements += reply.incarnation != target.incarnation ? 1 : 0;
     if (context_.now() < worker.nextUnusedReplyLog)
         return;
     worker.nextUnusedReplyLog = context_.now() + unusedReplyLogInterval;
