--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -60,6 +60,8 @@
     /// The worker's clock in its last reply before the call.
     WorkerTime clock;
     TimePoint sentAt;
+    /// The incarnation that its entry named then; nothing without an entry.
+    std::optional<WorkerIncarnation> listed;
 };
 
 /// Why a worker counts as crashed under runs.
@@ -125,6 +127,9 @@
     /// Whether all its running tasks and completions were read under the current fencing token and
     /// in its current incarnation.
     bool isStateRead = false;
+    /// Whether the runs of earlier holders there are known: it was read, and the holder confirmed
+    /// since. Stays set when it restarts, as each of them is lost on its own then.
+    bool areEarlierRunsKnown = false;
     /// Whether its last list under the current fencing token may have lacked completions, so that
     /// runs of earlier holders may have ended there unnoticed.
     bool isPartlyRead = false;
@@ -134,6 +139,9 @@
     std::optional<WorkerTime> firstListClock;
     WorkerTime lastListClock;
     bool heartbeatInFlight = false;
+    /// Whether the lists in the reply to its last heartbeat were used. Otherwise the next heartbeat
+    /// may reach an incarnation that was not read, and acknowledges nothing.
+    bool isLastListUsed = false;
     TimePoint nextHeartbeat;
     /// Whether the worker reported itself unhealthy at the last heartbeat, and did not renew its
     /// lease.
@@ -154,6 +162,12 @@
     /// returns, in the same incarnation or in a new one.
     std::vector<Placement> expiredPlacements;
     TimePoint leaseExpiredAt;
+    /// Whether its lease has expired since the holder was confirmed, so that a later holder may
+    /// have renewed it.
+    bool isExpiryUnconfirmed(TimePoint confirmedAt) const
+    {
+        return leaseExpiredAt != TimePoint() && leaseExpiredAt >= confirmedAt;
+    }
     /// The time, on the worker's clock, by which they had ended; nothing when its clock was
     /// unknown.
     std::optional<WorkerTime> expiredLeaseEnd;
@@ -167,7 +181,11 @@
     /// resources that they use are unknown.
     std::size_t orphanedRuns = 0;
 
-    CallTarget callTarget(TimePoint now) const { return {id_, incarnation, clock_, now}; }
+    CallTarget callTarget(TimePoint now) const
+    {
+        return {id_, incarnation, clock_, now,
+                entry ? std::optional(entry->incarnation) : std::nullopt};
+    }
     /// Which incarnation has sent \a reply to a call to \a target. Only a list of runs names its
     /// incarnation; of other replies, the target and the clock tell.
     ReplySource sourceOf(const CallTarget &target, const WorkerReply &reply, TimePoint now) const;
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -51,7 +51,7 @@
         return;
     worker.heartbeatInFlight = true;
     WorkerHeartbeat heartbeat;
-    if (mayRenew)
+    if (mayRenew && worker.isLastListUsed)
         heartbeat.acknowledged = nextAcknowledgement(worker);
     // A renewal without a reply may still have reached the worker, so each raises the latest time
     // at which the worker's lease may end. If renewals to an unreachable worker continued, the
@@ -123,7 +123,7 @@
 {
     if (acknowledged == CompletionNumber())
         return;
-    ++callTotals_.unusedAcknowledgements;
+    callTotals_.unusedAcknowledgements += reply.incarnation != target.incarnation ? 1 : 0;
     if (context_.now() < worker.nextUnusedReplyLog)
         return;
     worker.nextUnusedReplyLog = context_.now() + unusedReplyLogInterval;
@@ -158,8 +158,10 @@
         recordUnusedReply(*worker, target, acknowledged, reply);
     if (reply.outcome != WorkerOutcome::Done || source == ReplySource::Other) {
         // A reply of another incarnation has scheduled a heartbeat to it.
-        if (isLatest && target.incarnation == worker->incarnation)
+        if (isLatest && target.incarnation == worker->incarnation) {
+            worker->isLastListUsed = false;
             worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
+        }
         return;
     }
     if (source == ReplySource::Present)
@@ -170,6 +172,7 @@
     handleLists(*worker, target, reply);
     if (!isLatest)
         return;
+    worker->isLastListUsed = true;
     // Without a renewal the worker replies without waiting.
     if (!mayRenew)
         worker->nextHeartbeat = context_.now() + heartbeatRetryInterval;
@@ -182,6 +185,11 @@
 void WorkerFleet::handleLists(CellWorker &worker, const CallTarget &target,
                               const WorkerReply &reply)
 {
+    // The first list shows that the entry that was known at the call is of an earlier incarnation,
+    // whatever its start time.
+    if (!target.incarnation && worker.incarnation && target.listed > worker.incarnation
+        && isPlausible(*target.listed))
+        worker.endedIncarnations.insert(*target.listed);
     handleCompletions(worker, target, reply);
     handleRunningTasks(worker, reply);
     worker.isPartlyRead = reply.completed.size() >= maxCompletionsPerReply;
