Name what recovery waits for, and move a query of workers to the others

Cause: read as a newcomer, a query stood between data members, and a variable named for workers that were read in part covered more.

Change: names, places and a comment only.

--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -162,12 +162,6 @@
     /// returns, in the same incarnation or in a new one.
     std::vector<Placement> expiredPlacements;
     TimePoint leaseExpiredAt;
-    /// Whether its lease has expired since the holder was confirmed, so that a later holder may
-    /// have renewed it.
-    bool isExpiryUnconfirmed(TimePoint confirmedAt) const
-    {
-        return leaseExpiredAt != TimePoint() && leaseExpiredAt >= confirmedAt;
-    }
     /// The time, on the worker's clock, by which they had ended; nothing when its clock was
     /// unknown.
     std::optional<WorkerTime> expiredLeaseEnd;
@@ -214,6 +208,12 @@
     /// Whether the lease has expired even if the worker's clock is slow, so that nothing runs
     /// there.
     bool isLeaseExpired(TimePoint now) const;
+    /// Whether its lease has expired since the store confirmed the holder, so that a later holder
+    /// may have renewed it.
+    bool isExpiryUnconfirmed(TimePoint confirmedAt) const
+    {
+        return leaseExpiredAt != TimePoint() && leaseExpiredAt >= confirmedAt;
+    }
     /// Time until isLeaseExpired(), negative afterwards; nothing while it is unknown.
     std::optional<Milliseconds> timeToLeaseExpiry(TimePoint now) const;
 
--- a/Source/Cell/WorkerHeartbeats.cpp
+++ b/Source/Cell/WorkerHeartbeats.cpp
@@ -185,8 +185,8 @@
 void WorkerFleet::handleLists(CellWorker &worker, const CallTarget &target,
                               const WorkerReply &reply)
 {
-    // The first list shows that the entry that was known at the call is of an earlier incarnation,
-    // whatever its start time.
+    // The first list comes from a later incarnation than the entry that was known at the call,
+    // whatever their start times.
     if (!target.incarnation && worker.incarnation && target.listed > worker.incarnation
         && isPlausible(*target.listed))
         worker.endedIncarnations.insert(*target.listed);
--- a/Source/Cell/WorkerRoster.cpp
+++ b/Source/Cell/WorkerRoster.cpp
@@ -137,7 +137,7 @@
     // A later holder may have read a worker since, while its lease lasted.
     const bool isTimedOut = areEarlierLeasesOver(confirmedAt_);
     std::size_t unreadInRoster = 0;
-    bool isPartlyRead = false;
+    bool mayLeaseBeRenewed = false;
     isOpenWorkerUnread_ = false;
     jobsOnUnreadWorkers_.clear();
     for (auto &[id, worker] : workers_) {
@@ -148,8 +148,8 @@
         if (!worker.isInRoster || worker.areEarlierRunsKnown)
             continue;
         ++unreadInRoster;
-        // The worker answers, and its lease is renewed.
-        isPartlyRead = isPartlyRead || worker.isExpiryUnconfirmed(confirmedAt_)
+        // A worker that was read in part answers, and this holder renews its lease.
+        mayLeaseBeRenewed = mayLeaseBeRenewed || worker.isExpiryUnconfirmed(confirmedAt_)
                 || (worker.isPartlyRead && !worker.isLeaseExpired(confirmedAt_));
         if (worker.closedWithJobs)
             jobsOnUnreadWorkers_.insert(worker.closedWithJobs->begin(),
@@ -157,7 +157,7 @@
         else
             isOpenWorkerUnread_ = true;
     }
-    if (unreadInRoster > 0 && (!isTimedOut || isPartlyRead))
+    if (unreadInRoster > 0 && (!isTimedOut || mayLeaseBeRenewed))
         return;
     recovered_ = true;
     context_.log("event=workers_recovered after_ms={} unread={} workers={}",
