--- a/Tests/Soak/SoakTroubles.cpp
+++ b/Tests/Soak/SoakTroubles.cpp
@@ -256,7 +256,7 @@
     }
 }
 
-/// The instances still reach each other; a former holder and the next one have nothing to say.
+/// The instances still reach each other: a holder sends nothing to a former one.
 void SoakTroubles::partitionHolder(const Choices &choices)
 {
     Choices ofHolder = choices;
--- a/Tests/Soak/SoakWorker.cpp
+++ b/Tests/Soak/SoakWorker.cpp
@@ -111,8 +111,8 @@
 
 void SoakWorker::cutFromHolder(std::int64_t token, bool isOnHolderSide)
 {
-    journal_.write(fmt::format("worker {} is cut off from {} token {}", id_.value(),
-                               isOnHolderSide ? "all but" : "", token));
+    journal_.write(fmt::format("worker {} is cut off from {}token {}", id_.value(),
+                               isOnHolderSide ? "all but " : "", token));
     const std::lock_guard lock(mutex_);
     holderCut_ = HolderCut {token, isOnHolderSide};
 }
