--- /dev/null
+++ b/review/standin-2/fleet.h
@@ -0,0 +1,255 @@
+#pragma once
+
+// A small deployment of entry processes on loopback addresses: the platform's store and policy
+// service, workers, and a client. Store and HTTP server are the project's own stand-ins.
+
+#include "Soak/SoakServer.h"
+#include "Soak/SoakStore.h"
+#include "Support/ChildProcess.h"
+
+#include <nlohmann/json.hpp>
+
+#include <condition_variable>
+#include <cstdint>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace review {
+
+using Json = nlohmann::json;
+using caraway::tests::SoakRequest;
+using caraway::tests::SoakResponse;
+
+std::int64_t nowMs();
+void sleepMs(std::int64_t duration);
+std::int64_t unixMs();
+
+/// What was sent, answered and run; written to record.txt.
+class Record
+{
+public:
+    explicit Record(const std::string &file);
+    void write(const std::string &line);
+
+private:
+    std::mutex mutex_;
+    std::ofstream file_;
+    std::int64_t startedAt_ = nowMs();
+};
+
+/// What a task does; the text of a job's spec: "work=MS cpu=MILLICORES members=N lasts=1 fails=N".
+struct Plan
+{
+    std::int64_t work = 1000;
+    std::int64_t cpu = 1000;
+    std::int64_t members = 0;
+    bool lasts = false;
+    /// The first runs of each task that end as failed.
+    std::int64_t fails = 0;
+
+    static Plan parse(const std::string &spec);
+};
+
+/// One run of a task.
+struct Run
+{
+    std::string task;
+    std::uint64_t number = 0;
+    std::string worker;
+    std::int64_t cpu = 0;
+    std::int64_t startedAt = 0;
+    std::int64_t endedAt = 0;
+    std::string how;
+
+    bool isOpen() const { return endedAt == 0; }
+    std::string job() const { return task.substr(0, task.find('.')); }
+};
+
+/// All runs of all workers, and the members of gangs that are present.
+class Journal
+{
+public:
+    explicit Journal(Record &record) : record_(record) { }
+    std::size_t begin(Run run);
+    void end(std::size_t run, const std::string &how);
+    std::vector<Run> runs() const;
+    std::vector<Run> runsOf(const std::string &job) const;
+    Record &record() { return record_; }
+
+    /// Adds a present member; the gang works from the moment when all are present.
+    void join(const std::string &gang, std::int64_t members);
+    void leave(const std::string &gang, const std::string &how);
+    std::int64_t worksSince(const std::string &gang) const;
+    /// How a member has ended that ends the others: "done" or "broken"; empty while none has.
+    std::string endOf(const std::string &gang) const;
+
+private:
+    struct Gang
+    {
+        std::int64_t present = 0;
+        std::int64_t since = 0;
+        std::string end;
+    };
+
+    Record &record_;
+    mutable std::mutex mutex_;
+    std::vector<Run> runs_;
+    std::map<std::string, Gang> gangs_;
+};
+
+struct Bounds
+{
+    std::int64_t maxHoldMs = 6000;
+    std::int64_t stopMs = 400;
+    std::int64_t gangTimeoutMs = 3000;
+    std::int64_t heartbeatMs = 1500;
+};
+
+struct WorkerKind
+{
+    std::int64_t cpu = 64'000;
+    std::int64_t memMb = 262'144;
+    std::int64_t gpus = 0;
+    std::vector<std::string> labels;
+    std::string service = "work";
+};
+
+/// A worker as PROTOCOL.md describes it. It doesn't guard its capacity.
+class Worker
+{
+public:
+    Worker(caraway::tests::SoakStore &store, Journal &journal, std::string id, WorkerKind kind);
+    ~Worker();
+
+    const std::string &id() const { return id_; }
+    /// The process ends; connections are reset.
+    void crash();
+    void restart();
+    bool isUp() const;
+    std::int64_t cpu() const { return kind_.cpu; }
+    const WorkerKind &kind() const { return kind_; }
+    /// Asked before each start; an empty answer accepts it, anything else is its reason.
+    std::function<std::string(const Json &)> checkStart;
+
+private:
+    struct Active
+    {
+        std::size_t run = 0;
+        Plan plan;
+        std::string gang;
+        std::int64_t startedAt = 0;
+        std::int64_t stopsAt = 0;
+        bool fails = false;
+    };
+    struct End
+    {
+        std::string task;
+        std::uint64_t run = 0;
+        std::string how;
+    };
+    using Key = std::pair<std::string, std::uint64_t>;
+
+    std::int64_t clock() const { return nowMs() - bornAt_; }
+    void begin();
+    void loop();
+    void endDue();
+    SoakResponse handle(const SoakRequest &request);
+    SoakResponse start(const Json &body);
+    SoakResponse stop(const Json &body);
+    SoakResponse hold(const Json &body, std::unique_lock<std::mutex> &lock);
+    void extendLease(const Json &body);
+
+    caraway::tests::SoakStore &store_;
+    Journal &journal_;
+    std::string id_;
+    WorkerKind kind_;
+    Bounds bounds_;
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    bool isClosing_ = false;
+    bool isUp_ = false;
+    std::int64_t life_ = 0;
+    std::int64_t born_ = 0;
+    std::int64_t bornAt_ = 0;
+    std::int64_t fence_ = 0;
+    std::int64_t leaseEnd_ = 0;
+    std::int64_t nextBeat_ = 0;
+    std::int64_t sequence_ = 0;
+    std::map<Key, Active> running_;
+    std::map<std::int64_t, End> ends_;
+    std::int64_t lastEnd_ = 0;
+    std::map<std::string, std::uint64_t> highest_;
+    std::map<std::string, std::int64_t> starts_;
+    caraway::tests::SoakServer server_;
+    std::thread loop_;
+};
+
+struct Answer
+{
+    /// 0: no answer.
+    int status = 0;
+    std::string body;
+    std::string state;
+};
+
+/// The deployment: entry processes started as the deploy file says, store, workers, client.
+class Fleet
+{
+public:
+    Fleet(Record &record, int instances, const Json &routes);
+    ~Fleet();
+
+    Worker &addWorker(const std::string &id, const WorkerKind &kind);
+    void startInstances();
+    /// Waits until all instances are ready; false when they are not in time.
+    bool awaitReady(std::int64_t timeout);
+    void setAdvice(caraway::tests::SoakStore::AdviceHandler advice);
+
+    Answer call(std::size_t instance, const std::string &method, const std::string &path,
+                const std::string &body = {});
+    /// Submits until accepted, as clients do.
+    bool submit(const std::string &queue, const std::string &id, const Json &job);
+    Answer ask(std::size_t instance, const std::string &queue, const std::string &id);
+
+    Journal &journal() { return journal_; }
+    Record &record() { return record_; }
+    caraway::tests::SoakStore &store() { return store_; }
+    std::vector<std::unique_ptr<Worker>> &workers() { return workers_; }
+    caraway::tests::ChildProcess &instance(std::size_t i) { return *instances_.at(i).process; }
+    std::size_t instances() const { return instances_.size(); }
+    void restartInstance(std::size_t i);
+
+    /// Millicores of open runs, and of workers that are up.
+    std::int64_t used() const;
+    std::int64_t usedOn(const std::string &worker) const;
+    std::int64_t capacity() const;
+
+private:
+    struct Instance
+    {
+        std::string settings;
+        std::string log;
+        int front = 0;
+        int ready = 0;
+        std::unique_ptr<caraway::tests::ChildProcess> process;
+    };
+
+    Record &record_;
+    Journal journal_;
+    caraway::tests::SoakStore store_;
+    std::string folder_;
+    std::vector<Instance> instances_;
+    std::vector<std::unique_ptr<Worker>> workers_;
+};
+
+Json route(const std::string &name, int priority, double stretch, std::int64_t targetMs,
+           std::int64_t maxAttempts);
+
+} // namespace review
