--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -120,6 +121,12 @@
     record_.write(text);
 }
 
+void Journal::note(std::size_t index)
+{
+    const std::lock_guard lock(mutex_);
+    runs_[index].notedAt = nowMs();
+}
+
 std::vector<Run> Journal::runs() const
 {
     const std::lock_guard lock(mutex_);
@@ -136,6 +143,13 @@
     return found;
 }
 
+std::int64_t Journal::startsOf(const std::string &task) const
+{
+    const std::lock_guard lock(mutex_);
+    return std::count_if(runs_.begin(), runs_.end(),
+                         [&](const Run &run) { return run.task == task; });
+}
+
 void Journal::join(const std::string &gang, std::int64_t members)
 {
     const std::lock_guard lock(mutex_);
@@ -272,6 +286,8 @@
 {
     const std::int64_t now = nowMs();
     const bool hasLapsed = clock() > leaseEnd_;
+    for (auto &[number, end] : ends_)
+        end.hasLapsed = end.hasLapsed || hasLapsed;
     for (auto row = running_.begin(); row != running_.end();) {
         const Active &active = row->second;
         const bool isGang = !active.gang.empty();
@@ -295,7 +311,7 @@
         journal_.end(active.run, how);
         if (isGang)
             journal_.leave(active.gang, how);
-        ends_[++lastEnd_] = {row->first.first, row->first.second, how};
+        ends_[++lastEnd_] = {row->first.first, row->first.second, how, active.run, hasLapsed};
         std::uint64_t &highest = highest_[row->first.first];
         highest = std::max(highest, row->first.second);
         row = running_.erase(row);
@@ -352,7 +368,7 @@
     Active active;
     active.plan = Plan::parse(body.at("spec"));
     active.startedAt = nowMs();
-    active.fails = ++starts_[task] <= active.plan.fails;
+    active.fails = journal_.startsOf(task) < active.plan.fails;
     if (active.plan.members > 0)
         active.gang = task.substr(0, task.rfind('.')) + "/" + std::to_string(number);
     Run run;
@@ -382,8 +398,11 @@
 SoakResponse Worker::hold(const Json &body, std::unique_lock<std::mutex> &lock)
 {
     const std::int64_t acked = body.value("ackedThrough", std::int64_t(0));
-    while (!ends_.empty() && ends_.begin()->first <= acked)
+    while (!ends_.empty() && ends_.begin()->first <= acked) {
+        if (!ends_.begin()->second.hasLapsed)
+            journal_.note(ends_.begin()->second.index);
         ends_.erase(ends_.begin());
+    }
     extendLease(body);
     const std::int64_t life = life_;
     const std::int64_t wait = std::min<std::int64_t>(2000, body.value("waitMs", std::int64_t(0)));
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -67,6 +67,8 @@
     std::int64_t startedAt = 0;
     std::int64_t endedAt = 0;
     std::string how;
+    /// When its end was acknowledged, unless the lease lapsed between the two.
+    std::int64_t notedAt = 0;
 
     bool isOpen() const { return endedAt == 0; }
     std::string job() const { return task.substr(0, task.find('.')); }
@@ -79,7 +81,9 @@
     explicit Journal(Record &record) : record_(record) { }
     std::size_t begin(Run run);
     void end(std::size_t run, const std::string &how);
+    void note(std::size_t run);
     std::vector<Run> runs() const;
+    std::int64_t startsOf(const std::string &task) const;
     std::vector<Run> runsOf(const std::string &job) const;
     Record &record() { return record_; }
 
@@ -153,6 +157,8 @@
         std::string task;
         std::uint64_t run = 0;
         std::string how;
+        std::size_t index = 0;
+        bool hasLapsed = false;
     };
     using Key = std::pair<std::string, std::uint64_t>;
 
@@ -186,7 +192,6 @@
     std::map<std::int64_t, End> ends_;
     std::int64_t lastEnd_ = 0;
     std::map<std::string, std::uint64_t> highest_;
-    std::map<std::string, std::int64_t> starts_;
     caraway::tests::SoakServer server_;
     std::thread loop_;
 };
