--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -5,7 +5,8 @@
 const std::map<std::string, Case> &cases()
 {
     static const std::map<std::string, Case> all {{"reserved-for-gang", reservedForGang},
-                                                  {"stuck-approvals", stuckApprovals}};
+                                                  {"stuck-approvals", stuckApprovals},
+                                                  {"phantom-arrivals", phantomArrivals}};
     return all;
 }
 
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -9,5 +9,6 @@
 
 int reservedForGang(Record &record, bool hasTrouble);
 int stuckApprovals(Record &record, bool hasTrouble);
+int phantomArrivals(Record &record, bool hasTrouble);
 
 } // namespace review
