--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -1,34 +1,20 @@
 #include "fleet.h"
 
-#include "Soak/SoakTypes.h"
-
 #include <httplib.h>
 
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <sstream>
 
-// The clock that the project's stand-ins use.
-namespace caraway::tests {
-
-Milliseconds soakNow()
-{
-    return Milliseconds(review::nowMs());
-}
-void soakSleep(Milliseconds duration)
-{
-    review::sleepMs(duration.count());
-}
-std::int64_t soakUnixMs()
-{
-    return review::unixMs();
-}
-
-} // namespace caraway::tests
-
 namespace review {
 
 namespace {
@@ -50,25 +36,11 @@
 
 } // namespace
 
-std::int64_t nowMs()
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
-}
-
-void sleepMs(std::int64_t duration)
+Record::Record(const std::string &file)
+    : file_(file)
 {
-    std::this_thread::sleep_for(std::chrono::milliseconds(std::max<std::int64_t>(duration, 0)));
 }
 
-std::int64_t unixMs()
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-}
-
-Record::Record(const std::string &file) : file_(file) { }
-
 void Record::write(const std::string &line)
 {
     const std::lock_guard lock(mutex_);
@@ -181,12 +153,12 @@
     return found == gangs_.end() ? std::string() : found->second.end;
 }
 
-Worker::Worker(caraway::tests::SoakStore &store, Journal &journal, std::string id, WorkerKind kind)
+Worker::Worker(Store &store, Journal &journal, std::string id, WorkerKind kind)
     : store_(store)
     , journal_(journal)
     , id_(std::move(id))
     , kind_(std::move(kind))
-    , server_([this](const SoakRequest &request) { return handle(request); })
+    , server_([this](const HttpRequest &request) { return handle(request); })
 {
     {
         const std::lock_guard lock(mutex_);
@@ -258,23 +230,21 @@
         if (isUp_) {
             endDue();
             if (nowMs() >= nextBeat_) {
-                const Json entry {{"service", kind_.service},
-                                  {"address", loopback(server_.port())},
-                                  {"zone", "zone-a"},
-                                  {"version", "v1"},
-                                  {"slots", 8},
-                                  {"state", "ready"},
-                                  {"coldRemainingMs", 0},
-                                  {"capacity",
-                                   {{"cpu", kind_.cpu},
-                                    {"memMb", kind_.memMb},
-                                    {"gpus", kind_.gpus}}},
-                                  {"labels", kind_.labels},
-                                  {"clockMs", clock()},
-                                  {"born", born_},
-                                  {"sequence", ++sequence_}};
-                store_.beat("servers/" + id_, entry,
-                            caraway::Milliseconds(3 * bounds_.heartbeatMs));
+                const Json entry {
+                        {"service", kind_.service},
+                        {"address", loopback(server_.port())},
+                        {"zone", "zone-a"},
+                        {"version", "v1"},
+                        {"slots", 8},
+                        {"state", "ready"},
+                        {"coldRemainingMs", 0},
+                        {"capacity",
+                         {{"cpu", kind_.cpu}, {"memMb", kind_.memMb}, {"gpus", kind_.gpus}}},
+                        {"labels", kind_.labels},
+                        {"clockMs", clock()},
+                        {"born", born_},
+                        {"sequence", ++sequence_}};
+                store_.beat("servers/" + id_, entry, 3 * bounds_.heartbeatMs);
                 nextBeat_ = nowMs() + bounds_.heartbeatMs;
             }
         }
@@ -325,7 +295,7 @@
     leaseEnd_ = std::max(leaseEnd_, std::min(deadline, clock() + bounds_.maxHoldMs));
 }
 
-SoakResponse Worker::handle(const SoakRequest &request)
+HttpResponse Worker::handle(const HttpRequest &request)
 {
     std::unique_lock lock(mutex_);
     if (!isUp_)
@@ -346,11 +316,11 @@
     return {404};
 }
 
-SoakResponse Worker::start(const Json &body)
+HttpResponse Worker::start(const Json &body)
 {
     const std::string task = body.at("task");
     const std::uint64_t number = body.at("run");
-    const auto refuse = [&](const char *reason) -> SoakResponse {
+    const auto refuse = [&](const char *reason) -> HttpResponse {
         return {409, Json {{"clockMs", clock()}, {"born", born_}, {"reason", reason}}.dump()};
     };
     if (clock() > body.at("deadlineMs").get<std::int64_t>())
@@ -361,10 +331,6 @@
     if (const auto highest = highest_.find(task);
         highest != highest_.end() && number <= highest->second)
         return refuse("old");
-    if (checkStart) {
-        if (const std::string reason = checkStart(body); !reason.empty())
-            return refuse(reason.c_str());
-    }
     Active active;
     active.plan = Plan::parse(body.at("spec"));
     active.startedAt = nowMs();
@@ -383,7 +349,7 @@
     return {200, Json {{"clockMs", clock()}}.dump()};
 }
 
-SoakResponse Worker::stop(const Json &body)
+HttpResponse Worker::stop(const Json &body)
 {
     const std::string task = body.at("task");
     const std::uint64_t number = body.at("run");
@@ -395,7 +361,7 @@
     return {200, Json {{"clockMs", clock()}}.dump()};
 }
 
-SoakResponse Worker::hold(const Json &body, std::unique_lock<std::mutex> &lock)
+HttpResponse Worker::hold(const Json &body, std::unique_lock<std::mutex> &lock)
 {
     const std::int64_t acked = body.value("ackedThrough", std::int64_t(0));
     while (!ends_.empty() && ends_.begin()->first <= acked) {
@@ -433,14 +399,48 @@
                     .dump()};
 }
 
+Process::Process(const std::vector<std::string> &command, const std::string &logFile)
+{
+    std::vector<std::string> words = command;
+    std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
+    for (std::string &word : words)
+        arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    pid_ = ::fork();
+    if (pid_ != 0)
+        return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    constexpr int mode = 0644;
+    const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    ::execv(arguments[0], arguments.data());
+    constexpr int notStarted = 127;
+    ::_exit(notStarted);
+}
+
+Process::~Process()
+{
+    kill();
+}
+
+void Process::kill()
+{
+    if (pid_ <= 0)
+        return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+    pid_ = -1;
+}
+
 Json route(const std::string &name, int priority, double stretch, std::int64_t targetMs,
            std::int64_t maxAttempts)
 {
-    return {{"name", name},         {"hostname", host},
-            {"prefix", "/" + name + "/"}, {"type", "unsafe"},
-            {"timeoutMs", 3000},    {"targetDurationMs", targetMs},
-            {"priority", priority}, {"service", "work"},
-            {"maxAttempts", maxAttempts}, {"stretch", stretch}};
+    return {{"name", name},         {"hostname", host},  {"prefix", "/" + name + "/"},
+            {"type", "unsafe"},     {"timeoutMs", 3000}, {"targetDurationMs", targetMs},
+            {"priority", priority}, {"service", "work"}, {"maxAttempts", maxAttempts},
+            {"stretch", stretch}};
 }
 
 Fleet::Fleet(Record &record, int instances, const Json &routes)
@@ -464,12 +464,12 @@
         const std::string name = "edge-" + std::to_string(i + 1);
         instance.settings = folder_ + "/" + name + ".toml";
         instance.log = folder_ + "/" + name + ".log";
-        instance.front = caraway::tests::findFreePort();
-        instance.ready = caraway::tests::findFreePort();
+        instance.front = findFreePort();
+        instance.ready = findFreePort();
         std::ifstream file(settingsTemplate);
         std::string text {std::istreambuf_iterator<char>(file), {}};
-        replaceAll(text, "{{ip}}:9464", loopback(caraway::tests::findFreePort()));
-        replaceAll(text, "{{ip}}:{{portRange.0}}", loopback(caraway::tests::findFreePort()));
+        replaceAll(text, "{{ip}}:9464", loopback(findFreePort()));
+        replaceAll(text, "{{ip}}:{{portRange.0}}", loopback(findFreePort()));
         replaceAll(text, "{{node}}", name);
         replaceAll(text, "{{zone}}", "zone-a");
         replaceAll(text, "{{listen.front}}", loopback(instance.front));
@@ -499,17 +499,16 @@
     workers_.clear();
 }
 
-Worker &Fleet::addWorker(const std::string &id, const WorkerKind &kind)
+void Fleet::addWorker(const std::string &id, const WorkerKind &kind)
 {
     workers_.push_back(std::make_unique<Worker>(store_, journal_, id, kind));
-    return *workers_.back();
 }
 
 void Fleet::restartInstance(std::size_t i)
 {
     Instance &instance = instances_.at(i);
     instance.process.reset();
-    instance.process = std::make_unique<caraway::tests::ChildProcess>(
+    instance.process = std::make_unique<Process>(
             std::vector<std::string> {program, "entry", instance.settings}, instance.log);
 }
 
@@ -536,7 +535,7 @@
     return true;
 }
 
-void Fleet::setAdvice(caraway::tests::SoakStore::AdviceHandler advice)
+void Fleet::setAdvice(HttpServer::Handler advice)
 {
     store_.setAdvice(std::move(advice));
 }
@@ -571,9 +570,9 @@
 bool Fleet::submit(const std::string &queue, const std::string &id, const Json &job)
 {
     record_.write("client sends job " + id + ": " + job.dump());
+    const std::string path = "/" + queue + "/" + id;
     for (std::size_t attempt = 0; attempt < 10; ++attempt) {
-        if (call(attempt % instances_.size(), "POST", "/" + queue + "/" + id, job.dump()).status
-            == 200)
+        if (call(attempt % instances_.size(), "POST", path, job.dump()).status == 200)
             return true;
         sleepMs(500);
     }
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -1,36 +1,17 @@
 #pragma once
 
-// A small deployment of entry processes on loopback addresses: the platform's store and policy
-// service, workers, and a client. Store and HTTP server are the project's own stand-ins.
+// A small deployment of entry processes on loopback addresses: the platform's
+// store and policy service, workers, and a client.
 
-#include "Soak/SoakServer.h"
-#include "Soak/SoakStore.h"
-#include "Support/ChildProcess.h"
+#include "store.h"
 
-#include <nlohmann/json.hpp>
+#include <sys/types.h>
 
-#include <condition_variable>
 #include <cstdint>
 #include <fstream>
-#include <functional>
-#include <map>
-#include <memory>
-#include <mutex>
-#include <set>
-#include <string>
-#include <thread>
-#include <vector>
 
 namespace review {
 
-using Json = nlohmann::json;
-using caraway::tests::SoakRequest;
-using caraway::tests::SoakResponse;
-
-std::int64_t nowMs();
-void sleepMs(std::int64_t duration);
-std::int64_t unixMs();
-
 /// What was sent, answered and run; written to record.txt.
 class Record
 {
@@ -44,7 +25,8 @@
     std::int64_t startedAt_ = nowMs();
 };
 
-/// What a task does; the text of a job's spec: "work=MS cpu=MILLICORES members=N lasts=1 fails=N".
+/// What a task does; the text of a job's spec: "work=MS cpu=MILLICORES
+/// members=N lasts=1 fails=N".
 struct Plan
 {
     std::int64_t work = 1000;
@@ -78,7 +60,10 @@
 class Journal
 {
 public:
-    explicit Journal(Record &record) : record_(record) { }
+    explicit Journal(Record &record)
+        : record_(record)
+    {
+    }
     std::size_t begin(Run run);
     void end(std::size_t run, const std::string &how);
     void note(std::size_t run);
@@ -87,11 +72,13 @@
     std::vector<Run> runsOf(const std::string &job) const;
     Record &record() { return record_; }
 
-    /// Adds a present member; the gang works from the moment when all are present.
+    /// Adds a present member; the gang works from the moment when all are
+    /// present.
     void join(const std::string &gang, std::int64_t members);
     void leave(const std::string &gang, const std::string &how);
     std::int64_t worksSince(const std::string &gang) const;
-    /// How a member has ended that ends the others: "done" or "broken"; empty while none has.
+    /// How a member has ended that ends the others: "done" or "broken"; empty
+    /// while none has.
     std::string endOf(const std::string &gang) const;
 
 private:
@@ -129,7 +116,7 @@
 class Worker
 {
 public:
-    Worker(caraway::tests::SoakStore &store, Journal &journal, std::string id, WorkerKind kind);
+    Worker(Store &store, Journal &journal, std::string id, WorkerKind kind);
     ~Worker();
 
     const std::string &id() const { return id_; }
@@ -139,8 +126,6 @@
     bool isUp() const;
     std::int64_t cpu() const { return kind_.cpu; }
     const WorkerKind &kind() const { return kind_; }
-    /// Asked before each start; an empty answer accepts it, anything else is its reason.
-    std::function<std::string(const Json &)> checkStart;
 
 private:
     struct Active
@@ -166,13 +151,13 @@
     void begin();
     void loop();
     void endDue();
-    SoakResponse handle(const SoakRequest &request);
-    SoakResponse start(const Json &body);
-    SoakResponse stop(const Json &body);
-    SoakResponse hold(const Json &body, std::unique_lock<std::mutex> &lock);
+    HttpResponse handle(const HttpRequest &request);
+    HttpResponse start(const Json &body);
+    HttpResponse stop(const Json &body);
+    HttpResponse hold(const Json &body, std::unique_lock<std::mutex> &lock);
     void extendLease(const Json &body);
 
-    caraway::tests::SoakStore &store_;
+    Store &store_;
     Journal &journal_;
     std::string id_;
     WorkerKind kind_;
@@ -192,10 +177,27 @@
     std::map<std::int64_t, End> ends_;
     std::int64_t lastEnd_ = 0;
     std::map<std::string, std::uint64_t> highest_;
-    caraway::tests::SoakServer server_;
+    HttpServer server_;
     std::thread loop_;
 };
 
+/// A process started for a case; the destructor ends it. It also ends with the
+/// program.
+class Process
+{
+public:
+    Process(const std::vector<std::string> &command, const std::string &logFile);
+    ~Process();
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+
+    /// Sends SIGKILL and waits for the end.
+    void kill();
+
+private:
+    pid_t pid_ = -1;
+};
+
 struct Answer
 {
     /// 0: no answer.
@@ -204,18 +206,19 @@
     std::string state;
 };
 
-/// The deployment: entry processes started as the deploy file says, store, workers, client.
+/// The deployment: entry processes started as the deploy file says, store,
+/// workers, client.
 class Fleet
 {
 public:
     Fleet(Record &record, int instances, const Json &routes);
     ~Fleet();
 
-    Worker &addWorker(const std::string &id, const WorkerKind &kind);
+    void addWorker(const std::string &id, const WorkerKind &kind);
     void startInstances();
     /// Waits until all instances are ready; false when they are not in time.
     bool awaitReady(std::int64_t timeout);
-    void setAdvice(caraway::tests::SoakStore::AdviceHandler advice);
+    void setAdvice(HttpServer::Handler advice);
 
     Answer call(std::size_t instance, const std::string &method, const std::string &path,
                 const std::string &body = {});
@@ -225,9 +228,9 @@
 
     Journal &journal() { return journal_; }
     Record &record() { return record_; }
-    caraway::tests::SoakStore &store() { return store_; }
+    Store &store() { return store_; }
     std::vector<std::unique_ptr<Worker>> &workers() { return workers_; }
-    caraway::tests::ChildProcess &instance(std::size_t i) { return *instances_.at(i).process; }
+    Process &instance(std::size_t i) { return *instances_.at(i).process; }
     std::size_t instances() const { return instances_.size(); }
     void restartInstance(std::size_t i);
 
@@ -243,12 +246,12 @@
         std::string log;
         int front = 0;
         int ready = 0;
-        std::unique_ptr<caraway::tests::ChildProcess> process;
+        std::unique_ptr<Process> process;
     };
 
     Record &record_;
     Journal journal_;
-    caraway::tests::SoakStore store_;
+    Store store_;
     std::string folder_;
     std::vector<Instance> instances_;
     std::vector<std::unique_ptr<Worker>> workers_;
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -4,8 +4,8 @@
 #include <cstdlib>
 #include <iostream>
 
-/// Usage: cases CASE RECORD. Exit code: 1 the rule was broken, 0 it held, 2 the case couldn't run.
-/// TROUBLE=0 in the environment leaves the disruption out.
+/// Usage: cases CASE RECORD. Exit code: 1 the rule was broken, 0 it held, 2 the
+/// case couldn't run. TROUBLE=0 in the environment leaves the disruption out.
 int main(int argc, char *argv[])
 {
     std::signal(SIGPIPE, SIG_IGN);
