--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -38,7 +38,8 @@
     static const std::map<std::string, Case> all {{"reserved-for-gang", reservedForGang},
                                                   {"stuck-approvals", stuckApprovals},
                                                   {"phantom-arrivals", phantomArrivals},
-                                                  {"holders-killed", holdersKilled}};
+                                                  {"holders-killed", holdersKilled},
+                                                  {"starts-never-arrive", startsNeverArrive}};
     return all;
 }
 
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -13,6 +13,7 @@
 int stuckApprovals(Record &record, bool hasTrouble);
 int phantomArrivals(Record &record, bool hasTrouble);
 int holdersKilled(Record &record, bool hasTrouble);
+int startsNeverArrive(Record &record, bool hasTrouble);
 
 /// One task of a job that waits.
 struct WaitingJob
--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -308,7 +308,7 @@
         return {409, Json {{"clockMs", clock()}, {"born", born_}, {"reason", "fence"}}.dump()};
     fence_ = token;
     if (request.path == "/carawaymount/run-start")
-        return start(body);
+        return start(body, lock);
     if (request.path == "/carawaymount/run-stop")
         return stop(body);
     if (request.path == "/carawaymount/hold")
@@ -316,9 +316,30 @@
     return {404};
 }
 
-HttpResponse Worker::start(const Json &body)
+void Worker::holdUpStartsOf(const std::string &job)
+{
+    const std::lock_guard lock(mutex_);
+    heldUpJob_ = job;
+}
+
+int Worker::heldUpStarts() const
+{
+    const std::lock_guard lock(mutex_);
+    return heldUpStarts_;
+}
+
+HttpResponse Worker::start(const Json &body, std::unique_lock<std::mutex> &lock)
 {
     const std::string task = body.at("task");
+    if (!heldUpJob_.empty() && task.starts_with(heldUpJob_)) {
+        constexpr std::chrono::seconds delay {3};
+        ++heldUpStarts_;
+        journal_.record().write("worker " + id_ + " leaves the start of " + task + " unanswered");
+        const std::int64_t life = life_;
+        changed_.wait_for(lock, delay, [&] { return !isUp_ || life_ != life || isClosing_; });
+        if (!isUp_ || life_ != life)
+            return {0, "", true};
+    }
     const std::uint64_t number = body.at("run");
     const auto refuse = [&](const char *reason) -> HttpResponse {
         return {409, Json {{"clockMs", clock()}, {"born", born_}, {"reason", reason}}.dump()};
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -126,6 +126,10 @@
     bool isUp() const;
     std::int64_t cpu() const { return kind_.cpu; }
     const WorkerKind &kind() const { return kind_; }
+    /// Starts of tasks of this job get no answer, and would be carried out 3 s later.
+    void holdUpStartsOf(const std::string &job);
+    /// How many starts the worker has held up in all its lives.
+    int heldUpStarts() const;
 
 private:
     struct Active
@@ -152,7 +156,7 @@
     void loop();
     void endDue();
     HttpResponse handle(const HttpRequest &request);
-    HttpResponse start(const Json &body);
+    HttpResponse start(const Json &body, std::unique_lock<std::mutex> &lock);
     HttpResponse stop(const Json &body);
     HttpResponse hold(const Json &body, std::unique_lock<std::mutex> &lock);
     void extendLease(const Json &body);
@@ -177,6 +181,8 @@
     std::map<std::int64_t, End> ends_;
     std::int64_t lastEnd_ = 0;
     std::map<std::string, std::uint64_t> highest_;
+    std::string heldUpJob_;
+    int heldUpStarts_ = 0;
     HttpServer server_;
     std::thread loop_;
 };
