Claim free capacity on the workers that may run a step, not from one sum

Cause: a scheduling pass took what each step with waiting tasks needs off one sum of free processors, pass_.uncommitted, also when no worker could run the step, and asked about later steps only while the sum was positive. A step that is denied everywhere, or whose few workers are full, drained, reserved, too small or excluded otherwise, so stopped the approval requests of all steps behind it.

Change: a step claims free capacity on the workers that may run it, up to what fits there in each dimension, and a later step is asked about when unclaimed capacity is left that it may use. A step whose latest request was not answered claims nothing. Requests leave out workers with a suspect on probation, as placement does, and count the tasks of an open request on a worker only up to what fits. What each pass decides is logged and counted (event=approval_decisions, approval_decision= in event=step_waits, approval_decisions_total).

Why it works: a claim is bounded by what the step can use, so it can only keep a later step from capacity that the earlier one can take.

Ruled out: limiting the step's part of the sum to the free processors of its workers (several steps of one small set of workers still exhaust the sum).

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -71,26 +71,93 @@
     });
 }
 
-/// Requests new tickets for approved workers whose tickets have expired. If the approved workers
-/// have too little free capacity for all tasks, also requests decisions on as many workers as are
-/// likely to provide the rest.
+void CellScheduler::recordDecision(const StartCandidate &candidate, ApprovalDecision decision)
+{
+    candidate.step->approvals.requestDecision = decision;
+    ++pass_.report.approvalDecisions[static_cast<std::size_t>(decision)];
+}
+
 void CellScheduler::requestTaskApprovals(const StartCandidate &candidate, std::int64_t tasks)
 {
-    // Tasks that fit no worker at present leave the free capacity to others.
-    if (!needsApproval(*candidate.queue) || !fitsAnyWorker(candidate))
-        return;
-    const Millicores processors = candidate.step->spec.allocation().processors * tasks;
-    // Of a long-running step only a few tasks wait at a time, so capacity for them is found soon.
-    const bool isCapacityLeft = pass_.uncommitted > Millicores() || processors == Millicores()
-            || candidate.step->spec.longRunning;
-    pass_.uncommitted -= processors;
-    if (!isCapacityLeft || !isApprovalRequestDue(candidate))
-        return;
-    const CellStep &step = *candidate.step;
+    if (needsApproval(*candidate.queue))
+        recordDecision(candidate, decideOnTaskRequest(candidate, tasks));
+}
+
+ApprovalDecision CellScheduler::decideOnTaskRequest(const StartCandidate &candidate,
+                                                    std::int64_t tasks)
+{
+    if (!fitsAnyWorker(candidate))
+        return ApprovalDecision::TooLarge;
+    const StepSpec &spec = candidate.step->spec;
+    if (spec.allocation().processors > Millicores()) {
+        const Claim claim = claimCapacity(candidate, tasks);
+        // Of a long-running step only a few tasks wait at a time, so capacity for them is found
+        // soon.
+        if (claim.tasks == 0 && !spec.longRunning)
+            return claim.obstacle;
+    }
+    if (const auto obstacle = requestObstacle(candidate))
+        return *obstacle;
     if (!mayFit(candidate)) {
         queueApprovalRequest(candidate, {}, tasks);
-        return;
+        return ApprovalDecision::NoRoom;
     }
+    return requestMissingApprovals(candidate, tasks);
+}
+
+CellScheduler::Claim CellScheduler::claimCapacity(const StartCandidate &candidate,
+                                                  std::int64_t tasks)
+{
+    const CellStep &step = *candidate.step;
+    const Resources &need = step.spec.need;
+    Claim claim;
+    claim.obstacle = mayFit(candidate) ? ApprovalDecision::Claimed : ApprovalDecision::NoRoom;
+    if (!candidate.eligible->unmetByUnclaimed.mayFit(need))
+        return claim;
+    bool fitsAny = false;
+    candidate.eligible->visitUnclaimed([&](WorkerOption &option) {
+        ++pass_.report.workerChecks;
+        const Resources unclaimed = option.unclaimed();
+        if (!need.fitsIn(unclaimed))
+            return true;
+        fitsAny = true;
+        if (step.approvals.isDenied(option.worker->number())) {
+            claim.obstacle = ApprovalDecision::Denied;
+            return true;
+        }
+        const std::int64_t fitting
+                = mayPlace(option, candidate) ? fittingTasks(option, unclaimed, step) : 0;
+        if (fitting == 0 && claim.obstacle != ApprovalDecision::Denied)
+            claim.obstacle = ApprovalDecision::Restricted;
+        const std::int64_t claimed = std::min(fitting, tasks - claim.tasks);
+        // The policy service may fail for this step only.
+        if (!step.approvals.isUnanswered)
+            option.claimed += need * claimed;
+        claim.tasks += claimed;
+        return claim.tasks < tasks;
+    });
+    if (!fitsAny)
+        recordUnmet(candidate);
+    return claim;
+}
+
+void CellScheduler::recordUnmet(const StartCandidate &candidate)
+{
+    EligibleWorkers &eligible = *candidate.eligible;
+    const Resources &need = candidate.step->spec.need;
+    eligible.unmetByUnclaimed.add(need);
+    const auto fits = [&](const WorkerOption &option) { return need.fitsIn(option.free); };
+    if (!eligible.containsAny(fits))
+        eligible.unmetByFree.add(need);
+}
+
+/// Requests new tickets for approved workers whose tickets have expired. If the approved workers
+/// have too little free capacity for all tasks, also requests decisions on as many workers as are
+/// likely to provide the rest.
+ApprovalDecision CellScheduler::requestMissingApprovals(const StartCandidate &candidate,
+                                                        std::int64_t tasks)
+{
+    const CellStep &step = *candidate.step;
     bool fitsAny = false;
     std::vector<UndecidedWorker> undecided;
     std::vector<WorkerId> expired;
@@ -102,7 +169,7 @@
             continue;
         fitsAny = true;
         const WorkerNumber number = option.worker->number();
-        if (step.approvals.isDenied(number) || !mayRun(option, candidate))
+        if (step.approvals.isDenied(number) || !mayPlace(option, candidate))
             continue;
         if (!step.approvals.isApproved(number)) {
             const Resources unrequested = option.free - option.requested;
@@ -121,17 +188,19 @@
         approvedCapacity += fitting;
     }
     if (!fitsAny && !step.spec.fillsIdleTime)
-        candidate.eligible->recordTooLarge(step.spec.need);
+        candidate.eligible->unmetByFree.add(step.spec.need);
     if (approvedCapacity >= tasks) {
-        queueApprovalRequest(candidate, std::move(expired), tasks);
-        return;
+        return queueApprovalRequest(candidate, std::move(expired), tasks)
+                ? ApprovalDecision::Queued
+                : ApprovalDecision::Sufficient;
     }
     const double needed = static_cast<double>(tasks) * taskRequestFactor
             - static_cast<double>(approvedCapacity);
     std::vector<WorkerId> chosen = chooseWorkersToRequest(candidate, std::move(undecided), needed);
     if (chosen.size() + expired.size() <= maxWorkersPerRequest)
         chosen.insert(chosen.end(), expired.begin(), expired.end());
-    queueApprovalRequest(candidate, std::move(chosen), tasks);
+    return queueApprovalRequest(candidate, std::move(chosen), tasks) ? ApprovalDecision::Queued
+                                                                     : ApprovalDecision::Claimed;
 }
 
 /// Requests decisions on further workers, and tickets for the approved ones in \a withoutTicket.
@@ -142,8 +211,12 @@
                                          const std::vector<GangCapacity> &approved,
                                          std::vector<WorkerId> withoutTicket)
 {
-    if (!needsApproval(*candidate.queue) || !isApprovalRequestDue(candidate))
+    if (!needsApproval(*candidate.queue))
         return;
+    if (const auto obstacle = requestObstacle(candidate)) {
+        recordDecision(candidate, *obstacle);
+        return;
+    }
     const CellStep &step = *candidate.step;
     std::int64_t approvedCapacity = 0;
     for (const GangCapacity &capacity : approved)
@@ -170,7 +243,25 @@
         if (chosen.size() < maxWorkersPerRequest)
             chosen.push_back(std::move(id));
     }
-    queueApprovalRequest(candidate, std::move(chosen), 0);
+    recordDecision(candidate,
+                   queueApprovalRequest(candidate, std::move(chosen), 0)
+                           ? ApprovalDecision::Queued
+                           : ApprovalDecision::NoRoom);
+}
+
+void CellScheduler::requestGangTickets(const StartCandidate &candidate,
+                                       std::vector<WorkerId> withoutTicket)
+{
+    if (!needsApproval(*candidate.queue))
+        return;
+    if (const auto obstacle = requestObstacle(candidate)) {
+        recordDecision(candidate, *obstacle);
+        return;
+    }
+    recordDecision(candidate,
+                   queueApprovalRequest(candidate, std::move(withoutTicket), 0)
+                           ? ApprovalDecision::Queued
+                           : ApprovalDecision::Sufficient);
 }
 
 /// The workers on which the policy service has not decided, with the members of the gang that they
@@ -184,7 +275,7 @@
     for (const WorkerOption *option : candidate.eligible->options()) {
         const WorkerNumber number = option->worker->number();
         if (step.approvals.isDenied(number) || step.approvals.isApproved(number)
-            || !mayRun(*option, candidate))
+            || !mayPlace(*option, candidate))
             continue;
         const std::int64_t tasks = onFreeCapacity
                 ? fittingTasks(*option, step)
@@ -196,21 +287,27 @@
     return undecided;
 }
 
-bool CellScheduler::isApprovalRequestDue(const StartCandidate &candidate) const
+std::optional<ApprovalDecision>
+CellScheduler::requestObstacle(const StartCandidate &candidate) const
 {
     const StepApprovals &approvals = candidate.step->approvals;
-    return !approvals.hasOpenRequest && context_.now() >= approvals.nextRequestAt
-            && approvalDispatcher_.canQueue(candidate.queue->approval->perRequest,
-                                            candidate.queue->priority);
+    if (approvals.hasOpenRequest)
+        return ApprovalDecision::Open;
+    if (context_.now() < approvals.nextRequestAt)
+        return ApprovalDecision::NotDue;
+    if (!approvalDispatcher_.canQueue(candidate.queue->approval->perRequest,
+                                      candidate.queue->priority))
+        return ApprovalDecision::QueueFull;
+    return std::nullopt;
 }
 
-void CellScheduler::queueApprovalRequest(const StartCandidate &candidate,
+bool CellScheduler::queueApprovalRequest(const StartCandidate &candidate,
                                          std::vector<WorkerId> workers, std::int64_t tasks)
 {
     StepApprovals &approvals = candidate.step->approvals;
     if (workers.empty()) {
         approvals.nextRequestAt = context_.now() + requestInterval;
-        return;
+        return false;
     }
     const ApprovalSettings &settings = *candidate.queue->approval;
     const auto count = static_cast<std::int64_t>(workers.size());
@@ -232,6 +329,7 @@
                 if (term == term_ && active_)
                     onApprovalReply(key, requested, validity, reply);
             });
+    return true;
 }
 
 void CellScheduler::reserveRequested(const StartCandidate &candidate,
@@ -241,19 +339,21 @@
         return;
     const auto count = static_cast<std::int64_t>(workers.size());
     const std::int64_t perWorker = (tasks + count - 1) / count;
-    const Resources need = candidate.step->spec.allocation();
+    const CellStep &step = *candidate.step;
     RequestedCapacity requested;
-    requested.perWorker = {need.processors * perWorker, need.memory * perWorker,
-                           need.accelerators * perWorker, need.slots * perWorker};
     for (const auto &[id, number] : workers) {
-        requested.workers.push_back(number);
+        WorkerOption *option = pass_.options.find(number);
+        if (!option)
+            continue;
+        const Resources likely
+                = step.spec.allocation() * std::min(perWorker, fittingTasks(*option, step));
+        requested.emplace_back(number, likely);
         if (requestedOnWorkers_.size() <= number.value())
             requestedOnWorkers_.resize(number.value() + 1);
-        requestedOnWorkers_[number.value()] += requested.perWorker;
-        if (WorkerOption *option = pass_.options.find(number))
-            option->requested += requested.perWorker;
+        requestedOnWorkers_[number.value()] += likely;
+        option->requested += likely;
     }
-    requestedCapacity_.insert_or_assign(candidate.step->key, std::move(requested));
+    requestedCapacity_.insert_or_assign(step.key, std::move(requested));
 }
 
 void CellScheduler::releaseRequested(const StepKey &key)
@@ -261,8 +361,8 @@
     const auto found = requestedCapacity_.find(key);
     if (found == requestedCapacity_.end())
         return;
-    for (const WorkerNumber number : found->second.workers)
-        requestedOnWorkers_[number.value()] -= found->second.perWorker;
+    for (const auto &[number, requested] : found->second)
+        requestedOnWorkers_[number.value()] -= requested;
     requestedCapacity_.erase(found);
 }
 
@@ -275,6 +375,7 @@
     if (!step)
         return;
     step->approvals.hasOpenRequest = false;
+    step->approvals.isUnanswered = !reply.answered;
     context_.log("event=approval_request_finished job={} step={} priority={} answered={} "
                  "workers_requested={} workers_approved={} ready_for_ms={}",
                  key.job.value(), key.step.value(), queueOf(*job).priority, reply.answered,
--- a/Source/Cell/CellDiagnostics.cpp
+++ b/Source/Cell/CellDiagnostics.cpp
@@ -67,6 +67,7 @@
                  "longest_us={}",
                  passes.passes, passes.candidates, passes.workerChecks,
                  passes.processorTime.count(), passes.longest.count());
+    logApprovalDecisions(passes.approvalDecisions);
     logCalls();
     logAccounts();
     for (const auto &[priority, row] : rows) {
@@ -77,6 +78,18 @@
     }
 }
 
+/// Logs what the passes since the last line decided about approval requests, if anything.
+void CellScheduler::logApprovalDecisions(const ApprovalDecisionCounts &counts)
+{
+    std::string text;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        if (counts[i] > 0)
+            text += fmt::format(" {}={}", nameOf(static_cast<ApprovalDecision>(i)), counts[i]);
+    }
+    if (!text.empty())
+        context_.log("event=approval_decisions{}", text);
+}
+
 void CellScheduler::logCalls()
 {
     const CallTotals calls = fleet_.takeCallTotals();
@@ -121,9 +134,11 @@
         std::size_t usable = 0;
         std::size_t approved = 0;
         std::size_t denied = 0;
+        std::size_t undecided = 0;
         std::size_t withTicket = 0;
         std::int64_t room = 0;
         std::int64_t approvedRoom = 0;
+        std::int64_t undecidedRoom = 0;
         std::int64_t ticketRoom = 0;
     } workers;
     for (const auto &[id, worker] : fleet_.workers()) {
@@ -138,10 +153,14 @@
         const bool isApproved = approvals.isApproved(worker.number());
         const bool hasTicket = approvals.validTicket(worker.number(), context_.now()) != nullptr;
         workers.approved += isApproved ? 1 : 0;
-        workers.denied += approvals.isDenied(worker.number()) ? 1 : 0;
+        const bool isDenied = approvals.isDenied(worker.number());
+        const bool isUndecided = !isApproved && !isDenied;
+        workers.denied += isDenied ? 1 : 0;
+        workers.undecided += isUndecided ? 1 : 0;
         workers.withTicket += hasTicket ? 1 : 0;
         workers.room += room;
         workers.approvedRoom += isApproved ? room : 0;
+        workers.undecidedRoom += isUndecided ? room : 0;
         workers.ticketRoom += hasTicket ? room : 0;
     }
     std::size_t awaitingEvidence = 0;
@@ -151,16 +170,18 @@
             "event=step_waits job={} step={} gang={} ready_for_ms={} startable={} "
             "accepted_generation={} tasks={} done={} waiting={} unrecorded={} lost={} stopping={} "
             "awaiting_evidence={} eligible={} usable={} room={} approved={} approved_room={} "
-            "denied={} tickets={} ticket_room={} request_open_ms={} reserved_for_gangs={}",
+            "denied={} undecided={} undecided_room={} tickets={} ticket_room={} "
+            "request_open_ms={} approval_decision={} unanswered={} reserved_for_gangs={}",
             step.key.job.value(), step.key.step.value(), step.spec.gang,
             (context_.now() - *step.readySince).count(), isStartable(*candidate.job, step),
             candidate.job->accepted().generation, step.tasks.size(), step.doneTasks,
             step.counts.waiting, step.countTasks(CellTask::State::Unrecorded),
             step.countTasks(CellTask::State::Lost), step.countTasks(CellTask::State::Stopping),
             awaitingEvidence, workers.eligible, workers.usable, workers.room, workers.approved,
-            workers.approvedRoom, workers.denied, workers.withTicket, workers.ticketRoom,
+            workers.approvedRoom, workers.denied, workers.undecided, workers.undecidedRoom,
+            workers.withTicket, workers.ticketRoom,
             approvals.hasOpenRequest ? (context_.now() - approvals.requestedAt).count() : -1,
-            gangWorkers_.size());
+            nameOf(approvals.requestDecision), approvals.isUnanswered, gangWorkers_.size());
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -99,7 +99,6 @@
         for (std::int64_t member = 0; member < reserved[i]; ++member)
             capacities[i].option->free -= need;
         gangWorkers_.insert(capacities[i].option->worker->number());
-        pass_.uncommitted -= need.processors * reserved[i];
     }
 }
 
@@ -149,8 +148,8 @@
             = nearlyFits ? workersWithoutTicket(capacities) : std::vector<WorkerId>();
     if (!fits)
         requestGangApprovals(candidate, tasks - free, capacities, std::move(withoutTicket));
-    else if (needsApproval(*candidate.queue) && isApprovalRequestDue(candidate))
-        queueApprovalRequest(candidate, std::move(withoutTicket), 0);
+    else
+        requestGangTickets(candidate, std::move(withoutTicket));
     if (!fits && !fitsWhenIdle(candidate))
         return;
     if (fits || pass_.gangDemand * gangReservationDivisor <= pass_.capacity)
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -154,7 +154,6 @@
         option.isOvercommitted = !Resources().fitsIn(option.free);
         if (worker.number().value() < requestedOnWorkers_.size())
             option.requested = requestedOnWorkers_[worker.number().value()];
-        pass_.uncommitted += std::max(option.free.processors, Millicores());
         pass_.capacity += worker.entry->capacity.processors;
         pass_.free += std::max(option.free.processors, Millicores());
         if (unreserved > Millicores()) {
@@ -239,7 +238,7 @@
 bool CellScheduler::mayFit(const StartCandidate &candidate)
 {
     const StepSpec &spec = candidate.step->spec;
-    return spec.fillsIdleTime || candidate.eligible->mayFit(spec.need);
+    return spec.fillsIdleTime || candidate.eligible->unmetByFree.mayFit(spec.need);
 }
 
 bool CellScheduler::fitsFree(const WorkerOption &option, const CellStep &step)
@@ -282,7 +281,7 @@
 {
     std::vector<PermittedWorker> permitted;
     const auto addIfPermitted = [&](WorkerOption &option, bool hasTicket) {
-        if (mayRun(option, candidate) && !isIsolated(option, candidate.step->key.job))
+        if (mayPlace(option, candidate))
             permitted.push_back({&option, hasTicket});
     };
     if (!needsApproval(*candidate.queue)) {
@@ -331,7 +330,7 @@
     const std::vector<WorkerOption *> &eligible = candidate.eligible->options();
     if (workers.empty() && !needsTicket && !spec.fillsIdleTime
         && std::none_of(eligible.begin(), eligible.end(), fits))
-        candidate.eligible->recordTooLarge(spec.need);
+        candidate.eligible->unmetByFree.add(spec.need);
     return workers;
 }
 
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -165,10 +165,13 @@
     /// The workers of an approval request and the numbers that they had then.
     using RequestedWorkers = std::map<WorkerId, WorkerNumber>;
     /// What each worker of an open approval request is likely to run if it is approved.
-    struct RequestedCapacity
+    using RequestedCapacity = std::vector<std::pair<WorkerNumber, Resources>>;
+    /// Free capacity that a step is likely to use when it gets approvals.
+    struct Claim
     {
-        Resources perWorker;
-        std::vector<WorkerNumber> workers;
+        std::int64_t tasks = 0;
+        /// Why it is nothing.
+        ApprovalDecision obstacle = ApprovalDecision::NoRoom;
     };
     /// A worker on which tasks of a step may be placed.
     struct PermittedWorker
@@ -206,9 +209,6 @@
         Millicores gangDemand;
         /// Free processors of all usable workers at the start of the pass.
         Millicores free;
-        /// Free processors minus those that the unplaced candidates so far need. Approvals for
-        /// independent tasks are requested only while this is positive.
-        Millicores uncommitted;
         PassReport report;
     };
 
@@ -326,6 +326,7 @@
     void logLoad();
     /// Logs the calls to workers and the delays since the last line.
     void logCalls();
+    void logApprovalDecisions(const ApprovalDecisionCounts &counts);
     void logWaitingSteps();
     void logWaitingStep(const StartCandidate &candidate) const;
 
@@ -403,18 +404,36 @@
     }
     /// Whether the worker is eligible and its headroom, if any, is for tasks like the step's.
     static bool mayRun(const WorkerOption &option, const StartCandidate &candidate);
+    /// Whether, besides, no suspect of another job is on probation there.
+    static bool mayPlace(const WorkerOption &option, const StartCandidate &candidate)
+    {
+        return mayRun(option, candidate) && !isIsolated(option, candidate.step->key.job);
+    }
     bool needsApproval(const Queue &queue) const;
     /// Whether an idle worker could run a task of the step.
     bool fitsAnyWorker(const StartCandidate &candidate) const;
     void requestTaskApprovals(const StartCandidate &candidate, std::int64_t tasks);
+    ApprovalDecision decideOnTaskRequest(const StartCandidate &candidate, std::int64_t tasks);
+    /// Claims free capacity for up to \a tasks waiting tasks of the step, on workers that may run
+    /// them, so that candidates later in the order ask only about what is left.
+    Claim claimCapacity(const StartCandidate &candidate, std::int64_t tasks);
+    /// Records that no worker has enough unclaimed capacity, and perhaps not enough free capacity,
+    /// for a task of the step.
+    static void recordUnmet(const StartCandidate &candidate);
+    ApprovalDecision requestMissingApprovals(const StartCandidate &candidate, std::int64_t tasks);
     void requestGangApprovals(const StartCandidate &candidate, std::int64_t missing,
                               const std::vector<GangCapacity> &approved,
                               std::vector<WorkerId> withoutTicket);
+    /// Requests tickets for a gang that fits.
+    void requestGangTickets(const StartCandidate &candidate, std::vector<WorkerId> withoutTicket);
     std::vector<UndecidedWorker> undecidedWorkers(const StartCandidate &candidate,
                                                   bool onFreeCapacity);
-    bool isApprovalRequestDue(const StartCandidate &candidate) const;
-    /// For \a tasks independent tasks; 0 for a gang, which reserves capacity itself.
-    void queueApprovalRequest(const StartCandidate &candidate, std::vector<WorkerId> workers,
+    /// Why no approval request for the step can be queued at present; nothing when one can.
+    std::optional<ApprovalDecision> requestObstacle(const StartCandidate &candidate) const;
+    void recordDecision(const StartCandidate &candidate, ApprovalDecision decision);
+    /// For \a tasks independent tasks; 0 for a gang, which reserves capacity itself. Returns false
+    /// without \a workers.
+    bool queueApprovalRequest(const StartCandidate &candidate, std::vector<WorkerId> workers,
                               std::int64_t tasks);
     std::vector<WorkerId> chooseWorkersToRequest(const StartCandidate &candidate,
                                                  std::vector<UndecidedWorker> undecided,
--- a/Source/Cell/EligibleWorkers.h
+++ b/Source/Cell/EligibleWorkers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/UnmetNeeds.h"
 #include "Cell/WorkerOption.h"
 
 #include <algorithm>
@@ -11,9 +12,11 @@
 class EligibleWorkers
 {
 public:
-    /// \a usableWorkers is the number of all usable workers.
-    explicit EligibleWorkers(std::size_t usableWorkers)
+    /// \a usableWorkers is the number of all usable workers. With another \a rotation,
+    /// visitUnclaimed() begins with another worker.
+    explicit EligibleWorkers(std::size_t usableWorkers, std::size_t rotation = 0)
         : isMember_(usableWorkers)
+        , nextVisited_(rotation)
     {
     }
 
@@ -38,18 +41,44 @@
         return true;
     }
 
-    /// False when it is known that no worker has enough free capacity for \a need.
-    bool mayFit(const Resources &need) const;
-    /// No worker has enough free capacity for \a need, and none will have it during the pass.
-    void recordTooLarge(const Resources &need);
+    /// Calls \a visit once with each worker that has unclaimed processors, until it returns false.
+    /// The next visit begins with the worker after the last one, so that claims spread over all
+    /// workers.
+    template<std::predicate<WorkerOption &> Visit>
+    void visitUnclaimed(const Visit &visit)
+    {
+        std::size_t exhausted = 0;
+        const std::size_t size = unclaimed_.size();
+        for (std::size_t i = 0; i < size; ++i) {
+            WorkerOption &option = *unclaimed_[nextVisited_++ % size];
+            if (!option.hasUnclaimedProcessors())
+                ++exhausted;
+            else if (!visit(option))
+                break;
+        }
+        if (exhausted > size / maxExhaustedDivisor) {
+            std::erase_if(unclaimed_, [](const WorkerOption *option) {
+                return !option->hasUnclaimedProcessors();
+            });
+        }
+    }
+
+    /// Needs for which no worker has enough free capacity; none will have it during the pass.
+    UnmetNeeds unmetByFree;
+    /// Needs for which no worker has enough unclaimed capacity.
+    UnmetNeeds unmetByUnclaimed;
 
 private:
+    /// One visited worker in this many may have no unclaimed processors.
+    static constexpr std::size_t maxExhaustedDivisor = 4;
+
     std::vector<WorkerOption *> options_;
     const WorkerOption *lastMatch_ = nullptr;
     /// By position.
     std::vector<bool> isMember_;
-    /// Needs that fit no worker, none of which fits in another.
-    std::vector<Resources> tooLarge_;
+    /// Includes all workers that have unclaimed processors.
+    std::vector<WorkerOption *> unclaimed_;
+    std::size_t nextVisited_ = 0;
 };
 
 } // namespace caraway::cell
--- a/Source/Cell/PassOptions.cpp
+++ b/Source/Cell/PassOptions.cpp
@@ -4,8 +4,17 @@
 
 namespace caraway::cell {
 
+namespace {
+
+/// The golden ratio as a fraction of 2^64: its multiples are spread evenly (Fibonacci hashing).
+constexpr std::uint64_t goldenRatio = 0x9e3779b97f4a7c15;
+constexpr unsigned highBits = 32;
+
+} // namespace
+
 void PassOptions::clear()
 {
+    ++passes_;
     options_.clear();
     positions_.clear();
     eligible_.clear();
@@ -32,8 +41,8 @@
 
 EligibleWorkers &PassOptions::eligible(const UpstreamId &upstream, const Label &required)
 {
-    const auto [found, isNew]
-            = eligible_.try_emplace(std::pair(upstream, required), options_.size());
+    const auto [found, isNew] = eligible_.try_emplace(
+            std::pair(upstream, required), options_.size(), (passes_ * goldenRatio) >> highBits);
     if (isNew) {
         for (WorkerOption &option : options_) {
             if (isEligible(*option.worker, upstream, required))
--- a/Source/Cell/PassOptions.h
+++ b/Source/Cell/PassOptions.h
@@ -34,6 +34,7 @@
     /// By worker number.
     std::vector<std::size_t> positions_;
     std::map<std::pair<UpstreamId, Label>, EligibleWorkers> eligible_;
+    std::uint64_t passes_ = 0;
 };
 
 } // namespace caraway::cell
--- a/Source/Cell/PassReport.h
+++ b/Source/Cell/PassReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/ApprovalDecision.h"
 #include "Core/Units.h"
 
 #include <algorithm>
@@ -15,6 +16,7 @@
     /// How many workers were looked at, summed over the candidates. Comparing the scores of workers
     /// that were looked at before does not count.
     std::size_t workerChecks = 0;
+    ApprovalDecisionCounts approvalDecisions = {};
 };
 
 /// How long a scheduling pass has taken.
@@ -31,6 +33,7 @@
     std::size_t passes = 0;
     std::size_t candidates = 0;
     std::size_t workerChecks = 0;
+    ApprovalDecisionCounts approvalDecisions = {};
     Microseconds processorTime;
     Microseconds longest;
 
@@ -39,6 +42,8 @@
         ++passes;
         candidates += report.candidates;
         workerChecks += report.workerChecks;
+        for (std::size_t i = 0; i < approvalDecisions.size(); ++i)
+            approvalDecisions[i] += report.approvalDecisions[i];
     }
     void addTime(Microseconds time)
     {
--- a/Source/Cell/StepApprovals.h
+++ b/Source/Cell/StepApprovals.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/ApprovalDecision.h"
 #include "Cell/CellTypes.h"
 
 namespace caraway::cell {
@@ -39,6 +40,10 @@
     TimePoint requestedAt;
     /// No approval request is queued before then.
     TimePoint nextRequestAt;
+    /// Whether the latest request that ended was not answered.
+    bool isUnanswered = false;
+    /// What the latest pass decided about a request.
+    ApprovalDecision requestDecision = ApprovalDecision::None;
 
 private:
     enum class Decision : std::uint8_t { Unknown, Denied, Approved };
--- a/Source/Cell/WorkerOption.h
+++ b/Source/Cell/WorkerOption.h
@@ -22,6 +22,9 @@
     /// Capacity neither allocated nor reserved for candidates earlier in the order; it only shrinks
     /// during a pass.
     Resources free;
+    /// The part of the free capacity that candidates earlier in the order are likely to use, which
+    /// wait for approvals.
+    Resources claimed;
     /// Free capacity for which the policy service was asked on behalf of waiting tasks, and has not
     /// answered yet.
     Resources requested;
@@ -32,6 +35,9 @@
     std::optional<std::int64_t> reservedFor;
     /// Runs on the worker of tasks under which workers have crashed.
     std::vector<SuspectRun> suspects;
+
+    Resources unclaimed() const { return free - claimed; }
+    bool hasUnclaimedProcessors() const { return free.processors > claimed.processors; }
 };
 
 } // namespace caraway::cell
--- a/Source/CellDuties/CellMetrics.cpp
+++ b/Source/CellDuties/CellMetrics.cpp
@@ -50,6 +50,13 @@
                       {}});
     metrics_.observe({Metric::PassCandidates, static_cast<double>(report.candidates), {}});
     metrics_.observe({Metric::PassWorkerChecks, static_cast<double>(report.workerChecks), {}});
+    for (std::size_t i = 0; i < report.approvalDecisions.size(); ++i) {
+        const std::size_t count = report.approvalDecisions[i];
+        if (count > 0) {
+            metrics_.observe({Metric::ApprovalDecisions, static_cast<double>(count),
+                              std::string(nameOf(static_cast<ApprovalDecision>(i)))});
+        }
+    }
 }
 
 void CellMetrics::countEvents(std::size_t events)
--- a/Source/Core/Metric.h
+++ b/Source/Core/Metric.h
@@ -29,6 +29,7 @@
     PassSeconds,
     PassCandidates,
     PassWorkerChecks,
+    ApprovalDecisions,
 };
 
 /// One observation: an increment of a counter, or a value of a summary.
--- a/Source/Decisions/Resources.h
+++ b/Source/Decisions/Resources.h
@@ -18,6 +18,10 @@
     Resources &operator-=(const Resources &other);
     friend Resources operator+(Resources a, const Resources &b) { return a += b; }
     friend Resources operator-(Resources a, const Resources &b) { return a -= b; }
+    friend Resources operator*(const Resources &a, std::int64_t n)
+    {
+        return {a.processors * n, a.memory * n, a.accelerators * n, a.slots * n};
+    }
     friend bool operator==(const Resources &, const Resources &) = default;
 
     /// Whether this is at most \a capacity in every dimension.
--- a/Source/Duties/Metrics.cpp
+++ b/Source/Duties/Metrics.cpp
@@ -48,6 +48,8 @@
         {"pass_seconds", "", MetricType::Summary, "Processor time of one scheduling pass."},
         {"pass_candidates_total", "", MetricType::Counter, "Steps that passes tried to start."},
         {"pass_worker_checks_total", "", MetricType::Counter, "Workers that passes considered."},
+        {"approval_decisions_total", "decision", MetricType::Counter,
+         "Decisions of passes on approval requests for steps that lack approvals."},
 });
 
 const MetricRow &rowOf(Metric metric)
--- a/Tests/Cell/PassOptionsTest.cpp
+++ b/Tests/Cell/PassOptionsTest.cpp
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <random>
+#include <set>
 
 namespace caraway::tests {
 
@@ -21,6 +22,8 @@
     CPPUNIT_TEST(mayFit_afterASmallerNeedWasTooLarge_isFalse);
     CPPUNIT_TEST(containsAny_onDrawnNeeds_isWhatASearchOfAllFinds);
     CPPUNIT_TEST(containsAny_ofTheSameNeedAgain_looksAtOneWorker);
+    CPPUNIT_TEST(visitUnclaimed_whileClaimsGrow_isOfEachWorkerWithUnclaimedOnce);
+    CPPUNIT_TEST(visitUnclaimed_afterAnother_beginsWithTheNextWorker);
     CPPUNIT_TEST(approvedWorkers_afterDrawnDecisions_areThoseOfAPlainTable);
     CPPUNIT_TEST(counts_afterDrawnEvents_areThoseOfACount);
     CPPUNIT_TEST_SUITE_END();
@@ -71,24 +74,24 @@
                 bool fits = false;
                 for (const WorkerOption *option : eligible.options())
                     fits = fits || need.fitsIn(option->free);
-                CPPUNIT_ASSERT(eligible.mayFit(need) || !fits);
+                CPPUNIT_ASSERT(eligible.unmetByFree.mayFit(need) || !fits);
                 if (!fits)
-                    eligible.recordTooLarge(need);
+                    eligible.unmetByFree.add(need);
             }
         }
     }
 
     void mayFit_afterASmallerNeedWasTooLarge_isFalse()
     {
-        EligibleWorkers eligible(0);
+        UnmetNeeds unmet;
         Resources need;
         need.memory = Bytes(2);
-        eligible.recordTooLarge(need);
-        CPPUNIT_ASSERT(!eligible.mayFit(need));
+        unmet.add(need);
+        CPPUNIT_ASSERT(!unmet.mayFit(need));
         need.processors = Millicores(1);
-        CPPUNIT_ASSERT(!eligible.mayFit(need));
+        CPPUNIT_ASSERT(!unmet.mayFit(need));
         need.memory = Bytes(1);
-        CPPUNIT_ASSERT(eligible.mayFit(need));
+        CPPUNIT_ASSERT(unmet.mayFit(need));
     }
 
     void containsAny_onDrawnNeeds_isWhatASearchOfAllFinds()
@@ -129,6 +132,47 @@
         CPPUNIT_ASSERT_EQUAL(workers + 1, looked);
     }
 
+    void visitUnclaimed_whileClaimsGrow_isOfEachWorkerWithUnclaimedOnce()
+    {
+        for (std::uint64_t seed = 1; seed <= rounds; ++seed) {
+            Fleet fleet(seed);
+            std::mt19937_64 random(seed);
+            EligibleWorkers &eligible = fleet.options.eligible(UpstreamId(upstreams[0]), Label());
+            for (std::size_t i = 0; i < needsPerRound; ++i) {
+                std::set<const WorkerOption *> expected;
+                for (const WorkerOption *option : eligible.options()) {
+                    if (option->hasUnclaimedProcessors())
+                        expected.insert(option);
+                }
+                eligible.visitUnclaimed([&](WorkerOption &option) {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1), expected.erase(&option));
+                    option.claimed += drawResources(random);
+                    return true;
+                });
+                CPPUNIT_ASSERT(expected.empty());
+            }
+        }
+    }
+
+    void visitUnclaimed_afterAnother_beginsWithTheNextWorker()
+    {
+        WorkerOption options[2];
+        EligibleWorkers eligible(std::size(options));
+        for (std::size_t i = 0; i < std::size(options); ++i) {
+            options[i].position = i;
+            options[i].free.processors = Millicores(1);
+            eligible.add(options[i]);
+        }
+        std::vector<std::size_t> visited;
+        for (int i = 0; i < 3; ++i) {
+            eligible.visitUnclaimed([&](const WorkerOption &option) {
+                visited.push_back(option.position);
+                return false;
+            });
+        }
+        CPPUNIT_ASSERT(visited == (std::vector<std::size_t> {0, 1, 0}));
+    }
+
     void approvedWorkers_afterDrawnDecisions_areThoseOfAPlainTable()
     {
         for (std::uint64_t seed = 1; seed <= rounds; ++seed) {
