Soak: steps that only one worker may run, and jobs that wait beside idle workers

The soak's policy service permitted each step on most of the workers, and the audit judged what was left in the end, so that approvals withheld behind a step with few permitted workers weren't found.

The audit, in all rounds, takes a job for LOST that has nothing running for 3 s while at most half of the processors are in use and nothing is disturbed.

--- a/Tests/Soak/SoakAdvice.cpp
+++ b/Tests/Soak/SoakAdvice.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t percent = 100;
 constexpr std::size_t permittedPercent = 65;
+constexpr std::size_t narrowPercent = 25;
 
 } // namespace
 
@@ -40,6 +41,11 @@
     return {200, Json {{"approved", approved}}.dump()};
 }
 
+bool SoakAdvice::isNarrow(const std::string &step)
+{
+    return std::hash<std::string>()(step) % percent < narrowPercent;
+}
+
 void SoakAdvice::setLife(const WorkerId &worker, SoakIncarnation incarnation)
 {
     const std::lock_guard lock(mutex_);
@@ -67,7 +73,8 @@
             = [&](const std::string &name) { return std::hash<std::string>()(step + "/" + name); };
     const auto first = std::ranges::min_element(lives_, {},
                                                 [&](const auto &life) { return rank(life.first); });
-    return rank(worker) % percent < permittedPercent || first->first == worker;
+    const bool isWide = !hasNarrowSteps_ || !isNarrow(step);
+    return (isWide && rank(worker) % percent < permittedPercent) || first->first == worker;
 }
 
 std::string SoakAdvice::subjectOf(const std::string &step, const std::string &worker) const
--- a/Tests/Soak/SoakAudit.cpp
+++ b/Tests/Soak/SoakAudit.cpp
@@ -1,5 +1,6 @@
 #include "Soak/SoakAudit.h"
 
+#include "Soak/SoakAdvice.h"
 #include "Soak/SoakClients.h"
 
 #include <fmt/format.h>
@@ -16,6 +17,8 @@
 constexpr Milliseconds visibleAfter {3000};
 /// From when on tasks of a cancelled job must be gone.
 constexpr Milliseconds cancelBound {3000};
+/// No job may have nothing running for longer while most of the workers' processors are free.
+constexpr Milliseconds idleWaitBound {3000};
 
 std::string describe(const SoakRun &run)
 {
@@ -40,8 +43,9 @@
 } // namespace
 
 SoakAudit::SoakAudit(const SoakJournal &journal, std::vector<SoakJob> jobs,
-                     const std::vector<SoakAnswer> &unfinished)
-    : disturbances_(journal.disturbances())
+                     const std::vector<SoakAnswer> &unfinished, std::int64_t fleetMillicores)
+    : fleetMillicores_(fleetMillicores)
+    , disturbances_(journal.disturbances())
 {
     for (SoakRun &run : journal.runs())
         runs_[run.task].push_back(std::move(run));
@@ -56,6 +60,7 @@
         checkOrder(job);
         checkAttempts(job);
         checkGangs(job);
+        checkWait(job);
     }
     for (const SoakAnswer &answer : journal.answers())
         checkAnswer(answer);
@@ -232,6 +237,53 @@
     }
 }
 
+void SoakAudit::checkWait(const SoakJob &job)
+{
+    const SoakTaskId &first = job.tasks.front();
+    // A narrow step may wait for its only worker, and a gang for several at a time.
+    if (!job.acceptedAt || job.isCancelSent || job.gangs.front()
+        || SoakAdvice::isNarrow(soakStepNameOf(first)))
+        return;
+    Milliseconds startedAt = soakNow();
+    for (const SoakTaskId &task : job.tasks) {
+        for (const SoakRun &run : runs_[task])
+            startedAt = std::min(startedAt, run.startedAt);
+    }
+    const Milliseconds from = startedAt - idleWaitBound;
+    const bool isDisturbed = std::ranges::any_of(disturbances_, [&](const auto &disturbance) {
+        return disturbance.from <= startedAt && disturbance.to + stableWindow >= from;
+    });
+    if (from < *job.acceptedAt || isDisturbed)
+        return;
+    const std::int64_t used = mostMillicores(from, startedAt);
+    if (used * 2 < fleetMillicores_)
+        add("LOST",
+            fmt::format("{} had nothing running from {} to {}; at most {} of {} millicores "
+                        "were in use in the last {} ms",
+                        job.name.value(), job.acceptedAt->count(), startedAt.count(), used,
+                        fleetMillicores_, idleWaitBound.count()));
+}
+
+std::int64_t SoakAudit::mostMillicores(Milliseconds from, Milliseconds to) const
+{
+    std::map<Milliseconds, std::int64_t> changes;
+    for (const auto &[task, runs] : runs_) {
+        for (const SoakRun &run : runs) {
+            if (run.startedAt >= to || run.endedAt.value_or(to) <= from)
+                continue;
+            changes[std::max(run.startedAt, from)] += run.millicores;
+            changes[run.endedAt.value_or(to)] -= run.millicores;
+        }
+    }
+    std::int64_t used = 0;
+    std::int64_t most = 0;
+    for (const auto &[time, change] : changes) {
+        used += change;
+        most = std::max(most, used);
+    }
+    return most;
+}
+
 bool SoakAudit::isDoneBy(const SoakJob &job, const SoakTaskId &task, Milliseconds time) const
 {
     const bool isGang = job.gangs.at(soakStepOf(task));
--- a/Tests/Soak/SoakClients.cpp
+++ b/Tests/Soak/SoakClients.cpp
@@ -1,5 +1,7 @@
 #include "Soak/SoakClients.h"
 
+#include "Soak/SoakAdvice.h"
+
 #include <fmt/format.h>
 #include <httplib.h>
 
@@ -265,15 +267,35 @@
     plan.steps.front().members = std::min(plan.steps.front().members, longTasks);
 }
 
+void SoakClients::widen(const SoakJob &job, SoakJobPlan &plan, std::vector<std::int64_t> &counts)
+{
+    if (!plan.needsTicket || !SoakAdvice::isNarrow(job.name.value() + ".0.0"))
+        return;
+    constexpr std::int64_t tasks = 48;
+    plan.work = Milliseconds(700);
+    plan.failures = 0;
+    plan.steps = {{0, 4000}};
+    counts = {tasks};
+}
+
+JobName SoakClients::nextName() const
+{
+    static std::atomic<std::uint64_t> lastNumber = 0;
+    return JobName(fmt::format("{:08x}{:08x}", namePrefix_, ++lastNumber));
+}
+
 SoakJob SoakClients::makeJob(std::mt19937_64 &random) const
 {
     SoakJob job;
+    job.name = nextName();
     job.queue = "queue";
     std::vector<std::int64_t> counts;
     SoakJobPlan plan
             = load_.isMixed ? planMixed(random, counts, job.queue) : planPlain(random, counts);
     if (load_.hasLongRuns && pick(random, 0, 3) == 0)
         lengthen(random, plan, counts);
+    if (load_.hasNarrowSteps)
+        widen(job, plan, counts);
     // A run that fails does so after half of its work.
     const Milliseconds workOfTask
             = plan.work + plan.work * std::min(plan.failures, maxAttempts) / 2;
@@ -292,8 +314,6 @@
         job.longestPath += workOfTask;
         job.coreTime += workOfTask * counts[step] * plan.steps[step].millicores / 1000;
     }
-    static std::atomic<std::uint64_t> lastNumber = 0;
-    job.name = JobName(fmt::format("{:08x}{:08x}", namePrefix_, ++lastNumber));
     job.body = Json {{"spec", plan.toSpec()}, {"steps", steps}}.dump();
     if (plan.failures >= maxAttempts)
         job.finalState = "failed";
--- a/Tests/Soak/SoakClients.h
+++ b/Tests/Soak/SoakClients.h
@@ -29,6 +29,8 @@
     std::size_t clients = 6;
     /// Jobs of several queues, with gangs, failing runs and tasks of several sizes.
     bool isMixed = false;
+    /// Besides, narrow steps with more tasks than all workers could run at once.
+    bool hasNarrowSteps = false;
     /// A quarter of the jobs has runs that are longer than the lease of their worker.
     bool hasLongRuns = false;
 };
@@ -68,9 +70,12 @@
     void cancel(Connections &connections, std::mt19937_64 &random);
     void ask(Connections &connections, std::mt19937_64 &random);
     SoakJob makeJob(std::mt19937_64 &random) const;
+    JobName nextName() const;
     /// Gives the job runs that are longer than a lease, and one step with few tasks.
     static void lengthen(std::mt19937_64 &random, SoakJobPlan &plan,
                          std::vector<std::int64_t> &counts);
+    /// If the job's step is narrow, widens it to more tasks than all workers could run at once.
+    static void widen(const SoakJob &job, SoakJobPlan &plan, std::vector<std::int64_t> &counts);
     static SoakJobPlan planPlain(std::mt19937_64 &random, std::vector<std::int64_t> &counts);
     static SoakJobPlan planMixed(std::mt19937_64 &random, std::vector<std::int64_t> &counts,
                                  std::string &queue);
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -139,6 +139,8 @@
     , advice_(options.instances, options.approvalTime)
     , store_(options.instances)
 {
+    if (options.hasNarrowSteps)
+        advice_.setNarrowSteps();
     nlohmann::json queues = nlohmann::json::array({queue("queue", 1)});
     if (options.hasSeveralQueues) {
         queues.push_back(queue("urgent", 0));
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -14,6 +14,8 @@
     int workers = 8;
     /// Whether there are queues of several priorities, one of them with approvals.
     bool hasSeveralQueues = false;
+    /// Whether a part of the steps may run on one worker only.
+    bool hasNarrowSteps = false;
     /// How long the policy service takes for a request.
     Milliseconds approvalTime {40};
     /// Whether workers list ends in any order, and some of them late.
--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -10,6 +10,8 @@
 
 /// Until the workers have registered and the holder has read them.
 constexpr Milliseconds warmUp {2000};
+/// Several narrow steps may have the same worker as the only one.
+constexpr Milliseconds narrowSettling {20'000};
 
 /// Clients hand jobs in while there is no worker, and from before there is a holder.
 void startEarly(SoakFleet &fleet, SoakClients &clients, SoakJournal &journal)
@@ -45,6 +47,7 @@
     journal.write(fmt::format("seed {} kinds {}", options.fleet.seed, options.kinds));
     SoakFleetOptions fleetOptions = options.fleet;
     fleetOptions.hasSeveralQueues = options.load.isMixed;
+    fleetOptions.hasNarrowSteps = options.load.hasNarrowSteps;
     SoakFleet fleet(fleetOptions, journal);
     // The folder may hold logs of an earlier round.
     const std::size_t earlierCrashes = countCrashLines(folder);
@@ -66,6 +69,8 @@
             .run(options.duration);
     clients.stop();
     Milliseconds settling = options.settling;
+    if (options.load.hasNarrowSteps)
+        settling += narrowSettling;
     if (options.load.hasLongRuns)
         settling += clients.remainingTime(options.fleet.workers * SoakWorkerTimes::millicores
                                           / 1000);
@@ -74,7 +79,9 @@
     SoakRoundResult result;
     result.jobs = jobs.size();
     result.runs = journal.runs().size();
-    result.findings = SoakAudit(journal, jobs, unfinished).findings();
+    result.findings = SoakAudit(journal, jobs, unfinished,
+                                options.fleet.workers * SoakWorkerTimes::millicores)
+                              .findings();
     result.summary = summarize(journal, countCrashLines(folder) - earlierCrashes);
     result.summary.unusedAcknowledgements = countUnusedAcknowledgements(folder) - earlierUnused;
     if (result.summary.unusedAcknowledgements > 0 || result.summary.unlistedEnds > 0)
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(tasksLongerThanALease_whileWorkersAreCutOff_runOnceAndAreAnswered);
     CPPUNIT_TEST(tasks_whoseEndsAreListedInAnyOrder_runOnceAndAreAnswered);
     CPPUNIT_TEST(tasks_whileTheHolderIsPartitioned_runOnceAndAreAnswered);
+    CPPUNIT_TEST(jobs_besideStepsWithOnePermittedWorker_startInTime);
     CPPUNIT_TEST_SUITE_END();
 
     std::filesystem::path folder_;
@@ -75,6 +76,13 @@
     {
         runRound(2001, Milliseconds(18'000), "m", {.clients = 4});
     }
+
+    /// Guards against steps with few permitted workers that stop approvals for others.
+    void jobs_besideStepsWithOnePermittedWorker_startInTime()
+    {
+        runRound(3001, Milliseconds(15'000), "",
+                 {.clients = 2, .isMixed = true, .hasNarrowSteps = true});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakTest);
--- a/Tests/Soak/SoakTypes.h
+++ b/Tests/Soak/SoakTypes.h
@@ -30,6 +30,7 @@
     WorkerId worker;
     SoakIncarnation incarnation;
     std::int64_t fencingToken = 0;
+    std::int64_t millicores = 0;
     /// The worker carried the order out later than it arrived.
     bool isLate = false;
     Milliseconds startedAt;
--- a/Tests/Soak/SoakWorker.cpp
+++ b/Tests/Soak/SoakWorker.cpp
@@ -282,6 +282,7 @@
     run.worker = id_;
     run.incarnation = incarnation_;
     run.fencingToken = fence_;
+    run.millicores = plan.steps.at(soakStepOf(task)).millicores;
     run.isLate = isLate;
     running_[{task, number}]
             = {journal_.addRun(run), work_.begin(task, number, std::move(plan)), std::nullopt};
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -15,7 +15,7 @@
 Usage:
   testSoak [--seed=N] [--seconds=N] [--instances=N] [--workers=N] [--clients=N]
            [--kinds=LETTERS] [--mixed] [--long] [--early] [--unordered]
-           [--approval-ms=N]
+           [--approval-ms=N] [--narrow]
            [--folder=PATH] [--program=PATH] [--template=PATH]
 
 Options:
@@ -38,6 +38,8 @@
   --early          Clients hand jobs in before there is a holder, and before there are workers.
   --unordered      Workers list ends in any order, and some of them late.
   --approval-ms=N  How long the policy service takes for a request [default: 40].
+  --narrow         With --mixed: a part of the steps with approvals may run on one worker only, and has
+                   more tasks than all workers could run at once. Not with kind w.
   --folder=PATH    Settings, logs and journal [default: soak-logs].
   --program=PATH   Program of the entry instances, such as that of an earlier release.
   --template=PATH  Template of its settings.
@@ -63,6 +65,7 @@
     options.kinds = arguments["--kinds"].asString();
     options.load.clients = static_cast<std::size_t>(arguments["--clients"].asLong());
     options.load.isMixed = arguments["--mixed"].asBool();
+    options.load.hasNarrowSteps = arguments["--narrow"].asBool();
     options.isEarly = arguments["--early"].asBool();
     options.fleet.approvalTime = caraway::Milliseconds(arguments["--approval-ms"].asLong());
     options.fleet.areEndsUnordered = arguments["--unordered"].asBool();
