Count long-running tasks as staying when a gang reserves capacity

Cause: a gang that does not fit reserves the free capacity of its workers and more, on the condition that it would fit on idle workers. Long-running tasks, which run until their job is cancelled, counted as work that ends, so a gang that lacks what they use reserved the rest for good. Room under the cap of an account was reserved without any such condition.

Change: workers count for a gang with their capacity less that of long-running tasks, in the reservation, in approval requests and for the account's cap. Placements record whether their task is long-running.

--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -204,9 +204,9 @@
 }
 
 /// Requests decisions on further workers, and tickets for the approved ones in \a withoutTicket.
-/// Further workers are requested until the approved ones are likely to have, when idle, several
-/// times the capacity that the gang needs. After that, further workers are requested only if their
-/// free capacity is likely to suffice for the \a missing members.
+/// Further workers are requested until the approved ones are likely to have, when other tasks end,
+/// several times the capacity that the gang needs. After that, further workers are requested only
+/// if their free capacity is likely to suffice for the \a missing members.
 void CellScheduler::requestGangApprovals(const StartCandidate &candidate, std::int64_t missing,
                                          const std::vector<GangCapacity> &approved,
                                          std::vector<WorkerId> withoutTicket)
@@ -265,7 +265,7 @@
 }
 
 /// The workers on which the policy service has not decided, with the members of the gang that they
-/// can run on their free capacity, or when idle.
+/// can run on their free capacity, or when other tasks end.
 std::vector<CellScheduler::UndecidedWorker>
 CellScheduler::undecidedWorkers(const StartCandidate &candidate, bool onFreeCapacity)
 {
@@ -279,7 +279,7 @@
             continue;
         const std::int64_t tasks = onFreeCapacity
                 ? fittingTasks(*option, step)
-                : step.spec.need.timesIn(option->worker->entry->capacity, step.spec.tasks);
+                : step.spec.need.timesIn(option->reclaimable, step.spec.tasks);
         if (tasks > 0)
             undecided.push_back(
                     {step.spec.need.dominantShareOf(option->free), tasks, option->worker});
--- a/Source/Cell/CellGangs.cpp
+++ b/Source/Cell/CellGangs.cpp
@@ -29,8 +29,7 @@
                 return a.crashes().ownCount() < b.crashes().ownCount();
             });
     for (const auto &[option, hasTicket] : permittedWorkers(candidate)) {
-        const std::int64_t total
-                = step.spec.need.timesIn(option->worker->entry->capacity, step.spec.tasks);
+        const std::int64_t total = step.spec.need.timesIn(option->reclaimable, step.spec.tasks);
         if (total > 0)
             capacities.push_back({option, fittingTasks(*option, step), total, hasTicket,
                                   crashPenalty(*option, step.key.job, mostCrashes->crashes())});
@@ -50,8 +49,8 @@
     return capacities;
 }
 
-/// Whether the listed workers could run the gang if nothing else ran on them.
-bool CellScheduler::fitsWhenIdle(const StartCandidate &candidate) const
+/// Whether the listed workers could run the gang if only long-running tasks ran beside it.
+bool CellScheduler::fitsWhenOthersEnd(const StartCandidate &candidate) const
 {
     const CellStep &step = *candidate.step;
     const auto needed = static_cast<std::int64_t>(step.tasks.size());
@@ -62,7 +61,8 @@
         if (!worker.isListed || worker.entry->draining || !isEligible(worker, candidate)
             || step.approvals.isDenied(worker.number()))
             continue;
-        total += step.spec.need.timesIn(worker.entry->capacity, mostPerWorker);
+        total += step.spec.need.timesIn(worker.entry->capacity - worker.longRunningResources(),
+                                        mostPerWorker);
         if (total >= needed)
             return true;
     }
@@ -128,7 +128,8 @@
     }
     // Its members start together, or the first of them would wait for the others.
     if (startableTasks(candidate) < tasks) {
-        accounts_.reserve(candidate.job->account, step.spec.need, tasks);
+        if (fitsWhenOthersEnd(candidate))
+            accounts_.reserve(candidate.job->account, step.spec.need, tasks);
         return;
     }
     const std::vector<GangCapacity> capacities = gangCapacities(candidate);
@@ -150,7 +151,7 @@
         requestGangApprovals(candidate, tasks - free, capacities, std::move(withoutTicket));
     else
         requestGangTickets(candidate, std::move(withoutTicket));
-    if (!fits && !fitsWhenIdle(candidate))
+    if (!fits && !fitsWhenOthersEnd(candidate))
         return;
     if (fits || pass_.gangDemand * gangReservationDivisor <= pass_.capacity)
         reserveForGang(candidate, capacities);
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -151,6 +151,7 @@
             continue;
         WorkerOption &option = pass_.options.add(worker);
         option.free = worker.freeResources();
+        option.reclaimable = worker.entry->capacity - worker.longRunningResources();
         option.isOvercommitted = !Resources().fitsIn(option.free);
         if (worker.number().value() < requestedOnWorkers_.size())
             option.requested = requestedOnWorkers_[worker.number().value()];
@@ -400,6 +401,7 @@
     request.checkpoint = step.spec.gang ? step.gangCheckpoint : task.checkpoint;
     request.need = step.spec.allocation();
     request.charge = chargeOf(*candidate.job, step);
+    request.isLongRunning = step.spec.longRunning;
     accounts_.addRunning(request.charge);
     if (const auto *ticket = step.approvals.validTicket(worker.number(), context_.now())) {
         request.ticket = ticket->text;
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -310,7 +310,7 @@
     if (isFinal(job->state()))
         return stopped;
     const WorkerFleet::RunDecision kept {WorkerFleet::RunDecision::Kind::Keep,
-                                         step->spec.allocation(), charge};
+                                         step->spec.allocation(), charge, step->spec.longRunning};
     CellTask &task = step->tasks[running.task.index.value()];
     if (findRun(running.task, running.run, worker.id()))
         return kept;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -193,7 +193,7 @@
         WorkerOption *option = nullptr;
         /// On its free capacity.
         std::int64_t free = 0;
-        /// On its whole capacity.
+        /// On its capacity but for that of long-running tasks.
         std::int64_t total = 0;
         bool hasTicket = false;
         double crashPenalty = 0;
@@ -358,7 +358,7 @@
     void startIndependentTasks(const StartCandidate &candidate);
     void startGang(const StartCandidate &candidate);
     std::vector<GangCapacity> gangCapacities(const StartCandidate &candidate);
-    bool fitsWhenIdle(const StartCandidate &candidate) const;
+    bool fitsWhenOthersEnd(const StartCandidate &candidate) const;
     void reserveForGang(const StartCandidate &candidate,
                         const std::vector<GangCapacity> &capacities);
     static std::vector<WorkerId> workersWithoutTicket(const std::vector<GangCapacity> &capacities);
--- a/Source/Cell/CellWorker.cpp
+++ b/Source/Cell/CellWorker.cpp
@@ -138,6 +138,16 @@
     return free;
 }
 
+Resources CellWorker::longRunningResources() const
+{
+    Resources used;
+    for (const Placement &placement : placements) {
+        if (placement.isLongRunning)
+            used += placement.need;
+    }
+    return used;
+}
+
 void CellWorker::endIncarnation(WorkerIncarnation next)
 {
     if (incarnation)
--- a/Source/Cell/CellWorker.h
+++ b/Source/Cell/CellWorker.h
@@ -16,6 +16,8 @@
     RunNumber run;
     Resources need;
     AccountCharge charge;
+    /// Whether the task runs until its job is cancelled.
+    bool isLongRunning = false;
     /// The latest time, on the worker's clock, at which the worker confirmed the run; nothing
     /// before the first confirmation.
     std::optional<WorkerTime> confirmedAt;
@@ -220,6 +222,8 @@
     Placement *find(const TaskKey &task, RunNumber run);
     void countOrphanedRuns();
     Resources freeResources() const;
+    /// What long-running tasks use.
+    Resources longRunningResources() const;
     bool hasEnded(WorkerIncarnation other) const { return endedIncarnations.contains(other); }
     /// The process at the worker's address is \a next, so the present incarnation has ended.
     void endIncarnation(WorkerIncarnation next);
--- a/Source/Cell/WorkerFleet.h
+++ b/Source/Cell/WorkerFleet.h
@@ -30,6 +30,7 @@
         Resources need = {};
         /// What the run counts for until it has ended, also one that is stopped.
         AccountCharge charge = {};
+        bool isLongRunning = false;
     };
     struct Handlers
     {
@@ -70,6 +71,7 @@
         std::optional<TimePoint> ticketValidUntil = std::nullopt;
         Resources need;
         AccountCharge charge;
+        bool isLongRunning = false;
     };
     using Workers = std::map<WorkerId, CellWorker>;
 
--- a/Source/Cell/WorkerOption.h
+++ b/Source/Cell/WorkerOption.h
@@ -25,6 +25,8 @@
     /// The part of the free capacity that candidates earlier in the order are likely to use, which
     /// wait for approvals.
     Resources claimed;
+    /// Capacity that is free, or will be when tasks end: all but that of long-running tasks.
+    Resources reclaimable;
     /// Free capacity for which the policy service was asked on behalf of waiting tasks, and has not
     /// answered yet.
     Resources requested;
--- a/Source/Cell/WorkerRuns.cpp
+++ b/Source/Cell/WorkerRuns.cpp
@@ -26,6 +26,7 @@
     placement.run = request.run;
     placement.need = request.need;
     placement.charge = request.charge;
+    placement.isLongRunning = request.isLongRunning;
     findWorker(id)->placements.push_back(placement);
 }
 
@@ -180,6 +181,7 @@
     placement->isUndecided = false;
     placement->need = decision.need;
     placement->charge = decision.charge;
+    placement->isLongRunning = decision.isLongRunning;
     if (decision.kind == RunDecision::Kind::Stop)
         stop(id, task, run);
     worker->countOrphanedRuns();
