Count urgent work for the headroom when it becomes due

Cause: the headroom for urgent work follows its arrivals, and a job counted as one when the holder added it. A new holder adds all jobs at once, also those that are due tomorrow, and as long as any headroom is left, the first worker is kept for urgent work.

Change: a step counts as an arrival when it becomes due, each repetition at its own time, with the tasks that wait then.

--- a/Source/Cell/CellJob.cpp
+++ b/Source/Cell/CellJob.cpp
@@ -183,6 +183,14 @@
     }
 }
 
+std::span<const CellStep> CellJob::takeDueSteps(WallTime wallTime)
+{
+    const std::size_t first = dueSteps_;
+    while (dueSteps_ < steps_.size() && steps_[dueSteps_].due <= wallTime)
+        ++dueSteps_;
+    return std::span(steps_).subspan(first, dueSteps_ - first);
+}
+
 JobProgress CellJob::progress() const
 {
     JobProgress progress;
--- a/Source/Cell/CellJob.h
+++ b/Source/Cell/CellJob.h
@@ -83,6 +83,9 @@
     bool isDone() const;
     /// Marks the steps as ready that are due and whose dependencies have all succeeded.
     void updateReadiness(TimePoint now, WallTime wallTime);
+    /// The steps that have become due since the last call, whether or not their dependencies have
+    /// succeeded.
+    std::span<const CellStep> takeDueSteps(WallTime wallTime);
     /// The progress to store.
     JobProgress progress() const;
 
@@ -92,6 +95,8 @@
 
     AcceptedJob accepted_;
     std::vector<CellStep> steps_;
+    /// The number of steps that takeDueSteps() has returned.
+    std::size_t dueSteps_ = 0;
     TimePoint arrivedAt_;
     Milliseconds criticalPath_;
     JobState state_ = JobState::Pending;
--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -87,14 +87,18 @@
     return sorted;
 }
 
-void CellScheduler::recordArrival(const CellJob &job)
+void CellScheduler::recordArrivals(CellJob &job)
 {
+    const std::span<const CellStep> due = job.takeDueSteps(context_.wallTime());
+    if (job.isSurplus)
+        return;
     const Queue &queue = queueOf(job);
-    for (const StepSpec &step : job.accepted().spec.steps) {
-        if (step.longRunning || step.fillsIdleTime)
+    for (const CellStep &step : due) {
+        if (step.spec.longRunning || step.spec.fillsIdleTime)
             continue;
-        headroom_.recordArrival(queue.priority, step.need.processors * step.tasks,
-                                expectedDuration(queue.id, step), context_.now());
+        const auto tasks = static_cast<std::int64_t>(step.counts.waiting);
+        headroom_.recordArrival(queue.priority, step.spec.need.processors * tasks,
+                                expectedDuration(queue.id, step.spec), context_.now());
     }
 }
 
--- a/Source/Cell/CellScheduler.cpp
+++ b/Source/Cell/CellScheduler.cpp
@@ -210,8 +210,7 @@
                  id.value(), job.queue.id.value(), job.spec.steps.size(), job.generation,
                  job.account.value(), addedJob.isSurplus);
     passNeeded_ = true;
-    if (!addedJob.isSurplus)
-        recordArrival(addedJob);
+    recordArrivals(addedJob);
     if (addedJob.isDone())
         finish(addedJob, JobState::Completed);
     else if (cancellations_.contains(id))
@@ -571,8 +570,10 @@
         nextMaintenance_ = context_.now() + maintenanceInterval;
         updateRoster();
         expireResults();
-        for (auto &[id, job] : jobs_)
+        for (auto &[id, job] : jobs_) {
             job->updateReadiness(context_.now(), context_.wallTime());
+            recordArrivals(*job);
+        }
         if (context_.now() >= nextLoadLog_) {
             nextLoadLog_ = context_.now() + loadLogInterval;
             logLoad();
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -396,7 +396,8 @@
     bool hasTicket(const WorkerOption &option, const StartCandidate &candidate) const;
     void updateMeanDuration(const CellJob &job, const CellTask &task);
     Milliseconds expectedDuration(const QueueId &queue, const StepSpec &step) const;
-    void recordArrival(const CellJob &job);
+    /// Counts the steps of the job that have become due since the last call as arrivals.
+    void recordArrivals(CellJob &job);
     static bool isEligible(const CellWorker &worker, const StartCandidate &candidate)
     {
         return PassOptions::isEligible(worker, candidate.queue->upstream,
