Say earmarked, not claimed, of capacity; a claim is what a candidate for holder makes

No change of behaviour. The glossary had the word for the conditional write by which a candidate becomes the holder.

--- a/Source/Cell/ApprovalDecision.h
+++ b/Source/Cell/ApprovalDecision.h
@@ -25,7 +25,7 @@
     /// No worker has enough free capacity for a task.
     NoRoom,
     /// Candidates earlier in the order are likely to use the free capacity.
-    Claimed,
+    Earmarked,
     /// The policy service has denied workers with free capacity, and no others have any.
     Denied,
     /// The workers with free capacity are kept for other tasks, or have as many tasks of the step
@@ -42,8 +42,8 @@
 constexpr std::string_view nameOf(ApprovalDecision decision)
 {
     constexpr std::array<std::string_view, approvalDecisions> names
-            = {"none",      "queued",  "open",    "not_due", "queue_full", "sufficient",
-               "too_large", "no_room", "claimed", "denied",  "restricted"};
+            = {"none",      "queued",  "open",      "not_due", "queue_full", "sufficient",
+               "too_large", "no_room", "earmarked", "denied",  "restricted"};
     return names.at(static_cast<std::size_t>(decision));
 }
 
--- a/Source/Cell/CellApprovals.cpp
+++ b/Source/Cell/CellApprovals.cpp
@@ -90,11 +90,11 @@
         return ApprovalDecision::TooLarge;
     const StepSpec &spec = candidate.step->spec;
     if (spec.allocation().processors > Millicores()) {
-        const Claim claim = claimCapacity(candidate, tasks);
+        const Earmark earmark = earmarkCapacity(candidate, tasks);
         // Of a long-running step only a few tasks wait at a time, so capacity for them is found
         // soon.
-        if (claim.tasks == 0 && !spec.longRunning)
-            return claim.obstacle;
+        if (earmark.tasks == 0 && !spec.longRunning)
+            return earmark.obstacle;
     }
     if (const auto obstacle = requestObstacle(candidate))
         return *obstacle;
@@ -105,47 +105,47 @@
     return requestMissingApprovals(candidate, tasks);
 }
 
-CellScheduler::Claim CellScheduler::claimCapacity(const StartCandidate &candidate,
-                                                  std::int64_t tasks)
+CellScheduler::Earmark CellScheduler::earmarkCapacity(const StartCandidate &candidate,
+                                                      std::int64_t tasks)
 {
     const CellStep &step = *candidate.step;
     const Resources &need = step.spec.need;
-    Claim claim;
-    claim.obstacle = mayFit(candidate) ? ApprovalDecision::Claimed : ApprovalDecision::NoRoom;
-    if (!candidate.eligible->unmetByUnclaimed.mayFit(need))
-        return claim;
+    Earmark earmark;
+    earmark.obstacle = mayFit(candidate) ? ApprovalDecision::Earmarked : ApprovalDecision::NoRoom;
+    if (!candidate.eligible->unmetByAvailable.mayFit(need))
+        return earmark;
     bool fitsAny = false;
-    candidate.eligible->visitUnclaimed([&](WorkerOption &option) {
+    candidate.eligible->visitAvailable([&](WorkerOption &option) {
         ++pass_.report.workerChecks;
-        const Resources unclaimed = option.unclaimed();
-        if (!need.fitsIn(unclaimed))
+        const Resources available = option.available();
+        if (!need.fitsIn(available))
             return true;
         fitsAny = true;
         if (step.approvals.isDenied(option.worker->number())) {
-            claim.obstacle = ApprovalDecision::Denied;
+            earmark.obstacle = ApprovalDecision::Denied;
             return true;
         }
         const std::int64_t fitting
-                = mayPlace(option, candidate) ? fittingTasks(option, unclaimed, step) : 0;
-        if (fitting == 0 && claim.obstacle != ApprovalDecision::Denied)
-            claim.obstacle = ApprovalDecision::Restricted;
-        const std::int64_t claimed = std::min(fitting, tasks - claim.tasks);
+                = mayPlace(option, candidate) ? fittingTasks(option, available, step) : 0;
+        if (fitting == 0 && earmark.obstacle != ApprovalDecision::Denied)
+            earmark.obstacle = ApprovalDecision::Restricted;
+        const std::int64_t earmarked = std::min(fitting, tasks - earmark.tasks);
         // The policy service may fail for this step only.
         if (!step.approvals.isUnanswered)
-            option.claimed += need * claimed;
-        claim.tasks += claimed;
-        return claim.tasks < tasks;
+            option.earmarked += need * earmarked;
+        earmark.tasks += earmarked;
+        return earmark.tasks < tasks;
     });
     if (!fitsAny)
         recordUnmet(candidate);
-    return claim;
+    return earmark;
 }
 
 void CellScheduler::recordUnmet(const StartCandidate &candidate)
 {
     EligibleWorkers &eligible = *candidate.eligible;
     const Resources &need = candidate.step->spec.need;
-    eligible.unmetByUnclaimed.add(need);
+    eligible.unmetByAvailable.add(need);
     const auto fits = [&](const WorkerOption &option) { return need.fitsIn(option.free); };
     if (!eligible.containsAny(fits))
         eligible.unmetByFree.add(need);
@@ -200,7 +200,7 @@
     if (chosen.size() + expired.size() <= maxWorkersPerRequest)
         chosen.insert(chosen.end(), expired.begin(), expired.end());
     return queueApprovalRequest(candidate, std::move(chosen), tasks) ? ApprovalDecision::Queued
-                                                                     : ApprovalDecision::Claimed;
+                                                                     : ApprovalDecision::Earmarked;
 }
 
 /// Requests decisions on further workers, and tickets for the approved ones in \a withoutTicket.
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -167,7 +167,7 @@
     /// What each worker of an open approval request is likely to run if it is approved.
     using RequestedCapacity = std::vector<std::pair<WorkerNumber, Resources>>;
     /// Free capacity that a step is likely to use when it gets approvals.
-    struct Claim
+    struct Earmark
     {
         std::int64_t tasks = 0;
         /// Why it is nothing.
@@ -415,10 +415,10 @@
     bool fitsAnyWorker(const StartCandidate &candidate) const;
     void requestTaskApprovals(const StartCandidate &candidate, std::int64_t tasks);
     ApprovalDecision decideOnTaskRequest(const StartCandidate &candidate, std::int64_t tasks);
-    /// Claims free capacity for up to \a tasks waiting tasks of the step, on workers that may run
+    /// Earmarks free capacity for up to \a tasks waiting tasks of the step, on workers that may run
     /// them, so that candidates later in the order ask only about what is left.
-    Claim claimCapacity(const StartCandidate &candidate, std::int64_t tasks);
-    /// Records that no worker has enough unclaimed capacity, and perhaps not enough free capacity,
+    Earmark earmarkCapacity(const StartCandidate &candidate, std::int64_t tasks);
+    /// Records that no worker has enough available capacity, and perhaps not enough free capacity,
     /// for a task of the step.
     static void recordUnmet(const StartCandidate &candidate);
     ApprovalDecision requestMissingApprovals(const StartCandidate &candidate, std::int64_t tasks);
--- a/Source/Cell/EligibleWorkers.cpp
+++ b/Source/Cell/EligibleWorkers.cpp
@@ -7,7 +7,7 @@
     options_.push_back(&option);
     isMember_[option.position] = true;
     if (!option.isOvercommitted)
-        unclaimed_.push_back(&option);
+        available_.push_back(&option);
 }
 
 } // namespace caraway::cell
--- a/Source/Cell/EligibleWorkers.h
+++ b/Source/Cell/EligibleWorkers.h
@@ -13,7 +13,7 @@
 {
 public:
     /// \a usableWorkers is the number of all usable workers. With another \a rotation,
-    /// visitUnclaimed() begins with another worker.
+    /// visitAvailable() begins with another worker.
     explicit EligibleWorkers(std::size_t usableWorkers, std::size_t rotation = 0)
         : isMember_(usableWorkers)
         , nextVisited_(rotation)
@@ -41,43 +41,43 @@
         return true;
     }
 
-    /// Calls \a visit once with each worker that has unclaimed processors, until it returns false.
-    /// The next visit begins with the worker after the last one, so that claims spread over all
+    /// Calls \a visit once with each worker that has available processors, until it returns false.
+    /// The next visit begins with the worker after the last one, so that earmarks spread over all
     /// workers.
     template<std::predicate<WorkerOption &> Visit>
-    void visitUnclaimed(const Visit &visit)
+    void visitAvailable(const Visit &visit)
     {
         std::size_t exhausted = 0;
-        const std::size_t size = unclaimed_.size();
+        const std::size_t size = available_.size();
         for (std::size_t i = 0; i < size; ++i) {
-            WorkerOption &option = *unclaimed_[nextVisited_++ % size];
-            if (!option.hasUnclaimedProcessors())
+            WorkerOption &option = *available_[nextVisited_++ % size];
+            if (!option.hasAvailableProcessors())
                 ++exhausted;
             else if (!visit(option))
                 break;
         }
         if (exhausted > size / maxExhaustedDivisor) {
-            std::erase_if(unclaimed_, [](const WorkerOption *option) {
-                return !option->hasUnclaimedProcessors();
+            std::erase_if(available_, [](const WorkerOption *option) {
+                return !option->hasAvailableProcessors();
             });
         }
     }
 
     /// Needs for which no worker has enough free capacity; none will have it during the pass.
     UnmetNeeds unmetByFree;
-    /// Needs for which no worker has enough unclaimed capacity.
-    UnmetNeeds unmetByUnclaimed;
+    /// Needs for which no worker has enough available capacity.
+    UnmetNeeds unmetByAvailable;
 
 private:
-    /// One visited worker in this many may have no unclaimed processors.
+    /// One visited worker in this many may have no available processors.
     static constexpr std::size_t maxExhaustedDivisor = 4;
 
     std::vector<WorkerOption *> options_;
     const WorkerOption *lastMatch_ = nullptr;
     /// By position.
     std::vector<bool> isMember_;
-    /// Includes all workers that have unclaimed processors.
-    std::vector<WorkerOption *> unclaimed_;
+    /// Includes all workers that have available processors.
+    std::vector<WorkerOption *> available_;
     std::size_t nextVisited_ = 0;
 };
 
--- a/Source/Cell/WorkerOption.h
+++ b/Source/Cell/WorkerOption.h
@@ -24,7 +24,7 @@
     Resources free;
     /// The part of the free capacity that candidates earlier in the order are likely to use, which
     /// wait for approvals.
-    Resources claimed;
+    Resources earmarked;
     /// Capacity that is free, or will be when tasks end: all but that of long-running tasks.
     Resources reclaimable;
     /// Free capacity for which the policy service was asked on behalf of waiting tasks, and has not
@@ -38,8 +38,8 @@
     /// Runs on the worker of tasks under which workers have crashed.
     std::vector<SuspectRun> suspects;
 
-    Resources unclaimed() const { return free - claimed; }
-    bool hasUnclaimedProcessors() const { return free.processors > claimed.processors; }
+    Resources available() const { return free - earmarked; }
+    bool hasAvailableProcessors() const { return free.processors > earmarked.processors; }
 };
 
 } // namespace caraway::cell
--- a/Tests/Cell/PassOptionsTest.cpp
+++ b/Tests/Cell/PassOptionsTest.cpp
@@ -22,8 +22,8 @@
     CPPUNIT_TEST(mayFit_afterASmallerNeedWasTooLarge_isFalse);
     CPPUNIT_TEST(containsAny_onDrawnNeeds_isWhatASearchOfAllFinds);
     CPPUNIT_TEST(containsAny_ofTheSameNeedAgain_looksAtOneWorker);
-    CPPUNIT_TEST(visitUnclaimed_whileClaimsGrow_isOfEachWorkerWithUnclaimedOnce);
-    CPPUNIT_TEST(visitUnclaimed_afterAnother_beginsWithTheNextWorker);
+    CPPUNIT_TEST(visitAvailable_whileMoreIsEarmarked_isOfEachWorkerWithAvailableOnce);
+    CPPUNIT_TEST(visitAvailable_afterAnother_beginsWithTheNextWorker);
     CPPUNIT_TEST(approvedWorkers_afterDrawnDecisions_areThoseOfAPlainTable);
     CPPUNIT_TEST(counts_afterDrawnEvents_areThoseOfACount);
     CPPUNIT_TEST_SUITE_END();
@@ -132,7 +132,7 @@
         CPPUNIT_ASSERT_EQUAL(workers + 1, looked);
     }
 
-    void visitUnclaimed_whileClaimsGrow_isOfEachWorkerWithUnclaimedOnce()
+    void visitAvailable_whileMoreIsEarmarked_isOfEachWorkerWithAvailableOnce()
     {
         for (std::uint64_t seed = 1; seed <= rounds; ++seed) {
             Fleet fleet(seed);
@@ -141,12 +141,12 @@
             for (std::size_t i = 0; i < needsPerRound; ++i) {
                 std::set<const WorkerOption *> expected;
                 for (const WorkerOption *option : eligible.options()) {
-                    if (option->hasUnclaimedProcessors())
+                    if (option->hasAvailableProcessors())
                         expected.insert(option);
                 }
-                eligible.visitUnclaimed([&](WorkerOption &option) {
+                eligible.visitAvailable([&](WorkerOption &option) {
                     CPPUNIT_ASSERT_EQUAL(std::size_t(1), expected.erase(&option));
-                    option.claimed += drawResources(random);
+                    option.earmarked += drawResources(random);
                     return true;
                 });
                 CPPUNIT_ASSERT(expected.empty());
@@ -154,7 +154,7 @@
         }
     }
 
-    void visitUnclaimed_afterAnother_beginsWithTheNextWorker()
+    void visitAvailable_afterAnother_beginsWithTheNextWorker()
     {
         WorkerOption options[2];
         EligibleWorkers eligible(std::size(options));
@@ -165,7 +165,7 @@
         }
         std::vector<std::size_t> visited;
         for (int i = 0; i < 3; ++i) {
-            eligible.visitUnclaimed([&](const WorkerOption &option) {
+            eligible.visitAvailable([&](const WorkerOption &option) {
                 visited.push_back(option.position);
                 return false;
             });
