--- a/Source/Cell/CellPlacement.cpp
+++ b/Source/Cell/CellPlacement.cpp
@@ -87,14 +87,18 @@
     return sorted;
 }
 
-void CellScheduler::recordArrival(const CellJob &job)
+void CellScheduler::recordArrivals(CellJob &job)
 {
+    const std::span<const CellStep> due = job.takeDueSteps(context_.wallTime());
+    if (job.isSurplus)
+        return;
     const Queue &queue = queueOf(job);
-    for (const StepSpec &step : job.accepted().spec.steps) {
-        if (step.longRunning || step.fillsIdleTime)
+    for (const CellStep &step : due) {
+        if (step.spec.longRunning || step.spec.fillsIdleTime)
             continue;
-        headroom_.recordArrival(queue.priority, step.need.processors * step.tasks,
-                                expectedDuration(queue.id, step), context_.now());
+        const auto tasks = static_cast<std::int64_t>(step.counts.waiting);
+        headroom_.recordArrival(queue.priority, step.spec.need.processors * tasks,
+                                expectedDuration(queue.id, step.spec), context_.now());
     }
 }
 
@@ -151,6 +155,7 @@
             continue;
         WorkerOption &option = pass_.options.add(worker);
         option.free = worker.freeResources();
+        option.reclaimable = worker.entry->capacity - worker.longRunningResources();
         option.isOvercommitted = !Resources().fitsIn(option.free);
         if (worker.number().value() < requestedOnWorkers_.size())
             option.requested = requestedOnWorkers_[worker.number().value()];
@@ -400,6 +405,7 @@
     request.checkpoint = step.spec.gang ? step.gangCheckpoint : task.checkpoint;
     request.need = step.spec.allocation();
     request.charge = chargeOf(*candidate.job, step);
+    request.isLongRunning = step.spec.longRunning;
     accounts_.addRunning(request.charge);
     if (const auto *ticket = step.approvals.validTicket(worker.number(), context_.now())) {
         request.ticket = ticket->text;
--- a/Source/Cell/CellScheduler.h
+++ b/Source/Cell/CellScheduler.h
@@ -167,7 +167,7 @@
     /// What each worker of an open approval request is likely to run if it is approved.
     using RequestedCapacity = std::vector<std::pair<WorkerNumber, Resources>>;
     /// Free capacity that a step is likely to use when it gets approvals.
-    struct Claim
+    struct Earmark
     {
         std::int64_t tasks = 0;
         /// Why it is nothing.
@@ -193,7 +193,7 @@
         WorkerOption *option = nullptr;
         /// On its free capacity.
         std::int64_t free = 0;
-        /// On its whole capacity.
+        /// On its capacity but for that of long-running tasks.
         std::int64_t total = 0;
         bool hasTicket = false;
         double crashPenalty = 0;
@@ -358,7 +358,7 @@
     void startIndependentTasks(const StartCandidate &candidate);
     void startGang(const StartCandidate &candidate);
     std::vector<GangCapacity> gangCapacities(const StartCandidate &candidate);
-    bool fitsWhenIdle(const StartCandidate &candidate) const;
+    bool fitsWhenOthersEnd(const StartCandidate &candidate) const;
     void reserveForGang(const StartCandidate &candidate,
                         const std::vector<GangCapacity> &capacities);
     static std::vector<WorkerId> workersWithoutTicket(const std::vector<GangCapacity> &capacities);
@@ -396,7 +396,8 @@
     bool hasTicket(const WorkerOption &option, const StartCandidate &candidate) const;
     void updateMeanDuration(const CellJob &job, const CellTask &task);
     Milliseconds expectedDuration(const QueueId &queue, const StepSpec &step) const;
-    void recordArrival(const CellJob &job);
+    /// Counts the steps of the job that have become due since the last call as arrivals.
+    void recordArrivals(CellJob &job);
     static bool isEligible(const CellWorker &worker, const StartCandidate &candidate)
     {
         return PassOptions::isEligible(worker, candidate.queue->upstream,
@@ -414,10 +415,10 @@
     bool fitsAnyWorker(const StartCandidate &candidate) const;
     void requestTaskApprovals(const StartCandidate &candidate, std::int64_t tasks);
     ApprovalDecision decideOnTaskRequest(const StartCandidate &candidate, std::int64_t tasks);
-    /// Claims free capacity for up to \a tasks waiting tasks of the step, on workers that may run
+    /// Earmarks free capacity for up to \a tasks waiting tasks of the step, on workers that may run
     /// them, so that candidates later in the order ask only about what is left.
-    Claim claimCapacity(const StartCandidate &candidate, std::int64_t tasks);
-    /// Records that no worker has enough unclaimed capacity, and perhaps not enough free capacity,
+    Earmark earmarkCapacity(const StartCandidate &candidate, std::int64_t tasks);
+    /// Records that no worker has enough available capacity, and perhaps not enough free capacity,
     /// for a task of the step.
     static void recordUnmet(const StartCandidate &candidate);
     ApprovalDecision requestMissingApprovals(const StartCandidate &candidate, std::int64_t tasks);
